--- /dev/null
+++ b/crates/ochreyard-agent/src/flags.rs
@@ -0,0 +1,25 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// The agent of ochreyard: one beside each endpoint.
+    cmd ochreyard-agent {
+        /// Prints the version.
+        optional --version
+        /// Runs the agent. SIGTERM is a planned stop.
+        cmd serve {
+            /// The settings file, in YAML.
+            required settings: PathBuf
+        }
+        /// Checks a settings file and lists all its faults.
+        cmd check {
+            /// The settings file, in YAML.
+            required settings: PathBuf
+        }
+        /// Prints the reference of all settings.
+        cmd fields {}
+        /// Prints the version.
+        cmd version {}
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-agent/src/main.rs
@@ -0,0 +1,46 @@
+//! `ochreyard-agent`: the one small process beside each endpoint.
+
+mod admission_actor;
+mod call;
+mod fields;
+mod flags;
+mod ops;
+mod serve;
+
+use std::process::ExitCode;
+
+use ochreyard_process::{Settings, exit_for_usage};
+
+use crate::fields::FIELDS;
+use crate::flags::{OchreyardAgent, OchreyardAgentCmd};
+
+fn main() -> ExitCode {
+    let flags = OchreyardAgent::from_env().unwrap_or_else(|error| exit_for_usage("ochreyard-agent", &error));
+    if flags.version {
+        println!("ochreyard-agent {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let result = match flags.subcommand {
+        OchreyardAgentCmd::Serve(args) => read(&args.settings).and_then(serve::run),
+        OchreyardAgentCmd::Check(args) => read(&args.settings).map(|_| println!("{}: ok", args.settings.display())),
+        OchreyardAgentCmd::Fields(_) => {
+            print!("{}", ochreyard_process::reference(FIELDS));
+            Ok(())
+        }
+        OchreyardAgentCmd::Version(_) => {
+            println!("ochreyard-agent {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(path: &std::path::Path) -> miette::Result<Settings> {
+    Ok(Settings::read(path, FIELDS)?)
+}
--- /dev/null
+++ b/crates/ochreyard-agent/src/serve.rs
@@ -0,0 +1,114 @@
+//! Runs the agent until its planned stop.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use kameo::actor::{ActorRef, Spawn};
+use miette::{Context, IntoDiagnostic, Result};
+use ochreyard_core::admission::{Admission, AdmissionSettings};
+use ochreyard_core::ids::Incarnation;
+use ochreyard_endpoint::EndpointClient;
+use ochreyard_peer::LocalThread;
+use ochreyard_process::{Clock, Settings, start_logging, start_metrics, stop_signal};
+
+use crate::admission_actor::{AdmissionActor, CountRunning, Leave, StepTime, Tick};
+use crate::call::Agent;
+use crate::ops;
+
+/// How often deadlines of waiting requests are looked at.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Runs the agent.
+///
+/// # Errors
+///
+/// When an address cannot be bound or a secret cannot be read.
+pub fn run(settings: Settings) -> Result<()> {
+    start_logging(&settings).into_diagnostic()?;
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().into_diagnostic()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<()> {
+    let clock = Clock::start();
+    let metrics = start_metrics().map_err(|error| miette::miette!("{error}"))?;
+    let admission = Admission::new(admission_settings(&settings), Incarnation(clock.now_us()), clock.now_ms());
+    let admission = AdmissionActor::spawn(AdmissionActor::new(admission, clock));
+    let endpoint = EndpointClient::new(settings.text("endpoint_url")).into_diagnostic()?;
+    let ready = Arc::new(AtomicBool::new(true));
+
+    let thread = LocalThread::start("peer").into_diagnostic()?;
+    let peer_addr = settings.addr("agent_addr");
+    let listener = TcpListener::bind(peer_addr)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("field `agent_addr`: {peer_addr} cannot be bound; choose a free address"))?;
+    let agent = Agent {
+        data_centre: settings.text("data_centre").to_owned(),
+        admission: admission.clone(),
+        endpoint: endpoint.clone(),
+        config: std::sync::RwLock::new(None),
+    };
+    let token = settings.secret("peer_token_file").into_diagnostic()?;
+    ochreyard_peer::serve(&thread, listener, token, Arc::new(agent));
+
+    let ops_addr = settings.addr("ops_addr");
+    let ops_listener = tokio::net::TcpListener::bind(ops_addr)
+        .await
+        .into_diagnostic()
+        .wrap_err_with(|| format!("field `ops_addr`: {ops_addr} cannot be bound; choose a free address"))?;
+    let ops = ops::router(metrics, Arc::clone(&ready));
+    tokio::spawn(async move { axum::serve(ops_listener, ops).await });
+    tokio::spawn(tick(admission.clone()));
+    tokio::spawn(watch_load(admission.clone(), endpoint, settings.number("load_poll_ms")));
+
+    log::info!("event=agent_started endpoint={} addr={peer_addr}", settings.text("endpoint"));
+    stop_signal().await.into_diagnostic()?;
+    ready.store(false, Ordering::Relaxed);
+    drain(&admission, settings.number("drain_grace_ms")).await;
+    Ok(())
+}
+
+fn admission_settings(settings: &Settings) -> AdmissionSettings {
+    let count = |name: &str| usize::try_from(settings.number(name)).unwrap_or(usize::MAX);
+    AdmissionSettings::new(settings.text("endpoint"), settings.text("data_centre"))
+        .with_agent_addr(settings.addr("agent_addr"))
+        .with_slots(u32::try_from(settings.number("slots")).unwrap_or(u32::MAX))
+        .with_queue_limits(count("queue_limit"), count("queue_limit_per_workspace"))
+        .with_keys(settings.number("key_window_ms"), count("max_keys"))
+}
+
+async fn tick(admission: ActorRef<AdmissionActor>) {
+    let mut interval = tokio::time::interval(TICK);
+    loop {
+        interval.tick().await;
+        if admission.tell(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn watch_load(admission: ActorRef<AdmissionActor>, endpoint: EndpointClient, poll_ms: u64) {
+    let mut interval = tokio::time::interval(Duration::from_millis(poll_ms));
+    loop {
+        interval.tick().await;
+        // An endpoint without load reports is no fault: its agent counts what runs.
+        let Ok(load) = endpoint.load().await else { continue };
+        if admission.tell(StepTime(load.step_us)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The planned stop: no new work, and all that runs comes to its end.
+async fn drain(admission: &ActorRef<AdmissionActor>, grace_ms: u64) {
+    log::info!("event=agent_leaving");
+    let _ = admission.ask(Leave).await;
+    while admission.ask(CountRunning).await.unwrap_or(0) > 0 {
+        tokio::time::sleep(TICK).await;
+    }
+    tokio::time::sleep(Duration::from_millis(grace_ms)).await;
+    log::info!("event=agent_stopped");
+}
--- /dev/null
+++ b/crates/ochreyard-caller/src/answer.rs
@@ -0,0 +1,97 @@
+//! What a caller gets.
+
+use axum::body::Body;
+use axum::http::{HeaderValue, Response, StatusCode, header};
+use bytes::Bytes;
+use ochreyard_core::error_kind::{Refusal, Run};
+use tokio::sync::mpsc;
+
+/// Header that says what is known about the run.
+pub const RUN: &str = "ochreyard-run";
+/// Header with the identifier of the request.
+pub const REQUEST_ID: &str = "ochreyard-request-id";
+
+/// A part of the body, or the reason why there will be no more.
+pub type Part = Result<Bytes, Refusal>;
+
+/// An answer whose body follows part by part. The body is whole only if
+/// `parts` ends without a refusal.
+#[derive(Debug)]
+pub struct CallerAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of `Content-Type`; empty for none.
+    pub content_type: String,
+    /// The body.
+    pub parts: mpsc::Receiver<Part>,
+}
+
+/// The final word on one request.
+#[derive(Debug)]
+pub struct CallerReply {
+    /// Identifier of the request.
+    pub request_id: String,
+    /// The answer, or a refusal.
+    pub result: Result<CallerAnswer, Refusal>,
+}
+
+impl CallerReply {
+    /// As an HTTP response.
+    pub(crate) fn into_response(self) -> Response<Body> {
+        let mut response = match self.result {
+            Ok(answer) => whole_response(answer),
+            Err(refusal) => refusal_response(&refusal),
+        };
+        if let Ok(id) = HeaderValue::from_str(&self.request_id) {
+            response.headers_mut().insert(REQUEST_ID, id);
+        }
+        response
+    }
+}
+
+fn whole_response(answer: CallerAnswer) -> Response<Body> {
+    let CallerAnswer { status, content_type, mut parts } = answer;
+    let is_event_stream = content_type.starts_with("text/event-stream");
+    let body = async_stream::stream! {
+        while let Some(part) = parts.recv().await {
+            match part {
+                Ok(bytes) => yield Ok(bytes),
+                Err(refusal) => {
+                    if is_event_stream {
+                        yield Ok(Bytes::from(format!("event: error\ndata: {}\n\n", error_body(&refusal))));
+                    }
+                    // An error here breaks the connection off, so that what came does not look whole.
+                    yield Err(std::io::Error::other(refusal));
+                    return;
+                }
+            }
+        }
+    };
+    let mut response = Response::new(Body::from_stream(body));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    response.headers_mut().insert(RUN, HeaderValue::from_static(Run::Ran.as_str()));
+    if let Some(value) = HeaderValue::from_str(&content_type).ok().filter(|v| !v.is_empty()) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    response
+}
+
+fn error_body(refusal: &Refusal) -> serde_json::Value {
+    serde_json::json!({
+        "error": { "kind": refusal.kind, "message": refusal.to_string(), "run": refusal.run }
+    })
+}
+
+/// A refusal as an HTTP response.
+pub(crate) fn refusal_response(refusal: &Refusal) -> Response<Body> {
+    let mut response = Response::new(Body::from(error_body(refusal).to_string()));
+    *response.status_mut() =
+        StatusCode::from_u16(refusal.kind.rule().status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(RUN, HeaderValue::from_static(refusal.run.as_str()));
+    if refusal.retry_after_ms > 0 {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(refusal.retry_after_ms.div_ceil(1000)));
+    }
+    response
+}
--- /dev/null
+++ b/crates/ochreyard-core/src/config/configuration.rs
@@ -0,0 +1,441 @@
+//! The state that the configuration stream folds to.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::change::{Change, ChangeFault, ObjectKey};
+use super::record::{ConfirmedPlan, HomeAck};
+use super::spec::{EndpointSpec, PlaceSpec, ServiceKind, ServiceSpec, WorkspaceSpec};
+use crate::home::{HomeMember, HomeSet, HomeView, RunInSet, member_key};
+use crate::ids::{DataCentreId, EndpointId, ServiceId, WorkspaceId, check_name};
+
+/// A plan whose base lies further back than this many records is void: this
+/// bounds how long removed objects must be remembered.
+pub const MAX_PLAN_AGE_RECORDS: u64 = 10_000;
+
+/// Why a confirmed plan has no effect, the same at every reader.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Void {
+    /// Something that it touches changed after it was made.
+    #[error("`{object}` changed at version {version}, after the plan was made")]
+    Overtaken {
+        /// The object.
+        object: ObjectKey,
+        /// The version of the change.
+        version: u64,
+    },
+    /// It is too old to be judged.
+    #[error("the plan is older than {MAX_PLAN_AGE_RECORDS} records")]
+    TooOld,
+    /// The result would not hold together.
+    #[error("{0}")]
+    Invalid(ChangeFault),
+}
+
+/// What a record did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Applied {
+    /// The configuration has a new version.
+    Changed,
+    /// Nothing changed.
+    Unchanged,
+}
+
+/// The accepted configuration at one version.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Configuration {
+    version: u64,
+    folded_to: u64,
+    services: BTreeMap<ServiceId, ServiceSpec>,
+    workspaces: BTreeMap<WorkspaceId, WorkspaceSpec>,
+    places: BTreeMap<DataCentreId, PlaceSpec>,
+    endpoints: BTreeMap<EndpointId, EndpointSpec>,
+    modified: BTreeMap<ObjectKey, u64>,
+    home_sets: BTreeMap<ServiceId, Vec<HomeSet>>,
+    run_in_sets: BTreeMap<WorkspaceId, Vec<RunInSet>>,
+    home_acks: BTreeMap<String, u64>,
+}
+
+impl Configuration {
+    /// The version: one more than the offset of the last record with an effect.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The offset of the first record that is not in this state.
+    #[must_use]
+    pub const fn folded_to(&self) -> u64 {
+        self.folded_to
+    }
+
+    pub(super) fn set_folded_to(&mut self, offset: u64) {
+        self.folded_to = offset;
+    }
+
+    /// A service by name.
+    #[must_use]
+    pub fn service(&self, id: &ServiceId) -> Option<&ServiceSpec> {
+        self.services.get(id)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values()
+    }
+
+    /// A workspace by name.
+    #[must_use]
+    pub fn workspace(&self, id: &WorkspaceId) -> Option<&WorkspaceSpec> {
+        self.workspaces.get(id)
+    }
+
+    /// All workspaces.
+    pub fn workspaces(&self) -> impl Iterator<Item = &WorkspaceSpec> {
+        self.workspaces.values()
+    }
+
+    /// A place by name.
+    #[must_use]
+    pub fn place(&self, id: &DataCentreId) -> Option<&PlaceSpec> {
+        self.places.get(id)
+    }
+
+    /// An endpoint by name.
+    #[must_use]
+    pub fn endpoint(&self, id: &EndpointId) -> Option<&EndpointSpec> {
+        self.endpoints.get(id)
+    }
+
+    /// All endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &EndpointSpec> {
+        self.endpoints.values()
+    }
+
+    /// The endpoints of one service.
+    pub fn endpoints_of<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a EndpointSpec> {
+        self.endpoints.values().filter(move |e| e.service == *service)
+    }
+
+    /// The endpoints in one place.
+    #[must_use]
+    pub fn endpoints_in(&self, data_centre: &DataCentreId) -> Vec<EndpointId> {
+        let here = self.endpoints.values().filter(|e| e.data_centre == *data_centre);
+        here.map(|e| e.endpoint.clone()).collect()
+    }
+
+    /// Where keys of this workspace and service live.
+    #[must_use]
+    pub fn home_view(&self, workspace: &WorkspaceId, service: &ServiceId) -> HomeView<'_> {
+        HomeView {
+            sets: self.home_sets.get(service).map_or(&[], Vec::as_slice),
+            run_in: self.run_in_sets.get(workspace).map_or(&[], Vec::as_slice),
+            acks: &self.home_acks,
+        }
+    }
+
+    /// Endpoint sets of a service that some process may still hold, oldest first.
+    #[must_use]
+    pub fn home_sets(&self, service: &ServiceId) -> &[HomeSet] {
+        self.home_sets.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether this agent's word on `version` would let keys move.
+    #[must_use]
+    pub fn needs_ack(&self, endpoint: &EndpointId, agent_addr: std::net::SocketAddr, version: u64) -> bool {
+        let newest = self.newest_home_change();
+        let known = self.home_acks.get(&member_key(endpoint, agent_addr)).copied().unwrap_or(0);
+        self.has_moving_homes() && known < newest && version >= newest
+    }
+
+    fn newest_home_change(&self) -> u64 {
+        let of_sets = self.home_sets.values().filter_map(|sets| sets.last()).map(|s| s.since_version);
+        let of_places = self.run_in_sets.values().filter_map(|sets| sets.last()).map(|s| s.since_version);
+        of_sets.chain(of_places).max().unwrap_or(0)
+    }
+
+    fn has_moving_homes(&self) -> bool {
+        self.home_sets.values().any(|sets| sets.len() > 1) || self.run_in_sets.values().any(|sets| sets.len() > 1)
+    }
+
+    /// Applies a confirmed plan that stands at `offset`.
+    ///
+    /// # Errors
+    ///
+    /// [`Void`] when the plan has no effect; the state is then unchanged.
+    pub fn apply(&mut self, offset: u64, plan: &ConfirmedPlan) -> Result<Applied, Void> {
+        self.check_overtaken(offset, plan)?;
+        let mut next = self.clone();
+        next.put_and_remove(&plan.change);
+        next.validate().map_err(|mut faults| Void::Invalid(faults.swap_remove(0)))?;
+        let version = offset + 1;
+        next.version = version;
+        next.modified.extend(plan.change.writes().into_iter().map(|key| (key, version)));
+        next.state_dead(&plan.change, version);
+        next.record_home_changes(version);
+        next.forget_old_removals();
+        *self = next;
+        Ok(Applied::Changed)
+    }
+
+    fn check_overtaken(&self, offset: u64, plan: &ConfirmedPlan) -> Result<(), Void> {
+        if plan.base_version.saturating_add(MAX_PLAN_AGE_RECORDS) < offset {
+            return Err(Void::TooOld);
+        }
+        let touched = plan.change.writes().into_iter().chain(plan.change.reads());
+        for object in touched {
+            let version = self.modified.get(&object).copied().unwrap_or(0);
+            if version > plan.base_version {
+                return Err(Void::Overtaken { object, version });
+            }
+        }
+        Ok(())
+    }
+
+    fn put_and_remove(&mut self, change: &Change) {
+        let Change { services, workspaces, places, endpoints, remove, .. } = change.clone();
+        self.services.extend(services.into_iter().map(|s| (s.service.clone(), s)));
+        self.workspaces.extend(workspaces.into_iter().map(|w| (w.workspace.clone(), w)));
+        self.places.extend(places.into_iter().map(|p| (p.data_centre.clone(), p)));
+        self.endpoints.extend(endpoints.into_iter().map(|e| (e.endpoint.clone(), e)));
+        self.services.retain(|id, _| !remove.services.contains(id));
+        self.workspaces.retain(|id, _| !remove.workspaces.contains(id));
+        self.places.retain(|id, _| !remove.places.contains(id));
+        self.endpoints.retain(|id, _| !remove.endpoints.contains(id));
+    }
+
+    /// Takes the operator's word in place of a dead agent's.
+    fn state_dead(&mut self, change: &Change, version: u64) {
+        let keys: Vec<String> = change
+            .stated_dead
+            .iter()
+            .flat_map(|id| self.home_sets.values().flatten().filter_map(move |s| s.members.get(id).map(|m| (id, m))))
+            .map(|(id, member)| member_key(id, member.agent_addr))
+            .collect();
+        self.home_acks.extend(keys.into_iter().map(|key| (key, version)));
+    }
+
+    fn record_home_changes(&mut self, version: u64) {
+        let mut present: BTreeMap<ServiceId, BTreeMap<EndpointId, HomeMember>> = BTreeMap::new();
+        for e in self.endpoints.values() {
+            let member = HomeMember { agent_addr: e.agent_addr, data_centre: e.data_centre.clone() };
+            present.entry(e.service.clone()).or_default().insert(e.endpoint.clone(), member);
+        }
+        for service in self.home_sets.keys() {
+            present.entry(service.clone()).or_default();
+        }
+        for (service, members) in present {
+            let sets = self.home_sets.entry(service).or_default();
+            if sets.last().is_none_or(|last| last.members != members) {
+                sets.push(HomeSet { since_version: version, members });
+            }
+        }
+        for (id, spec) in &self.workspaces {
+            let sets = self.run_in_sets.entry(id.clone()).or_default();
+            if sets.last().is_none_or(|last| last.run_in != spec.run_in) {
+                sets.push(RunInSet { since_version: version, run_in: spec.run_in.clone() });
+            }
+        }
+        self.collapse_home_sets();
+    }
+
+    /// Notes which agents have which version in force, at `offset`.
+    pub fn note_home_acks(&mut self, offset: u64, acks: &[HomeAck]) -> Applied {
+        for ack in acks {
+            let entry = self.home_acks.entry(member_key(&ack.endpoint, ack.agent_addr)).or_default();
+            *entry = ack.version.max(*entry);
+        }
+        self.collapse_home_sets();
+        self.version = offset + 1;
+        Applied::Changed
+    }
+
+    /// Forgets past sets that no agent can hold any more.
+    fn collapse_home_sets(&mut self) {
+        let acks = &self.home_acks;
+        let acked = |set: &HomeSet, version: u64| {
+            let behind = |(id, m): (&EndpointId, &HomeMember)| {
+                acks.get(&member_key(id, m.agent_addr)).is_none_or(|acked| *acked < version)
+            };
+            !set.members.iter().any(behind)
+        };
+        let mut everyone_acked = 0;
+        if let Some(newest) = Some(self.newest_home_change()).filter(|_| self.has_moving_homes()) {
+            let all = self.home_sets.values().flatten().all(|set| acked(set, newest));
+            everyone_acked = if all { newest } else { 0 };
+        }
+        for sets in self.home_sets.values_mut() {
+            while sets.len() > 1 && acked(&sets[0], sets[sets.len() - 1].since_version) {
+                sets.remove(0);
+            }
+        }
+        for sets in self.run_in_sets.values_mut() {
+            if sets.last().is_some_and(|last| last.since_version <= everyone_acked) {
+                sets.drain(..sets.len() - 1);
+            }
+        }
+        if !self.has_moving_homes() {
+            self.home_acks.clear();
+        }
+    }
+
+    fn forget_old_removals(&mut self) {
+        let oldest = self.version.saturating_sub(MAX_PLAN_AGE_RECORDS);
+        let (services, workspaces) = (&self.services, &self.workspaces);
+        let (places, endpoints) = (&self.places, &self.endpoints);
+        let lives = |key: &ObjectKey| match key.to_string().split_once('/') {
+            Some(("service", id)) => services.contains_key(id),
+            Some(("workspace", id)) => workspaces.contains_key(id),
+            Some(("place", id)) => places.contains_key(id),
+            Some(("endpoint", id)) => endpoints.contains_key(id),
+            _ => false,
+        };
+        self.modified.retain(|key, version| *version >= oldest || lives(key));
+    }
+
+    /// Checks that all parts hold together.
+    ///
+    /// # Errors
+    ///
+    /// All faults, each with field and fix.
+    pub fn validate(&self) -> Result<(), Vec<ChangeFault>> {
+        let mut faults = Vec::new();
+        self.check_services(&mut faults);
+        self.check_places(&mut faults);
+        self.check_workspaces(&mut faults);
+        self.check_endpoints(&mut faults);
+        if faults.is_empty() { Ok(()) } else { Err(faults) }
+    }
+
+    /// Checks what `change` would lead to, without applying it.
+    ///
+    /// # Errors
+    ///
+    /// All faults, each with field and fix.
+    pub fn check_change(&self, change: &Change) -> Result<(), Vec<ChangeFault>> {
+        let mut next = self.clone();
+        next.put_and_remove(change);
+        let unknown = change.stated_dead.iter().filter(|id| !self.endpoints.contains_key(*id));
+        let mut faults: Vec<ChangeFault> = unknown
+            .map(|id| {
+                ChangeFault::new(
+                    format!("stated_dead/{id}"),
+                    "no such endpoint",
+                    "name an endpoint that `status` lists",
+                )
+            })
+            .collect();
+        if let Err(more) = next.validate() {
+            faults.extend(more);
+        }
+        if faults.is_empty() { Ok(()) } else { Err(faults) }
+    }
+
+    fn check_services(&self, faults: &mut Vec<ChangeFault>) {
+        for spec in self.services.values() {
+            let at = format!("services/{}", spec.service);
+            check_id(&at, spec.service.as_str(), faults);
+            if !(1..1000).contains(&spec.objective_permille) {
+                faults.push(ChangeFault::new(format!("{at}/objective_permille"), "out of range", "write 1 to 999"));
+            }
+            if spec.first_byte_ms == 0 {
+                faults.push(ChangeFault::new(format!("{at}/first_byte_ms"), "must not be 0", "write a time in ms"));
+            }
+        }
+    }
+
+    fn check_places(&self, faults: &mut Vec<ChangeFault>) {
+        for spec in self.places.values() {
+            let at = format!("places/{}", spec.data_centre);
+            check_id(&at, spec.data_centre.as_str(), faults);
+            let unknown = spec.may_hold.iter().filter(|h| !self.services.contains_key(&h.service));
+            faults.extend(unknown.map(|h| unknown_name(&at, "may_hold/service", h.service.as_str(), "services")));
+        }
+    }
+
+    fn check_workspaces(&self, faults: &mut Vec<ChangeFault>) {
+        let mut tokens: BTreeMap<&str, &WorkspaceId> = BTreeMap::new();
+        for spec in self.workspaces.values() {
+            let at = format!("workspaces/{}", spec.workspace);
+            check_id(&at, spec.workspace.as_str(), faults);
+            let is_hash = spec.token_sha256.len() == 64 && spec.token_sha256.bytes().all(is_lower_hex);
+            if !is_hash {
+                let fix = "write the SHA-256 of the token in 64 lower-case hexadecimal digits";
+                faults.push(ChangeFault::new(format!("{at}/token_sha256"), "is not a hash", fix));
+            }
+            if let Some(other) = tokens.insert(&spec.token_sha256, &spec.workspace) {
+                let problem = format!("is the token of `{other}` too");
+                faults.push(ChangeFault::new(
+                    format!("{at}/token_sha256"),
+                    problem,
+                    "give each workspace its own token",
+                ));
+            }
+            if spec.run_in.is_empty() {
+                faults.push(ChangeFault::new(format!("{at}/run_in"), "is empty", "name at least one data centre"));
+            }
+            let places =
+                spec.run_in.iter().map(|dc| ("run_in", dc)).chain(spec.keep_in.iter().map(|dc| ("keep_in", dc)));
+            let unknown_places = places.filter(|(_, dc)| !self.places.contains_key(*dc));
+            faults.extend(unknown_places.map(|(field, dc)| unknown_name(&at, field, dc.as_str(), "places")));
+            let unknown_services = spec.services.iter().filter(|s| !self.services.contains_key(*s));
+            faults.extend(unknown_services.map(|s| unknown_name(&at, "services", s.as_str(), "services")));
+        }
+    }
+
+    fn check_endpoints(&self, faults: &mut Vec<ChangeFault>) {
+        let mut addrs: BTreeMap<std::net::SocketAddr, &EndpointId> = BTreeMap::new();
+        for spec in self.endpoints.values() {
+            let at = format!("endpoints/{}", spec.endpoint);
+            check_id(&at, spec.endpoint.as_str(), faults);
+            if spec.slots == 0 {
+                faults.push(ChangeFault::new(format!("{at}/slots"), "must not be 0", "write 1 or more"));
+            }
+            if let Some(other) = addrs.insert(spec.agent_addr, &spec.endpoint) {
+                let problem = format!("is the agent of `{other}` too");
+                faults.push(ChangeFault::new(format!("{at}/agent_addr"), problem, "give each endpoint its own agent"));
+            }
+            match self.services.get(&spec.service) {
+                None => faults.push(unknown_name(&at, "service", spec.service.as_str(), "services")),
+                Some(service) => self.check_place_of(&at, spec, service.kind, faults),
+            }
+        }
+    }
+
+    fn check_place_of(&self, at: &str, spec: &EndpointSpec, kind: ServiceKind, faults: &mut Vec<ChangeFault>) {
+        let Some(place) = self.places.get(&spec.data_centre) else {
+            faults.push(unknown_name(at, "data_centre", spec.data_centre.as_str(), "places"));
+            return;
+        };
+        if !place.permits(spec, kind) {
+            let problem = format!(
+                "`{}` may not hold {} version `{}` as {}",
+                spec.data_centre, spec.service, spec.model_version, spec.role
+            );
+            faults.push(ChangeFault::new(
+                format!("{at}/data_centre"),
+                problem,
+                "add it to the place's may_hold, or move it",
+            ));
+        }
+    }
+}
+
+const fn is_lower_hex(byte: u8) -> bool {
+    matches!(byte, b'0'..=b'9' | b'a'..=b'f')
+}
+
+fn check_id(at: &str, name: &str, faults: &mut Vec<ChangeFault>) {
+    if let Err(error) = check_name(name) {
+        faults.push(ChangeFault::new(at, error.to_string(), "choose another name"));
+    }
+}
+
+fn unknown_name(at: &str, field: &str, name: &str, list: &str) -> ChangeFault {
+    ChangeFault::new(
+        format!("{at}/{field}"),
+        format!("`{name}` is unknown"),
+        format!("add it to `{list}` or mend the name"),
+    )
+}
--- /dev/null
+++ b/crates/ochreyard-core/src/config/plan.rs
@@ -0,0 +1,142 @@
+//! The plan that answers an intent.
+
+use serde::{Deserialize, Serialize};
+
+use super::change::{Change, ObjectKey};
+use super::configuration::Configuration;
+use super::record::ConfirmedPlan;
+use super::spec::{EndpointSpec, WorkspaceSpec};
+use crate::ids::{DataCentreId, EndpointId, PlanId};
+
+/// One step of a plan, in the order in which it takes effect.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlanStep {
+    /// The object that changes.
+    pub object: ObjectKey,
+    /// What happens to it.
+    pub action: String,
+    /// The endpoints that notice.
+    pub endpoints: Vec<EndpointId>,
+}
+
+/// What a change would do: shown before anything happens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// What would be confirmed.
+    pub record: ConfirmedPlan,
+    /// The steps, in order.
+    pub steps: Vec<PlanStep>,
+    /// What it costs: load orders, keys that move, plainly.
+    pub costs: Vec<String>,
+    /// What could go wrong.
+    pub risks: Vec<String>,
+}
+
+impl Plan {
+    /// Works out what `change` would do to `base`.
+    #[must_use]
+    pub fn new(plan_id: PlanId, base: &Configuration, change: Change) -> Self {
+        let steps = steps(base, &change);
+        let costs = costs(base, &change);
+        let risks = risks(base, &change);
+        let record = ConfirmedPlan { plan_id, base_version: base.version(), change };
+        Self { record, steps, costs, risks }
+    }
+}
+
+fn steps(base: &Configuration, change: &Change) -> Vec<PlanStep> {
+    let put = |exists: bool| if exists { "replace" } else { "add" };
+    let step = |object, action: &str, endpoints| PlanStep { object, action: action.into(), endpoints };
+    let mut steps = Vec::new();
+    for place in &change.places {
+        let at = base.endpoints_in(&place.data_centre);
+        steps.push(step(ObjectKey::place(&place.data_centre), put(base.place(&place.data_centre).is_some()), at));
+    }
+    for service in &change.services {
+        let of = base.endpoints_of(&service.service).map(|e| e.endpoint.clone()).collect();
+        steps.push(step(ObjectKey::service(&service.service), put(base.service(&service.service).is_some()), of));
+    }
+    for spec in &change.endpoints {
+        let exists = base.endpoint(&spec.endpoint).is_some();
+        steps.push(step(ObjectKey::endpoint(&spec.endpoint), put(exists), vec![spec.endpoint.clone()]));
+    }
+    for spec in &change.workspaces {
+        let exists = base.workspace(&spec.workspace).is_some();
+        steps.push(step(ObjectKey::workspace(&spec.workspace), put(exists), endpoints_for(base, spec)));
+    }
+    for id in &change.remove.workspaces {
+        let of = base.workspace(id).map(|spec| endpoints_for(base, spec)).unwrap_or_default();
+        steps.push(step(ObjectKey::workspace(id), "remove", of));
+    }
+    for id in &change.remove.endpoints {
+        steps.push(step(ObjectKey::endpoint(id), "drain and remove", vec![id.clone()]));
+    }
+    for id in &change.remove.services {
+        let of = base.endpoints_of(id).map(|e| e.endpoint.clone()).collect();
+        steps.push(step(ObjectKey::service(id), "remove", of));
+    }
+    for id in &change.remove.places {
+        steps.push(step(ObjectKey::place(id), "remove", base.endpoints_in(id)));
+    }
+    for id in &change.stated_dead {
+        steps.push(step(ObjectKey::endpoint(id), "treat as dead", vec![id.clone()]));
+    }
+    steps
+}
+
+fn endpoints_for(base: &Configuration, spec: &WorkspaceSpec) -> Vec<EndpointId> {
+    let permitted = |e: &&EndpointSpec| spec.run_in.contains(&e.data_centre) && spec.services.contains(&e.service);
+    base.endpoints().filter(permitted).map(|e| e.endpoint.clone()).collect()
+}
+
+fn costs(base: &Configuration, change: &Change) -> Vec<String> {
+    let mut costs = Vec::new();
+    let loads = |spec: &&EndpointSpec| {
+        let held = base.endpoint(&spec.endpoint).map(|old| &old.model_version);
+        !spec.model_version.is_empty() && held != Some(&spec.model_version)
+    };
+    let count = change.endpoints.iter().filter(loads).count();
+    if count > 0 {
+        costs.push(format!("{count} endpoints must hold a model version that they do not hold today"));
+    }
+    if moves_homes(base, change) {
+        costs.push("idempotency keys change their home: such keys are refused until the old homes agree".into());
+    }
+    costs
+}
+
+fn moves_homes(base: &Configuration, change: &Change) -> bool {
+    let joins = |spec: &EndpointSpec| {
+        let old = base.endpoint(&spec.endpoint);
+        old.is_none_or(|o| {
+            (&o.service, o.agent_addr, &o.data_centre) != (&spec.service, spec.agent_addr, &spec.data_centre)
+        })
+    };
+    let moves = |spec: &WorkspaceSpec| base.workspace(&spec.workspace).is_some_and(|old| old.run_in != spec.run_in);
+    !change.remove.endpoints.is_empty() || change.endpoints.iter().any(joins) || change.workspaces.iter().any(moves)
+}
+
+fn risks(base: &Configuration, change: &Change) -> Vec<String> {
+    let mut risks = Vec::new();
+    for id in &change.stated_dead {
+        risks.push(format!(
+            "`{id}` is taken for dead: if its machine still runs and is reached, a request that is not repeatable could run twice"
+        ));
+    }
+    for spec in &change.workspaces {
+        let Some(old) = base.workspace(&spec.workspace) else { continue };
+        let lost: Vec<&DataCentreId> = old.run_in.difference(&spec.run_in).collect();
+        if !lost.is_empty() {
+            let names: Vec<&str> = lost.iter().map(|dc| dc.as_str()).collect();
+            risks.push(format!("`{}` may no longer run in {}: less capacity", spec.workspace, names.join(", ")));
+        }
+    }
+    for id in &change.remove.endpoints {
+        let Some(old) = base.endpoint(id) else { continue };
+        let left = base.endpoints_of(&old.service).filter(|e| !change.remove.endpoints.contains(&e.endpoint)).count();
+        if left == 0 {
+            risks.push(format!("`{}` has no endpoint left", old.service));
+        }
+    }
+    risks
+}
--- /dev/null
+++ b/crates/ochreyard-entry/src/flags.rs
@@ -0,0 +1,64 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Ochreyard: load balancer for expert-parallel model groups.
+    cmd ochreyard {
+        /// Runs an entry. SIGTERM is a planned stop.
+        cmd serve {
+            /// The settings file, in YAML.
+            required settings: PathBuf
+        }
+        /// Checks a settings file and lists all its faults.
+        cmd check {
+            /// The settings file, in YAML.
+            required settings: PathBuf
+        }
+        /// Prints the reference of all settings.
+        cmd fields {}
+        /// Prints the version.
+        cmd version {}
+        /// Sends an intent and prints the plan. Nothing changes before `confirm`.
+        cmd plan {
+            /// The intent, in YAML.
+            required intent: PathBuf
+            /// Operators' address of an entry, for example http://127.0.0.1:8081.
+            required --entry url: String
+            /// File with the operators' token.
+            required --token-file file: PathBuf
+            /// Prints the plan as JSON.
+            optional --json
+        }
+        /// Confirms a plan and waits until it is in force at the entry.
+        cmd confirm {
+            /// Identifier of the plan.
+            required plan_id: String
+            /// Operators' address of an entry.
+            required --entry url: String
+            /// File with the operators' token.
+            required --token-file file: PathBuf
+        }
+        /// Shows the system as one entry sees it.
+        cmd status {
+            /// Operators' address of an entry.
+            required --entry url: String
+            /// File with the operators' token.
+            required --token-file file: PathBuf
+            /// Prints the status as JSON.
+            optional --json
+        }
+        /// Prints reports.
+        cmd report {
+            /// Service-level burn, joined across the entries that are named.
+            cmd burn {
+                /// Operators' address of an entry; may be given several times.
+                repeated --entry url: String
+                /// File with the operators' token.
+                required --token-file file: PathBuf
+                /// Prints the report as JSON.
+                optional --json
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-entry/src/main.rs
@@ -0,0 +1,58 @@
+//! `ochreyard`: the entry process, and the operators' command line.
+
+mod balancer;
+mod control;
+mod fields;
+mod flags;
+mod forward;
+mod operate;
+mod serve;
+mod state;
+mod upkeep;
+
+use std::process::ExitCode;
+
+use ochreyard_process::{Settings, exit_for_usage};
+
+use crate::fields::FIELDS;
+use crate::flags::{Ochreyard, OchreyardCmd, ReportCmd};
+
+fn main() -> ExitCode {
+    let flags = Ochreyard::from_env().unwrap_or_else(|error| exit_for_usage("ochreyard", &error));
+    match run(flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(flags: Ochreyard) -> miette::Result<()> {
+    match flags.subcommand {
+        OchreyardCmd::Serve(args) => serve::run(read(&args.settings)?),
+        OchreyardCmd::Check(args) => {
+            read(&args.settings)?;
+            println!("{}: ok", args.settings.display());
+            Ok(())
+        }
+        OchreyardCmd::Fields(_) => {
+            print!("{}", ochreyard_process::reference(FIELDS));
+            Ok(())
+        }
+        OchreyardCmd::Version(_) => {
+            println!("ochreyard {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        OchreyardCmd::Plan(args) => operate::plan(&args),
+        OchreyardCmd::Confirm(args) => operate::confirm(&args),
+        OchreyardCmd::Status(args) => operate::status(&args),
+        OchreyardCmd::Report(args) => match args.subcommand {
+            ReportCmd::Burn(args) => operate::burn(&args),
+        },
+    }
+}
+
+fn read(path: &std::path::Path) -> miette::Result<Settings> {
+    Ok(Settings::read(path, FIELDS)?)
+}
--- /dev/null
+++ b/crates/ochreyard-entry/src/serve.rs
@@ -0,0 +1,123 @@
+//! Runs the entry until its planned stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use kameo::actor::Spawn;
+use miette::{Context, IntoDiagnostic, Result};
+use ochreyard_caller::CallerLimits;
+use ochreyard_core::drain::{Drain, Serving};
+use ochreyard_core::ids::Incarnation;
+use ochreyard_peer::LocalThread;
+use ochreyard_platform::HttpPlatform;
+use ochreyard_process::{Clock, Settings, start_logging, start_metrics, stop_signal};
+use tokio::net::TcpListener;
+
+use crate::balancer::Balancer;
+use crate::control::EntryControl;
+use crate::forward::Forwarder;
+use crate::state::{EntryIdentity, EntryState};
+use crate::upkeep;
+
+/// The stream of the platform's log that holds the configuration.
+const CONFIG_STREAM: &str = "config";
+/// How often a stopping entry looks whether all requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Runs the entry.
+///
+/// # Errors
+///
+/// When an address cannot be bound or a secret cannot be read.
+pub fn run(settings: Settings) -> Result<()> {
+    start_logging(&settings).into_diagnostic()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<()> {
+    let clock = Clock::start();
+    let incarnation = Incarnation(clock.now_us());
+    let metrics = start_metrics().map_err(|error| miette::miette!("{error}"))?;
+    let log = HttpPlatform::new(settings.text("platform_url"), CONFIG_STREAM, settings.number("platform_timeout_ms"))
+        .into_diagnostic()?;
+    let identity = EntryIdentity {
+        entry: settings.text("entry").into(),
+        incarnation,
+        peer_token: settings.secret("peer_token_file").into_diagnostic()?,
+        snapshot_every_ms: settings.number("snapshot_every_ms"),
+    };
+    let thread = LocalThread::start("peer").into_diagnostic()?;
+    let balancer = Balancer::spawn(Balancer::new(EntryState::new(identity, thread, clock.now_ms()), clock));
+
+    let callers = bind(&settings, "callers_addr").await?;
+    let operators = bind(&settings, "operators_addr").await?;
+    tokio::spawn(upkeep::follow_log(log.clone(), balancer.clone(), clock, settings.number("log_poll_ms")));
+    tokio::spawn(upkeep::keep_heartbeats(log.clone(), balancer.clone(), settings.number("heartbeat_ms")));
+    tokio::spawn(upkeep::follow_box_list(log.clone(), balancer.clone()));
+
+    let control =
+        Arc::new(EntryControl { balancer: balancer.clone(), log, clock, incarnation, plans: AtomicU64::new(1) });
+    let operator_side = ochreyard_operator::api::router(control, settings.text("operator_token_sha256").to_owned());
+    tokio::spawn(async move { axum::serve(operators, operator_side).await });
+
+    let forwarder = Arc::new(Forwarder {
+        balancer,
+        incarnation,
+        clock,
+        metrics,
+        ready: AtomicBool::new(true),
+        refusing: AtomicBool::new(false),
+        in_flight: Arc::default(),
+    });
+    let caller_side = ochreyard_caller::router(Arc::clone(&forwarder), caller_limits(&settings));
+    let stopped = Arc::new(tokio::sync::Notify::new());
+    let stop = Arc::clone(&stopped);
+    let server = axum::serve(callers, caller_side).with_graceful_shutdown(async move { stop.notified().await });
+    let server = tokio::spawn(server.into_future());
+
+    log::info!("event=entry_started entry={} incarnation={incarnation}", settings.text("entry"));
+    stop_signal().await.into_diagnostic()?;
+    drain(&forwarder, &clock, settings.number("drain_grace_ms")).await;
+    stopped.notify_one();
+    server.await.into_diagnostic()?.into_diagnostic()?;
+    log::info!("event=entry_stopped");
+    Ok(())
+}
+
+async fn bind(settings: &Settings, field: &str) -> Result<TcpListener> {
+    let addr: SocketAddr = settings.addr(field);
+    let problem = || format!("field `{field}`: {addr} cannot be bound; choose a free address");
+    TcpListener::bind(addr).await.into_diagnostic().wrap_err_with(problem)
+}
+
+fn caller_limits(settings: &Settings) -> CallerLimits {
+    let bytes = |name: &str| usize::try_from(settings.number(name)).unwrap_or(usize::MAX);
+    CallerLimits {
+        max_head_bytes: bytes("max_head_bytes"),
+        max_body_bytes: bytes("max_body_bytes"),
+        default_deadline_ms: settings.number("default_deadline_ms"),
+        ..CallerLimits::default()
+    }
+}
+
+/// The planned stop: readiness fails, work is taken for a while, then refused,
+/// and all requests under way come to their end.
+async fn drain(forwarder: &Forwarder, clock: &Clock, grace_ms: u64) {
+    log::info!("event=entry_leaving grace_ms={grace_ms}");
+    forwarder.ready.store(false, Ordering::Relaxed);
+    let mut unready = Drain::<Serving>::new(grace_ms).stop(clock.now_ms());
+    let refusing = loop {
+        match unready.refuse(clock.now_ms()) {
+            Ok(refusing) => break refusing,
+            Err(still) => unready = still,
+        }
+        tokio::time::sleep(DRAIN_POLL).await;
+    };
+    forwarder.refusing.store(true, Ordering::Relaxed);
+    while !refusing.is_drained(forwarder.in_flight.load(Ordering::Relaxed)) {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-peer/src/link.rs
@@ -0,0 +1,277 @@
+//! The entry's side of the link.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use capnp::Error;
+use capnp::capability::Rc;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, new_client, twoparty};
+use futures::AsyncReadExt;
+use ochreyard_core::admission::RevokeAnswer;
+use ochreyard_core::config::Configuration;
+use ochreyard_core::frame::Frame;
+use ochreyard_core::ids::{AttemptId, Incarnation};
+use ochreyard_core::membership::AgentReport;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::agent_capnp::{agent, door, frame_sink};
+use crate::convert;
+use crate::local_thread::LocalThread;
+use crate::message::{CallEnd, CallRequest, Heartbeat};
+
+/// Why the link gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum LinkError {
+    /// No connection could be made, so nothing was handed over.
+    #[error("the agent at {addr} cannot be reached: {problem}")]
+    NotSent {
+        /// Where the agent should be.
+        addr: SocketAddr,
+        /// What the connection said.
+        problem: String,
+    },
+    /// The connection broke after the message had been handed over.
+    #[error("the connection to the agent was lost: {problem}")]
+    Lost {
+        /// What the connection said.
+        problem: String,
+    },
+}
+
+type Reply<T> = oneshot::Sender<Result<T, LinkError>>;
+
+enum Command {
+    Heartbeat(Heartbeat, Reply<AgentReport>),
+    Configure(Arc<Configuration>, Reply<u64>),
+    Call(Box<CallRequest>, mpsc::Sender<Frame>, Reply<CallEnd>),
+    Revoke(AttemptId, Incarnation, Reply<RevokeAnswer>),
+    Reset,
+}
+
+/// A handle on the connection to one agent. It dials when it is first needed
+/// and again after a break.
+#[derive(Debug, Clone)]
+pub struct AgentLink {
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl AgentLink {
+    /// A link to the agent at `addr`, kept on `thread`.
+    #[must_use]
+    pub fn new(thread: &LocalThread, addr: SocketAddr, token: impl Into<String>) -> Self {
+        let (commands, inbox) = mpsc::unbounded_channel();
+        let token = token.into();
+        thread.run(move || {
+            tokio::task::spawn_local(Connection { addr, token, agent: None }.run(inbox));
+        });
+        Self { commands }
+    }
+
+    /// Sends a heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when no report came back.
+    pub async fn heartbeat(&self, beat: Heartbeat) -> Result<AgentReport, LinkError> {
+        self.ask(|reply| Command::Heartbeat(beat, reply)).await
+    }
+
+    /// Sends the configuration, and returns the version in force at the agent.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when no answer came back.
+    pub async fn configure(&self, config: Arc<Configuration>) -> Result<u64, LinkError> {
+        self.ask(|reply| Command::Configure(config, reply)).await
+    }
+
+    /// Makes a call; frames of the answer go to `frames`. When its receiver is
+    /// dropped, the agent is told to cancel.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when the agent's word on the end did not come.
+    pub async fn call(&self, call: CallRequest, frames: mpsc::Sender<Frame>) -> Result<CallEnd, LinkError> {
+        self.ask(|reply| Command::Call(Box::new(call), frames, reply)).await
+    }
+
+    /// Asks whether an attempt has started, and keeps it from starting if not.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when no answer came back.
+    pub async fn revoke(&self, attempt: AttemptId, to: Incarnation) -> Result<RevokeAnswer, LinkError> {
+        self.ask(|reply| Command::Revoke(attempt, to, reply)).await
+    }
+
+    /// Drops the connection: calls under way end as lost.
+    pub fn reset(&self) {
+        let _ = self.commands.send(Command::Reset);
+    }
+
+    async fn ask<T>(&self, command: impl FnOnce(Reply<T>) -> Command) -> Result<T, LinkError> {
+        let (reply, answer) = oneshot::channel();
+        let ended = || LinkError::Lost { problem: "the link has ended".into() };
+        self.commands.send(command(reply)).map_err(|_| ended())?;
+        answer.await.map_err(|_| ended())?
+    }
+}
+
+struct Connection {
+    addr: SocketAddr,
+    token: String,
+    agent: Option<Dialled>,
+}
+
+struct Dialled {
+    agent: agent::Client,
+    system: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Dialled {
+    fn drop(&mut self) {
+        self.system.abort();
+    }
+}
+
+impl Connection {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Command>) {
+        while let Some(command) = inbox.recv().await {
+            if matches!(command, Command::Reset) {
+                self.agent = None;
+                continue;
+            }
+            match self.dialled().await {
+                Ok(agent) => drop(tokio::task::spawn_local(carry_out(agent, command))),
+                Err(problem) => fail(command, &LinkError::NotSent { addr: self.addr, problem }),
+            }
+        }
+    }
+
+    async fn dialled(&mut self) -> Result<agent::Client, String> {
+        if let Some(dialled) = self.agent.as_ref().filter(|d| !d.system.is_finished()) {
+            return Ok(dialled.agent.clone());
+        }
+        self.agent = None;
+        let dialled = dial(self.addr, &self.token).await.map_err(|error| error.to_string())?;
+        let agent = dialled.agent.clone();
+        self.agent = Some(dialled);
+        Ok(agent)
+    }
+}
+
+async fn dial(addr: SocketAddr, token: &str) -> Result<Dialled, Error> {
+    const DIAL_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_500);
+    let late = |_| Error::failed("no answer within 1500 ms".into());
+    let stream = tokio::time::timeout(DIAL_TIMEOUT, TcpStream::connect(addr)).await.map_err(late)??;
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.compat().split();
+    let reader = futures::io::BufReader::new(reader);
+    let writer = futures::io::BufWriter::new(writer);
+    let network = twoparty::VatNetwork::new(reader, writer, Side::Client, capnp::message::ReaderOptions::default());
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let door: door::Client = system.bootstrap(Side::Server);
+    let system = tokio::task::spawn_local(async move {
+        let _ = system.await;
+    });
+    let mut open = door.open_request();
+    open.get().set_token(token);
+    let opened = async {
+        let answer = open.send().promise.await?;
+        answer.get()?.get_agent()
+    };
+    match tokio::time::timeout(DIAL_TIMEOUT, opened).await.map_err(late) {
+        Ok(Ok(agent)) => Ok(Dialled { agent, system }),
+        Ok(Err(error)) | Err(error) => {
+            system.abort();
+            Err(error)
+        }
+    }
+}
+
+fn fail(command: Command, error: &LinkError) {
+    match command {
+        Command::Heartbeat(_, reply) => drop(reply.send(Err(error.clone()))),
+        Command::Configure(_, reply) => drop(reply.send(Err(error.clone()))),
+        Command::Call(_, _, reply) => drop(reply.send(Err(error.clone()))),
+        Command::Revoke(_, _, reply) => drop(reply.send(Err(error.clone()))),
+        Command::Reset => {}
+    }
+}
+
+async fn carry_out(agent: agent::Client, command: Command) {
+    let lost = |error: Error| LinkError::Lost { problem: error.to_string() };
+    match command {
+        Command::Heartbeat(beat, reply) => drop(reply.send(heartbeat(&agent, &beat).await.map_err(lost))),
+        Command::Configure(config, reply) => drop(reply.send(configure(&agent, &config).await.map_err(lost))),
+        Command::Call(call, frames, reply) => drop(reply.send(make_call(&agent, &call, frames).await.map_err(lost))),
+        Command::Revoke(attempt, to, reply) => drop(reply.send(revoke(&agent, attempt, to).await.map_err(lost))),
+        Command::Reset => {}
+    }
+}
+
+async fn heartbeat(agent: &agent::Client, beat: &Heartbeat) -> Result<AgentReport, Error> {
+    let mut request = agent.heartbeat_request();
+    let mut params = request.get();
+    params.set_entry(beat.entry.as_str());
+    params.set_verified_for(beat.verified_for.0);
+    params.set_tail_version(beat.tail_version);
+    let answer = request.send().promise.await?;
+    Ok(convert::read_report(answer.get()?.get_report()?))
+}
+
+async fn configure(agent: &agent::Client, config: &Configuration) -> Result<u64, Error> {
+    let state = serde_json::to_vec(config).map_err(|error| Error::failed(error.to_string()))?;
+    let mut request = agent.configure_request();
+    request.get().set_state(&state);
+    let answer = request.send().promise.await?;
+    Ok(answer.get()?.get_version())
+}
+
+async fn make_call(agent: &agent::Client, call: &CallRequest, frames: mpsc::Sender<Frame>) -> Result<CallEnd, Error> {
+    let mut request = agent.call_request();
+    let mut params = request.get();
+    convert::write_offer(params.reborrow().init_offer(), &call.offer);
+    convert::write_request(params.reborrow().init_request(), &call.request);
+    params.set_sink(new_client(Sink { frames: frames.clone() }));
+    let answer = request.send().promise;
+    tokio::select! {
+        answer = answer => {
+            let answer = answer?;
+            let answer = answer.get()?;
+            if answer.get_refused() {
+                return Ok(CallEnd::Refused(convert::read_refusal(answer.get_refusal()?)?));
+            }
+            Ok(CallEnd::Sent)
+        }
+        () = frames.closed() => {
+            let mut cancel = agent.cancel_request();
+            convert::write_attempt(cancel.get().init_attempt(), call.offer.attempt);
+            cancel.send().promise.await?;
+            Err(Error::failed("the caller has gone".into()))
+        }
+    }
+}
+
+async fn revoke(agent: &agent::Client, attempt: AttemptId, to: Incarnation) -> Result<RevokeAnswer, Error> {
+    let mut request = agent.revoke_request();
+    convert::write_attempt(request.get().init_attempt(), attempt);
+    request.get().set_to(to.0);
+    let answer = request.send().promise.await?;
+    Ok(convert::read_revoke(answer.get()?.get_answer()?))
+}
+
+struct Sink {
+    frames: mpsc::Sender<Frame>,
+}
+
+impl frame_sink::Server for Sink {
+    async fn push(self: Rc<Self>, params: frame_sink::PushParams, _: frame_sink::PushResults) -> Result<(), Error> {
+        let frame = convert::read_frame(params.get()?.get_frame()?)?;
+        let gone = |_| Error::failed("the caller has gone".into());
+        self.frames.send(frame).await.map_err(gone)
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-peer/src/server.rs
@@ -0,0 +1,206 @@
+//! The agent's side of the link.
+
+use std::sync::Arc;
+
+use capnp::Error;
+use capnp::capability::Rc;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, new_client, twoparty};
+use futures::AsyncReadExt;
+use ochreyard_core::config::Configuration;
+use ochreyard_core::frame::Frame;
+use ochreyard_core::ids::Incarnation;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::agent_capnp::{agent, door, frame_sink};
+use crate::convert;
+use crate::handler::AgentHandler;
+use crate::local_thread::LocalThread;
+use crate::message::{CallEnd, CallRequest, Heartbeat};
+
+/// Frames of one call that wait for the link.
+const FRAMES_IN_HAND: usize = 2;
+
+/// Longest token that is looked at, in bytes.
+const MAX_TOKEN_BYTES: usize = 4096;
+
+/// Answers entries on `listener` until the thread ends.
+///
+/// Calls of `handler` run on the present executor, the link on `thread`.
+///
+/// # Panics
+///
+/// When called outside a Tokio executor.
+pub fn serve<H: AgentHandler>(thread: &LocalThread, listener: std::net::TcpListener, token: String, handler: Arc<H>) {
+    let executor = Handle::current();
+    thread.run(move || {
+        tokio::task::spawn_local(async move {
+            if let Err(error) = accept(listener, Arc::from(token), handler, executor).await {
+                log::error!("event=peer_listen_failed error=\"{error}\"");
+            }
+        });
+    });
+}
+
+async fn accept<H: AgentHandler>(
+    listener: std::net::TcpListener,
+    token: Arc<str>,
+    handler: Arc<H>,
+    executor: Handle,
+) -> std::io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = TcpListener::from_std(listener)?;
+    loop {
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("event=peer_accept_failed error=\"{error}\"");
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let door = DoorServer { token: Arc::clone(&token), handler: Arc::clone(&handler), executor: executor.clone() };
+        tokio::task::spawn_local(async move {
+            log::debug!("event=peer_connected from={from}");
+            if let Err(error) = serve_one(stream, door).await {
+                log::debug!("event=peer_connection_ended from={from} error=\"{error}\"");
+            }
+        });
+    }
+}
+
+async fn serve_one<H: AgentHandler>(stream: TcpStream, door: DoorServer<H>) -> Result<(), Error> {
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.compat().split();
+    let reader = futures::io::BufReader::new(reader);
+    let writer = futures::io::BufWriter::new(writer);
+    let network = twoparty::VatNetwork::new(reader, writer, Side::Server, capnp::message::ReaderOptions::default());
+    let door: door::Client = new_client(door);
+    RpcSystem::new(Box::new(network), Some(door.client)).await
+}
+
+struct DoorServer<H> {
+    token: Arc<str>,
+    handler: Arc<H>,
+    executor: Handle,
+}
+
+impl<H: AgentHandler> door::Server for DoorServer<H> {
+    async fn open(self: Rc<Self>, params: door::OpenParams, mut results: door::OpenResults) -> Result<(), Error> {
+        let given = params.get()?.get_token()?;
+        let fits = given.len() <= MAX_TOKEN_BYTES && same(given.as_bytes(), self.token.as_bytes());
+        if !fits {
+            metrics::counter!("ochreyard_peer_refused_total").increment(1);
+            log::warn!("event=peer_token_refused");
+            return Err(Error::failed("unauthenticated: the link token is wrong".into()));
+        }
+        let agent = AgentServer { handler: Arc::clone(&self.handler), executor: self.executor.clone() };
+        results.get().set_agent(new_client(agent));
+        Ok(())
+    }
+}
+
+/// Compares without telling by its time where the difference is.
+fn same(given: &[u8], wanted: &[u8]) -> bool {
+    let differing = given.iter().zip(wanted).fold(0, |acc, (a, b)| acc | (a ^ b));
+    given.len() == wanted.len() && differing == 0
+}
+
+struct AgentServer<H> {
+    handler: Arc<H>,
+    executor: Handle,
+}
+
+impl<H: AgentHandler> AgentServer<H> {
+    /// Runs a handler's work on the main executor.
+    async fn on_executor<T: Send + 'static>(&self, work: impl Future<Output = T> + Send + 'static) -> Result<T, Error> {
+        self.executor.spawn(work).await.map_err(|error| Error::failed(error.to_string()))
+    }
+}
+
+impl<H: AgentHandler> agent::Server for AgentServer<H> {
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: agent::HeartbeatParams,
+        mut results: agent::HeartbeatResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let beat = Heartbeat {
+            entry: params.get_entry()?.to_str()?.to_owned(),
+            verified_for: Incarnation(params.get_verified_for()),
+            tail_version: params.get_tail_version(),
+        };
+        let handler = Arc::clone(&self.handler);
+        let report = self.on_executor(async move { handler.heartbeat(beat).await }).await?;
+        convert::write_report(results.get().init_report(), &report);
+        Ok(())
+    }
+
+    async fn configure(
+        self: Rc<Self>,
+        params: agent::ConfigureParams,
+        mut results: agent::ConfigureResults,
+    ) -> Result<(), Error> {
+        let config: Configuration = serde_json::from_slice(params.get()?.get_state()?).map_err(|error| {
+            metrics::counter!("ochreyard_peer_unreadable_total").increment(1);
+            Error::failed(format!("bad_request: the configuration cannot be read: {error}"))
+        })?;
+        let handler = Arc::clone(&self.handler);
+        let version = self.on_executor(async move { handler.configure(Arc::new(config)).await }).await?;
+        results.get().set_version(version);
+        Ok(())
+    }
+
+    async fn call(self: Rc<Self>, params: agent::CallParams, mut results: agent::CallResults) -> Result<(), Error> {
+        let (call, sink) = {
+            let params = params.get()?;
+            let offer = convert::read_offer(params.get_offer()?)?;
+            let request = convert::read_request(params.get_request()?)?;
+            (CallRequest { offer, request }, params.get_sink()?)
+        };
+        let (frames, outbox) = mpsc::channel(FRAMES_IN_HAND);
+        let handler = Arc::clone(&self.handler);
+        let work = self.on_executor(async move { handler.call(call, frames).await });
+        let (end, pushed) = futures::future::join(work, push_all(outbox, sink)).await;
+        pushed?;
+        if let CallEnd::Refused(refusal) = end? {
+            results.get().set_refused(true);
+            convert::write_refusal(results.get().init_refusal(), &refusal);
+        }
+        Ok(())
+    }
+
+    async fn cancel(self: Rc<Self>, params: agent::CancelParams, _: agent::CancelResults) -> Result<(), Error> {
+        let attempt = convert::read_attempt(params.get()?.get_attempt()?);
+        let handler = Arc::clone(&self.handler);
+        self.on_executor(async move { handler.cancel(attempt).await }).await
+    }
+
+    async fn revoke(
+        self: Rc<Self>,
+        params: agent::RevokeParams,
+        mut results: agent::RevokeResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let attempt = convert::read_attempt(params.get_attempt()?);
+        let to = Incarnation(params.get_to());
+        let handler = Arc::clone(&self.handler);
+        let answer = self.on_executor(async move { handler.revoke(attempt, to).await }).await?;
+        results.get().set_answer(convert::write_revoke(answer));
+        Ok(())
+    }
+}
+
+/// Sends frames one after the other. Once the entry takes no more, the outbox
+/// is dropped, which tells the handler that the caller has gone.
+async fn push_all(mut outbox: mpsc::Receiver<Frame>, sink: frame_sink::Client) -> Result<(), Error> {
+    while let Some(frame) = outbox.recv().await {
+        let mut push = sink.push_request();
+        convert::write_frame(push.get().init_frame(), &frame);
+        push.send().promise.await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ochreyard-platform/src/http.rs
@@ -0,0 +1,94 @@
+//! The HTTP client of the platform.
+
+use std::time::Duration;
+
+use ochreyard_core::config::{LogPage, LogRecord};
+use reqwest::{Client, RequestBuilder, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::PlatformError;
+use crate::traits::{BoxList, ListedBox, LogStream, WeightStore};
+
+/// How long to wait when a busy platform names no time, in milliseconds.
+const DEFAULT_BUSY_MS: u64 = 1_000;
+
+/// A client of the platform at one address and of one stream of its log.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    http: Client,
+    base_url: String,
+    stream: String,
+}
+
+#[derive(Deserialize)]
+struct PageBody {
+    first_offset: u64,
+    next_offset: u64,
+    records: Vec<RecordBody>,
+}
+
+#[derive(Deserialize)]
+struct RecordBody {
+    offset: u64,
+    text: String,
+}
+
+#[derive(Deserialize)]
+struct AppendBody {
+    offset: u64,
+}
+
+impl HttpPlatform {
+    /// A client of `stream` at `base_url`. Each question waits `timeout_ms` at the most.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError`] when the client cannot be made.
+    pub fn new(base_url: impl Into<String>, stream: impl Into<String>, timeout_ms: u64) -> Result<Self, PlatformError> {
+        let http = Client::builder().timeout(Duration::from_millis(timeout_ms)).no_proxy().build();
+        let http = http.map_err(|error| PlatformError::Unavailable(error.to_string()))?;
+        let base_url = base_url.into().trim_end_matches('/').to_owned();
+        Ok(Self { http, base_url, stream: stream.into() })
+    }
+
+    async fn ask<T: DeserializeOwned>(&self, request: RequestBuilder) -> Result<T, PlatformError> {
+        let unavailable = |error: reqwest::Error| PlatformError::Unavailable(error.to_string());
+        let response = request.send().await.map_err(unavailable)?;
+        if response.status() == StatusCode::TOO_MANY_REQUESTS {
+            let seconds = response.headers().get("retry-after").and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+            return Err(PlatformError::Busy { retry_after_ms: seconds.map_or(DEFAULT_BUSY_MS, |s| s * 1000) });
+        }
+        let response = response.error_for_status().map_err(unavailable)?;
+        response.json().await.map_err(unavailable)
+    }
+}
+
+impl LogStream for HttpPlatform {
+    async fn read(&self, from: u64, limit: u32) -> Result<LogPage, PlatformError> {
+        let url = format!("{}/log/{}?from={from}&limit={limit}", self.base_url, self.stream);
+        let page: PageBody = self.ask(self.http.get(url)).await?;
+        let records = page.records.into_iter().map(|r| LogRecord { offset: r.offset, text: r.text }).collect();
+        Ok(LogPage { first_offset: page.first_offset, next_offset: page.next_offset, records })
+    }
+
+    async fn append(&self, text: &str) -> Result<u64, PlatformError> {
+        let url = format!("{}/log/{}", self.base_url, self.stream);
+        let appended: AppendBody = self.ask(self.http.post(url).body(text.to_owned())).await?;
+        Ok(appended.offset)
+    }
+}
+
+impl BoxList for HttpPlatform {
+    async fn boxes(&self) -> Result<Vec<ListedBox>, PlatformError> {
+        self.ask(self.http.get(format!("{}/boxes", self.base_url))).await
+    }
+}
+
+impl WeightStore for HttpPlatform {
+    async fn reserve(&self, bytes: u64) -> Result<(), PlatformError> {
+        let url = format!("{}/weights/reserve?bytes={bytes}", self.base_url);
+        let _: serde_json::Value = self.ask(self.http.post(url)).await?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-process/src/logging.rs
@@ -0,0 +1,27 @@
+//! One line of key=value pairs for each event.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use crate::settings::Settings;
+
+/// Starts logging as `log_level` and `log_target` of the settings say.
+///
+/// # Errors
+///
+/// When a logger has been set before.
+pub fn start_logging(settings: &Settings) -> Result<(), log::SetLoggerError> {
+    let level = settings.text("log_level").parse().unwrap_or(log::LevelFilter::Info);
+    let dispatch = fern::Dispatch::new().level(log::LevelFilter::Warn).level_for("ochreyard", level);
+    let packages = ["agent", "caller", "core", "endpoint", "entry", "operator", "peer", "platform", "process"];
+    let dispatch = packages.iter().fold(dispatch, |d, name| d.level_for(format!("ochreyard_{name}"), level));
+    let dispatch = dispatch.format(|out, message, record| {
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let level = record.level().as_str().to_lowercase();
+        out.finish(format_args!("ts_ms={at} level={level} target={} {message}", record.target()));
+    });
+    let dispatch = match settings.text("log_target") {
+        "stdout" => dispatch.chain(std::io::stdout()),
+        _ => dispatch.chain(std::io::stderr()),
+    };
+    dispatch.apply()
+}
--- /dev/null
+++ b/crates/ochreyard-stand-ins/examples/platform.rs
@@ -0,0 +1,10 @@
+//! Runs the stand-in: `cargo run -p ochreyard-stand-ins --example platform -- ADDRESS`.
+
+use ochreyard_stand_ins::args;
+use ochreyard_stand_ins::platform::Platform;
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let listener = tokio::net::TcpListener::bind(args::listen_addr()).await?;
+    axum::serve(listener, Platform::default().router()).await
+}
