Check settings and command lines by tests

Cause: the table of settings and the exit codes had no test. Found on the way: a missing field was reported as 'line 0', the hint for 'platfrom_url' named 'platform_timeout_ms', and 'report burn' without an entry printed an empty table.

--- a/crates/ochreyard-agent/src/flags.rs
+++ b/crates/ochreyard-agent/src/flags.rs
@@ -5,8 +5,6 @@
 xflags::xflags! {
     /// The agent of ochreyard: one beside each endpoint.
     cmd ochreyard-agent {
-        /// Prints the version.
-        optional --version
         /// Runs the agent. SIGTERM is a planned stop.
         cmd serve {
             /// The settings file, in YAML.
@@ -19,7 +17,5 @@
         }
         /// Prints the reference of all settings.
         cmd fields {}
-        /// Prints the version.
-        cmd version {}
     }
 }
--- a/crates/ochreyard-agent/src/main.rs
+++ b/crates/ochreyard-agent/src/main.rs
@@ -9,17 +9,14 @@
 
 use std::process::ExitCode;
 
-use ochreyard_process::{Settings, exit_for_usage};
+use ochreyard_process::{Settings, exit_for_usage, exit_for_version};
 
 use crate::fields::FIELDS;
 use crate::flags::{OchreyardAgent, OchreyardAgentCmd};
 
 fn main() -> ExitCode {
+    exit_for_version("ochreyard-agent", env!("CARGO_PKG_VERSION"));
     let flags = OchreyardAgent::from_env().unwrap_or_else(|error| exit_for_usage("ochreyard-agent", &error));
-    if flags.version {
-        println!("ochreyard-agent {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
     let result = match flags.subcommand {
         OchreyardAgentCmd::Serve(args) => read(&args.settings).and_then(serve::run),
         OchreyardAgentCmd::Check(args) => read(&args.settings).map(|_| println!("{}: ok", args.settings.display())),
@@ -27,10 +24,6 @@
             print!("{}", ochreyard_process::reference(FIELDS));
             Ok(())
         }
-        OchreyardAgentCmd::Version(_) => {
-            println!("ochreyard-agent {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
-        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/ochreyard-entry/src/flags.rs
+++ b/crates/ochreyard-entry/src/flags.rs
@@ -17,8 +17,6 @@
         }
         /// Prints the reference of all settings.
         cmd fields {}
-        /// Prints the version.
-        cmd version {}
         /// Sends an intent and prints the plan. Nothing changes before `confirm`.
         cmd plan {
             /// The intent, in YAML.
--- a/crates/ochreyard-entry/src/main.rs
+++ b/crates/ochreyard-entry/src/main.rs
@@ -12,12 +12,13 @@
 
 use std::process::ExitCode;
 
-use ochreyard_process::{Settings, exit_for_usage};
+use ochreyard_process::{Settings, exit_for_usage, exit_for_version};
 
 use crate::fields::FIELDS;
 use crate::flags::{Ochreyard, OchreyardCmd, ReportCmd};
 
 fn main() -> ExitCode {
+    exit_for_version("ochreyard", env!("CARGO_PKG_VERSION"));
     let flags = Ochreyard::from_env().unwrap_or_else(|error| exit_for_usage("ochreyard", &error));
     match run(flags) {
         Ok(()) => ExitCode::SUCCESS,
@@ -40,10 +41,6 @@
             print!("{}", ochreyard_process::reference(FIELDS));
             Ok(())
         }
-        OchreyardCmd::Version(_) => {
-            println!("ochreyard {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
-        }
         OchreyardCmd::Plan(args) => operate::plan(&args),
         OchreyardCmd::Confirm(args) => operate::confirm(&args),
         OchreyardCmd::Status(args) => operate::status(&args),
--- a/crates/ochreyard-entry/src/operate.rs
+++ b/crates/ochreyard-entry/src/operate.rs
@@ -42,6 +42,9 @@
 
 /// `ochreyard report burn`.
 pub fn burn(args: &flags::Burn) -> Result<()> {
+    if args.entry.is_empty() {
+        miette::bail!("no entry is named; give --entry URL once for each entry");
+    }
     let mut joined: BTreeMap<(String, String), BurnRow> = BTreeMap::new();
     let mut unreached = Vec::new();
     for entry in &args.entry {
--- /dev/null
+++ b/crates/ochreyard-entry/tests/cli.rs
@@ -0,0 +1,53 @@
+//! The command line: help, version, wrong usage, settings.
+
+use std::process::{Command, Output};
+
+use rstest::rstest;
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_ochreyard")).args(args).output().unwrap()
+}
+
+#[rstest]
+#[case::help(&["--help"], "serve")]
+#[case::help_of_a_command(&["check", "--help"], "check")]
+#[case::version(&["--version"], env!("CARGO_PKG_VERSION"))]
+#[case::fields(&["fields"], "data_centre")]
+fn a_question_is_answered_on_standard_output(#[case] args: &[&str], #[case] says: &str) {
+    let output = run(args);
+    assert!(output.status.success());
+    assert!(String::from_utf8_lossy(&output.stdout).contains(says));
+}
+
+#[rstest]
+#[case::nothing(&[])]
+#[case::unknown(&["bogus"])]
+#[case::no_settings(&["serve"])]
+#[case::unknown_report(&["report", "heat"])]
+#[case::plan_without_entry(&["plan", "x.yaml"])]
+fn wrong_usage_exits_2_with_one_line_that_says_what_to_do(#[case] args: &[&str]) {
+    let output = run(args);
+    assert_eq!(output.status.code(), Some(2));
+    let line = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(line.trim_end().lines().count(), 1);
+    assert!(line.contains("ochreyard --help"), "{line}");
+}
+
+#[test]
+fn check_lists_all_faults_and_prints_no_secret() {
+    let dir = std::env::temp_dir().join(format!("ochreyard-cli-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let secret = dir.join("token");
+    std::fs::write(&secret, "not-for-print").unwrap();
+    let settings = dir.join("settings.yaml");
+    let text = format!("data_centre: UPPER\npeer_token_file: {}\nlog_level: loud\nnonsense: 1\n", secret.display());
+    std::fs::write(&settings, text).unwrap();
+    let output = run(&["check", settings.to_str().unwrap()]);
+    std::fs::remove_dir_all(&dir).unwrap();
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(1));
+    for field in ["data_centre", "log_level", "nonsense", "is missing"] {
+        assert!(said.contains(field), "{field}: {said}");
+    }
+    assert!(!said.contains("not-for-print"));
+}
--- a/crates/ochreyard-process/src/lib.rs
+++ b/crates/ochreyard-process/src/lib.rs
@@ -10,7 +10,7 @@
 pub use logging::start_logging;
 pub use settings::{FieldKind, FieldSpec, Settings, SettingsFault, SettingsFaults, reference};
 pub use stop::stop_signal;
-pub use usage::exit_for_usage;
+pub use usage::{exit_for_usage, exit_for_version};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
--- a/crates/ochreyard-process/src/settings.rs
+++ b/crates/ochreyard-process/src/settings.rs
@@ -45,7 +45,7 @@
 
 /// One fault, with the fix.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("line {line}: field `{field}` {problem}")]
+#[error("{}field `{field}` {problem}", at_line(*.line))]
 pub struct SettingsFault {
     /// Line in the file, from 1; 0 when the field is missing.
     pub line: usize,
@@ -58,6 +58,10 @@
     span: (usize, usize),
 }
 
+fn at_line(line: usize) -> String {
+    if line == 0 { String::new() } else { format!("line {line}: ") }
+}
+
 impl Diagnostic for SettingsFault {
     fn help<'a>(&'a self) -> Option<Box<dyn std::fmt::Display + 'a>> {
         Some(Box::new(&self.fix))
@@ -71,7 +75,7 @@
 
 /// All faults of a file.
 #[derive(Debug, thiserror::Error)]
-#[error("the settings in {file} have {} faults", .faults.len())]
+#[error("the settings in {file} have faults: {}", .faults.len())]
 pub struct SettingsFaults {
     /// The file.
     pub file: String,
@@ -207,7 +211,7 @@
 
 fn syntax_fault(text: &str, error: &serde_saphyr::Error) -> SettingsFault {
     let line = error.location().map_or(1, |at| usize::try_from(at.line()).unwrap_or(1));
-    let problem = error.to_string().replace('\n', " ");
+    let problem = error.to_string().lines().next().unwrap_or("cannot be read").to_owned();
     let fix = "write a YAML map of field: value lines, each field once".to_owned();
     SettingsFault { line, field: "(syntax)".into(), problem, fix, span: line_span(text, line) }
 }
@@ -216,14 +220,17 @@
     let unknown = given.keys().filter(|name| !fields.iter().any(|spec| spec.name == name.as_str()));
     unknown
         .map(|name| {
-            let near = fields.iter().max_by_key(|spec| shared_start(spec.name, name)).map_or("", |spec| spec.name);
+            let near = fields.iter().max_by_key(|spec| likeness(spec.name, name)).map_or("", |spec| spec.name);
             fault_at(text, name, "is unknown".into(), format!("take it out, or did you mean `{near}`?"))
         })
         .collect()
 }
 
-fn shared_start(a: &str, b: &str) -> usize {
-    a.bytes().zip(b.bytes()).take_while(|(x, y)| x == y).count()
+/// Bytes that two names share at their start and at their end.
+fn likeness(a: &str, b: &str) -> usize {
+    let at_start = a.bytes().zip(b.bytes()).take_while(|(x, y)| x == y).count();
+    let at_end = a.bytes().rev().zip(b.bytes().rev()).take_while(|(x, y)| x == y).count();
+    at_start + at_end
 }
 
 fn value_of(spec: &FieldSpec, given: &BTreeMap<String, Value>) -> Result<Value, (String, String)> {
--- a/crates/ochreyard-process/src/usage.rs
+++ b/crates/ochreyard-process/src/usage.rs
@@ -14,3 +14,12 @@
     eprintln!("{program}: {one_line}; see `{program} --help`");
     std::process::exit(WRONG_USAGE);
 }
+
+/// Prints the version and ends the process, if that is all that was asked for.
+pub fn exit_for_version(program: &str, version: &str) {
+    let mut args = std::env::args().skip(1);
+    if matches!((args.next().as_deref(), args.next()), (Some("--version" | "-V"), None)) {
+        println!("{program} {version}");
+        std::process::exit(0);
+    }
+}
