--- a/crates/ochreyard-stand-ins/src/lib.rs
+++ b/crates/ochreyard-stand-ins/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod plain;
 pub mod platform;
 pub mod rank_group;
+pub mod site;
