Prove at most once for dated keys, and mend a double run that the proof found

Cause: a new home counted its memory from the start of its process. An old home may run the key until it has the new configuration in force, so a key made after the new home's start could run at both. Now memory counts from the moment when an entry has shown the agent the end of the log.

Fails first: OCHREYARD_CASES=40000: a double run after 14620 cases; the named test a_new_home_counts_its_memory_from_the_verified_end_of_the_log: 'ran 2 times'. Afterwards: the named test passes, and 100000 cases pass in 114 s (release).

Ruled out: asking the old homes one by one (they may be gone), and claims in the log (an append for each call, none served in its outages). Not proved: keys without a date beyond their window; clocks further apart than the margin.

--- a/crates/ochreyard-agent/src/admission_actor.rs
+++ b/crates/ochreyard-agent/src/admission_actor.rs
@@ -172,7 +172,7 @@
 
     async fn handle(&mut self, beat: Beat, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
         if beat.verified_for == self.admission.incarnation() {
-            self.admission.verify_tail(beat.tail_version);
+            self.admission.verify_tail(beat.tail_version, self.clock.now_ms());
         }
         self.reports += 1;
         let admission = &self.admission;
--- a/crates/ochreyard-core/src/admission.rs
+++ b/crates/ochreyard-core/src/admission.rs
@@ -153,10 +153,13 @@
 
     /// Notes that an entry read the log to its end after this process had
     /// started, and that `version` was in force there.
-    pub fn verify_tail(&mut self, version: u64) {
-        if self.config_version() >= version {
-            self.tail_verified = true;
+    pub fn verify_tail(&mut self, version: u64, now_ms: u64) {
+        if self.tail_verified || self.config_version() < version {
+            return;
         }
+        self.tail_verified = true;
+        // Until now an old home may have run keys that this agent knows nothing of.
+        self.keys.remember_from(now_ms);
     }
 
     /// Puts a configuration in force, unless it is older than the present one.
--- a/crates/ochreyard-core/src/admission/key_store.rs
+++ b/crates/ochreyard-core/src/admission/key_store.rs
@@ -118,7 +118,8 @@
 #[derive(Debug, Clone)]
 pub struct KeyStore {
     endpoint: EndpointId,
-    started_ms: u64,
+    /// Nothing is known of runs before this.
+    remembers_from_ms: u64,
     window_ms: u64,
     margin_ms: u64,
     max_keys: usize,
@@ -133,7 +134,7 @@
     pub fn new(settings: &AdmissionSettings, now_ms: u64) -> Self {
         Self {
             endpoint: settings.endpoint.clone(),
-            started_ms: now_ms,
+            remembers_from_ms: now_ms,
             window_ms: settings.key_window_ms,
             margin_ms: settings.clock_margin_ms,
             max_keys: settings.max_keys,
@@ -155,6 +156,11 @@
         self.kept.is_empty()
     }
 
+    /// Counts this store's memory from `now_ms` on.
+    pub fn remember_from(&mut self, now_ms: u64) {
+        self.remembers_from_ms = self.remembers_from_ms.max(now_ms);
+    }
+
     /// Remembers the configuration that is being replaced, to know later since
     /// when this agent has been the home of a key.
     pub fn note_homes(&mut self, old: &Arc<Configuration>, service: Option<ServiceId>, now_ms: u64) {
@@ -195,7 +201,7 @@
             past.service != id.service || view.home_of(hash) != HomeAnswer::At(self.endpoint.clone())
         };
         let moved_ms = self.past_homes.iter().rev().find(was_elsewhere).map_or(0, |past| past.until_ms);
-        KeyClock { home_since_ms: self.started_ms.max(moved_ms), window_ms: self.window_ms, margin_ms: self.margin_ms }
+        KeyClock { home_since_ms: self.remembers_from_ms.max(moved_ms), window_ms: self.window_ms, margin_ms: self.margin_ms }
     }
 
     /// Notes that the key is about to run.
