Change a group's expert map under a gate, with a fence on every order

Cause: nothing yet kept all ranks of a group on one map while it changes. A leader inspects, stages, gates, activates from the gated step, and releases; a rank that will not answer leads to the old map; a successor fences off a leader that was paused.

The property failed twice on the way: - after 9 cases: one token for each leader let a late 'activate' follow the same leader's 'put back', so one step had two maps. The fence now grows with each order. Ruled out: comparing tokens in the leader only, since the late order is already on its way. - after 5974 cases: a change close behind another gated at the step from which the first map was to be used, replaced it, and had no map to go back to.

Not proved: a leader paused between its own lease check and the send, for endpoints that do not compare fences.

--- a/crates/ochreyard-core/src/admission/key_store.rs
+++ b/crates/ochreyard-core/src/admission/key_store.rs
@@ -201,7 +201,11 @@
             past.service != id.service || view.home_of(hash) != HomeAnswer::At(self.endpoint.clone())
         };
         let moved_ms = self.past_homes.iter().rev().find(was_elsewhere).map_or(0, |past| past.until_ms);
-        KeyClock { home_since_ms: self.remembers_from_ms.max(moved_ms), window_ms: self.window_ms, margin_ms: self.margin_ms }
+        KeyClock {
+            home_since_ms: self.remembers_from_ms.max(moved_ms),
+            window_ms: self.window_ms,
+            margin_ms: self.margin_ms,
+        }
     }
 
     /// Notes that the key is about to run.
--- a/crates/ochreyard-core/src/lib.rs
+++ b/crates/ochreyard-core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod hash;
 pub mod home;
 pub mod ids;
+pub mod map_switch;
 pub mod membership;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/crates/ochreyard-core/src/map_switch/rank.rs
@@ -0,0 +1,88 @@
+//! What a rank guarantees: the model that engines must keep to.
+
+use super::order::{Fence, OrderEnvelope, RankOrder, RankReply, RankView};
+
+/// One rank of a group.
+#[derive(Debug, Clone, Default)]
+pub struct Rank {
+    highest: Fence,
+    staged: Option<u64>,
+    view: RankView,
+}
+
+impl Rank {
+    /// A rank that uses `map` from the start.
+    #[must_use]
+    pub fn new(map: u64) -> Self {
+        let view = RankView { schedule: [(0, map)].into(), ..RankView::default() };
+        Self { highest: Fence::default(), staged: None, view }
+    }
+
+    /// What the rank holds.
+    #[must_use]
+    pub const fn view(&self) -> &RankView {
+        &self.view
+    }
+
+    /// The highest fence seen.
+    #[must_use]
+    pub const fn highest(&self) -> Fence {
+        self.highest
+    }
+
+    /// Takes an order. One with a lower fence than the highest seen is refused.
+    pub fn on_order(&mut self, envelope: &OrderEnvelope) -> RankReply {
+        let overtaken = envelope.fence < self.highest;
+        let done = !overtaken && self.carry_out(envelope.order);
+        self.highest = self.highest.max(envelope.fence);
+        RankReply { rank: envelope.rank, order: envelope.fence, done, highest: self.highest, view: self.view.clone() }
+    }
+
+    fn carry_out(&mut self, order: RankOrder) -> bool {
+        match order {
+            RankOrder::Inspect => true,
+            RankOrder::Stage { map } => {
+                self.staged = Some(map);
+                true
+            }
+            RankOrder::Gate { step } if step <= self.view.step => false,
+            RankOrder::Gate { step } => {
+                self.view.gate = Some(step);
+                true
+            }
+            RankOrder::Activate { map, from_step } => self.activate(map, from_step),
+            RankOrder::Release => {
+                self.view.gate = None;
+                true
+            }
+        }
+    }
+
+    /// Refuses a map that it does not hold, and a step that it has entered.
+    fn activate(&mut self, map: u64, from_step: u64) -> bool {
+        let held = self.staged == Some(map) || self.view.schedule.values().any(|held| *held == map);
+        if !held || from_step <= self.view.step {
+            return false;
+        }
+        self.view.schedule.split_off(&from_step);
+        if self.view.map_at(from_step) != map {
+            self.view.schedule.insert(from_step, map);
+        }
+        true
+    }
+
+    /// Whether the rank may enter a step, as far as it is concerned.
+    #[must_use]
+    pub fn may_enter(&self, step: u64) -> bool {
+        self.view.gate.is_none_or(|gate| step < gate)
+    }
+
+    /// Enters the next step and returns the map that it uses there.
+    pub fn enter(&mut self, step: u64) -> u64 {
+        self.view.step = step;
+        let map = self.view.map_at(step);
+        self.view.schedule.retain(|from, _| *from > step);
+        self.view.schedule.insert(0, map);
+        map
+    }
+}
--- a/crates/ochreyard-core/tests/at_most_once.rs
+++ b/crates/ochreyard-core/tests/at_most_once.rs
@@ -26,17 +26,32 @@
 
 #[derive(Debug, Clone)]
 enum Op {
-    PutEndpoint { endpoint: usize, addr: usize },
+    PutEndpoint {
+        endpoint: usize,
+        addr: usize,
+    },
     RemoveEndpoint(usize),
     RunIn(usize),
     EntryReads(usize),
-    Beat { entry: usize, agent: usize },
+    Beat {
+        entry: usize,
+        agent: usize,
+    },
     /// An entry beats all agents but the last few of a turned order.
-    BeatMost { entry: usize, but: usize },
-    Call { entry: usize, key: usize },
+    BeatMost {
+        entry: usize,
+        but: usize,
+    },
+    Call {
+        entry: usize,
+        key: usize,
+    },
     Deliver(usize),
     Repeat(usize),
-    Finish { agent: usize, outcome: usize },
+    Finish {
+        agent: usize,
+        outcome: usize,
+    },
     Revoke(usize),
     RestartAgent(usize),
     RestartEntry(usize),
@@ -175,12 +190,8 @@
                 roles: BTreeSet::new(),
             }],
         };
-        let service = ServiceSpec {
-            service: "s".into(),
-            kind: ServiceKind::Plain,
-            first_byte_ms: 100,
-            objective_permille: 900,
-        };
+        let service =
+            ServiceSpec { service: "s".into(), kind: ServiceKind::Plain, first_byte_ms: 100, objective_permille: 900 };
         world.confirm(Change {
             services: vec![service],
             places: vec![place("dc-a"), place("dc-b")],
@@ -223,9 +234,8 @@
 
     fn page(&self, from: u64) -> LogPage {
         let records = self.log.iter().enumerate().skip(usize::try_from(from).unwrap());
-        let records = records
-            .map(|(at, r)| LogRecord { offset: at as u64, text: serde_json::to_string(r).unwrap() })
-            .collect();
+        let records =
+            records.map(|(at, r)| LogRecord { offset: at as u64, text: serde_json::to_string(r).unwrap() }).collect();
         LogPage { first_offset: 0, next_offset: self.log.len() as u64, records }
     }
 
@@ -358,7 +368,9 @@
         for action in actions {
             match action {
                 AdmissionAction::Start(attempt) => self.start(agent, attempt),
-                AdmissionAction::Refuse { attempt, refusal } if refusal.run == Run::NotRun => self.note_not_run(attempt),
+                AdmissionAction::Refuse { attempt, refusal } if refusal.run == Run::NotRun => {
+                    self.note_not_run(attempt);
+                }
                 _ => {}
             }
         }
