--- a/crates/ochreyard-entry/src/balancer.rs
+++ b/crates/ochreyard-entry/src/balancer.rs
@@ -182,3 +182,21 @@
     GetBurn {} -> Vec<BurnRow>,
     |me, _msg| me.state.burn_rows(me.clock.now_ms())
 );
+message!(
+    /// A peer's configuration.
+    Adopt {
+        /// The configuration.
+        config: Arc<Configuration>
+    } -> bool,
+    |me, msg| me.state.adopt(msg.config)
+);
+message!(
+    /// Asks whether peers should be asked for their configuration.
+    NeedsPeers {} -> bool,
+    |me, _msg| me.state.needs_peers()
+);
+message!(
+    /// Asks for a seed of the log, if it has lost everything.
+    GetSeed {} -> Option<ConfigRecord>,
+    |me, _msg| me.state.seed()
+);
--- a/crates/ochreyard-entry/src/fields.rs
+++ b/crates/ochreyard-entry/src/fields.rs
@@ -8,6 +8,18 @@
     FieldSpec { name: "data_centre", kind: FieldKind::Name, default: None, about: "where it stands" },
     FieldSpec { name: "callers_addr", kind: FieldKind::Addr, default: None, about: "where callers are answered" },
     FieldSpec { name: "operators_addr", kind: FieldKind::Addr, default: None, about: "where operators are answered" },
+    FieldSpec {
+        name: "peer_addr",
+        kind: FieldKind::Addr,
+        default: None,
+        about: "where other entries ask for the configuration",
+    },
+    FieldSpec {
+        name: "peers",
+        kind: FieldKind::Addrs,
+        default: Some("[]"),
+        about: "`peer_addr` of other entries, asked while the platform's log cannot be read",
+    },
     FieldSpec { name: "platform_url", kind: FieldKind::Url, default: None, about: "the platform's services" },
     FieldSpec {
         name: "peer_token_file",
--- a/crates/ochreyard-entry/src/serve.rs
+++ b/crates/ochreyard-entry/src/serve.rs
@@ -5,21 +5,22 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use kameo::actor::Spawn;
+use kameo::actor::{ActorRef, Spawn};
 use miette::{Context, IntoDiagnostic, Result};
 use ochreyard_caller::CallerLimits;
+use ochreyard_core::config::Configuration;
 use ochreyard_core::drain::{Drain, Serving};
 use ochreyard_core::ids::Incarnation;
-use ochreyard_peer::LocalThread;
+use ochreyard_peer::{LocalThread, StateSource};
 use ochreyard_platform::HttpPlatform;
 use ochreyard_process::{Clock, Settings, start_logging, start_metrics, stop_signal};
 use tokio::net::TcpListener;
 
-use crate::balancer::Balancer;
+use crate::balancer::{Balancer, GetConfig};
 use crate::control::EntryControl;
 use crate::forward::Forwarder;
 use crate::state::{EntryIdentity, EntryState};
-use crate::upkeep;
+use crate::upkeep::{self, Peers};
 
 /// The stream of the platform's log that holds the configuration.
 const CONFIG_STREAM: &str = "config";
@@ -50,11 +51,13 @@
         snapshot_every_ms: settings.number("snapshot_every_ms"),
     };
     let thread = LocalThread::start("peer").into_diagnostic()?;
-    let balancer = Balancer::spawn(Balancer::new(EntryState::new(identity, thread, clock.now_ms()), clock));
+    let balancer = Balancer::spawn(Balancer::new(EntryState::new(identity, thread.clone(), clock.now_ms()), clock));
 
     let callers = bind(&settings, "callers_addr").await?;
     let operators = bind(&settings, "operators_addr").await?;
-    tokio::spawn(upkeep::follow_log(log.clone(), balancer.clone(), clock, settings.number("log_poll_ms")));
+    let peers = serve_peers(&settings, &thread, &balancer)?;
+    let poll_ms = settings.number("log_poll_ms");
+    tokio::spawn(upkeep::follow_log(log.clone(), balancer.clone(), clock, poll_ms, peers));
     tokio::spawn(upkeep::keep_heartbeats(log.clone(), balancer.clone(), settings.number("heartbeat_ms")));
     tokio::spawn(upkeep::follow_box_list(log.clone(), balancer.clone()));
 
@@ -87,6 +90,26 @@
     Ok(())
 }
 
+/// Tells other entries the configuration, and knows where to ask them.
+fn serve_peers(settings: &Settings, thread: &LocalThread, balancer: &ActorRef<Balancer>) -> Result<Peers> {
+    let addr = settings.addr("peer_addr");
+    let token = settings.secret("peer_token_file").into_diagnostic()?;
+    let listener = std::net::TcpListener::bind(addr)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("field `peer_addr`: {addr} cannot be bound; choose a free address"))?;
+    let source = Arc::new(BalancerState(balancer.clone()));
+    ochreyard_peer::serve_state(thread, listener, token.clone(), source);
+    Ok(Peers { addrs: settings.addrs("peers"), token, thread: thread.clone() })
+}
+
+struct BalancerState(ActorRef<Balancer>);
+
+impl StateSource for BalancerState {
+    async fn state(&self) -> Option<Arc<Configuration>> {
+        self.0.ask(GetConfig {}).await.ok().flatten()
+    }
+}
+
 async fn bind(settings: &Settings, field: &str) -> Result<TcpListener> {
     let addr: SocketAddr = settings.addr(field);
     let problem = || format!("field `{field}`: {addr} cannot be bound; choose a free address");
--- a/crates/ochreyard-entry/src/state.rs
+++ b/crates/ochreyard-entry/src/state.rs
@@ -172,6 +172,30 @@
         events
     }
 
+    /// Takes over a peer's configuration, if it is newer.
+    pub fn adopt(&mut self, config: Arc<Configuration>) -> bool {
+        let adopted = self.fold.adopt(config);
+        if adopted {
+            self.follow_configuration();
+        }
+        adopted
+    }
+
+    /// Whether peers should be asked for their configuration: the log has not
+    /// been read, or has lost records that this entry needs.
+    #[must_use]
+    pub const fn needs_peers(&self) -> bool {
+        !matches!(self.fold.status(), FoldStatus::Following)
+    }
+
+    /// The newest state known, as a record for a log that lost everything.
+    #[must_use]
+    pub fn seed(&self) -> Option<ConfigRecord> {
+        let FoldStatus::Gap { first_offset } = self.fold.status() else { return None };
+        let state = self.fold.state().filter(|state| state.version() > 0)?;
+        Some(ConfigRecord::Seed { first_offset, state: Box::new(Configuration::clone(state)) })
+    }
+
     fn follow_configuration(&mut self) {
         let Some(config) = self.fold.state().cloned() else { return };
         self.tokens = config.workspaces().map(|ws| (ws.token_sha256.clone(), ws.workspace.clone())).collect();
--- a/crates/ochreyard-entry/src/upkeep.rs
+++ b/crates/ochreyard-entry/src/upkeep.rs
@@ -1,14 +1,19 @@
 //! What an entry does by itself: reads the log, sends heartbeats, writes what
 //! is its turn to write.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use kameo::actor::ActorRef;
 use ochreyard_core::config::{ConfigRecord, FoldEvent};
+use ochreyard_peer::{LocalThread, fetch_state};
 use ochreyard_platform::{BoxList, BoxState, LogStream, PlatformError};
 use ochreyard_process::Clock;
 
-use crate::balancer::{Balancer, Cursor, DueBeats, DueRecords, LinkBroke, ReadPage, TakeBoxList, TakeReport};
+use crate::balancer::{
+    Adopt, Balancer, Cursor, DueBeats, DueRecords, GetSeed, LinkBroke, NeedsPeers, ReadPage, TakeBoxList, TakeReport,
+};
 use crate::state::DueBeat;
 
 /// Records that are read at once.
@@ -57,28 +62,72 @@
     }
 }
 
-/// Follows the log for as long as the entry runs.
-pub async fn follow_log<L: LogStream>(log: L, balancer: ActorRef<Balancer>, clock: Clock, poll_ms: u64) {
+/// The other entries.
+pub struct Peers {
+    /// Where they tell their configuration.
+    pub addrs: Vec<SocketAddr>,
+    /// Token to show to them.
+    pub token: String,
+    /// The thread of the links.
+    pub thread: LocalThread,
+}
+
+impl Peers {
+    /// Takes over the newest configuration among the reachable peers.
+    async fn ask(&self, balancer: &ActorRef<Balancer>) {
+        for addr in &self.addrs {
+            let Ok(Some(config)) = fetch_state(&self.thread, *addr, self.token.clone()).await else { continue };
+            let version = config.version();
+            if balancer.ask(Adopt { config: Arc::new(config) }).await.unwrap_or(false) {
+                log::info!("event=config_from_peer peer={addr} version={version}");
+            }
+        }
+    }
+}
+
+/// Follows the log for as long as the entry runs; while it cannot, asks the peers.
+pub async fn follow_log<L: LogStream>(log: L, balancer: ActorRef<Balancer>, clock: Clock, poll_ms: u64, peers: Peers) {
     let mut failing = false;
     loop {
-        match read_to_end(&log, &balancer, &clock).await {
-            Ok(()) if failing => {
-                failing = false;
-                log::info!("event=log_readable_again");
-            }
-            Ok(()) => {}
-            Err(error) => {
-                metrics::counter!("ochreyard_entry_log_read_failed_total").increment(1);
-                if !failing {
-                    log::warn!("event=log_unreadable error=\"{error}\"");
-                }
-                failing = true;
+        let read = read_to_end(&log, &balancer, &clock).await;
+        note_readability(&mut failing, read.as_ref().err());
+        if balancer.ask(NeedsPeers {}).await.unwrap_or(false) {
+            peers.ask(&balancer).await;
+            if read.is_ok() {
+                seed_if_lost(&log, &balancer, &clock).await;
             }
         }
         tokio::time::sleep(Duration::from_millis(poll_ms)).await;
     }
 }
 
+fn note_readability(failing: &mut bool, error: Option<&PlatformError>) {
+    match error {
+        None if *failing => log::info!("event=log_readable_again"),
+        None => {}
+        Some(error) => {
+            metrics::counter!("ochreyard_entry_log_read_failed_total").increment(1);
+            if !*failing {
+                log::warn!("event=log_unreadable error=\"{error}\"");
+            }
+        }
+    }
+    *failing = error.is_some();
+}
+
+/// The log was read to its end and holds no state to start from: the newest
+/// state among the peers becomes the start. Of several seeds the first counts.
+async fn seed_if_lost<L: LogStream>(log: &L, balancer: &ActorRef<Balancer>, clock: &Clock) {
+    // A peer may have written a seed in the meantime.
+    if read_to_end(log, balancer, clock).await.is_err() {
+        return;
+    }
+    if let Ok(Some(seed)) = balancer.ask(GetSeed {}).await {
+        log::warn!("event=log_seeded");
+        write(log, &seed).await;
+    }
+}
+
 /// Sends heartbeats, and writes records that are this entry's turn to write.
 pub async fn keep_heartbeats<L: LogStream>(log: L, balancer: ActorRef<Balancer>, heartbeat_ms: u64) {
     let mut interval = tokio::time::interval(Duration::from_millis(heartbeat_ms));
--- a/crates/ochreyard-peer/schema/agent.capnp
+++ b/crates/ochreyard-peer/schema/agent.capnp
@@ -86,3 +86,8 @@
 interface Door {
   open @0 (token :Text) -> (agent :Agent);
 }
+
+interface EntryDoor {
+  # The configuration that this entry has in force; empty when it has none.
+  state @0 (token :Text) -> (state :Data);
+}
--- a/crates/ochreyard-peer/src/agent_capnp.rs
+++ b/crates/ochreyard-peer/src/agent_capnp.rs
@@ -6045,3 +6045,518 @@
         }
     }
 }
+
+
+pub mod entry_door {
+    #![allow(unused_variables)]
+    pub type StateParams<> = ::capnp::capability::Params<crate::agent_capnp::entry_door::state_params::Owned>;
+    pub type StateResults<> = ::capnp::capability::Results<crate::agent_capnp::entry_door::state_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+        pub fn state_request(&self) -> ::capnp::capability::Request<crate::agent_capnp::entry_door::state_params::Owned,crate::agent_capnp::entry_door::state_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+    }
+    pub trait Server<> : 'static  {
+        fn state(self: ::capnp::capability::Rc<Self>, _: StateParams<>, _: StateResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry_door::Server::state not implemented".to_string()))) }
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::state(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xc4f8_3e55_8d59_0744;
+    }
+
+    pub mod state_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_token(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_token(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_token(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_token(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_token(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_token(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(30, 132, 112, 35, 226, 84, 203, 240),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 110, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 69, 110, 116, 114),
+                ::capnp::word(121, 68, 111, 111, 114, 46, 115, 116),
+                ::capnp::word(97, 116, 101, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 111, 107, 101, 110, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xf0cb_54e2_2370_841e;
+        }
+    }
+
+    pub mod state_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_state(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_state(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_state(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_state(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_state(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_state(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(143, 199, 41, 202, 97, 70, 31, 170),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 110, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 69, 110, 116, 114),
+                ::capnp::word(121, 68, 111, 111, 114, 46, 115, 116),
+                ::capnp::word(97, 116, 101, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xaa1f_4661_ca29_c78f;
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-peer/src/entry_door.rs
@@ -0,0 +1,108 @@
+//! Between entries: the configuration in force, for a new entry while the
+//! platform's log cannot be read.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use capnp::Error;
+use capnp::capability::Rc;
+use capnp_rpc::new_client;
+use ochreyard_core::config::Configuration;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+
+use crate::agent_capnp::entry_door;
+use crate::link::LinkError;
+use crate::local_thread::LocalThread;
+use crate::wire;
+
+/// An entry that tells others its configuration.
+pub trait StateSource: Send + Sync + 'static {
+    /// The configuration in force, once there is one.
+    fn state(&self) -> impl Future<Output = Option<Arc<Configuration>>> + Send;
+}
+
+/// Tells other entries the configuration, on `listener`, until the thread ends.
+///
+/// # Panics
+///
+/// When called outside a Tokio executor.
+pub fn serve_state<S: StateSource>(
+    thread: &LocalThread,
+    listener: std::net::TcpListener,
+    token: String,
+    source: Arc<S>,
+) {
+    let executor = Handle::current();
+    thread.run(move || {
+        tokio::task::spawn_local(async move {
+            let token: Arc<str> = Arc::from(token);
+            let door = || {
+                let door =
+                    EntryServer { token: Arc::clone(&token), source: Arc::clone(&source), executor: executor.clone() };
+                new_client::<entry_door::Client, _>(door).client
+            };
+            if let Err(error) = wire::accept(listener, door).await {
+                log::error!("event=peer_listen_failed error=\"{error}\"");
+            }
+        });
+    });
+}
+
+struct EntryServer<S> {
+    token: Arc<str>,
+    source: Arc<S>,
+    executor: Handle,
+}
+
+impl<S: StateSource> entry_door::Server for EntryServer<S> {
+    async fn state(
+        self: Rc<Self>,
+        params: entry_door::StateParams,
+        mut results: entry_door::StateResults,
+    ) -> Result<(), Error> {
+        wire::check_token(params.get()?.get_token()?.as_bytes(), &self.token)?;
+        let source = Arc::clone(&self.source);
+        let state = self.executor.spawn(async move { source.state().await }).await;
+        let state = state.map_err(|error| Error::failed(error.to_string()))?;
+        if let Some(state) = state {
+            let bytes = serde_json::to_vec(&*state).map_err(|error| Error::failed(error.to_string()))?;
+            results.get().set_state(&bytes);
+        }
+        Ok(())
+    }
+}
+
+/// Asks the entry at `addr` for its configuration.
+///
+/// # Errors
+///
+/// [`LinkError`] when it gave no answer that can be read.
+pub async fn fetch_state(
+    thread: &LocalThread,
+    addr: SocketAddr,
+    token: String,
+) -> Result<Option<Configuration>, LinkError> {
+    let (reply, answer) = oneshot::channel();
+    thread.run(move || {
+        tokio::task::spawn_local(async move {
+            // Whoever asked may have given up.
+            let _ = reply.send(fetch(addr, &token).await);
+        });
+    });
+    let fetched = answer.await.map_err(|_| LinkError::Lost { problem: "the link has ended".into() })?;
+    fetched.map_err(|error| LinkError::NotSent { addr, problem: error.to_string() })
+}
+
+async fn fetch(addr: SocketAddr, token: &str) -> Result<Option<Configuration>, Error> {
+    let dialled = wire::dial::<entry_door::Client>(addr).await?;
+    let mut request = dialled.door.state_request();
+    request.get().set_token(token);
+    let answer = wire::in_time(request.send().promise).await?;
+    let bytes = answer.get()?.get_state()?;
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    serde_json::from_slice(bytes).map(Some).map_err(|error| Error::failed(error.to_string()))
+}
--- a/crates/ochreyard-peer/src/lib.rs
+++ b/crates/ochreyard-peer/src/lib.rs
@@ -12,12 +12,15 @@
 #[rustfmt::skip]
 mod agent_capnp;
 mod convert;
+mod entry_door;
 mod handler;
 mod link;
 mod local_thread;
 mod message;
 mod server;
+mod wire;
 
+pub use entry_door::{StateSource, fetch_state, serve_state};
 pub use handler::AgentHandler;
 pub use link::{AgentLink, LinkError};
 pub use local_thread::LocalThread;
--- a/crates/ochreyard-peer/src/link.rs
+++ b/crates/ochreyard-peer/src/link.rs
@@ -5,22 +5,19 @@
 
 use capnp::Error;
 use capnp::capability::Rc;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, new_client, twoparty};
-use futures::AsyncReadExt;
+use capnp_rpc::new_client;
 use ochreyard_core::admission::RevokeAnswer;
 use ochreyard_core::config::Configuration;
 use ochreyard_core::frame::Frame;
 use ochreyard_core::ids::{AttemptId, Incarnation};
 use ochreyard_core::membership::AgentReport;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::agent_capnp::{agent, door, frame_sink};
 use crate::convert;
 use crate::local_thread::LocalThread;
 use crate::message::{CallEnd, CallRequest, Heartbeat};
+use crate::wire::{self, Dialled};
 
 /// Why the link gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -65,7 +62,7 @@
         let (commands, inbox) = mpsc::unbounded_channel();
         let token = token.into();
         thread.run(move || {
-            tokio::task::spawn_local(Connection { addr, token, agent: None }.run(inbox));
+            tokio::task::spawn_local(Connection { addr, token, open: None }.run(inbox));
         });
         Self { commands }
     }
@@ -123,75 +120,38 @@
 struct Connection {
     addr: SocketAddr,
     token: String,
-    agent: Option<Dialled>,
-}
-
-struct Dialled {
-    agent: agent::Client,
-    system: tokio::task::JoinHandle<()>,
-}
-
-impl Drop for Dialled {
-    fn drop(&mut self) {
-        self.system.abort();
-    }
+    open: Option<(Dialled<door::Client>, agent::Client)>,
 }
 
 impl Connection {
     async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Command>) {
         while let Some(command) = inbox.recv().await {
             if matches!(command, Command::Reset) {
-                self.agent = None;
+                self.open = None;
                 continue;
             }
-            match self.dialled().await {
+            match self.agent().await {
                 Ok(agent) => drop(tokio::task::spawn_local(carry_out(agent, command))),
-                Err(problem) => fail(command, &LinkError::NotSent { addr: self.addr, problem }),
+                Err(error) => fail(command, &LinkError::NotSent { addr: self.addr, problem: error.to_string() }),
             }
         }
     }
 
-    async fn dialled(&mut self) -> Result<agent::Client, String> {
-        if let Some(dialled) = self.agent.as_ref().filter(|d| !d.system.is_finished()) {
-            return Ok(dialled.agent.clone());
+    async fn agent(&mut self) -> Result<agent::Client, Error> {
+        if let Some((_, agent)) = self.open.as_ref().filter(|(dialled, _)| dialled.is_open()) {
+            return Ok(agent.clone());
         }
-        self.agent = None;
-        let dialled = dial(self.addr, &self.token).await.map_err(|error| error.to_string())?;
-        let agent = dialled.agent.clone();
-        self.agent = Some(dialled);
+        self.open = None;
+        let dialled = wire::dial::<door::Client>(self.addr).await?;
+        let mut open = dialled.door.open_request();
+        open.get().set_token(self.token.as_str());
+        let answer = wire::in_time(open.send().promise).await?;
+        let agent = answer.get()?.get_agent()?;
+        self.open = Some((dialled, agent.clone()));
         Ok(agent)
     }
 }
 
-async fn dial(addr: SocketAddr, token: &str) -> Result<Dialled, Error> {
-    const DIAL_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_500);
-    let late = |_| Error::failed("no answer within 1500 ms".into());
-    let stream = tokio::time::timeout(DIAL_TIMEOUT, TcpStream::connect(addr)).await.map_err(late)??;
-    stream.set_nodelay(true)?;
-    let (reader, writer) = stream.compat().split();
-    let reader = futures::io::BufReader::new(reader);
-    let writer = futures::io::BufWriter::new(writer);
-    let network = twoparty::VatNetwork::new(reader, writer, Side::Client, capnp::message::ReaderOptions::default());
-    let mut system = RpcSystem::new(Box::new(network), None);
-    let door: door::Client = system.bootstrap(Side::Server);
-    let system = tokio::task::spawn_local(async move {
-        let _ = system.await;
-    });
-    let mut open = door.open_request();
-    open.get().set_token(token);
-    let opened = async {
-        let answer = open.send().promise.await?;
-        answer.get()?.get_agent()
-    };
-    match tokio::time::timeout(DIAL_TIMEOUT, opened).await.map_err(late) {
-        Ok(Ok(agent)) => Ok(Dialled { agent, system }),
-        Ok(Err(error)) | Err(error) => {
-            system.abort();
-            Err(error)
-        }
-    }
-}
-
 fn fail(command: Command, error: &LinkError) {
     match command {
         Command::Heartbeat(_, reply) => drop(reply.send(Err(error.clone()))),
--- a/crates/ochreyard-peer/src/server.rs
+++ b/crates/ochreyard-peer/src/server.rs
@@ -4,29 +4,23 @@
 
 use capnp::Error;
 use capnp::capability::Rc;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, new_client, twoparty};
-use futures::AsyncReadExt;
+use capnp_rpc::new_client;
 use ochreyard_core::config::Configuration;
 use ochreyard_core::frame::Frame;
 use ochreyard_core::ids::Incarnation;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
-use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::agent_capnp::{agent, door, frame_sink};
 use crate::convert;
 use crate::handler::AgentHandler;
 use crate::local_thread::LocalThread;
 use crate::message::{CallEnd, CallRequest, Heartbeat};
+use crate::wire;
 
 /// Frames of one call that wait for the link.
 const FRAMES_IN_HAND: usize = 2;
 
-/// Longest token that is looked at, in bytes.
-const MAX_TOKEN_BYTES: usize = 4096;
-
 /// Answers entries on `listener` until the thread ends.
 ///
 /// Calls of `handler` run on the present executor, the link on `thread`.
@@ -38,50 +32,19 @@
     let executor = Handle::current();
     thread.run(move || {
         tokio::task::spawn_local(async move {
-            if let Err(error) = accept(listener, Arc::from(token), handler, executor).await {
+            let token: Arc<str> = Arc::from(token);
+            let door = || {
+                let door =
+                    DoorServer { token: Arc::clone(&token), handler: Arc::clone(&handler), executor: executor.clone() };
+                new_client::<door::Client, _>(door).client
+            };
+            if let Err(error) = wire::accept(listener, door).await {
                 log::error!("event=peer_listen_failed error=\"{error}\"");
             }
         });
     });
 }
 
-async fn accept<H: AgentHandler>(
-    listener: std::net::TcpListener,
-    token: Arc<str>,
-    handler: Arc<H>,
-    executor: Handle,
-) -> std::io::Result<()> {
-    listener.set_nonblocking(true)?;
-    let listener = TcpListener::from_std(listener)?;
-    loop {
-        let (stream, from) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                log::warn!("event=peer_accept_failed error=\"{error}\"");
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-                continue;
-            }
-        };
-        let door = DoorServer { token: Arc::clone(&token), handler: Arc::clone(&handler), executor: executor.clone() };
-        tokio::task::spawn_local(async move {
-            log::debug!("event=peer_connected from={from}");
-            if let Err(error) = serve_one(stream, door).await {
-                log::debug!("event=peer_connection_ended from={from} error=\"{error}\"");
-            }
-        });
-    }
-}
-
-async fn serve_one<H: AgentHandler>(stream: TcpStream, door: DoorServer<H>) -> Result<(), Error> {
-    stream.set_nodelay(true)?;
-    let (reader, writer) = stream.compat().split();
-    let reader = futures::io::BufReader::new(reader);
-    let writer = futures::io::BufWriter::new(writer);
-    let network = twoparty::VatNetwork::new(reader, writer, Side::Server, capnp::message::ReaderOptions::default());
-    let door: door::Client = new_client(door);
-    RpcSystem::new(Box::new(network), Some(door.client)).await
-}
-
 struct DoorServer<H> {
     token: Arc<str>,
     handler: Arc<H>,
@@ -90,25 +53,13 @@
 
 impl<H: AgentHandler> door::Server for DoorServer<H> {
     async fn open(self: Rc<Self>, params: door::OpenParams, mut results: door::OpenResults) -> Result<(), Error> {
-        let given = params.get()?.get_token()?;
-        let fits = given.len() <= MAX_TOKEN_BYTES && same(given.as_bytes(), self.token.as_bytes());
-        if !fits {
-            metrics::counter!("ochreyard_peer_refused_total").increment(1);
-            log::warn!("event=peer_token_refused");
-            return Err(Error::failed("unauthenticated: the link token is wrong".into()));
-        }
+        wire::check_token(params.get()?.get_token()?.as_bytes(), &self.token)?;
         let agent = AgentServer { handler: Arc::clone(&self.handler), executor: self.executor.clone() };
         results.get().set_agent(new_client(agent));
         Ok(())
     }
 }
 
-/// Compares without telling by its time where the difference is.
-fn same(given: &[u8], wanted: &[u8]) -> bool {
-    let differing = given.iter().zip(wanted).fold(0, |acc, (a, b)| acc | (a ^ b));
-    given.len() == wanted.len() && differing == 0
-}
-
 struct AgentServer<H> {
     handler: Arc<H>,
     executor: Handle,
--- a/crates/ochreyard-stand-ins/src/cluster.rs
+++ b/crates/ochreyard-stand-ins/src/cluster.rs
@@ -53,6 +53,7 @@
     dir: PathBuf,
     programs: PathBuf,
     next_port: u16,
+    entry_peers: Vec<String>,
     processes: BTreeMap<String, Process>,
     http: reqwest::Client,
 }
@@ -80,7 +81,15 @@
         std::fs::write(dir.join("peer-token"), PEER_TOKEN).expect("the token file can be written");
         std::fs::write(dir.join("operator-token"), OPERATOR_TOKEN).expect("the token file can be written");
         let http = reqwest::Client::builder().no_proxy().build().expect("an HTTP client can be made");
-        Self { ip, dir, programs: programs(), next_port: 7000, processes: BTreeMap::new(), http }
+        Self {
+            ip,
+            dir,
+            programs: programs(),
+            next_port: 7000,
+            entry_peers: Vec::new(),
+            processes: BTreeMap::new(),
+            http,
+        }
     }
 
     /// An HTTP client without a proxy.
@@ -138,10 +147,13 @@
     /// Starts an entry; `extra` are further lines of its settings. Returns the
     /// URLs for callers and for operators.
     pub async fn start_entry(&mut self, name: &str, dc: &str, platform: &str, extra: &str) -> (String, String) {
-        let (callers, operators) = (self.addr(), self.addr());
+        let (callers, operators, peer) = (self.addr(), self.addr(), self.addr());
+        let peers = self.entry_peers.join(", ");
+        self.entry_peers.push(peer.clone());
         let token_hash = sha256_hex(OPERATOR_TOKEN);
         let settings = format!(
             "entry: {name}\ndata_centre: {dc}\ncallers_addr: {callers}\noperators_addr: {operators}\n\
+             peer_addr: {peer}\npeers: [{peers}]\n\
              platform_url: {platform}\npeer_token_file: {}\noperator_token_sha256: {token_hash}\n{extra}\n",
             self.dir.join("peer-token").display()
         );
