--- a/crates/ochreyard-core/src/membership.rs
+++ b/crates/ochreyard-core/src/membership.rs
@@ -53,7 +53,7 @@
 
 impl Default for SilenceLimits {
     fn default() -> Self {
-        Self { suspect_after_ms: 2_500, down_after_ms: 8_000 }
+        Self { suspect_after_ms: 2_500, down_after_ms: 5_000 }
     }
 }
 
--- a/crates/ochreyard-entry/src/fields.rs
+++ b/crates/ochreyard-entry/src/fields.rs
@@ -51,6 +51,18 @@
         default: Some("1000"),
         about: "how often each agent is asked for a report",
     },
+    FieldSpec {
+        name: "suspect_after_ms",
+        kind: FieldKind::Number(100, 60_000),
+        default: Some("2500"),
+        about: "silence after which an agent is used only where no other can serve",
+    },
+    FieldSpec {
+        name: "down_after_ms",
+        kind: FieldKind::Number(200, 120_000),
+        default: Some("5000"),
+        about: "silence after which calls at an agent count as lost",
+    },
     FieldSpec {
         name: "snapshot_every_ms",
         kind: FieldKind::Number(1_000, 604_800_000),
--- a/crates/ochreyard-entry/src/serve.rs
+++ b/crates/ochreyard-entry/src/serve.rs
@@ -11,6 +11,7 @@
 use ochreyard_core::config::Configuration;
 use ochreyard_core::drain::{Drain, Serving};
 use ochreyard_core::ids::Incarnation;
+use ochreyard_core::membership::SilenceLimits;
 use ochreyard_peer::{LocalThread, StateSource};
 use ochreyard_platform::HttpPlatform;
 use ochreyard_process::{Clock, Settings, start_logging, start_metrics, stop_signal};
@@ -49,6 +50,10 @@
         incarnation,
         peer_token: settings.secret("peer_token_file").into_diagnostic()?,
         snapshot_every_ms: settings.number("snapshot_every_ms"),
+        silence: SilenceLimits {
+            suspect_after_ms: settings.number("suspect_after_ms"),
+            down_after_ms: settings.number("down_after_ms"),
+        },
     };
     let thread = LocalThread::start("peer").into_diagnostic()?;
     let balancer = Balancer::spawn(Balancer::new(EntryState::new(identity, thread.clone(), clock.now_ms()), clock));
--- a/crates/ochreyard-entry/src/state.rs
+++ b/crates/ochreyard-entry/src/state.rs
@@ -38,6 +38,8 @@
     pub peer_token: String,
     /// How often a snapshot is written, in milliseconds.
     pub snapshot_every_ms: u64,
+    /// How long silence lasts until an agent is suspected or taken for down.
+    pub silence: SilenceLimits,
 }
 
 /// A caller's request that may be routed.
@@ -126,12 +128,13 @@
     /// An entry that knows nothing yet.
     #[must_use]
     pub fn new(identity: EntryIdentity, thread: LocalThread, now_ms: u64) -> Self {
+        let membership = Membership::new(identity.silence);
         Self {
             identity,
             thread,
             fold: ConfigFold::new(),
             tail: None,
-            membership: Membership::new(SilenceLimits::default()),
+            membership,
             peers: BTreeMap::new(),
             tokens: HashMap::new(),
             prefixes: HashMap::new(),
@@ -245,7 +248,7 @@
 
     /// The heartbeats that are due now; silent agents have their links dropped.
     pub fn due_beats(&mut self, now_ms: u64) -> Vec<DueBeat> {
-        let limits = SilenceLimits::default();
+        let limits = self.identity.silence;
         for (endpoint, member) in self.membership.members() {
             let silent = now_ms.saturating_sub(member.heard_ms) >= limits.down_after_ms;
             if let Some(peer) = self.peers.get(endpoint).filter(|_| silent) {
--- a/crates/ochreyard-peer/src/link.rs
+++ b/crates/ochreyard-peer/src/link.rs
@@ -11,7 +11,7 @@
 use ochreyard_core::frame::Frame;
 use ochreyard_core::ids::{AttemptId, Incarnation};
 use ochreyard_core::membership::AgentReport;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::agent_capnp::{agent, door, frame_sink};
 use crate::convert;
@@ -131,15 +131,15 @@
                 continue;
             }
             match self.agent().await {
-                Ok(agent) => drop(tokio::task::spawn_local(carry_out(agent, command))),
+                Ok((agent, lifetime)) => drop(tokio::task::spawn_local(carry_out(agent, lifetime, command))),
                 Err(error) => fail(command, &LinkError::NotSent { addr: self.addr, problem: error.to_string() }),
             }
         }
     }
 
-    async fn agent(&mut self) -> Result<agent::Client, Error> {
-        if let Some((_, agent)) = self.open.as_ref().filter(|(dialled, _)| dialled.is_open()) {
-            return Ok(agent.clone());
+    async fn agent(&mut self) -> Result<(agent::Client, watch::Receiver<()>), Error> {
+        if let Some((dialled, agent)) = self.open.as_ref().filter(|(dialled, _)| dialled.is_open()) {
+            return Ok((agent.clone(), dialled.lifetime()));
         }
         self.open = None;
         let dialled = wire::dial::<door::Client>(self.addr).await?;
@@ -147,8 +147,9 @@
         open.get().set_token(self.token.as_str());
         let answer = wire::in_time(open.send().promise).await?;
         let agent = answer.get()?.get_agent()?;
+        let lifetime = dialled.lifetime();
         self.open = Some((dialled, agent.clone()));
-        Ok(agent)
+        Ok((agent, lifetime))
     }
 }
 
@@ -162,17 +163,28 @@
     }
 }
 
-async fn carry_out(agent: agent::Client, command: Command) {
-    let lost = |error: Error| LinkError::Lost { problem: error.to_string() };
+async fn carry_out(agent: agent::Client, life: watch::Receiver<()>, command: Command) {
     match command {
-        Command::Heartbeat(beat, reply) => drop(reply.send(heartbeat(&agent, &beat).await.map_err(lost))),
-        Command::Configure(config, reply) => drop(reply.send(configure(&agent, &config).await.map_err(lost))),
-        Command::Call(call, frames, reply) => drop(reply.send(make_call(&agent, &call, frames).await.map_err(lost))),
-        Command::Revoke(attempt, to, reply) => drop(reply.send(revoke(&agent, attempt, to).await.map_err(lost))),
+        Command::Heartbeat(beat, reply) => drop(reply.send(or_lost(heartbeat(&agent, &beat), life).await)),
+        Command::Configure(config, reply) => drop(reply.send(or_lost(configure(&agent, &config), life).await)),
+        Command::Call(call, frames, reply) => drop(reply.send(or_lost(make_call(&agent, &call, frames), life).await)),
+        Command::Revoke(attempt, to, reply) => drop(reply.send(or_lost(revoke(&agent, attempt, to), life).await)),
         Command::Reset => {}
     }
 }
 
+/// The outcome of `work`, unless the connection is dropped before.
+async fn or_lost<T>(
+    work: impl Future<Output = Result<T, Error>>,
+    mut connection: watch::Receiver<()>,
+) -> Result<T, LinkError> {
+    let dropped = async { while connection.changed().await.is_ok() {} };
+    tokio::select! {
+        outcome = work => outcome.map_err(|error| LinkError::Lost { problem: error.to_string() }),
+        () = dropped => Err(LinkError::Lost { problem: "the agent was silent for too long".into() }),
+    }
+}
+
 async fn heartbeat(agent: &agent::Client, beat: &Heartbeat) -> Result<AgentReport, Error> {
     let mut request = agent.heartbeat_request();
     let mut params = request.get();
--- a/crates/ochreyard-peer/src/wire.rs
+++ b/crates/ochreyard-peer/src/wire.rs
@@ -10,6 +10,7 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use futures::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
@@ -57,9 +58,16 @@
     /// The other side's door.
     pub(crate) door: C,
     system: JoinHandle<()>,
+    open: watch::Sender<()>,
 }
 
 impl<C> Dialled<C> {
+    /// Closes once the connection has been dropped on this side. Calls on it
+    /// would wait for ever otherwise: the objects outlive the connection.
+    pub(crate) fn lifetime(&self) -> watch::Receiver<()> {
+        self.open.subscribe()
+    }
+
     /// Whether the connection still stands.
     pub(crate) fn is_open(&self) -> bool {
         !self.system.is_finished()
@@ -80,7 +88,7 @@
     let system = tokio::task::spawn_local(async move {
         let _ = system.await;
     });
-    Ok(Dialled { door, system })
+    Ok(Dialled { door, system, open: watch::Sender::new(()) })
 }
 
 /// Bounds the first steps on a connection.
