--- a/crates/ochreyard-core/src/lib.rs
+++ b/crates/ochreyard-core/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod ids;
 pub mod map_switch;
 pub mod membership;
+pub mod rebalance;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/crates/ochreyard-core/src/rebalance/placement.rs
@@ -0,0 +1,160 @@
+//! Which rank holds a replica of which expert.
+
+use serde::{Deserialize, Serialize};
+
+/// The replicas of one layer's experts on the ranks of a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    experts: usize,
+    ranks: Vec<Vec<usize>>,
+    replicas: Vec<u32>,
+}
+
+impl Placement {
+    /// Experts in order over the ranks, each with one replica; the slots that are
+    /// left over hold second replicas of the first experts.
+    ///
+    /// # Panics
+    ///
+    /// When there are fewer slots than experts.
+    #[must_use]
+    pub fn even(experts: usize, ranks: usize, slots_per_rank: usize) -> Self {
+        assert!(ranks * slots_per_rank >= experts, "each expert needs a slot");
+        let mut placement = Self { experts, ranks: vec![Vec::new(); ranks], replicas: vec![0; experts] };
+        for slot in 0..ranks * slots_per_rank {
+            let expert = slot % experts;
+            let fits = |rank: &usize| {
+                let held = &placement.ranks[*rank];
+                held.len() < slots_per_rank && !held.contains(&expert)
+            };
+            let rank = (0..ranks).filter(fits).min_by_key(|rank| placement.ranks[*rank].len());
+            if let Some(rank) = rank {
+                placement.ranks[rank].push(expert);
+                placement.replicas[expert] += 1;
+            }
+        }
+        placement
+    }
+
+    /// The greedy placement for these loads: more replicas for hotter experts,
+    /// then the heaviest replica first to the lightest rank.
+    ///
+    /// # Panics
+    ///
+    /// When there are fewer slots than experts.
+    #[must_use]
+    pub fn greedy(loads: &[f64], ranks: usize, slots_per_rank: usize) -> Self {
+        let experts = loads.len();
+        assert!(ranks * slots_per_rank >= experts, "each expert needs a slot");
+        let mut wanted = vec![1u32; experts];
+        for _ in experts..ranks * slots_per_rank {
+            let share = |expert: &usize| loads[*expert] / f64::from(wanted[*expert]);
+            let candidates = (0..experts).filter(|expert| (wanted[*expert] as usize) < ranks);
+            let Some(hottest) = candidates.max_by(|a, b| share(a).total_cmp(&share(b))) else { break };
+            wanted[hottest] += 1;
+        }
+        let share = |expert: usize| loads[expert] / f64::from(wanted[expert]);
+        let mut order: Vec<usize> = (0..experts).collect();
+        order.sort_by(|a, b| share(*b).total_cmp(&share(*a)).then(a.cmp(b)));
+        let mut placement = Self { experts, ranks: vec![Vec::new(); ranks], replicas: vec![0; experts] };
+        let mut load = vec![0.0_f64; ranks];
+        for expert in order {
+            for _ in 0..wanted[expert] {
+                let fits = |rank: &usize| {
+                    let held = &placement.ranks[*rank];
+                    held.len() < slots_per_rank && !held.contains(&expert)
+                };
+                let lightest = (0..ranks).filter(fits).min_by(|a, b| load[*a].total_cmp(&load[*b]));
+                let Some(rank) = lightest else { continue };
+                placement.ranks[rank].push(expert);
+                placement.replicas[expert] += 1;
+                load[rank] += share(expert);
+            }
+        }
+        placement.place_leftovers(slots_per_rank);
+        placement
+    }
+
+    /// An expert that found no free rank takes the place of a second replica.
+    fn place_leftovers(&mut self, slots_per_rank: usize) {
+        let homeless: Vec<usize> = (0..self.experts).filter(|expert| self.replicas[*expert] == 0).collect();
+        for expert in homeless {
+            if let Some(rank) = (0..self.ranks.len()).find(|rank| self.ranks[*rank].len() < slots_per_rank) {
+                self.ranks[rank].push(expert);
+                self.replicas[expert] += 1;
+                continue;
+            }
+            let spare = (0..self.ranks.len())
+                .flat_map(|rank| (0..self.ranks[rank].len()).map(move |slot| (rank, slot)))
+                .find(|(rank, slot)| self.replicas[self.ranks[*rank][*slot]] > 1);
+            if let Some((rank, slot)) = spare {
+                self.replace(rank, slot, expert);
+            }
+        }
+    }
+
+    /// Number of experts.
+    #[must_use]
+    pub const fn experts(&self) -> usize {
+        self.experts
+    }
+
+    /// The experts that each rank holds.
+    #[must_use]
+    pub fn ranks(&self) -> &[Vec<usize>] {
+        &self.ranks
+    }
+
+    /// How many replicas an expert has.
+    #[must_use]
+    pub fn replicas(&self, expert: usize) -> u32 {
+        self.replicas[expert]
+    }
+
+    /// Puts `expert` into a slot in place of what it holds.
+    pub fn replace(&mut self, rank: usize, slot: usize, expert: usize) {
+        let old = std::mem::replace(&mut self.ranks[rank][slot], expert);
+        self.replicas[old] -= 1;
+        self.replicas[expert] += 1;
+    }
+
+    /// The load of each rank: replicas of an expert share its load evenly.
+    #[must_use]
+    pub fn rank_loads(&self, loads: &[f64]) -> Vec<f64> {
+        let share = |expert: &usize| loads[*expert] / f64::from(self.replicas[*expert]);
+        self.ranks.iter().map(|held| held.iter().map(share).sum()).collect()
+    }
+
+    /// The same placement with the ranks renamed so that few replicas must be
+    /// copied from `present`: each rank takes the held set that it shares most with.
+    #[must_use]
+    pub fn relabelled(&self, present: &Self) -> Self {
+        let mut left: Vec<&Vec<usize>> = self.ranks.iter().collect();
+        let shared = |held: &[usize], other: &[usize]| other.iter().filter(|expert| held.contains(expert)).count();
+        let pick = |held: &Vec<usize>| {
+            let best = (0..left.len()).max_by_key(|at| shared(held, left[*at])).unwrap_or(0);
+            left.swap_remove(best).clone()
+        };
+        let ranks = present.ranks.iter().map(pick).collect();
+        Self { experts: self.experts, ranks, replicas: self.replicas.clone() }
+    }
+
+    /// How many replicas must be copied to get from `self` to `next`.
+    #[must_use]
+    pub fn moves_to(&self, next: &Self) -> usize {
+        let missing =
+            |(old, new): (&Vec<usize>, &Vec<usize>)| new.iter().filter(|expert| !old.contains(expert)).count();
+        self.ranks.iter().zip(&next.ranks).map(missing).sum()
+    }
+}
+
+/// The largest rank load over the mean one: 1.0 is even.
+#[must_use]
+pub fn skew(rank_loads: &[f64]) -> f64 {
+    let sum: f64 = rank_loads.iter().sum();
+    if sum <= 0.0 {
+        return 1.0;
+    }
+    let largest = rank_loads.iter().copied().fold(0.0, f64::max);
+    largest * rank_loads.len() as f64 / sum
+}
