Let agents change the expert map of their groups under a lease in the log

Cause: the change of a map was proved in the core but carried out by nobody. The agent of a group watches its experts, asks the weight store, takes a lease (one record in the log; its offset is the token), puts the new placement and drives the change; after a restart it first cleans up what an earlier life left. A stalled rank is told apart and not answered with moves. Ruled out: keeping the lease all the time (172 groups would renew for nothing).

--- a/crates/ochreyard-agent/src/fields.rs
+++ b/crates/ochreyard-agent/src/fields.rs
@@ -57,6 +57,30 @@
         default: Some("500"),
         about: "how often the endpoint is asked for its load",
     },
+    FieldSpec {
+        name: "rebalance",
+        kind: FieldKind::Choice(&["off", "weigh_skew", "weigh_moves"]),
+        default: Some("off"),
+        about: "whether this agent changes its group's expert map, and what it weighs more",
+    },
+    FieldSpec {
+        name: "rebalance_every_ms",
+        kind: FieldKind::Number(100, 3_600_000),
+        default: Some("60000"),
+        about: "length of an interval of the rebalancing policy",
+    },
+    FieldSpec {
+        name: "lease_ttl_ms",
+        kind: FieldKind::Number(2_000, 600_000),
+        default: Some("10000"),
+        about: "how long a lease to change the expert map lasts",
+    },
+    FieldSpec {
+        name: "platform_url",
+        kind: FieldKind::Url,
+        default: Some("http://127.0.0.1:1"),
+        about: "the platform's services; needed only where `rebalance` is on",
+    },
     FieldSpec {
         name: "drain_grace_ms",
         kind: FieldKind::Number(0, 600_000),
--- a/crates/ochreyard-agent/src/main.rs
+++ b/crates/ochreyard-agent/src/main.rs
@@ -4,7 +4,9 @@
 mod call;
 mod fields;
 mod flags;
+mod leases;
 mod ops;
+mod rebalancer;
 mod serve;
 
 use std::process::ExitCode;
--- a/crates/ochreyard-agent/src/serve.rs
+++ b/crates/ochreyard-agent/src/serve.rs
@@ -9,16 +9,24 @@
 use miette::{Context, IntoDiagnostic, Result};
 use ochreyard_core::admission::{Admission, AdmissionSettings};
 use ochreyard_core::ids::Incarnation;
+use ochreyard_core::rebalance::RebalanceSettings;
 use ochreyard_endpoint::EndpointClient;
 use ochreyard_peer::LocalThread;
+use ochreyard_platform::HttpPlatform;
 use ochreyard_process::{Clock, Settings, start_logging, start_metrics, stop_signal};
 
 use crate::admission_actor::{AdmissionActor, CountRunning, Leave, StepTime, Tick};
 use crate::call::Agent;
+use crate::leases::Leases;
 use crate::ops;
+use crate::rebalancer::Rebalancer;
 
 /// How often deadlines of waiting requests are looked at.
 const TICK: Duration = Duration::from_millis(50);
+/// The stream of the platform's log that holds leases.
+const LEASE_STREAM: &str = "leases";
+/// Longest wait for the platform, in milliseconds.
+const PLATFORM_TIMEOUT_MS: u64 = 2_000;
 
 /// Runs the agent.
 ///
@@ -35,7 +43,8 @@
 async fn serve(settings: Settings) -> Result<()> {
     let clock = Clock::start();
     let metrics = start_metrics().map_err(|error| miette::miette!("{error}"))?;
-    let admission = Admission::new(admission_settings(&settings), Incarnation(clock.now_us()), clock.now_ms());
+    let incarnation = Incarnation(clock.now_us());
+    let admission = Admission::new(admission_settings(&settings), incarnation, clock.now_ms());
     let admission = AdmissionActor::spawn(AdmissionActor::new(admission, clock));
     let endpoint = EndpointClient::new(settings.text("endpoint_url")).into_diagnostic()?;
     let ready = Arc::new(AtomicBool::new(true));
@@ -62,7 +71,10 @@
     let ops = ops::router(metrics, Arc::clone(&ready));
     tokio::spawn(async move { axum::serve(ops_listener, ops).await });
     tokio::spawn(tick(admission.clone()));
-    tokio::spawn(watch_load(admission.clone(), endpoint, settings.number("load_poll_ms")));
+    tokio::spawn(watch_load(admission.clone(), endpoint.clone(), settings.number("load_poll_ms")));
+    if let Some(rebalancer) = rebalancer(&settings, clock, incarnation, endpoint)? {
+        tokio::spawn(rebalancer.run(settings.number("rebalance_every_ms")));
+    }
 
     log::info!("event=agent_started endpoint={} addr={peer_addr}", settings.text("endpoint"));
     stop_signal().await.into_diagnostic()?;
@@ -80,6 +92,31 @@
         .with_keys(settings.number("key_window_ms"), count("max_keys"))
 }
 
+/// The task that changes the group's expert map, if the settings want it.
+fn rebalancer(
+    settings: &Settings,
+    clock: Clock,
+    incarnation: Incarnation,
+    endpoint: EndpointClient,
+) -> Result<Option<Rebalancer>> {
+    let weights = match settings.text("rebalance") {
+        "weigh_skew" => RebalanceSettings::weigh_skew(),
+        "weigh_moves" => RebalanceSettings::weigh_moves(),
+        _ => return Ok(None),
+    };
+    let platform = HttpPlatform::new(settings.text("platform_url"), LEASE_STREAM, PLATFORM_TIMEOUT_MS);
+    let platform = platform.into_diagnostic()?;
+    Ok(Some(Rebalancer {
+        endpoint,
+        leases: Leases::new(platform.clone(), clock, incarnation),
+        store: platform,
+        clock,
+        lease: format!("map/{}", settings.text("endpoint")),
+        lease_ttl_ms: settings.number("lease_ttl_ms"),
+        settings: weights,
+    }))
+}
+
 async fn tick(admission: ActorRef<AdmissionActor>) {
     let mut interval = tokio::time::interval(TICK);
     loop {
--- a/crates/ochreyard-core/src/lib.rs
+++ b/crates/ochreyard-core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod hash;
 pub mod home;
 pub mod ids;
+pub mod lease;
 pub mod map_switch;
 pub mod membership;
 pub mod rebalance;
--- a/crates/ochreyard-core/src/map_switch/leader.rs
+++ b/crates/ochreyard-core/src/map_switch/leader.rs
@@ -60,7 +60,7 @@
     settings: SwitchSettings,
     token: u64,
     ranks: u32,
-    new_map: u64,
+    new_map: Option<u64>,
     old_map: u64,
     phase: SwitchPhase,
     phase_since_ms: u64,
@@ -74,12 +74,18 @@
 impl MapSwitch {
     /// A change to `new_map` on `ranks` ranks by the holder of `token`.
     #[must_use]
-    pub const fn new(settings: SwitchSettings, token: u64, ranks: u32, new_map: u64, now_ms: u64) -> Self {
+    pub fn new(settings: SwitchSettings, token: u64, ranks: u32, new_map: u64, now_ms: u64) -> Self {
+        Self { new_map: Some(new_map), ..Self::clean_up(settings, token, ranks, now_ms) }
+    }
+
+    /// Finishes or undoes what an earlier leader may have left, and no more.
+    #[must_use]
+    pub const fn clean_up(settings: SwitchSettings, token: u64, ranks: u32, now_ms: u64) -> Self {
         Self {
             settings,
             token,
             ranks,
-            new_map,
+            new_map: None,
             old_map: 0,
             phase: SwitchPhase::Inspect,
             phase_since_ms: now_ms,
@@ -168,7 +174,7 @@
     fn after_inspection(&mut self) -> SwitchPhase {
         let Some(gate) = self.views.values().filter_map(|view| view.gate).max() else {
             self.old_map = self.views.values().next().map_or(0, |view| view.map_at(u64::MAX));
-            return SwitchPhase::Stage;
+            return self.new_map.map_or(SwitchPhase::Over(SwitchOutcome::Undone), |_| SwitchPhase::Stage);
         };
         let scheduled = |view: &RankView| view.step >= gate || view.schedule.contains_key(&gate);
         let with_new_map = self.views.values().filter(|view| scheduled(view)).count();
@@ -226,9 +232,9 @@
     fn order(&self) -> Option<RankOrder> {
         match self.phase {
             SwitchPhase::Inspect => Some(RankOrder::Inspect),
-            SwitchPhase::Stage => Some(RankOrder::Stage { map: self.new_map }),
+            SwitchPhase::Stage => self.new_map.map(|map| RankOrder::Stage { map }),
             SwitchPhase::Gate(step) => Some(RankOrder::Gate { step }),
-            SwitchPhase::Activate(from_step) => Some(RankOrder::Activate { map: self.new_map, from_step }),
+            SwitchPhase::Activate(from_step) => self.new_map.map(|map| RankOrder::Activate { map, from_step }),
             SwitchPhase::PutBack(from_step) => Some(RankOrder::Activate { map: self.old_map, from_step }),
             SwitchPhase::Release | SwitchPhase::ReleaseOld => Some(RankOrder::Release),
             SwitchPhase::Over(_) => None,
--- /dev/null
+++ b/crates/ochreyard-core/tests/lease.rs
@@ -0,0 +1,55 @@
+//! Leases in the log: one holder at a time, whatever order readers see.
+
+use ochreyard_core::ids::Incarnation;
+use ochreyard_core::lease::{HeldLease, LeaseMargin, LeaseRecord, LeaseTable};
+use proptest::prelude::*;
+
+const NAME: &str = "switch/e";
+const TTL_MS: u64 = 1_000;
+const MARGIN: LeaseMargin = LeaseMargin { longest_order_ms: 100, clock_ms: 50 };
+
+fn record(holder: u64, replaces: Option<u64>) -> LeaseRecord {
+    LeaseRecord { lease: NAME.into(), holder: Incarnation(holder), replaces, ttl_ms: TTL_MS }
+}
+
+#[test]
+fn of_two_contenders_the_first_in_the_log_holds() {
+    let mut table = LeaseTable::default();
+    assert!(table.read(3, &record(1, None), 0));
+    assert!(table.read(4, &record(2, Some(3)), 10));
+    assert!(!table.read(5, &record(3, Some(3)), 10));
+    assert_eq!(table.current(NAME).unwrap().holder, Incarnation(2));
+}
+
+#[test]
+fn the_holder_may_renew_at_once_and_others_wait() {
+    let mut table = LeaseTable::default();
+    table.read(3, &record(1, None), 500);
+    assert_eq!(table.may_ask_at_ms(NAME, Incarnation(1), MARGIN), 0);
+    assert_eq!(table.may_ask_at_ms(NAME, Incarnation(2), MARGIN), 500 + TTL_MS + 150);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// An order that the old holder may send has arrived before a successor asks,
+    /// however late the records are seen and however long the holder is paused.
+    #[test]
+    fn the_last_order_arrives_before_a_successor_starts(
+        asked_ms in 0..1_000u64,
+        written_after_ms in 0..500u64,
+        seen_after_ms in 0..500u64,
+        sends in prop::collection::vec(0..3_000u64, 1..20),
+    ) {
+        let held = HeldLease { token: 3, asked_ms, ttl_ms: TTL_MS };
+        let written_ms = asked_ms + written_after_ms;
+        let mut table = LeaseTable::default();
+        table.read(3, &record(1, None), written_ms + seen_after_ms);
+        let successor_ms = table.may_ask_at_ms(NAME, Incarnation(2), MARGIN);
+        for sent_ms in sends {
+            if held.may_send(sent_ms, MARGIN) {
+                prop_assert!(sent_ms + MARGIN.longest_order_ms < successor_ms);
+            }
+        }
+    }
+}
--- a/crates/ochreyard-endpoint/src/client.rs
+++ b/crates/ochreyard-endpoint/src/client.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ochreyard_core::map_switch::{OrderEnvelope, RankReply};
+use ochreyard_core::rebalance::Placement;
 use reqwest::{Client, Method, RequestBuilder, Response};
 
 use crate::answer::EndpointAnswer;
 use crate::error::EndpointError;
+use crate::experts::ExpertReport;
 use crate::load::EndpointLoad;
-use crate::order::{Order, OrderReply};
 
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -97,18 +99,35 @@
         Ok(request.send().await?.error_for_status()?.json().await?)
     }
 
-    /// Gives an order under a fencing token.
+    /// Asks what the group knows of its experts.
     ///
     /// # Errors
     ///
-    /// [`EndpointError::Fenced`] when a higher token has been seen there.
-    pub async fn order(&self, token: u64, order: &Order) -> Result<OrderReply, EndpointError> {
+    /// [`EndpointError`] when no report came back.
+    pub async fn experts(&self) -> Result<ExpertReport, EndpointError> {
+        let request = self.http.get(format!("{}/control/experts", self.base_url)).timeout(QUESTION_TIMEOUT);
+        Ok(request.send().await?.error_for_status()?.json().await?)
+    }
+
+    /// Gives the group a placement under a number, to be staged later. May be repeated.
+    ///
+    /// # Errors
+    ///
+    /// [`EndpointError`] when it was not taken.
+    pub async fn put_map(&self, map: u64, placement: &Placement) -> Result<(), EndpointError> {
+        let request = self.http.put(format!("{}/control/maps/{map}", self.base_url)).timeout(QUESTION_TIMEOUT);
+        request.json(placement).send().await?.error_for_status()?;
+        Ok(())
+    }
+
+    /// Gives an order to one rank.
+    ///
+    /// # Errors
+    ///
+    /// [`EndpointError`] when no reply came back: the order may have been carried out.
+    pub async fn order(&self, order: &OrderEnvelope) -> Result<RankReply, EndpointError> {
         let request = self.http.post(format!("{}/control/orders", self.base_url)).timeout(QUESTION_TIMEOUT);
-        let response = request.header("ochreyard-fence", token).json(order).send().await?;
-        if response.status() == reqwest::StatusCode::CONFLICT {
-            return Err(EndpointError::Fenced(response.text().await.unwrap_or_default()));
-        }
-        Ok(response.error_for_status()?.json().await?)
+        Ok(request.json(order).send().await?.error_for_status()?.json().await?)
     }
 }
 
--- a/crates/ochreyard-endpoint/src/error.rs
+++ b/crates/ochreyard-endpoint/src/error.rs
@@ -11,9 +11,6 @@
     /// The endpoint had the request, or may have had it.
     #[error("the endpoint failed: {0}")]
     Failed(#[source] reqwest::Error),
-    /// The endpoint refused an order, because a higher fencing token has been seen.
-    #[error("the endpoint refused the order: {0}")]
-    Fenced(String),
 }
 
 impl EndpointError {
@@ -22,7 +19,7 @@
     pub const fn kind(&self) -> ErrorKind {
         match self {
             Self::Down(_) => ErrorKind::EndpointDown,
-            Self::Failed(_) | Self::Fenced(_) => ErrorKind::EndpointFailed,
+            Self::Failed(_) => ErrorKind::EndpointFailed,
         }
     }
 }
--- a/crates/ochreyard-endpoint/src/lib.rs
+++ b/crates/ochreyard-endpoint/src/lib.rs
@@ -6,11 +6,11 @@
 mod answer;
 mod client;
 mod error;
+mod experts;
 mod load;
-mod order;
 
 pub use answer::EndpointAnswer;
 pub use client::{CallContext, EndpointClient, EndpointRequest};
 pub use error::EndpointError;
+pub use experts::ExpertReport;
 pub use load::EndpointLoad;
-pub use order::{Order, OrderReply};
--- a/crates/ochreyard-stand-ins/src/rank_group.rs
+++ b/crates/ochreyard-stand-ins/src/rank_group.rs
@@ -4,15 +4,18 @@
 //! to a prompt is a function of the prompt, so that a test can tell whose answer
 //! it got: token `i` is `t<hash of prompt>-<i> `.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use axum::extract::State;
-use axum::http::{HeaderMap, StatusCode, header};
+use axum::extract::{Path, State};
+use axum::http::{StatusCode, header};
 use axum::response::{IntoResponse, Response};
-use axum::routing::{get, post};
+use axum::routing::{get, post, put};
 use axum::{Json, Router};
 use ochreyard_core::hash;
+use ochreyard_core::map_switch::{OrderEnvelope, Rank, RankOrder};
+use ochreyard_core::rebalance::Placement;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -27,29 +30,51 @@
     pub stall_ms: u64,
     /// Streams break off after this many tokens.
     pub break_after: Option<u64>,
+    /// This rank hears no orders.
+    pub deaf_rank: Option<u32>,
+    /// `deaf_rank` hears all orders but those that schedule a map.
+    pub deaf_to_activate_only: bool,
+    /// This expert gets ten times the tokens of the others.
+    pub hot_expert: Option<usize>,
 }
 
+/// Experts of the group's one layer, and the slots of each rank.
+const EXPERTS: usize = 16;
+const SLOTS_PER_RANK: usize = 5;
+/// The number of the map that the group starts with.
+const FIRST_MAP: u64 = 1;
+
 #[derive(Debug)]
 struct Inner {
-    ranks: Vec<RankState>,
-    fence: u64,
+    ranks: Vec<Rank>,
+    maps: BTreeMap<u64, Placement>,
     running: u32,
     started: u64,
     cancelled: u64,
     step_us: u64,
     fault: GroupFault,
+    /// Steps in which ranks used different maps: must stay 0.
     mixed_steps: u64,
+    /// Steps that waited at a gate.
+    held_steps: u64,
 }
 
-/// One rank: the map in use, the map beside it, and the gate.
-#[derive(Debug, Clone, Default, Serialize)]
-pub struct RankState {
-    /// The expert map in use.
-    pub map: u64,
-    /// The map that is staged.
-    pub staged: Option<u64>,
-    /// The first step that is held back.
-    pub gate: Option<u64>,
+impl Inner {
+    /// The group enters a step in lock-step, unless a rank is held.
+    fn enter(&mut self, step: u64) -> bool {
+        if !self.ranks.iter().all(|rank| rank.may_enter(step)) {
+            self.held_steps += 1;
+            return false;
+        }
+        let maps: BTreeSet<u64> = self.ranks.iter_mut().map(|rank| rank.enter(step)).collect();
+        self.mixed_steps += u64::from(maps.len() > 1);
+        true
+    }
+
+    fn map_in_use(&self) -> u64 {
+        let view = self.ranks[0].view();
+        view.map_at(view.step)
+    }
 }
 
 /// The state of the stand-in.
@@ -60,18 +85,6 @@
     step_ms: u64,
 }
 
-/// An order as the agent sends it.
-#[derive(Debug, Deserialize)]
-#[serde(tag = "order", rename_all = "snake_case")]
-enum Order {
-    StageMap { map: u64, rank: usize },
-    Gate { step: u64, rank: usize },
-    ActivateMap { map: u64, rank: usize },
-    Release { rank: usize },
-    LoadVersion {},
-    ChangeRole {},
-}
-
 #[derive(Deserialize)]
 struct Prompt {
     #[serde(default)]
@@ -101,14 +114,15 @@
     #[must_use]
     pub fn new(ranks: usize, step_ms: u64) -> Self {
         let inner = Inner {
-            ranks: vec![RankState::default(); ranks],
-            fence: 0,
+            ranks: vec![Rank::new(FIRST_MAP); ranks],
+            maps: [(FIRST_MAP, Placement::even(EXPERTS, ranks, SLOTS_PER_RANK))].into(),
             running: 0,
             started: 0,
             cancelled: 0,
             step_us: step_ms * 1000,
             fault: GroupFault::default(),
             mixed_steps: 0,
+            held_steps: 0,
         };
         Self { inner: Arc::new(Mutex::new(inner)), step: watch::Sender::new(0), step_ms }
     }
@@ -120,6 +134,8 @@
             .route("/v1/completions", post(complete))
             .route("/control/load", get(load))
             .route("/control/orders", post(order))
+            .route("/control/experts", get(experts))
+            .route("/control/maps/{map}", put(put_map))
             .route("/control/state", get(state))
             .route("/fault", post(set_fault))
             .with_state(self)
@@ -137,10 +153,7 @@
             tokio::time::sleep(Duration::from_millis(self.step_ms + stall_ms)).await;
             let enters = self.with(|inner| {
                 inner.step_us = (self.step_ms + stall_ms) * 1000;
-                let held = inner.ranks.iter().any(|rank| rank.gate.is_some_and(|gate| next >= gate));
-                let mixed = inner.ranks.iter().any(|rank| rank.map != inner.ranks[0].map);
-                inner.mixed_steps += u64::from(mixed && !held);
-                !held
+                inner.enter(next)
             });
             if enters {
                 self.step.send_replace(next);
@@ -191,7 +204,7 @@
 
 async fn load(State(group): State<RankGroup>) -> Json<Value> {
     Json(group.with(|inner| {
-        json!({ "running": inner.running, "waiting": 0, "step_us": inner.step_us, "expert_map": inner.ranks[0].map })
+        json!({ "running": inner.running, "waiting": 0, "step_us": inner.step_us, "expert_map": inner.map_in_use() })
     }))
 }
 
@@ -199,7 +212,8 @@
     let step = *group.step.borrow();
     Json(group.with(|inner| {
         json!({ "step": step, "running": inner.running, "started": inner.started, "cancelled": inner.cancelled,
-                "mixed_steps": inner.mixed_steps, "ranks": inner.ranks, "fence": inner.fence })
+                "mixed_steps": inner.mixed_steps, "held_steps": inner.held_steps, "map": inner.map_in_use(),
+                "gated": inner.ranks.iter().any(|rank| rank.view().gate.is_some()) })
     }))
 }
 
@@ -207,38 +221,34 @@
     group.with(|inner| inner.fault = fault);
 }
 
-async fn order(State(group): State<RankGroup>, headers: HeaderMap, Json(order): Json<Order>) -> Response {
-    let token = headers.get("ochreyard-fence").and_then(|v| v.to_str().ok()?.parse::<u64>().ok()).unwrap_or(0);
-    let step = *group.step.borrow();
+async fn order(State(group): State<RankGroup>, Json(order): Json<OrderEnvelope>) -> Response {
     group.with(|inner| {
-        if token < inner.fence {
-            return (StatusCode::CONFLICT, format!("token {token} is below {}", inner.fence)).into_response();
+        let hears = inner.fault.deaf_to_activate_only && !matches!(order.order, RankOrder::Activate { .. });
+        let is_deaf = inner.fault.deaf_rank == Some(order.rank) && !hears;
+        let staged_unknown = matches!(order.order, RankOrder::Stage { map } if !inner.maps.contains_key(&map));
+        match inner.ranks.get_mut(order.rank as usize) {
+            Some(rank) if !is_deaf && !staged_unknown => Json(rank.on_order(&order)).into_response(),
+            _ => StatusCode::SERVICE_UNAVAILABLE.into_response(),
         }
-        inner.fence = token;
-        Json(json!({ "step": step, "done": carry_out(inner, step, &order) })).into_response()
     })
 }
 
-fn carry_out(inner: &mut Inner, step: u64, order: &Order) -> bool {
-    let rank = match order {
-        Order::StageMap { rank, .. }
-        | Order::Gate { rank, .. }
-        | Order::ActivateMap { rank, .. }
-        | Order::Release { rank } => *rank,
-        Order::LoadVersion {} | Order::ChangeRole {} => return true,
-    };
-    let Some(state) = inner.ranks.get_mut(rank) else { return false };
-    match *order {
-        Order::StageMap { map, .. } => state.staged = Some(map),
-        // A rank that is past the step says so by refusing; its reply carries its step.
-        Order::Gate { step: gate, .. } if gate <= step => return false,
-        Order::Gate { step: gate, .. } => state.gate = Some(gate),
-        Order::ActivateMap { map, .. } if state.staged != Some(map) && state.map != map => return false,
-        Order::ActivateMap { map, .. } => state.map = map,
-        Order::Release { .. } => state.gate = None,
-        Order::LoadVersion {} | Order::ChangeRole {} => {}
-    }
-    true
+async fn put_map(State(group): State<RankGroup>, Path(map): Path<u64>, Json(placement): Json<Placement>) {
+    group.with(|inner| inner.maps.insert(map, placement));
+}
+
+async fn experts(State(group): State<RankGroup>) -> Json<Value> {
+    Json(group.with(|inner| {
+        let count = |expert: usize| if inner.fault.hot_expert == Some(expert) { 1000.0 } else { 100.0 };
+        let counts: Vec<f64> = (0..EXPERTS).map(count).collect();
+        let placement = &inner.maps[&inner.map_in_use()];
+        let stalled_us = |rank: usize| {
+            if inner.fault.stalled_rank == Some(rank) { inner.fault.stall_ms as f64 * 1000.0 } else { 0.0 }
+        };
+        let loads = placement.rank_loads(&counts);
+        let times: Vec<f64> = loads.iter().enumerate().map(|(rank, load)| load * 10.0 + stalled_us(rank)).collect();
+        json!({ "counts": counts, "rank_times_us": times, "placement": placement, "expert_bytes": 50_000_000 })
+    }))
 }
 
 /// Counts a run; one that is dropped before its end was cancelled.
--- a/crates/ochreyard-stand-ins/src/site.rs
+++ b/crates/ochreyard-stand-ins/src/site.rs
@@ -26,7 +26,7 @@
     pub slots: u32,
     /// Further lines of the entries' settings.
     pub entry_extra: String,
-    /// Further lines of the agents' settings.
+    /// Further lines of the agents' settings; `PLATFORM` stands for the platform's URL.
     pub agent_extra: String,
 }
 
@@ -89,7 +89,8 @@
             agent_addr,
             slots: spec.slots.max(1),
         };
-        self.cluster.start_agent(&at, &url, &spec.agent_extra).await;
+        let extra = spec.agent_extra.replace("PLATFORM", &self.platform);
+        self.cluster.start_agent(&at, &url, &extra).await;
         self.endpoints.push((at, url));
     }
 
