Send small writes at once towards callers; measure the whole

Cause: an answer through an entry took 44 ms at p50 where the endpoint itself took 1.2 ms. Head and body went out in two writes, and the second waited for the delayed acknowledgement of the first.

Routing counted the requests of this entry twice or not at all: what others have at an endpoint is now the report less the own requests at that time.

--- a/crates/ochreyard-caller/src/call.rs
+++ b/crates/ochreyard-caller/src/call.rs
@@ -25,7 +25,7 @@
 /// Bytes of text that make one token, roughly.
 const BYTES_PER_TOKEN: u64 = 4;
 /// Bytes at the start of a prompt that decide which cache it belongs to.
-const PREFIX_BYTES: usize = 512;
+const PREFIX_BYTES: usize = 256;
 
 /// One request, ready to be routed.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/ochreyard-core/src/admission.rs
+++ b/crates/ochreyard-core/src/admission.rs
@@ -168,7 +168,9 @@
             return Vec::new();
         }
         if let Some(old) = &self.config {
-            self.keys.note_homes(old, self.settings.service_of(&config), now_ms);
+            let service = self.settings.service_of(&config);
+            let unchanged = service.as_ref().is_some_and(|service| old.has_same_homes(&config, service));
+            self.keys.note_homes(old, service.filter(|_| !unchanged), now_ms);
         }
         self.config = Some(config);
         let mut actions = self.refuse_waiting_without_permission();
--- a/crates/ochreyard-core/src/config/configuration.rs
+++ b/crates/ochreyard-core/src/config/configuration.rs
@@ -135,6 +135,13 @@
         }
     }
 
+    /// Whether keys of a service live in `other` where they live here.
+    #[must_use]
+    pub fn has_same_homes(&self, other: &Self, service: &ServiceId) -> bool {
+        let same_sets = self.home_sets.get(service) == other.home_sets.get(service);
+        same_sets && self.run_in_sets == other.run_in_sets && self.home_acks == other.home_acks
+    }
+
     /// Endpoint sets of a service that some process may still hold, oldest first.
     #[must_use]
     pub fn home_sets(&self, service: &ServiceId) -> &[HomeSet] {
--- a/crates/ochreyard-core/src/routing.rs
+++ b/crates/ochreyard-core/src/routing.rs
@@ -10,6 +10,8 @@
     pub health: Health,
     /// Requests that this entry has under way there.
     pub own_in_flight: u32,
+    /// Requests that this entry had under way there when the last report came.
+    pub own_at_report: u32,
     /// Requests that run there by its last report.
     pub reported_running: u32,
     /// Requests that wait there by its last report.
@@ -31,6 +33,7 @@
         Self {
             health: Health::Alive,
             own_in_flight: 0,
+            own_at_report: 0,
             reported_running: 0,
             reported_waiting: 0,
             report_age_ms: 0,
@@ -45,12 +48,13 @@
 impl Candidate {
     /// Predicted time until the first part of the answer, in microseconds.
     ///
-    /// The report is a lagging sum over all entries; the entry's own count is
-    /// exact. Whichever says more is taken.
+    /// What the other entries have there is known from the lagging report; what
+    /// this entry has there is known exactly.
     #[must_use]
     pub fn predicted_wait_us(&self) -> u64 {
         let reported = u64::from(self.reported_running) + u64::from(self.reported_waiting);
-        let load = reported.max(u64::from(self.own_in_flight));
+        let of_others = reported.saturating_sub(u64::from(self.own_at_report));
+        let load = of_others + u64::from(self.own_in_flight);
         let slots = u64::from(self.slots.max(1));
         let run_us = self.mean_run_ms.max(1) * 1000;
         let queue_us = (load + 1).saturating_sub(slots) * run_us / slots;
@@ -60,18 +64,56 @@
     }
 }
 
-/// Picks the best of two seeded samples and of all that hold part of the prompt.
+/// How an endpoint is picked. All but [`Policy::Predicted`] are there to be compared with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Policy {
+    /// The best predicted wait of some seeded samples and of all that hold part of the prompt.
+    #[default]
+    Predicted,
+    /// One after the other.
+    RoundRobin,
+    /// The least load by the last reports.
+    LeastReported,
+}
+
+/// Picks an endpoint by `policy`. Suspect candidates count only where none is
+/// alive. `turn` counts requests, `seed` decides samples.
+#[must_use]
+pub fn choose_by(policy: Policy, candidates: &[Candidate], seed: u64, turn: u64) -> Option<usize> {
+    match policy {
+        Policy::Predicted => choose(candidates, seed),
+        Policy::RoundRobin => {
+            let usable = usable(candidates)?;
+            usable.get(usize::try_from(turn % usable.len() as u64).unwrap_or(0)).copied()
+        }
+        Policy::LeastReported => {
+            let reported = |at: &usize| candidates[*at].reported_running + candidates[*at].reported_waiting;
+            usable(candidates)?.into_iter().min_by_key(|at| (reported(at), hash::mix(seed ^ *at as u64)))
+        }
+    }
+}
+
+/// The candidates of the best health that any has.
+fn usable(candidates: &[Candidate]) -> Option<Vec<usize>> {
+    let best_health = candidates.iter().map(|c| c.health).min()?;
+    Some((0..candidates.len()).filter(|at| candidates[*at].health == best_health).collect())
+}
+
+/// How many candidates are compared. All would send every entry to the same one
+/// between two reports.
+const SAMPLES: u64 = 4;
+
+/// Picks the best of some seeded samples and of all that hold part of the prompt.
 ///
 /// Suspect candidates count only where none is alive.
 #[must_use]
 pub fn choose(candidates: &[Candidate], seed: u64) -> Option<usize> {
-    let best_health = candidates.iter().map(|c| c.health).min()?;
-    let usable: Vec<usize> = (0..candidates.len()).filter(|i| candidates[*i].health == best_health).collect();
+    let usable = usable(candidates)?;
     let sample = |salt: u64| {
         let at = hash::mix(seed ^ salt) % usable.len() as u64;
         usable[usize::try_from(at).unwrap_or(0)]
     };
     let holders = usable.iter().copied().filter(|i| candidates[*i].cached_permille > 0);
-    let samples = [sample(1), sample(2)];
-    samples.into_iter().chain(holders).min_by_key(|i| candidates[*i].predicted_wait_us())
+    let samples = (1..=SAMPLES).map(sample);
+    samples.chain(holders).min_by_key(|i| candidates[*i].predicted_wait_us())
 }
--- a/crates/ochreyard-entry/src/fields.rs
+++ b/crates/ochreyard-entry/src/fields.rs
@@ -51,6 +51,12 @@
         default: Some("1000"),
         about: "how often each agent is asked for a report",
     },
+    FieldSpec {
+        name: "routing",
+        kind: FieldKind::Choice(&["predicted", "round_robin", "least_reported"]),
+        default: Some("predicted"),
+        about: "how an endpoint is picked; all but `predicted` are there to be compared with",
+    },
     FieldSpec {
         name: "suspect_after_ms",
         kind: FieldKind::Number(100, 60_000),
--- a/crates/ochreyard-entry/src/serve.rs
+++ b/crates/ochreyard-entry/src/serve.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use axum::serve::{Listener, ListenerExt};
 use kameo::actor::{ActorRef, Spawn};
 use miette::{Context, IntoDiagnostic, Result};
 use ochreyard_caller::CallerLimits;
@@ -12,6 +13,7 @@
 use ochreyard_core::drain::{Drain, Serving};
 use ochreyard_core::ids::Incarnation;
 use ochreyard_core::membership::SilenceLimits;
+use ochreyard_core::routing::Policy;
 use ochreyard_peer::{LocalThread, StateSource};
 use ochreyard_platform::HttpPlatform;
 use ochreyard_process::{Clock, Settings, start_logging, start_metrics, stop_signal};
@@ -50,6 +52,11 @@
         incarnation,
         peer_token: settings.secret("peer_token_file").into_diagnostic()?,
         snapshot_every_ms: settings.number("snapshot_every_ms"),
+        routing: match settings.text("routing") {
+            "round_robin" => Policy::RoundRobin,
+            "least_reported" => Policy::LeastReported,
+            _ => Policy::Predicted,
+        },
         silence: SilenceLimits {
             suspect_after_ms: settings.number("suspect_after_ms"),
             down_after_ms: settings.number("down_after_ms"),
@@ -69,7 +76,7 @@
     let control =
         Arc::new(EntryControl { balancer: balancer.clone(), log, clock, incarnation, plans: AtomicU64::new(1) });
     let operator_side = ochreyard_operator::api::router(control, settings.text("operator_token_sha256").to_owned());
-    tokio::spawn(async move { axum::serve(operators, operator_side).await });
+    tokio::spawn(async move { axum::serve(without_delay(operators), operator_side).await });
 
     let forwarder = Arc::new(Forwarder {
         balancer,
@@ -83,7 +90,8 @@
     let caller_side = ochreyard_caller::router(Arc::clone(&forwarder), caller_limits(&settings));
     let stopped = Arc::new(tokio::sync::Notify::new());
     let stop = Arc::clone(&stopped);
-    let server = axum::serve(callers, caller_side).with_graceful_shutdown(async move { stop.notified().await });
+    let server =
+        axum::serve(without_delay(callers), caller_side).with_graceful_shutdown(async move { stop.notified().await });
     let server = tokio::spawn(server.into_future());
 
     log::info!("event=entry_started entry={} incarnation={incarnation}", settings.text("entry"));
@@ -121,6 +129,16 @@
     TcpListener::bind(addr).await.into_diagnostic().wrap_err_with(problem)
 }
 
+/// Small writes go out at once: else head and body of an answer wait for each
+/// other's acknowledgement, 40 ms each time.
+fn without_delay(listener: TcpListener) -> impl Listener<Addr = SocketAddr> {
+    listener.tap_io(|stream| {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("event=nodelay_refused error=\"{error}\"");
+        }
+    })
+}
+
 fn caller_limits(settings: &Settings) -> CallerLimits {
     let bytes = |name: &str| usize::try_from(settings.number(name)).unwrap_or(usize::MAX);
     CallerLimits {
--- a/crates/ochreyard-entry/src/state.rs
+++ b/crates/ochreyard-entry/src/state.rs
@@ -14,7 +14,7 @@
 use ochreyard_core::ids::{BoxId, EndpointId, Incarnation, ServiceId, WorkspaceId};
 use ochreyard_core::membership::{AgentReport, Health, Membership, SilenceLimits};
 use ochreyard_core::retry::RetryBudget;
-use ochreyard_core::routing::{Candidate, choose};
+use ochreyard_core::routing::{Candidate, Policy, choose_by};
 use ochreyard_operator::{BurnRow, EndpointRow, Status};
 use ochreyard_peer::{AgentLink, Heartbeat, LocalThread};
 
@@ -38,6 +38,8 @@
     pub peer_token: String,
     /// How often a snapshot is written, in milliseconds.
     pub snapshot_every_ms: u64,
+    /// How an endpoint is picked.
+    pub routing: Policy,
     /// How long silence lasts until an agent is suspected or taken for down.
     pub silence: SilenceLimits,
 }
@@ -97,6 +99,8 @@
     link: AgentLink,
     addr: std::net::SocketAddr,
     in_flight: Arc<AtomicU32>,
+    /// `in_flight` when the last report came.
+    at_report: u32,
 }
 
 /// The last read of the log that came to its end.
@@ -211,6 +215,7 @@
                 link: AgentLink::new(thread, spec.agent_addr, token.clone()),
                 addr: spec.agent_addr,
                 in_flight: Arc::default(),
+                at_report: 0,
             });
         }
     }
@@ -223,7 +228,10 @@
         now_ms: u64,
     ) -> Option<Arc<Configuration>> {
         let version = report.config_version;
-        self.membership.on_report(endpoint, report, now_ms);
+        let is_news = self.membership.on_report(endpoint, report, now_ms);
+        if let Some(peer) = self.peers.get_mut(endpoint).filter(|_| is_news) {
+            peer.at_report = peer.in_flight.load(Ordering::Relaxed);
+        }
         self.fold.state().filter(|config| version < config.version()).cloned()
     }
 
@@ -323,7 +331,7 @@
             .collect();
         let candidates: Vec<Candidate> = permitted.iter().map(|spec| self.candidate(spec, wanted, now_ms)).collect();
         let seed = hash::mix(self.identity.incarnation.0 ^ self.requests.wrapping_mul(31) ^ wanted.tried.len() as u64);
-        let spec = permitted[choose(&candidates, seed).ok_or_else(none)?];
+        let spec = permitted[choose_by(self.identity.routing, &candidates, seed, self.requests).ok_or_else(none)?];
         let endpoint = spec.endpoint.clone();
         self.remember_prefix(wanted.prefix_hash, &endpoint);
         self.target(&endpoint).ok_or_else(none)
@@ -331,11 +339,12 @@
 
     fn candidate(&self, spec: &EndpointSpec, wanted: &Wanted, now_ms: u64) -> Candidate {
         let Some(member) = self.membership.member(&spec.endpoint) else { return Candidate::default() };
-        let own = self.peers.get(&spec.endpoint).map_or(0, |peer| peer.in_flight.load(Ordering::Relaxed));
+        let peer = self.peers.get(&spec.endpoint);
         let holds = wanted.prefix_hash != 0 && self.prefixes.get(&wanted.prefix_hash) == Some(&spec.endpoint);
         Candidate {
             health: self.membership.health(&spec.endpoint, now_ms),
-            own_in_flight: own,
+            own_in_flight: peer.map_or(0, |peer| peer.in_flight.load(Ordering::Relaxed)),
+            own_at_report: peer.map_or(0, |peer| peer.at_report),
             reported_running: member.report.running,
             reported_waiting: member.report.waiting,
             report_age_ms: now_ms.saturating_sub(member.heard_ms),
--- a/crates/ochreyard-stand-ins/examples/plain.rs
+++ b/crates/ochreyard-stand-ins/examples/plain.rs
@@ -6,5 +6,5 @@
 #[tokio::main]
 async fn main() -> std::io::Result<()> {
     let listener = tokio::net::TcpListener::bind(args::listen_addr()).await?;
-    axum::serve(listener, PlainService::default().router()).await
+    axum::serve(args::without_delay(listener), PlainService::default().router()).await
 }
--- a/crates/ochreyard-stand-ins/src/cluster.rs
+++ b/crates/ochreyard-stand-ins/src/cluster.rs
@@ -16,6 +16,8 @@
 use serde_json::Value;
 use tokio::process::{Child, Command};
 
+use crate::rank_group::GroupSize;
+
 /// Token between entries and agents.
 const PEER_TOKEN: &str = "peer-token";
 /// Token of the operators.
@@ -124,9 +126,16 @@
     }
 
     /// Starts a rank group stand-in and returns its URL.
-    pub async fn start_rank_group(&mut self, name: &str, ranks: u32, step_ms: u64) -> String {
+    pub async fn start_rank_group(&mut self, name: &str, size: GroupSize) -> String {
         let addr = self.addr();
-        let args = vec![addr.clone(), ranks.to_string(), step_ms.to_string()];
+        let numbers = [
+            size.ranks.to_string(),
+            size.step_ms.to_string(),
+            size.max_batch.to_string(),
+            size.prefill_steps.to_string(),
+            size.cached_prompts.to_string(),
+        ];
+        let args = std::iter::once(addr.clone()).chain(numbers).collect();
         self.start_stand_in(name, "rank_group", args).await;
         format!("http://{addr}")
     }
@@ -213,6 +222,24 @@
         self.spawn(name, process.program, process.args);
     }
 
+    /// Memory of a process that is in use, in KiB, and the processor time that it
+    /// has used, in ticks of 10 ms.
+    ///
+    /// # Panics
+    ///
+    /// When the process has ended.
+    #[must_use]
+    pub fn usage(&self, name: &str) -> (u64, u64) {
+        let pid = self.processes[name].pid;
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("the process runs");
+        let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("0 kB");
+        let rss_kib = rss.trim().trim_end_matches(" kB").parse().unwrap_or(0);
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).expect("the process runs");
+        let after_name = stat.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<u64> = after_name.split_whitespace().map(|field| field.parse().unwrap_or(0)).collect();
+        (rss_kib, fields.get(11).unwrap_or(&0) + fields.get(12).unwrap_or(&0))
+    }
+
     /// Starts the planned stop of a process.
     pub async fn terminate(&mut self, name: &str) {
         self.signal(name, "TERM").await;
--- a/crates/ochreyard-stand-ins/src/rank_group.rs
+++ b/crates/ochreyard-stand-ins/src/rank_group.rs
@@ -4,7 +4,7 @@
 //! to a prompt is a function of the prompt, so that a test can tell whose answer
 //! it got: token `i` is `t<hash of prompt>-<i> `.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 use ochreyard_core::rebalance::Placement;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use tokio::sync::watch;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 /// Faults of the group.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -44,8 +44,34 @@
 /// The number of the map that the group starts with.
 const FIRST_MAP: u64 = 1;
 
+/// What a group can do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GroupSize {
+    /// Ranks.
+    pub ranks: usize,
+    /// Time of a step, in milliseconds.
+    pub step_ms: u64,
+    /// Requests in a batch; others wait.
+    pub max_batch: usize,
+    /// Steps until the first token of a prompt whose start is not cached.
+    pub prefill_steps: u64,
+    /// Starts of prompts that are cached.
+    pub cached_prompts: usize,
+}
+
+impl Default for GroupSize {
+    fn default() -> Self {
+        Self { ranks: 4, step_ms: 5, max_batch: 1024, prefill_steps: 0, cached_prompts: 0 }
+    }
+}
+
+/// Bytes at the start of a request that decide about the cache.
+const PREFIX_BYTES: usize = 256;
+
 #[derive(Debug)]
 struct Inner {
+    cache: VecDeque<u64>,
+    cache_hits: u64,
     ranks: Vec<Rank>,
     maps: BTreeMap<u64, Placement>,
     running: u32,
@@ -82,7 +108,8 @@
 pub struct RankGroup {
     inner: Arc<Mutex<Inner>>,
     step: watch::Sender<u64>,
-    step_ms: u64,
+    batch: Arc<Semaphore>,
+    size: GroupSize,
 }
 
 #[derive(Deserialize)]
@@ -110,21 +137,41 @@
 }
 
 impl RankGroup {
-    /// A group of `ranks` whose steps take `step_ms`.
+    /// A group of this size.
     #[must_use]
-    pub fn new(ranks: usize, step_ms: u64) -> Self {
+    pub fn new(size: GroupSize) -> Self {
         let inner = Inner {
-            ranks: vec![Rank::new(FIRST_MAP); ranks],
-            maps: [(FIRST_MAP, Placement::even(EXPERTS, ranks, SLOTS_PER_RANK))].into(),
+            cache: VecDeque::new(),
+            cache_hits: 0,
+            ranks: vec![Rank::new(FIRST_MAP); size.ranks],
+            maps: [(FIRST_MAP, Placement::even(EXPERTS, size.ranks, SLOTS_PER_RANK))].into(),
             running: 0,
             started: 0,
             cancelled: 0,
-            step_us: step_ms * 1000,
+            step_us: size.step_ms * 1000,
             fault: GroupFault::default(),
             mixed_steps: 0,
             held_steps: 0,
         };
-        Self { inner: Arc::new(Mutex::new(inner)), step: watch::Sender::new(0), step_ms }
+        let batch = Arc::new(Semaphore::new(size.max_batch));
+        Self { inner: Arc::new(Mutex::new(inner)), step: watch::Sender::new(0), batch, size }
+    }
+
+    /// Steps until the first token: none if the start of the request is cached.
+    fn prefill_steps(&self, body: &str) -> u64 {
+        let prefix = hash::fnv1a(&body.as_bytes()[..body.len().min(PREFIX_BYTES)]);
+        self.with(|inner| {
+            let hit = inner.cache.iter().position(|known| *known == prefix);
+            if let Some(at) = hit {
+                inner.cache.remove(at);
+                inner.cache_hits += 1;
+            }
+            inner.cache.push_back(prefix);
+            while inner.cache.len() > self.size.cached_prompts {
+                inner.cache.pop_front();
+            }
+            if hit.is_some() { 0 } else { self.size.prefill_steps }
+        })
     }
 
     /// The routes of the group.
@@ -150,9 +197,9 @@
         loop {
             let next = *self.step.borrow() + 1;
             let stall_ms = self.with(|inner| inner.fault.stalled_rank.map_or(0, |_| inner.fault.stall_ms));
-            tokio::time::sleep(Duration::from_millis(self.step_ms + stall_ms)).await;
+            tokio::time::sleep(Duration::from_millis(self.size.step_ms + stall_ms)).await;
             let enters = self.with(|inner| {
-                inner.step_us = (self.step_ms + stall_ms) * 1000;
+                inner.step_us = (self.size.step_ms + stall_ms) * 1000;
                 inner.enter(next)
             });
             if enters {
@@ -167,21 +214,30 @@
         return (StatusCode::BAD_REQUEST, "not the expected JSON").into_response();
     };
     let guard = RunGuard::new(&group);
+    let Ok(place) = Arc::clone(&group.batch).acquire_owned().await else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
+    let mut steps = group.step.subscribe();
+    for _ in 0..group.prefill_steps(&body) {
+        if steps.changed().await.is_err() {
+            return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+        }
+    }
+    let guard = (guard, place);
     if prompt.stream {
         return stream(group, guard, body, prompt.max_tokens);
     }
-    let mut steps = group.step.subscribe();
     for _ in 0..prompt.max_tokens {
         if steps.changed().await.is_err() {
             return StatusCode::INTERNAL_SERVER_ERROR.into_response();
         }
     }
-    guard.finish();
+    guard.0.finish();
     let text = whole_text(&body, prompt.max_tokens);
     Json(json!({ "choices": [{ "message": { "content": text } }] })).into_response()
 }
 
-fn stream(group: RankGroup, guard: RunGuard, body: String, tokens: u64) -> Response {
+fn stream(group: RankGroup, guard: (RunGuard, OwnedSemaphorePermit), body: String, tokens: u64) -> Response {
     let mut steps = group.step.subscribe();
     let events = async_stream::stream! {
         for i in 0..tokens {
@@ -196,7 +252,7 @@
             yield Ok(format!("data: {data}\n\n"));
         }
         yield Ok("data: [DONE]\n\n".to_owned());
-        guard.finish();
+        guard.0.finish();
     };
     let headers = [(header::CONTENT_TYPE, "text/event-stream")];
     (headers, axum::body::Body::from_stream(events)).into_response()
@@ -212,7 +268,7 @@
     let step = *group.step.borrow();
     Json(group.with(|inner| {
         json!({ "step": step, "running": inner.running, "started": inner.started, "cancelled": inner.cancelled,
-                "mixed_steps": inner.mixed_steps, "held_steps": inner.held_steps, "map": inner.map_in_use(),
+                "cache_hits": inner.cache_hits, "mixed_steps": inner.mixed_steps, "held_steps": inner.held_steps, "map": inner.map_in_use(),
                 "gated": inner.ranks.iter().any(|rank| rank.view().gate.is_some()) })
     }))
 }
--- a/crates/ochreyard-stand-ins/src/site.rs
+++ b/crates/ochreyard-stand-ins/src/site.rs
@@ -5,6 +5,7 @@
 
 use crate::cluster::{Cluster, EndpointAt, OPERATOR_TOKEN, intent, wait_until};
 use crate::load::{self, Fate};
+use crate::rank_group::GroupSize;
 
 /// The model service of every site.
 pub const MODEL: &str = "trail-map";
@@ -22,12 +23,18 @@
     pub groups: Vec<&'static str>,
     /// Data centre of each plain endpoint; they are called `plain-1`, …
     pub plains: Vec<&'static str>,
+    /// What each rank group can do.
+    pub group_size: GroupSize,
     /// Requests at the same time at each endpoint.
     pub slots: u32,
     /// Further lines of the entries' settings.
     pub entry_extra: String,
     /// Further lines of the agents' settings; `PLATFORM` stands for the platform's URL.
     pub agent_extra: String,
+    /// How often agents are asked for a report, in milliseconds; 0 for 100.
+    pub heartbeat_ms: u64,
+    /// How often entries read the log, in milliseconds; 50 unless given.
+    pub log_poll_ms: Option<u64>,
 }
 
 /// The addresses of one entry.
@@ -59,7 +66,9 @@
         let mut cluster = Cluster::new();
         let platform = cluster.start_platform().await;
         let mut entries = Vec::new();
-        let extra = format!("log_poll_ms: 50\nheartbeat_ms: 100\n{}", spec.entry_extra);
+        let heartbeat_ms = if spec.heartbeat_ms == 0 { 100 } else { spec.heartbeat_ms };
+        let log_poll_ms = spec.log_poll_ms.unwrap_or(50);
+        let extra = format!("log_poll_ms: {log_poll_ms}\nheartbeat_ms: {heartbeat_ms}\n{}", spec.entry_extra);
         for (at, dc) in spec.entries.iter().enumerate() {
             let name = format!("entry-{}", at + 1);
             let (callers, operators) = cluster.start_entry(&name, dc, &platform, &extra).await;
@@ -68,7 +77,7 @@
         let mut site = Self { cluster, platform, entries, endpoints: Vec::new(), version: 0 };
         for (at, dc) in spec.groups.iter().enumerate() {
             let name = format!("group-{}", at + 1);
-            let url = site.cluster.start_rank_group(&format!("engine-{name}"), 4, 5).await;
+            let url = site.cluster.start_rank_group(&format!("engine-{name}"), spec.group_size).await;
             site.start_endpoint(&name, MODEL, dc, url, spec).await;
         }
         for (at, dc) in spec.plains.iter().enumerate() {
