--- a/crates/ochreyard-agent/src/fields.rs
+++ b/crates/ochreyard-agent/src/fields.rs
@@ -1,6 +1,6 @@
 //! The table of settings.
 
-use ochreyard_process::{FieldKind, FieldSpec};
+use ochreyard_process::{FieldKind, FieldSpec, LOG_LEVEL, LOG_TARGET};
 
 /// The value of `listen_addr` that stands for `agent_addr`.
 pub const SAME_AS_AGENT_ADDR: &str = "0.0.0.0:0";
@@ -96,16 +96,6 @@
         default: Some("1000"),
         about: "after the last request has ended, how long entries may still learn that the agent leaves",
     },
-    FieldSpec {
-        name: "log_level",
-        kind: FieldKind::Choice(&["error", "warn", "info", "debug", "trace"]),
-        default: Some("info"),
-        about: "least level of log lines",
-    },
-    FieldSpec {
-        name: "log_target",
-        kind: FieldKind::Choice(&["stderr", "stdout"]),
-        default: Some("stderr"),
-        about: "where log lines go",
-    },
+    LOG_LEVEL,
+    LOG_TARGET,
 ];
--- a/crates/ochreyard-core/src/drain.rs
+++ b/crates/ochreyard-core/src/drain.rs
@@ -60,7 +60,7 @@
 impl Drain<Refusing> {
     /// Whether the process may exit: nothing is in flight. There is no cut-off time.
     #[must_use]
-    pub const fn is_drained(&self, in_flight: usize) -> bool {
+    pub const fn is_drained(&self, in_flight: u32) -> bool {
         in_flight == 0
     }
 }
--- a/crates/ochreyard-entry/src/fields.rs
+++ b/crates/ochreyard-entry/src/fields.rs
@@ -1,6 +1,6 @@
 //! The table of settings.
 
-use ochreyard_process::{FieldKind, FieldSpec};
+use ochreyard_process::{FieldKind, FieldSpec, LOG_LEVEL, LOG_TARGET};
 
 /// Every field of the entry's settings.
 pub const FIELDS: &[FieldSpec] = &[
@@ -99,16 +99,6 @@
         default: Some("5000"),
         about: "how long work is still taken after readiness fails, because the balancer lags",
     },
-    FieldSpec {
-        name: "log_level",
-        kind: FieldKind::Choice(&["error", "warn", "info", "debug", "trace"]),
-        default: Some("info"),
-        about: "least level of log lines",
-    },
-    FieldSpec {
-        name: "log_target",
-        kind: FieldKind::Choice(&["stderr", "stdout"]),
-        default: Some("stderr"),
-        about: "where log lines go",
-    },
+    LOG_LEVEL,
+    LOG_TARGET,
 ];
--- a/crates/ochreyard-entry/src/forward.rs
+++ b/crates/ochreyard-entry/src/forward.rs
@@ -1,7 +1,7 @@
 //! One caller's request: endpoint by endpoint, until it has its final answer.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -42,7 +42,7 @@
     /// Whether new requests are refused.
     pub refusing: AtomicBool,
     /// Requests that are under way.
-    pub in_flight: Arc<AtomicUsize>,
+    pub in_flight: Arc<AtomicU32>,
 }
 
 impl CallHandler for Forwarder {
@@ -233,7 +233,7 @@
     deadline: Instant,
     first: Option<FrameBody>,
     parts: Option<mpsc::Sender<Part>>,
-    _in_flight: TargetGuard,
+    _in_flight: CountGuard,
 }
 
 impl Attempt {
@@ -254,7 +254,7 @@
             deadline,
             first: None,
             parts: None,
-            _in_flight: TargetGuard::new(&target.in_flight),
+            _in_flight: CountGuard::new(&target.in_flight),
         }
     }
 
@@ -343,33 +343,17 @@
     result.unwrap_or_else(|error| Err(LinkError::Lost { problem: error.to_string() }))
 }
 
-/// Counts a request of this entry for as long as it lives.
-struct CountGuard(Arc<AtomicUsize>);
+/// Counts a request, at this entry or at one endpoint, for as long as it lives.
+struct CountGuard(Arc<AtomicU32>);
 
 impl CountGuard {
-    fn new(count: &Arc<AtomicUsize>) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(count))
-    }
-}
-
-impl Drop for CountGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Counts a request at one endpoint for as long as it lives.
-struct TargetGuard(Arc<AtomicU32>);
-
-impl TargetGuard {
     fn new(count: &Arc<AtomicU32>) -> Self {
         count.fetch_add(1, Ordering::Relaxed);
         Self(Arc::clone(count))
     }
 }
 
-impl Drop for TargetGuard {
+impl Drop for CountGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/ochreyard-peer/src/entry_door.rs
+++ b/crates/ochreyard-peer/src/entry_door.rs
@@ -34,19 +34,10 @@
     token: String,
     source: Arc<S>,
 ) {
-    let executor = Handle::current();
-    thread.run(move || {
-        tokio::task::spawn_local(async move {
-            let token: Arc<str> = Arc::from(token);
-            let door = || {
-                let door =
-                    EntryServer { token: Arc::clone(&token), source: Arc::clone(&source), executor: executor.clone() };
-                new_client::<entry_door::Client, _>(door).client
-            };
-            if let Err(error) = wire::accept(listener, door).await {
-                log::error!("event=peer_listen_failed error=\"{error}\"");
-            }
-        });
+    let token: Arc<str> = Arc::from(token);
+    wire::serve(thread, listener, move |executor| {
+        let (token, source, executor) = (Arc::clone(&token), Arc::clone(&source), executor.clone());
+        new_client::<entry_door::Client, _>(EntryServer { token, source, executor }).client
     });
 }
 
--- a/crates/ochreyard-peer/src/server.rs
+++ b/crates/ochreyard-peer/src/server.rs
@@ -29,19 +29,10 @@
 ///
 /// When called outside a Tokio executor.
 pub fn serve<H: AgentHandler>(thread: &LocalThread, listener: std::net::TcpListener, token: String, handler: Arc<H>) {
-    let executor = Handle::current();
-    thread.run(move || {
-        tokio::task::spawn_local(async move {
-            let token: Arc<str> = Arc::from(token);
-            let door = || {
-                let door =
-                    DoorServer { token: Arc::clone(&token), handler: Arc::clone(&handler), executor: executor.clone() };
-                new_client::<door::Client, _>(door).client
-            };
-            if let Err(error) = wire::accept(listener, door).await {
-                log::error!("event=peer_listen_failed error=\"{error}\"");
-            }
-        });
+    let token: Arc<str> = Arc::from(token);
+    wire::serve(thread, listener, move |executor| {
+        let (token, handler, executor) = (Arc::clone(&token), Arc::clone(&handler), executor.clone());
+        new_client::<door::Client, _>(DoorServer { token, handler, executor }).client
     });
 }
 
--- a/crates/ochreyard-peer/src/wire.rs
+++ b/crates/ochreyard-peer/src/wire.rs
@@ -10,10 +10,13 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use futures::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
+use crate::local_thread::LocalThread;
+
 /// How long a connection, or the first answer on it, may take.
 pub(crate) const DIAL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a connection could not be accepted.
@@ -30,8 +33,24 @@
     Ok(RpcSystem::new(Box::new(network), bootstrap))
 }
 
-/// Accepts connections for as long as the thread runs; each gets a door of its own.
-pub(crate) async fn accept(listener: std::net::TcpListener, door: impl Fn() -> Client) -> std::io::Result<()> {
+/// Accepts connections on `thread` until it ends; each gets a door of its own,
+/// made by `door` from the executor on which its work is to run.
+pub(crate) fn serve(
+    thread: &LocalThread,
+    listener: std::net::TcpListener,
+    door: impl Fn(&Handle) -> Client + Send + 'static,
+) {
+    let executor = Handle::current();
+    thread.run(move || {
+        tokio::task::spawn_local(async move {
+            if let Err(error) = accept(listener, || door(&executor)).await {
+                log::error!("event=peer_listen_failed error=\"{error}\"");
+            }
+        });
+    });
+}
+
+async fn accept(listener: std::net::TcpListener, door: impl Fn() -> Client) -> std::io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
     loop {
--- a/crates/ochreyard-process/src/lib.rs
+++ b/crates/ochreyard-process/src/lib.rs
@@ -7,7 +7,7 @@
 mod usage;
 
 pub use clock::Clock;
-pub use logging::start_logging;
+pub use logging::{LOG_LEVEL, LOG_TARGET, start_logging};
 pub use settings::{FieldKind, FieldSpec, Settings, SettingsFault, SettingsFaults, reference};
 pub use stop::stop_signal;
 pub use usage::{exit_for_usage, exit_for_version};
--- a/crates/ochreyard-process/src/logging.rs
+++ b/crates/ochreyard-process/src/logging.rs
@@ -2,7 +2,23 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use crate::settings::Settings;
+use crate::settings::{FieldKind, FieldSpec, Settings};
+
+/// The setting for the least level of log lines.
+pub const LOG_LEVEL: FieldSpec = FieldSpec {
+    name: "log_level",
+    kind: FieldKind::Choice(&["error", "warn", "info", "debug", "trace"]),
+    default: Some("info"),
+    about: "least level of log lines",
+};
+
+/// The setting for where log lines go.
+pub const LOG_TARGET: FieldSpec = FieldSpec {
+    name: "log_target",
+    kind: FieldKind::Choice(&["stderr", "stdout"]),
+    default: Some("stderr"),
+    about: "where log lines go",
+};
 
 /// Starts logging as `log_level` and `log_target` of the settings say.
 ///
--- a/crates/ochreyard-stand-ins/src/site.rs
+++ b/crates/ochreyard-stand-ins/src/site.rs
@@ -1,9 +1,10 @@
 //! A whole installation on loopback: platform, entries, agents, endpoints, and a
 //! confirmed configuration.
 
+use ochreyard_core::hash::sha256_hex;
 use ochreyard_operator::{OperatorClient, Status};
 
-use crate::cluster::{Cluster, EndpointAt, OPERATOR_TOKEN, intent, wait_until};
+use crate::cluster::{Cluster, EndpointAt, OPERATOR_TOKEN, intent, wait_until, workspace_token};
 use crate::load::{self, Fate};
 use crate::rank_group::GroupSize;
 
@@ -110,6 +111,17 @@
         self.wait_alive().await;
     }
 
+    /// Lets a workspace run, and keep data, in one place only.
+    pub async fn restrict(&mut self, workspace: &str, place: &str) {
+        let hash = sha256_hex(&workspace_token(workspace));
+        let intent = format!(
+            "workspaces: [{{workspace: {workspace}, token_sha256: {hash}, services: [{MODEL}, {PLAIN}], \
+             run_in: [{place}], keep_in: [{place}]}}]"
+        );
+        self.version = self.cluster.apply(&self.entries[0].operators, &intent).await;
+        self.wait_alive().await;
+    }
+
     /// Waits until every entry sees every endpoint alive with the present version.
     pub async fn wait_alive(&self) {
         let names: Vec<&str> = self.endpoints.iter().map(|(at, _)| at.endpoint.as_str()).collect();
--- a/crates/ochreyard-stand-ins/tests/cuts.rs
+++ b/crates/ochreyard-stand-ins/tests/cuts.rs
@@ -1,10 +1,10 @@
 //! Cuts between entries and agents, and between entries and the platform, each
 //! direction by itself.
 
-use ochreyard_stand_ins::cluster::{EndpointAt, wait_until, workspace_token};
+use ochreyard_stand_ins::cluster::{EndpointAt, wait_until};
 use ochreyard_stand_ins::load::{self, Fate};
 use ochreyard_stand_ins::relay::{Cut, Relay};
-use ochreyard_stand_ins::site::{MODEL, PLAIN, Site, SiteSpec, WORKSPACES, fresh_key};
+use ochreyard_stand_ins::site::{PLAIN, Site, SiteSpec, WORKSPACES, fresh_key};
 use rstest::rstest;
 
 const DC: &str = "nantou-1";
@@ -89,13 +89,7 @@
     let (stale, stale_operators) = site.cluster.start_entry("stale", DC, &format!("http://{relay_addr}"), extra).await;
     site.cluster.wait_alive(&stale_operators, &["plain-1", "plain-2"], site.version).await;
     relay.set(Cut { there: true, back: true });
-    let hash = ochreyard_core::hash::sha256_hex(&workspace_token(WORKSPACES[0]));
-    let intent = format!(
-        "workspaces: [{{workspace: {}, token_sha256: {hash}, services: [{MODEL}, {PLAIN}], run_in: [{DC}], keep_in: [{DC}]}}]",
-        WORKSPACES[0]
-    );
-    site.version = site.cluster.apply(&site.entries[0].operators, &intent).await;
-    site.wait_alive().await;
+    site.restrict(WORKSPACES[0], DC).await;
     let runs = format!("{}/runs", site.url("plain-2"));
     let before = site.cluster.get_json(&runs).await;
     let mut fates = Vec::new();
--- a/crates/ochreyard-stand-ins/tests/failures.rs
+++ b/crates/ochreyard-stand-ins/tests/failures.rs
@@ -266,13 +266,7 @@
 async fn places_hold_through_a_change_of_permission() {
     let far = "nantou-2";
     let mut site = Site::start(&SiteSpec { plains: vec![DC, far], ..spec() }).await;
-    let hash = ochreyard_core::hash::sha256_hex(&workspace_token(WORKSPACES[0]));
-    let intent = format!(
-        "workspaces: [{{workspace: {}, token_sha256: {hash}, services: [{MODEL}, {PLAIN}], run_in: [{DC}], keep_in: [{DC}]}}]",
-        WORKSPACES[0]
-    );
-    site.version = site.cluster.apply(&site.entries[0].operators, &intent).await;
-    site.wait_alive().await;
+    site.restrict(WORKSPACES[0], DC).await;
     let before = site.cluster.get_json(&format!("{}/runs", site.url("plain-2"))).await;
     for number in 0..30 {
         assert_eq!(fetch(&site, number % 2).await, Fate::Whole);
