--- /dev/null
+++ b/crates/ochreyard-core/examples/state_size.rs
@@ -0,0 +1,89 @@
+//! Size of the configuration at the size of two years on.
+//!
+//! `cargo run --release -p ochreyard-core --example state_size`
+
+use std::time::Instant;
+
+use ochreyard_core::config::{
+    Change, Configuration, ConfirmedPlan, EndpointSpec, Holding, PlaceSpec, Role, ServiceKind, ServiceSpec,
+    WorkspaceSpec,
+};
+use ochreyard_core::hash::sha256_hex;
+use ochreyard_core::home::{HomeAnswer, key_hash};
+
+const WORKSPACES: usize = 360;
+const MODELS: usize = 24;
+const GROUPS: usize = 172;
+const PLACES: usize = 8;
+
+fn service(number: usize) -> ServiceSpec {
+    let kind = ServiceKind::Model;
+    ServiceSpec { service: format!("model-{number}").into(), kind, first_byte_ms: 620, objective_permille: 950 }
+}
+
+fn place(number: usize) -> PlaceSpec {
+    let holding = |model| Holding {
+        service: format!("model-{model}").into(),
+        model_versions: ["v1".to_owned()].into(),
+        roles: [Role::Mixed].into(),
+    };
+    PlaceSpec { data_centre: format!("dc-{number}").into(), may_hold: (0..MODELS).map(holding).collect() }
+}
+
+fn workspace(number: usize) -> WorkspaceSpec {
+    WorkspaceSpec {
+        workspace: format!("workspace-{number}").into(),
+        token_sha256: sha256_hex(&number.to_string()),
+        services: (0..MODELS).map(|model| format!("model-{model}").into()).collect(),
+        run_in: (0..4).map(|dc| format!("dc-{}", (number + dc) % PLACES).into()).collect(),
+        keep_in: (0..2).map(|dc| format!("dc-{}", (number + dc) % PLACES).into()).collect(),
+    }
+}
+
+fn endpoint(number: usize) -> EndpointSpec {
+    EndpointSpec {
+        endpoint: format!("group-{number}").into(),
+        service: format!("model-{}", number % MODELS).into(),
+        data_centre: format!("dc-{}", number % PLACES).into(),
+        agent_addr: format!("10.0.{}.{}:7001", number / 200, number % 200).parse().expect("an address"),
+        model_version: "v1".into(),
+        role: Role::Mixed,
+        slots: 64,
+    }
+}
+
+fn main() {
+    let change = Change {
+        services: (0..MODELS).map(service).collect(),
+        places: (0..PLACES).map(place).collect(),
+        workspaces: (0..WORKSPACES).map(workspace).collect(),
+        endpoints: (0..GROUPS).map(endpoint).collect(),
+        ..Change::default()
+    };
+    let mut config = Configuration::default();
+    config
+        .apply(0, &ConfirmedPlan { plan_id: "p".into(), base_version: 0, change })
+        .expect("the change holds together");
+    let state_bytes = serde_json::to_vec(&config).expect("a state is JSON").len();
+
+    let one = Change { workspaces: vec![workspace(7)], ..Change::default() };
+    let plan = ConfirmedPlan { plan_id: "q".into(), base_version: 1, change: one };
+    let record_bytes = serde_json::to_vec(&plan).expect("a plan is JSON").len();
+    let rounds = 50;
+    let started = Instant::now();
+    for _ in 0..rounds {
+        config.clone().apply(2, &plan).expect("the change holds together");
+    }
+    let apply_us = started.elapsed().as_micros() / rounds;
+
+    let view = config.home_view(&"workspace-1".into(), &"model-1".into());
+    let started = Instant::now();
+    let keys = 10_000;
+    let at_home = (0..keys)
+        .filter(|key| matches!(view.home_of(key_hash("workspace-1", "model-1", &key.to_string())), HomeAnswer::At(_)))
+        .count();
+    let home_us = started.elapsed().as_secs_f64() * 1e6 / f64::from(keys);
+    println!(
+        "measure=state_size state_bytes={state_bytes} record_bytes={record_bytes} apply_us={apply_us} home_us={home_us:.2} keys_with_home={at_home}"
+    );
+}
--- a/crates/ochreyard-core/src/admission.rs
+++ b/crates/ochreyard-core/src/admission.rs
@@ -9,7 +9,6 @@
 mod key_store;
 mod offer;
 mod settings;
-mod slot_shares;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -24,7 +23,6 @@
 pub use key_store::{KeptAnswer, KeyClock, KeyId, KeyOutcome, KeyStore, KeyVerdict, key_date_ms};
 pub use offer::{Offer, OfferKey, Outcome};
 pub use settings::AdmissionSettings;
-pub use slot_shares::SlotShares;
 
 /// What the shell is to do after an event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,7 +67,6 @@
     keys: KeyStore,
     queue: FairQueue,
     running: BTreeMap<AttemptId, Running>,
-    shares: SlotShares,
     mean_run_ms: u64,
 }
 
@@ -89,7 +86,6 @@
             keys,
             queue,
             running: BTreeMap::new(),
-            shares: SlotShares::default(),
             mean_run_ms: 0,
         }
     }
@@ -193,7 +189,6 @@
         if !self.attempts.is_new(attempt) {
             return vec![AdmissionAction::Repeated(attempt)];
         }
-        self.shares.note_offer(&offer.workspace, now_ms);
         match self.judge(&offer, now_ms) {
             Ok(None) => self.admit(offer, now_ms),
             Ok(Some(answer)) => {
@@ -210,7 +205,6 @@
             return Vec::new();
         };
         self.attempts.set(attempt, AttemptState::Closed);
-        self.shares.note_end(&running.offer.workspace);
         let took_ms = now_ms.saturating_sub(running.started_ms);
         self.mean_run_ms = if self.mean_run_ms == 0 { took_ms } else { (self.mean_run_ms * 7 + took_ms) / 8 };
         self.queue.correct(&running.offer.workspace, running.offer.cost, outcome.cost);
@@ -265,14 +259,14 @@
     /// Time passes: what waits beyond its deadline gets its final answer.
     pub fn tick(&mut self, now_ms: u64) -> Vec<AdmissionAction> {
         self.keys.expire(now_ms);
-        let mut actions = self.fill_slots(now_ms);
         let late = self.queue.take_late(now_ms);
         let refusal = |me: &Self| Refusal::new(ErrorKind::DeadlineBeforeStart).with_retry_after_ms(me.drain_ms());
-        actions.extend(late.into_iter().map(|w| {
-            let refusal = refusal(self);
-            self.give_back(&w.offer, refusal)
-        }));
-        actions
+        late.into_iter()
+            .map(|w| {
+                let refusal = refusal(self);
+                self.give_back(&w.offer, refusal)
+            })
+            .collect()
     }
 
     /// Predicted time until what waits has started, in milliseconds.
@@ -347,7 +341,7 @@
 
     fn check_room(&self, offer: &Offer) -> Result<(), Refusal> {
         let free = (self.running.len() as u64) < u64::from(self.slots());
-        if free && self.queue.is_empty() && self.shares.may_start(&offer.workspace, self.slots(), &self.queue) {
+        if free && self.queue.is_empty() {
             return Ok(());
         }
         let overloaded = Refusal::new(ErrorKind::Overloaded).with_retry_after_ms(self.drain_ms());
@@ -372,14 +366,8 @@
 
     fn fill_slots(&mut self, now_ms: u64) -> Vec<AdmissionAction> {
         let mut actions = Vec::new();
-        let slots = self.slots();
-        self.shares.forget_idle(now_ms);
-        while (self.running.len() as u64) < u64::from(slots) {
-            let Some(waiting) = self.queue.pop(|queue, workspace| self.shares.may_start(workspace, slots, queue))
-            else {
-                break;
-            };
-            self.shares.note_start(&waiting.offer.workspace);
+        while (self.running.len() as u64) < u64::from(self.slots()) {
+            let Some(waiting) = self.queue.pop() else { break };
             let attempt = waiting.offer.attempt;
             self.attempts.set(attempt, AttemptState::Started);
             self.running.insert(attempt, Running { offer: waiting.offer, started_ms: now_ms });
--- a/crates/ochreyard-core/src/admission/fair_queue.rs
+++ b/crates/ochreyard-core/src/admission/fair_queue.rs
@@ -91,23 +91,10 @@
         self.len += 1;
     }
 
-    /// Whether a workspace has an offer waiting.
-    #[must_use]
-    pub fn is_waiting(&self, workspace: &WorkspaceId) -> bool {
-        self.lanes.get(workspace).is_some_and(|lane| !lane.waiting.is_empty())
-    }
-
-    /// Takes the offer whose turn it is, of the workspaces that `may_start` one now.
-    pub fn pop(&mut self, may_start: impl Fn(&Self, &WorkspaceId) -> bool) -> Option<Waiting> {
-        let mut passed_over = 0;
-        while passed_over < self.round.len() {
+    /// Takes the offer whose turn it is.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        loop {
             let workspace = self.round.front()?.clone();
-            if !may_start(self, &workspace) {
-                self.next_lane();
-                passed_over += 1;
-                continue;
-            }
-            passed_over = 0;
             let lane = self.lanes.get_mut(&workspace)?;
             if !self.front_was_credited {
                 lane.deficit += QUANTUM;
@@ -121,14 +108,9 @@
                 self.close_if_empty(&workspace);
                 return waiting;
             }
-            self.next_lane();
+            self.round.rotate_left(1);
+            self.front_was_credited = false;
         }
-        None
-    }
-
-    fn next_lane(&mut self) {
-        self.round.rotate_left(1);
-        self.front_was_credited = false;
     }
 
     /// Charges a workspace the difference between predicted and real work.
--- a/crates/ochreyard-stand-ins/examples/measure.rs
+++ b/crates/ochreyard-stand-ins/examples/measure.rs
@@ -1,7 +1,7 @@
 //! Measurements with the real processes on loopback.
 //!
 //! `cargo build --release --workspace --bins --examples`, then
-//! `target/release/examples/measure routing|path|memory|config|fairness|overload`.
+//! `target/release/examples/measure routing|path|memory|frames|config|fairness|overload`.
 //! Each prints one line a case, of key=value pairs.
 
 use std::sync::Arc;
@@ -26,10 +26,11 @@
         Some("routing") => routing().await,
         Some("path") => path().await,
         Some("memory") => memory().await,
+        Some("frames") => frames().await,
         Some("config") => config().await,
         Some("fairness") => fairness().await,
         Some("overload") => overload().await,
-        _ => eprintln!("usage: measure routing|path|memory|config|fairness|overload"),
+        _ => eprintln!("usage: measure routing|path|memory|frames|config|fairness|overload"),
     }
 }
 
@@ -261,6 +262,29 @@
     print("workspaces_1000_services_10");
 }
 
+/// Processor time for each token that is streamed.
+async fn frames() {
+    const STREAMS: u64 = 200;
+    const TOKENS: u64 = 1_000;
+    let spec = SiteSpec { entries: vec![DC], groups: vec![DC], slots: 2048, ..SiteSpec::default() };
+    let site = Site::start(&spec).await;
+    let before = (site.cluster.usage("entry-1").1, site.cluster.usage("agent-group-1").1);
+    let mut streams = JoinSet::new();
+    for number in 0..STREAMS {
+        let (http, entry) = (site.cluster.http().clone(), site.entries[0].callers.clone());
+        let text = format!("s{number}");
+        streams.spawn(async move { load::prompt_of(&http, &entry, WORKSPACES[0], MODEL, &text, true, TOKENS).await });
+    }
+    let whole = streams.join_all().await.iter().filter(|fate| **fate == Fate::Whole).count();
+    let after = (site.cluster.usage("entry-1").1, site.cluster.usage("agent-group-1").1);
+    let each_us = |ticks: u64| ticks as f64 * 10_000.0 / (STREAMS * TOKENS) as f64;
+    println!(
+        "measure=frames streams={STREAMS} tokens={TOKENS} whole={whole} entry_cpu_us_per_token={:.1} agent_cpu_us_per_token={:.1}",
+        each_us(after.0 - before.0),
+        each_us(after.1 - before.1)
+    );
+}
+
 async fn config() {
     const CHANGES: u64 = 20;
     let spec = SiteSpec {
