--- a/crates/ochreyard-stand-ins/src/plain.rs
+++ b/crates/ochreyard-stand-ins/src/plain.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use axum::body::Bytes;
-use axum::extract::State;
+use axum::body::{Body, Bytes};
+use axum::extract::{Path, State};
 use axum::http::{HeaderMap, StatusCode, Uri};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -25,8 +25,13 @@
 struct Inner {
     runs: BTreeMap<String, u64>,
     fault: PlainFault,
+    /// Chunks of large answers that have been taken from this service.
+    chunks: u64,
 }
 
+/// Bytes of a chunk of a large answer.
+pub const CHUNK_BYTES: usize = 64 * 1024;
+
 /// The state of the stand-in.
 #[derive(Debug, Clone, Default)]
 pub struct PlainService(Arc<Mutex<Inner>>);
@@ -36,6 +41,8 @@
     pub fn router(self) -> Router {
         Router::new()
             .route("/runs", get(runs))
+            .route("/big/{chunks}", get(big))
+            .route("/chunks", get(chunks))
             .route("/fault", post(set_fault))
             .route("/control/load", get(|| async { Json(serde_json::json!({})) }))
             .fallback(run)
@@ -51,6 +58,20 @@
     Json(service.with(|inner| inner.runs.clone()))
 }
 
+async fn chunks(State(service): State<PlainService>) -> Json<u64> {
+    Json(service.with(|inner| inner.chunks))
+}
+
+/// A large answer, made chunk by chunk as it is taken.
+async fn big(State(service): State<PlainService>, Path(chunks): Path<u64>) -> Body {
+    Body::from_stream(async_stream::stream! {
+        for _ in 0..chunks {
+            service.with(|inner| inner.chunks += 1);
+            yield Ok::<_, std::convert::Infallible>(Bytes::from(vec![b'x'; CHUNK_BYTES]));
+        }
+    })
+}
+
 async fn set_fault(State(service): State<PlainService>, Json(fault): Json<PlainFault>) {
     service.with(|inner| inner.fault = fault);
 }
--- a/crates/ochreyard-stand-ins/tests/path.rs
+++ b/crates/ochreyard-stand-ins/tests/path.rs
@@ -108,3 +108,30 @@
     assert_eq!(answer.headers()["ochreyard-run"], "may-have-run");
     assert_eq!(answer.headers()["retry-after"], "1");
 }
+
+/// A caller that does not read holds the endpoint back; nothing on the way fills up.
+#[tokio::test]
+async fn a_slow_caller_fills_no_memory_and_gets_its_whole_answer_in_the_end() {
+    const CHUNKS: u64 = 2_048;
+    const SAME_LOOKS: u32 = 20;
+    const GROWTH_KIB: u64 = 32 * 1024;
+    let site = Site::start(&small()).await;
+    let usage = || (site.cluster.usage("entry-1").0, site.cluster.usage("agent-plain-1").0);
+    let before = usage();
+    let request = site.cluster.http().get(format!("{}/{PLAIN}/big/{CHUNKS}", site.entries[0].callers));
+    let answer = request.bearer_auth(workspace_token(WORKSPACES[0])).send().await.unwrap();
+    let taken = format!("{}/chunks", site.url("plain-1"));
+    let (mut last, mut same) = (0, 0);
+    wait_until("the endpoint is held back", async || {
+        let now = site.cluster.get_json(&taken).await.as_u64().unwrap();
+        same = if now == last { same + 1 } else { 0 };
+        last = now;
+        same >= SAME_LOOKS
+    })
+    .await;
+    assert!(last < CHUNKS / 2, "{last} of {CHUNKS} chunks were taken for a caller that reads nothing");
+    let after = usage();
+    assert!(after.0 < before.0 + GROWTH_KIB && after.1 < before.1 + GROWTH_KIB, "{before:?} {after:?}");
+    let body = answer.bytes().await.unwrap();
+    assert_eq!(body.len(), CHUNKS as usize * ochreyard_stand_ins::plain::CHUNK_BYTES);
+}
