Send agents what changed in place of the whole configuration

Cause: each change sent the whole state to each agent: 261,340 bytes at the size of two years on, 16 times the 3 KB/s budget at 0.19 changes a second (docs/CAPACITY.md). An entry remembers the last 256 records with an effect; an agent whose version is among them gets the records since, applies them in the log's order, and has the same state. Others get the whole, as before. Ruled out: differences of states, which would be a second way to change one.

--- a/crates/ochreyard-agent/src/call.rs
+++ b/crates/ochreyard-agent/src/call.rs
@@ -5,7 +5,7 @@
 
 use kameo::actor::ActorRef;
 use ochreyard_core::admission::{KeptAnswer, Offer, Outcome, RevokeAnswer};
-use ochreyard_core::config::Configuration;
+use ochreyard_core::config::{Configuration, Delta};
 use ochreyard_core::error_kind::{ErrorKind, Refusal, Run};
 use ochreyard_core::frame::{Frame, FrameBody, FrameWriter};
 use ochreyard_core::ids::{AttemptId, Incarnation};
@@ -51,6 +51,14 @@
         version
     }
 
+    async fn extend(&self, delta: Delta) -> u64 {
+        let held = self.config.read().ok().and_then(|held| held.clone()).unwrap_or_default();
+        match delta.applied_to(&held) {
+            Some(next) => self.configure(Arc::new(next)).await,
+            None => held.version(),
+        }
+    }
+
     async fn call(&self, call: CallRequest, frames: mpsc::Sender<Frame>) -> CallEnd {
         let attempt = call.offer.attempt;
         let Ok(mut ruling) = self.admission.ask(TakeOffer(call.offer.clone())).await else {
--- a/crates/ochreyard-core/src/config.rs
+++ b/crates/ochreyard-core/src/config.rs
@@ -3,6 +3,7 @@
 
 mod change;
 mod configuration;
+mod delta;
 mod fold;
 mod plan;
 mod record;
@@ -10,6 +11,7 @@
 
 pub use change::{Change, ChangeFault, ObjectKey, Removal};
 pub use configuration::{Applied, Configuration, Void};
+pub use delta::{Delta, EffectiveRecord};
 pub use fold::{ConfigFold, FoldEvent, FoldStatus, LogPage, LogRecord};
 pub use plan::{Plan, PlanStep};
 pub use record::{ConfigRecord, ConfirmedPlan, HomeAck};
--- a/crates/ochreyard-core/src/config/fold.rs
+++ b/crates/ochreyard-core/src/config/fold.rs
@@ -4,12 +4,16 @@
 use std::sync::Arc;
 
 use super::configuration::{Configuration, Void};
+use super::delta::{Delta, EffectiveRecord};
 use super::record::{ConfigRecord, ConfirmedPlan};
 use crate::ids::PlanId;
 
 /// How many proposals and outcomes are remembered.
 const MAX_REMEMBERED_PLANS: usize = 1024;
 
+/// How many records with an effect are remembered for those who lack them.
+const MAX_RECENT_RECORDS: usize = 256;
+
 /// One record as the log service gives it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogRecord {
@@ -80,6 +84,8 @@
     proposals: BTreeMap<PlanId, ConfirmedPlan>,
     outcomes: BTreeMap<PlanId, Result<u64, Void>>,
     remembered: VecDeque<PlanId>,
+    /// Records with an effect, each with the version before it.
+    recent: VecDeque<(u64, EffectiveRecord)>,
 }
 
 impl ConfigFold {
@@ -129,6 +135,14 @@
         self.outcomes.get(plan_id)
     }
 
+    /// What changed since `version`, if that is remembered.
+    #[must_use]
+    pub fn delta_since(&self, version: u64) -> Option<Delta> {
+        let start = self.recent.iter().position(|(before, _)| *before == version)?;
+        let records = self.recent.iter().skip(start).map(|(_, record)| record.clone()).collect();
+        Some(Delta { from_version: version, records })
+    }
+
     /// Takes over a state from a peer, if it is newer than the own one.
     pub fn adopt(&mut self, state: Arc<Configuration>) -> bool {
         let newer = self.state.as_ref().is_none_or(|own| position(&state) > position(own));
@@ -136,6 +150,7 @@
             self.cursor = state.folded_to();
             self.state = Some(state);
             self.rebase = None;
+            self.recent.clear();
         }
         newer
     }
@@ -188,6 +203,7 @@
     }
 
     fn apply(&mut self, offset: u64, record: &ConfigRecord, events: &mut Vec<FoldEvent>) {
+        let before = self.version();
         let Some(state) = self.state.as_mut() else { return };
         match record {
             ConfigRecord::Proposed(plan) => self.remember_proposal(plan),
@@ -204,6 +220,17 @@
             }
             ConfigRecord::Snapshot { .. } | ConfigRecord::Seed { .. } => {}
         }
+        if self.version() != before {
+            self.remember_recent(before, offset, record);
+        }
+    }
+
+    fn remember_recent(&mut self, before: u64, offset: u64, record: &ConfigRecord) {
+        let record = EffectiveRecord { offset, record: Arc::new(record.clone()) };
+        self.recent.push_back((before, record));
+        if self.recent.len() > MAX_RECENT_RECORDS {
+            self.recent.pop_front();
+        }
     }
 
     /// Looks for a state to start from, after records expired unread.
@@ -241,6 +268,7 @@
             return;
         }
         self.state = Some(Arc::new(*state));
+        self.recent.clear();
         for (offset, record) in scanned.iter().filter(|(offset, _)| *offset >= from) {
             self.apply(*offset, record, events);
         }
--- a/crates/ochreyard-core/tests/config_fold.rs
+++ b/crates/ochreyard-core/tests/config_fold.rs
@@ -67,6 +67,9 @@
     readers: Vec<ConfigFold>,
     /// Highest version that each life of a reader has had in force.
     highest: Vec<u64>,
+    /// An agent of each reader, which gets differences where there are any.
+    agents: Vec<Arc<Configuration>>,
+    differences: u64,
     plans: Vec<ConfirmedPlan>,
     snapshots: Vec<ConfigRecord>,
     /// What the log says, from its first record on, with nothing expired.
@@ -85,6 +88,7 @@
         Self {
             readers: (0..READERS).map(|_| ConfigFold::new()).collect(),
             highest: vec![0; READERS],
+            agents: vec![Arc::default(); READERS],
             ..Self::default()
         }
     }
@@ -181,8 +185,20 @@
         self.check(reader);
     }
 
+    /// The agent has the reader's state afterwards, by differences or whole.
+    fn tell_agent(&mut self, reader: usize) {
+        let fold = &self.readers[reader];
+        let Some(state) = fold.state().filter(|state| state.version() > self.agents[reader].version()) else { return };
+        let delta = fold.delta_since(self.agents[reader].version());
+        let by_delta = delta.and_then(|delta| delta.applied_to(&self.agents[reader]));
+        self.differences += u64::from(by_delta.is_some());
+        self.agents[reader] = by_delta.map_or_else(|| Arc::clone(state), Arc::new);
+        assert_eq!(without_position(&self.agents[reader]), without_position(state));
+    }
+
     /// The same version is the same state as the log's own, and no reader goes back.
     fn check(&mut self, reader: usize) {
+        self.tell_agent(reader);
         let Some(state) = self.readers[reader].state() else { return };
         let version = state.version();
         assert!(version >= self.highest[reader], "reader {reader} went back to {version}");
@@ -287,3 +303,16 @@
         assert_eq!(world.readers[reader].status(), FoldStatus::Following);
     }
 }
+
+#[test]
+fn an_agent_that_follows_gets_differences_and_one_that_lags_far_gets_the_whole() {
+    let mut world = World::new();
+    for number in 0..300 {
+        world.append(&ConfigRecord::Confirmed(confirmed(&format!("p{number}"), number, service(number + 1))));
+        world.read(0, 9);
+    }
+    // The first one starts from an empty configuration, which has a version too.
+    assert_eq!(world.differences, 300);
+    assert!(world.readers[0].delta_since(1).is_none());
+    assert_eq!(world.readers[0].delta_since(299).unwrap().records.len(), 1);
+}
--- a/crates/ochreyard-entry/src/balancer.rs
+++ b/crates/ochreyard-entry/src/balancer.rs
@@ -13,7 +13,7 @@
 use ochreyard_operator::{BurnRow, Status};
 use ochreyard_process::Clock;
 
-use crate::state::{Admitted, DueBeat, EntryState, Target, Wanted};
+use crate::state::{Admitted, DueBeat, EntryState, Lacking, Target, Wanted};
 
 /// Owns the state of the entry; each message is one event.
 #[derive(Actor)]
@@ -63,7 +63,7 @@
     |me, _msg| me.state.fold().cursor()
 );
 message!(
-    /// An agent has reported. The configuration comes back if the agent lacks it.
+    /// An agent has reported. What the agent lacks of the configuration comes back.
     TakeReport {
         /// The endpoint.
         endpoint: EndpointId,
@@ -71,7 +71,7 @@
         former_addr: Option<SocketAddr>,
         /// What its agent said.
         report: AgentReport
-    } -> Option<Arc<Configuration>>,
+    } -> Option<Lacking>,
     |me, msg| match msg.former_addr {
         Some(addr) => me.state.take_former_report((msg.endpoint, addr), msg.report.config_version),
         None => me.state.take_report(&msg.endpoint, msg.report, me.clock.now_ms()),
--- a/crates/ochreyard-entry/src/state.rs
+++ b/crates/ochreyard-entry/src/state.rs
@@ -18,7 +18,7 @@
 use ochreyard_core::retry::RetryBudget;
 use ochreyard_peer::{AgentLink, Heartbeat, LocalThread};
 
-pub use types::{Admitted, DueBeat, EntryIdentity, Target, Wanted};
+pub use types::{Admitted, DueBeat, EntryIdentity, Lacking, Target, Wanted};
 
 struct Peer {
     link: AgentLink,
@@ -168,24 +168,24 @@
     }
 
     /// Takes the report of an agent that the configuration no longer names.
-    pub fn take_former_report(&mut self, home: (EndpointId, SocketAddr), version: u64) -> Option<Arc<Configuration>> {
+    pub fn take_former_report(&mut self, home: (EndpointId, SocketAddr), version: u64) -> Option<Lacking> {
         self.former_homes.get_mut(&home)?.config_version = version;
-        self.fold.state().filter(|config| version < config.version()).cloned()
+        self.lacking(version)
     }
 
-    /// Takes an agent's report. The configuration is returned if the agent lacks it.
-    pub fn take_report(
-        &mut self,
-        endpoint: &EndpointId,
-        report: AgentReport,
-        now_ms: u64,
-    ) -> Option<Arc<Configuration>> {
+    fn lacking(&self, version: u64) -> Option<Lacking> {
+        let config = self.fold.state().filter(|config| version < config.version()).cloned()?;
+        Some(Lacking { config, delta: self.fold.delta_since(version) })
+    }
+
+    /// Takes an agent's report. What the agent lacks of the configuration is returned.
+    pub fn take_report(&mut self, endpoint: &EndpointId, report: AgentReport, now_ms: u64) -> Option<Lacking> {
         let version = report.config_version;
         let is_news = self.membership.on_report(endpoint, report, now_ms);
         if let Some(peer) = self.peers.get_mut(endpoint).filter(|_| is_news) {
             peer.at_report = peer.in_flight.load(Ordering::Relaxed);
         }
-        self.fold.state().filter(|config| version < config.version()).cloned()
+        self.lacking(version)
     }
 
     /// Notes that the link to an agent broke.
--- a/crates/ochreyard-entry/src/state/types.rs
+++ b/crates/ochreyard-entry/src/state/types.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 
+use ochreyard_core::config::{Configuration, Delta};
 use ochreyard_core::ids::{BoxId, EndpointId, Incarnation, ServiceId, WorkspaceId};
 use ochreyard_core::membership::SilenceLimits;
 use ochreyard_core::routing::Policy;
@@ -78,3 +79,12 @@
     /// What to say.
     pub beat: Heartbeat,
 }
+
+/// What an agent lacks of the configuration.
+#[derive(Debug)]
+pub struct Lacking {
+    /// The whole configuration.
+    pub config: Arc<Configuration>,
+    /// What changed since the version that the agent has, if that is remembered.
+    pub delta: Option<Delta>,
+}
--- a/crates/ochreyard-entry/src/upkeep.rs
+++ b/crates/ochreyard-entry/src/upkeep.rs
@@ -7,14 +7,14 @@
 
 use kameo::actor::ActorRef;
 use ochreyard_core::config::{ConfigRecord, FoldEvent};
-use ochreyard_peer::{LocalThread, fetch_state};
+use ochreyard_peer::{AgentLink, LinkError, LocalThread, fetch_state};
 use ochreyard_platform::{BoxList, BoxState, LogStream, PlatformError};
 use ochreyard_process::Clock;
 
 use crate::balancer::{
     Adopt, Balancer, Cursor, DueBeats, DueRecords, GetSeed, LinkBroke, NeedsPeers, ReadPage, TakeBoxList, TakeReport,
 };
-use crate::state::DueBeat;
+use crate::state::{DueBeat, Lacking};
 
 /// Records that are read at once.
 const PAGE_RECORDS: u32 = 500;
@@ -151,8 +151,8 @@
     match tokio::time::timeout(timeout, link.heartbeat(beat)).await {
         Ok(Ok(report)) => {
             let lacking = balancer.ask(TakeReport { endpoint, former_addr, report }).await.ok().flatten();
-            if let Some(config) = lacking
-                && let Err(error) = link.configure(config).await
+            if let Some(lacking) = lacking
+                && let Err(error) = bring_up_to_date(&link, lacking).await
             {
                 log::warn!("event=configure_failed error=\"{error}\"");
             }
@@ -168,6 +168,17 @@
     }
 }
 
+/// Sends what changed, or the whole configuration where that is not enough.
+async fn bring_up_to_date(link: &AgentLink, lacking: Lacking) -> Result<(), LinkError> {
+    let Lacking { config, delta } = lacking;
+    if let Some(delta) = delta
+        && link.extend(delta).await? >= config.version()
+    {
+        return Ok(());
+    }
+    link.configure(config).await.map(drop)
+}
+
 async fn write<L: LogStream>(log: &L, record: &ConfigRecord) {
     let Ok(text) = serde_json::to_string(record) else { return };
     if let Err(error) = log.append(&text).await {
--- a/crates/ochreyard-peer/schema/agent.capnp
+++ b/crates/ochreyard-peer/schema/agent.capnp
@@ -75,6 +75,9 @@
   call @2 (offer :Offer, request :Request, sink :FrameSink) -> (refused :Bool, refusal :Refusal);
   cancel @3 (attempt :AttemptId) -> ();
   revoke @4 (attempt :AttemptId, to :UInt64) -> (answer :RevokeAnswer);
+  # What changed since the version that the agent reported. The answer is the
+  # version in force; an older one than wanted asks for the whole state.
+  extend @5 (delta :Data) -> (version :UInt64);
 }
 
 enum RevokeAnswer {
--- a/crates/ochreyard-peer/src/agent_capnp.rs
+++ b/crates/ochreyard-peer/src/agent_capnp.rs
@@ -3128,6 +3128,8 @@
     pub type CancelResults<> = ::capnp::capability::Results<crate::agent_capnp::agent::cancel_results::Owned>;
     pub type RevokeParams<> = ::capnp::capability::Params<crate::agent_capnp::agent::revoke_params::Owned>;
     pub type RevokeResults<> = ::capnp::capability::Results<crate::agent_capnp::agent::revoke_results::Owned>;
+    pub type ExtendParams<> = ::capnp::capability::Params<crate::agent_capnp::agent::extend_params::Owned>;
+    pub type ExtendResults<> = ::capnp::capability::Results<crate::agent_capnp::agent::extend_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -3192,6 +3194,9 @@
         pub fn revoke_request(&self) -> ::capnp::capability::Request<crate::agent_capnp::agent::revoke_params::Owned,crate::agent_capnp::agent::revoke_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn extend_request(&self) -> ::capnp::capability::Request<crate::agent_capnp::agent::extend_params::Owned,crate::agent_capnp::agent::extend_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn heartbeat(self: ::capnp::capability::Rc<Self>, _: HeartbeatParams<>, _: HeartbeatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::heartbeat not implemented".to_string()))) }
@@ -3199,6 +3204,7 @@
         fn call(self: ::capnp::capability::Rc<Self>, _: CallParams<>, _: CallResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::call not implemented".to_string()))) }
         fn cancel(self: ::capnp::capability::Rc<Self>, _: CancelParams<>, _: CancelResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::cancel not implemented".to_string()))) }
         fn revoke(self: ::capnp::capability::Rc<Self>, _: RevokeParams<>, _: RevokeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::revoke not implemented".to_string()))) }
+        fn extend(self: ::capnp::capability::Rc<Self>, _: ExtendParams<>, _: ExtendResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::extend not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -3233,6 +3239,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::call(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::cancel(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::revoke(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::extend(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -5460,6 +5467,409 @@
             pub(crate) const TYPE_ID: u64 = 0xfdea_4961_cc06_d96b;
         }
     }
+
+    pub mod extend_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_delta(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_delta(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_delta(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_delta(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_delta(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_delta(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(29, 223, 226, 168, 127, 113, 126, 241),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 110, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
+                ::capnp::word(116, 46, 101, 120, 116, 101, 110, 100),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 101, 108, 116, 97, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xf17e_717f_a8e2_df1d;
+        }
+    }
+
+    pub mod extend_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_version(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_version(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_version(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(249, 247, 60, 194, 150, 147, 25, 138),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 110, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
+                ::capnp::word(116, 46, 101, 120, 116, 101, 110, 100),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x8a19_9396_c23c_f7f9;
+        }
+    }
 }
 
 #[repr(u16)]
--- a/crates/ochreyard-peer/src/handler.rs
+++ b/crates/ochreyard-peer/src/handler.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use ochreyard_core::admission::RevokeAnswer;
-use ochreyard_core::config::Configuration;
+use ochreyard_core::config::{Configuration, Delta};
 use ochreyard_core::frame::Frame;
 use ochreyard_core::ids::{AttemptId, Incarnation};
 use ochreyard_core::membership::AgentReport;
@@ -20,6 +20,9 @@
     /// Puts a configuration in force, unless it is older, and returns the version in force.
     fn configure(&self, config: Arc<Configuration>) -> impl Future<Output = u64> + Send;
 
+    /// Puts what changed in force, if it starts from the version in force, and returns that afterwards.
+    fn extend(&self, delta: Delta) -> impl Future<Output = u64> + Send;
+
     /// Runs a call; frames of the answer go to `frames`, which is closed when the caller has gone.
     fn call(&self, call: CallRequest, frames: mpsc::Sender<Frame>) -> impl Future<Output = CallEnd> + Send;
 
--- a/crates/ochreyard-peer/src/link.rs
+++ b/crates/ochreyard-peer/src/link.rs
@@ -7,7 +7,7 @@
 use capnp::capability::Rc;
 use capnp_rpc::new_client;
 use ochreyard_core::admission::RevokeAnswer;
-use ochreyard_core::config::Configuration;
+use ochreyard_core::config::{Configuration, Delta};
 use ochreyard_core::frame::Frame;
 use ochreyard_core::ids::{AttemptId, Incarnation};
 use ochreyard_core::membership::AgentReport;
@@ -43,6 +43,7 @@
 enum Command {
     Heartbeat(Heartbeat, Reply<AgentReport>),
     Configure(Arc<Configuration>, Reply<u64>),
+    Extend(Delta, Reply<u64>),
     Call(Box<CallRequest>, mpsc::Sender<Frame>, Reply<CallEnd>),
     Revoke(AttemptId, Incarnation, Reply<RevokeAnswer>),
     Reset,
@@ -85,6 +86,16 @@
         self.ask(|reply| Command::Configure(config, reply)).await
     }
 
+    /// Sends what changed, and returns the version in force at the agent: an older
+    /// one than wanted asks for the whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when no answer came back.
+    pub async fn extend(&self, delta: Delta) -> Result<u64, LinkError> {
+        self.ask(|reply| Command::Extend(delta, reply)).await
+    }
+
     /// Makes a call; frames of the answer go to `frames`. When its receiver is
     /// dropped, the agent is told to cancel.
     ///
@@ -157,6 +168,7 @@
     match command {
         Command::Heartbeat(_, reply) => drop(reply.send(Err(error.clone()))),
         Command::Configure(_, reply) => drop(reply.send(Err(error.clone()))),
+        Command::Extend(_, reply) => drop(reply.send(Err(error.clone()))),
         Command::Call(_, _, reply) => drop(reply.send(Err(error.clone()))),
         Command::Revoke(_, _, reply) => drop(reply.send(Err(error.clone()))),
         Command::Reset => {}
@@ -167,6 +179,7 @@
     match command {
         Command::Heartbeat(beat, reply) => drop(reply.send(or_lost(heartbeat(&agent, &beat), life).await)),
         Command::Configure(config, reply) => drop(reply.send(or_lost(configure(&agent, &config), life).await)),
+        Command::Extend(delta, reply) => drop(reply.send(or_lost(extend(&agent, &delta), life).await)),
         Command::Call(call, frames, reply) => drop(reply.send(or_lost(make_call(&agent, &call, frames), life).await)),
         Command::Revoke(attempt, to, reply) => drop(reply.send(or_lost(revoke(&agent, attempt, to), life).await)),
         Command::Reset => {}
@@ -197,12 +210,22 @@
 
 async fn configure(agent: &agent::Client, config: &Configuration) -> Result<u64, Error> {
     let state = serde_json::to_vec(config).map_err(|error| Error::failed(error.to_string()))?;
+    metrics::counter!("ochreyard_entry_config_sent_bytes_total").increment(state.len() as u64);
     let mut request = agent.configure_request();
     request.get().set_state(&state);
     let answer = request.send().promise.await?;
     Ok(answer.get()?.get_version())
 }
 
+async fn extend(agent: &agent::Client, delta: &Delta) -> Result<u64, Error> {
+    let delta = serde_json::to_vec(delta).map_err(|error| Error::failed(error.to_string()))?;
+    metrics::counter!("ochreyard_entry_config_sent_bytes_total").increment(delta.len() as u64);
+    let mut request = agent.extend_request();
+    request.get().set_delta(&delta);
+    let answer = request.send().promise.await?;
+    Ok(answer.get()?.get_version())
+}
+
 async fn make_call(agent: &agent::Client, call: &CallRequest, frames: mpsc::Sender<Frame>) -> Result<CallEnd, Error> {
     let mut request = agent.call_request();
     let mut params = request.get();
--- a/crates/ochreyard-peer/src/server.rs
+++ b/crates/ochreyard-peer/src/server.rs
@@ -5,7 +5,7 @@
 use capnp::Error;
 use capnp::capability::Rc;
 use capnp_rpc::new_client;
-use ochreyard_core::config::Configuration;
+use ochreyard_core::config::{Configuration, Delta};
 use ochreyard_core::frame::Frame;
 use ochreyard_core::ids::Incarnation;
 use tokio::runtime::Handle;
@@ -86,16 +86,25 @@
         params: agent::ConfigureParams,
         mut results: agent::ConfigureResults,
     ) -> Result<(), Error> {
-        let config: Configuration = serde_json::from_slice(params.get()?.get_state()?).map_err(|error| {
-            metrics::counter!("ochreyard_peer_unreadable_total").increment(1);
-            Error::failed(format!("bad_request: the configuration cannot be read: {error}"))
-        })?;
+        let config: Configuration = read_json(params.get()?.get_state()?)?;
         let handler = Arc::clone(&self.handler);
         let version = self.on_executor(async move { handler.configure(Arc::new(config)).await }).await?;
         results.get().set_version(version);
         Ok(())
     }
 
+    async fn extend(
+        self: Rc<Self>,
+        params: agent::ExtendParams,
+        mut results: agent::ExtendResults,
+    ) -> Result<(), Error> {
+        let delta: Delta = read_json(params.get()?.get_delta()?)?;
+        let handler = Arc::clone(&self.handler);
+        let version = self.on_executor(async move { handler.extend(delta).await }).await?;
+        results.get().set_version(version);
+        Ok(())
+    }
+
     async fn call(self: Rc<Self>, params: agent::CallParams, mut results: agent::CallResults) -> Result<(), Error> {
         let (call, sink) = {
             let params = params.get()?;
@@ -136,6 +145,14 @@
     }
 }
 
+/// Reads a part of the configuration; what cannot be read is counted and refused.
+fn read_json<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(bytes).map_err(|error| {
+        metrics::counter!("ochreyard_peer_unreadable_total").increment(1);
+        Error::failed(format!("bad_request: the configuration cannot be read: {error}"))
+    })
+}
+
 /// Sends frames one after the other. Once the entry takes no more, the outbox
 /// is dropped, which tells the handler that the caller has gone.
 async fn push_all(mut outbox: mpsc::Receiver<Frame>, sink: frame_sink::Client) -> Result<(), Error> {
--- a/crates/ochreyard-stand-ins/examples/measure.rs
+++ b/crates/ochreyard-stand-ins/examples/measure.rs
@@ -298,6 +298,7 @@
     };
     let mut site = Site::start(&spec).await;
     let mut times = histogram();
+    let sent_before = config_sent_bytes(&site).await;
     for change in 0..CHANGES {
         let intent = format!("services: [{{service: {PLAIN}, kind: plain, first_byte_ms: {}}}]", 700 + change);
         let started = Instant::now();
@@ -305,13 +306,27 @@
         site.wait_alive().await;
         times.saturating_record(micros(started));
     }
+    let sent = config_sent_bytes(&site).await - sent_before;
     println!(
-        "measure=config entries=4 agents=10 log_poll_ms=500 heartbeat_ms=1000 changes={CHANGES} in_force_p50_ms={:.0} in_force_max_ms={:.0}",
+        "measure=config entries=4 agents=10 log_poll_ms=500 heartbeat_ms=1000 changes={CHANGES} bytes_per_change_and_agent={:.0} in_force_p50_ms={:.0} in_force_max_ms={:.0}",
+        sent as f64 / CHANGES as f64 / 10.0,
         ms(times.value_at_quantile(0.5)),
         ms(times.max())
     );
 }
 
+/// Bytes of configuration that all entries have sent to agents.
+async fn config_sent_bytes(site: &Site) -> u64 {
+    let mut sum = 0;
+    for entry in &site.entries {
+        let answer = site.cluster.http().get(format!("{}/metrics", entry.callers)).send().await.expect("metrics");
+        let text = answer.text().await.expect("metrics are text");
+        let value = text.lines().find_map(|line| line.strip_prefix("ochreyard_entry_config_sent_bytes_total "));
+        sum += value.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0);
+    }
+    sum
+}
+
 /// Goodput and latency of polite workspaces, alone and beside one that floods.
 async fn fairness() {
     let spec = SiteSpec {
