Say once how many cases a property runs

Cause: three property tests held the same function. The counts are the same as before (600, 1500, 2000). cargo test -p ochreyard-core: 85 passed, 0 failed.

--- a/crates/ochreyard-core/tests/at_most_once.rs
+++ b/crates/ochreyard-core/tests/at_most_once.rs
@@ -4,6 +4,8 @@
 //! The model holds real [`Admission`]s, real folds and real records; only time,
 //! the network and the log are small fakes.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -415,13 +417,8 @@
     Admission::new(settings, Incarnation(life), now_ms)
 }
 
-/// More cases for a search by hand: `OCHREYARD_CASES=200000 cargo test --release …`.
-fn cases() -> u32 {
-    std::env::var("OCHREYARD_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(600)
-}
-
 proptest! {
-    #![proptest_config(ProptestConfig { cases: cases(), max_shrink_iters: 40_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: common::cases(600), max_shrink_iters: 40_000, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn no_dated_key_runs_twice_and_not_run_is_true(ops in prop::collection::vec(op(), 1..220)) {
--- a/crates/ochreyard-core/tests/config_fold.rs
+++ b/crates/ochreyard-core/tests/config_fold.rs
@@ -1,6 +1,8 @@
 //! The configuration is in force everywhere alike and never goes back, whatever
 //! happens to the log, to answers, to readers and to operators.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -209,12 +211,8 @@
     }
 }
 
-fn cases() -> u32 {
-    std::env::var("OCHREYARD_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(1_500)
-}
-
 proptest! {
-    #![proptest_config(ProptestConfig { cases: cases(), max_shrink_iters: 40_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: common::cases(1_500), max_shrink_iters: 40_000, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn same_version_is_same_state_and_none_goes_back(ops in prop::collection::vec(op(), 1..120)) {
--- a/crates/ochreyard-core/tests/one_map.rs
+++ b/crates/ochreyard-core/tests/one_map.rs
@@ -1,6 +1,8 @@
 //! In every step all ranks use one map, whatever happens to orders, replies and
 //! leaders; and a change ends in bounded time once faults end.
 
+mod common;
+
 use std::collections::BTreeMap;
 
 use ochreyard_core::map_switch::{
@@ -166,12 +168,8 @@
     }
 }
 
-fn cases() -> u32 {
-    std::env::var("OCHREYARD_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(2_000)
-}
-
 proptest! {
-    #![proptest_config(ProptestConfig { cases: cases(), max_shrink_iters: 40_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: common::cases(2_000), max_shrink_iters: 40_000, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn no_step_has_two_maps_and_every_change_ends(ops in prop::collection::vec(op(), 1..250)) {
