--- /dev/null
+++ b/crates/ochreyard-core/src/direct.rs
@@ -0,0 +1,19 @@
+//! Decisions of an entry that calls endpoints itself, without an agent between.
+//!
+//! The endpoint itself says when it has not run a request, and checks its own
+//! identity, so the attempt needs no home elsewhere: its whole story is in the
+//! entry that took it from the caller.
+
+mod catalog;
+mod endpoint_pool;
+mod event_splitter;
+mod repeat_budget;
+mod route_table;
+
+pub use catalog::{Catalog, EndpointChange, EndpointRecord};
+pub use endpoint_pool::{EndpointPool, Outcome, Pick, ReportedLoad};
+pub use event_splitter::{EventSplitter, WholeEvents};
+pub use repeat_budget::{RepeatBudget, RepeatLimits};
+pub use route_table::{
+    CallerLimits, EngineFigures, Route, RouteKind, RouteTable, ServiceSpec, WeightedService, Workspace,
+};
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/catalog.rs
@@ -0,0 +1,135 @@
+//! What the platform's log says of endpoints, folded so that late news cannot
+//! undo newer news.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// How long an endpoint whose record went while the log was away may take to write it again.
+const RETURN_GRACE_MS: u64 = 2_000;
+
+/// One endpoint as its own record says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointRecord {
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The data centre that it stands in.
+    pub data_centre: String,
+    /// Requests that it runs at once.
+    pub slots: u64,
+    /// Whether it leaves: no new work.
+    pub is_leaving: bool,
+    /// How much longer it is slow from its start, in milliseconds.
+    pub cold_ms: u64,
+}
+
+/// One change of the list of endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EndpointChange {
+    /// A new endpoint, or a changed one.
+    Known(String, EndpointRecord),
+    /// An endpoint that is gone.
+    Gone(String),
+}
+
+#[derive(Debug, Clone)]
+struct Kept {
+    offset: u64,
+    record: Option<EndpointRecord>,
+}
+
+/// The endpoints known from the log, or from another box that reads it.
+///
+/// For each endpoint the record with the highest offset counts, from whichever
+/// reader it came.
+#[derive(Debug, Clone, Default)]
+pub struct Catalog {
+    kept: HashMap<String, Kept>,
+    unconfirmed: HashMap<String, u64>,
+    away_since_ms: Option<u64>,
+    back_at_ms: u64,
+}
+
+impl Catalog {
+    /// An empty catalog.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The log cannot be read at present.
+    pub fn on_log_away(&mut self, now_ms: u64) {
+        self.away_since_ms.get_or_insert(now_ms);
+    }
+
+    /// The log was read.
+    pub fn on_log_read(&mut self, now_ms: u64) {
+        if self.away_since_ms.take().is_some() {
+            self.back_at_ms = now_ms;
+        }
+    }
+
+    /// Takes one record; `None` says that the endpoint has lost its entry.
+    pub fn take(
+        &mut self,
+        id: &str,
+        offset: u64,
+        record: Option<EndpointRecord>,
+        now_ms: u64,
+    ) -> Option<EndpointChange> {
+        if self.kept.get(id).is_some_and(|kept| kept.offset >= offset) {
+            return None;
+        }
+        let former = self.kept.insert(id.to_owned(), Kept { offset, record: record.clone() });
+        let former = former.and_then(|kept| kept.record);
+        match record {
+            Some(record) => {
+                let was_unconfirmed = self.unconfirmed.remove(id).is_some();
+                let is_news = was_unconfirmed || former.as_ref() != Some(&record);
+                is_news.then(|| EndpointChange::Known(id.to_owned(), record))
+            }
+            // An entry that lapsed while the log was away says nothing of the endpoint:
+            // it may write itself back.
+            None if self.is_settling(now_ms) => {
+                self.unconfirmed.insert(id.to_owned(), now_ms.max(self.back_at_ms) + RETURN_GRACE_MS);
+                None
+            }
+            None => Some(EndpointChange::Gone(id.to_owned())),
+        }
+    }
+
+    /// Endpoints that did not write themselves back in time.
+    pub fn overdue(&mut self, now_ms: u64) -> Vec<EndpointChange> {
+        if self.away_since_ms.is_some() {
+            return Vec::new();
+        }
+        let due: Vec<String> =
+            self.unconfirmed.iter().filter(|(_, until)| **until <= now_ms).map(|(id, _)| id.clone()).collect();
+        self.unconfirmed.retain(|_, until| *until > now_ms);
+        due.into_iter().map(EndpointChange::Gone).collect()
+    }
+
+    /// All endpoints known, with the offset of their records.
+    pub fn endpoints(&self) -> impl Iterator<Item = (&str, u64, Option<&EndpointRecord>)> {
+        self.kept.iter().map(|(id, kept)| (id.as_str(), kept.offset, kept.record.as_ref()))
+    }
+
+    /// Endpoints that a whole reading of the log no longer lists are gone.
+    pub fn keep_only(&mut self, listed: &[(String, u64)], end: u64, now_ms: u64) -> Vec<EndpointChange> {
+        let missing: Vec<String> = self
+            .kept
+            .iter()
+            .filter(|(id, kept)| kept.record.is_some() && !listed.iter().any(|(other, _)| other == *id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        missing.into_iter().filter_map(|id| self.take(&id, end, None, now_ms)).collect()
+    }
+
+    fn is_settling(&self, now_ms: u64) -> bool {
+        let since_back = now_ms.saturating_sub(self.back_at_ms);
+        self.away_since_ms.is_some() || (self.back_at_ms > 0 && since_back < RETURN_GRACE_MS)
+    }
+}
--- a/crates/ochreyard-core/src/error_kind.rs
+++ b/crates/ochreyard-core/src/error_kind.rs
@@ -104,6 +104,8 @@
     HeadTooLarge = "head_too_large", 431, NotRun, Never, 0, "the head is over the limit; send fewer or shorter headers";
     /// The body is larger than the limit.
     BodyTooLarge = "body_too_large", 413, NotRun, Never, 0, "the body is over the limit; send a smaller one";
+    /// The caller did not send its request in time.
+    CallerSlow = "caller_slow", 408, NotRun, Never, 0, "the request did not arrive whole in time; send it again";
     /// No bearer token, or one that no workspace has.
     Unauthenticated = "unauthenticated", 401, NotRun, Never, 0, "send a bearer token that belongs to a workspace";
     /// The workspace may not use the service.
--- a/crates/ochreyard-core/src/lib.rs
+++ b/crates/ochreyard-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod admission;
 pub mod burn;
 pub mod config;
+pub mod direct;
 pub mod dispatch;
 pub mod drain;
 pub mod error_kind;
--- /dev/null
+++ b/crates/ochreyard-direct/src/connection_pool.rs
@@ -0,0 +1,78 @@
+//! Kept connections to endpoints.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+
+use crate::link::Connection;
+
+/// How long an idle connection is kept where the endpoint states no time of its own.
+const UNSTATED_IDLE: Duration = Duration::from_secs(2);
+/// Share of the stated time that is used: at its end the endpoint may close while we send.
+const USED_SHARE_OF_IDLE: f64 = 0.6;
+/// Idle connections that are kept for one endpoint.
+const MAX_IDLE: usize = 16;
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Kept connections, by endpoint.
+///
+/// The endpoint's identifier is part of the key: its address may later belong to another one.
+#[derive(Debug, Default)]
+pub struct ConnectionPool {
+    idle: HashMap<(String, SocketAddr), Vec<Idle>>,
+}
+
+impl ConnectionPool {
+    /// Takes the connection that was used last, if one is left that should still be open.
+    pub fn take(&mut self, id: &str, addr: SocketAddr) -> Option<Connection> {
+        let now = Instant::now();
+        let idle = self.idle.get_mut(&(id.to_owned(), addr))?;
+        while let Some(last) = idle.pop() {
+            if last.until > now && last.connection.is_open() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was whole, unless the answer forbids it.
+    pub fn keep(&mut self, id: &str, addr: SocketAddr, connection: Connection, answer: &HeaderMap) {
+        let Some(rest) = allowed_rest(answer) else { return };
+        let idle = self.idle.entry((id.to_owned(), addr)).or_default();
+        if idle.len() < MAX_IDLE && connection.is_open() {
+            idle.push(Idle { connection, until: Instant::now() + rest });
+        }
+    }
+
+    /// Drops connections that have rested for long enough.
+    pub fn sweep(&mut self) {
+        let now = Instant::now();
+        self.idle.retain(|_, idle| {
+            idle.retain(|kept| kept.until > now && kept.connection.is_open());
+            !idle.is_empty()
+        });
+    }
+}
+
+/// How long a connection may rest after this answer; `None` if it must not be used again.
+fn allowed_rest(answer: &HeaderMap) -> Option<Duration> {
+    let connection = answer.get_all(http::header::CONNECTION).iter();
+    let says_close =
+        connection.filter_map(|value| value.to_str().ok()).any(|v| v.to_ascii_lowercase().contains("close"));
+    if says_close {
+        return None;
+    }
+    let stated = answer.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = stated.and_then(|text| {
+        let named = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+        named.unwrap_or(text).trim().parse::<f64>().ok()
+    });
+    Some(seconds.map_or(UNSTATED_IDLE, |s| Duration::from_secs_f64((s * USED_SHARE_OF_IDLE).clamp(0.0, 60.0))))
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/dialect.rs
@@ -0,0 +1,64 @@
+//! What the surroundings call things: header names, and the form of what the
+//! platform's log holds.
+
+use bytes::Bytes;
+use http::HeaderName;
+use ochreyard_core::direct::{EndpointRecord, ReportedLoad, RouteTable};
+
+/// Names of the headers that this process reads or sets.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// Identifies one attempt of the caller; passed on and echoed unchanged.
+    pub attempt_id: HeaderName,
+    /// Milliseconds that the sender will wait.
+    pub deadline_ms: HeaderName,
+    /// The caller's key; never shown to endpoints.
+    pub key: HeaderName,
+    /// The workspace, set by us only.
+    pub workspace: HeaderName,
+    /// The endpoint that is meant; any other one refuses.
+    pub target: HeaderName,
+    /// The last event that the caller has.
+    pub last_event: HeaderName,
+    /// Says that the endpoint did not run the request.
+    pub not_run: HeaderName,
+    /// Proves that an answer is the endpoint's own.
+    pub proof: HeaderName,
+    /// The endpoint's load.
+    pub load: HeaderName,
+    /// Other headers of callers that must reach the endpoint unchanged.
+    pub end_to_end: Vec<HeaderName>,
+}
+
+/// A problem with a document from the platform's log.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{what} cannot be read: {problem}")]
+pub struct Unreadable {
+    /// The document.
+    pub what: &'static str,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+/// One dialect of the surroundings.
+pub trait Dialect: 'static {
+    /// Names of headers.
+    fn headers(&self) -> &HeaderNames;
+
+    /// Reads the configuration.
+    ///
+    /// # Errors
+    ///
+    /// When it does not have the expected form.
+    fn read_config(&self, document: &Bytes) -> Result<RouteTable, Unreadable>;
+
+    /// Reads the record of an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// When it does not have the expected form.
+    fn read_endpoint(&self, document: &Bytes) -> Result<EndpointRecord, Unreadable>;
+
+    /// Reads the load that an endpoint told.
+    fn read_load(&self, value: &str) -> Option<ReportedLoad>;
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -0,0 +1,169 @@
+//! What one entry process knows and owns.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use ochreyard_core::direct::{Catalog, EndpointChange, EndpointPool, RepeatBudget, RepeatLimits, RouteTable};
+use ochreyard_core::hash;
+use ochreyard_process::Clock;
+
+use crate::connection_pool::ConnectionPool;
+use crate::dialect::Dialect;
+
+/// Boxes that are assumed to share the budget of repeats until others are known.
+const ASSUMED_BOXES: u64 = 16;
+
+/// Who this process is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name of the box.
+    pub name: String,
+    /// The data centre that it stands in.
+    pub data_centre: String,
+    /// A number that no other life of any box has.
+    pub life: u64,
+    /// Where other boxes reach it.
+    pub peer_addr: SocketAddr,
+}
+
+/// Everything that changes while the process runs.
+pub struct State {
+    /// The configuration in force, if one is known.
+    pub table: Option<Arc<RouteTable>>,
+    /// The document that it was read from, for other boxes.
+    pub config_document: Bytes,
+    /// What the log says of endpoints.
+    pub catalog: Catalog,
+    /// The endpoints as seen from here.
+    pub pool: EndpointPool,
+    /// Kept connections to endpoints.
+    pub connections: ConnectionPool,
+    /// How often a request may be sent again.
+    pub budget: RepeatBudget,
+    /// Other boxes, by name.
+    pub boxes: BTreeMap<String, SocketAddr>,
+    /// Whether the platform's log answered the last call.
+    pub log_answers: bool,
+}
+
+/// One entry process.
+pub struct Entry<D> {
+    /// The dialect of its surroundings.
+    pub dialect: D,
+    /// Who it is.
+    pub identity: Identity,
+    /// Time.
+    pub clock: Clock,
+    /// What changes. Never borrowed across an `await`.
+    pub state: RefCell<State>,
+    /// Whether a planned stop has begun.
+    pub is_stopping: Cell<bool>,
+    draws: Cell<u64>,
+}
+
+impl<D: Dialect> Entry<D> {
+    /// An entry that knows nothing yet.
+    #[must_use]
+    pub fn new(dialect: D, identity: Identity, limits: RepeatLimits, clock: Clock) -> Self {
+        let state = State {
+            table: None,
+            config_document: Bytes::new(),
+            catalog: Catalog::new(),
+            pool: EndpointPool::new(),
+            connections: ConnectionPool::default(),
+            budget: RepeatBudget::new(limits, ASSUMED_BOXES),
+            boxes: BTreeMap::new(),
+            log_answers: false,
+        };
+        let draws = Cell::new(identity.life);
+        Self { dialect, identity, clock, state: RefCell::new(state), is_stopping: Cell::new(false), draws }
+    }
+
+    /// An evenly spread number that differs from call to call and from box to box.
+    pub fn draw(&self) -> u64 {
+        self.draws.set(self.draws.get().wrapping_add(1));
+        hash::mix(self.draws.get())
+    }
+
+    /// Takes a configuration over if it is newer than the one in force: never an
+    /// older one, wherever it comes from. Says whether it did.
+    pub fn take_config(&self, document: &Bytes, source: &str) -> bool {
+        let table = match self.dialect.read_config(document) {
+            Ok(table) => table,
+            Err(error) => {
+                log::error!("event=config_unreadable source={source} error=\"{error}\"");
+                return false;
+            }
+        };
+        let mut state = self.state.borrow_mut();
+        let present = state.table.as_ref().map(|table| table.version());
+        if present.is_some_and(|version| version >= table.version()) {
+            return false;
+        }
+        log::info!("event=config_in_force version={} source={source}", table.version());
+        state.table = Some(Arc::new(table));
+        state.config_document = document.clone();
+        true
+    }
+
+    /// Takes the record of an endpoint; `None` says that its entry has gone.
+    pub fn take_endpoint(&self, id: &str, offset: u64, document: Option<&Bytes>) {
+        let record = match document.map(|document| self.dialect.read_endpoint(document)).transpose() {
+            Ok(record) => record,
+            Err(error) => {
+                log::warn!("event=endpoint_unreadable endpoint={id} error=\"{error}\"");
+                return;
+            }
+        };
+        let now_ms = self.clock.now_ms();
+        let change = self.state.borrow_mut().catalog.take(id, offset, record, now_ms);
+        self.apply(change);
+    }
+
+    /// Follows changes of the catalog.
+    pub fn apply(&self, changes: impl IntoIterator<Item = EndpointChange>) {
+        for change in changes {
+            match &change {
+                EndpointChange::Known(id, record) => log::info!(
+                    "event=endpoint_known endpoint={id} service={} addr={} leaving={}",
+                    record.service,
+                    record.addr,
+                    record.is_leaving
+                ),
+                EndpointChange::Gone(id) => log::info!("event=endpoint_gone endpoint={id}"),
+            }
+            self.state.borrow_mut().pool.apply(change);
+        }
+    }
+
+    /// Notes another box.
+    pub fn take_box(&self, name: &str, addr: SocketAddr) {
+        if name == self.identity.name {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        if state.boxes.insert(name.to_owned(), addr).is_none() {
+            let boxes = state.boxes.len() as u64 + 1;
+            state.budget.set_boxes(boxes);
+            log::info!("event=box_known box={name} addr={addr} boxes={boxes}");
+        }
+    }
+
+    /// Notes whether the platform's log answers.
+    pub fn note_log(&self, answers: bool, problem: &str) {
+        let mut state = self.state.borrow_mut();
+        let now_ms = self.clock.now_ms();
+        if answers {
+            state.catalog.on_log_read(now_ms);
+        } else {
+            state.catalog.on_log_away(now_ms);
+        }
+        if state.log_answers != answers {
+            state.log_answers = answers;
+            log::warn!("event=log_reachability answers={answers} problem=\"{problem}\"");
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/fields.rs
@@ -0,0 +1,62 @@
+//! The table of settings of an entry that calls endpoints itself.
+
+use ochreyard_process::{FieldKind, FieldSpec, LOG_LEVEL, LOG_TARGET};
+
+/// Every field.
+pub const FIELDS: &[FieldSpec] = &[
+    FieldSpec { name: "entry", kind: FieldKind::Name, default: None, about: "name of this box" },
+    FieldSpec { name: "data_centre", kind: FieldKind::Name, default: None, about: "where it stands" },
+    FieldSpec { name: "callers_addr", kind: FieldKind::Addr, default: None, about: "where callers are answered" },
+    FieldSpec {
+        name: "ready_addr",
+        kind: FieldKind::Addr,
+        default: None,
+        about: "where the balancer asks whether this box is ready; also serves /metrics",
+    },
+    FieldSpec { name: "peer_addr", kind: FieldKind::Addr, default: None, about: "where other boxes ask" },
+    FieldSpec {
+        name: "seeds",
+        kind: FieldKind::Addrs,
+        default: Some("[]"),
+        about: "boxes to ask at the start; their peer port is taken to be ours",
+    },
+    FieldSpec { name: "platform_addr", kind: FieldKind::Addr, default: None, about: "the platform's log" },
+    FieldSpec {
+        name: "platform_timeout_ms",
+        kind: FieldKind::Number(50, 60_000),
+        default: Some("1000"),
+        about: "longest wait for the platform's log, beside the wait that a reading asks for",
+    },
+    FieldSpec {
+        name: "endpoints_read_ms",
+        kind: FieldKind::Number(50, 10_000),
+        default: Some("600"),
+        about: "how often the records of endpoints are read; well under the time in which a leaving one must get no work",
+    },
+    FieldSpec {
+        name: "repeat_ratio",
+        kind: FieldKind::Fraction(0.0, 1.0),
+        default: Some("0.1"),
+        about: "repeats for each request, over all boxes",
+    },
+    FieldSpec {
+        name: "repeat_fixed",
+        kind: FieldKind::Number(0, 100_000),
+        default: Some("20"),
+        about: "repeats that all boxes together may send in a window beyond that",
+    },
+    FieldSpec {
+        name: "repeat_window_s",
+        kind: FieldKind::Number(1, 3_600),
+        default: Some("10"),
+        about: "length of the window of the two fields before",
+    },
+    FieldSpec {
+        name: "drain_grace_s",
+        kind: FieldKind::Number(0, 600),
+        default: Some("8"),
+        about: "time between SIGTERM and the end of the process",
+    },
+    LOG_LEVEL,
+    LOG_TARGET,
+];
--- /dev/null
+++ b/crates/ochreyard-direct/src/follow.rs
@@ -0,0 +1,112 @@
+//! Follows the platform's log: the configuration, the endpoints, our own boxes.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+use crate::keyed_log::{KeyedLog, KeyedLogError, KeyedRecord, Topic};
+
+/// Longest pause between looks while the log fails: several looks within the
+/// time in which a change must be in force once the log is back.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// How long one reading of the configuration waits for news.
+const CONFIG_WAIT_MS: u64 = 8_000;
+/// How often the list of our own boxes is read: they change rarely.
+const BOXES_EVERY: Duration = Duration::from_secs(8);
+
+/// Follows the configuration; each reading waits for the next record.
+pub async fn follow_config<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
+    loop {
+        let start = log.newest(Topic::Config).await;
+        let Some(page) = noted(&entry, start) else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        take_configs(&entry, &page.records);
+        let mut from = page.next;
+        while let Some(page) = noted(&entry, log.read(Topic::Config, from, CONFIG_WAIT_MS).await) {
+            take_configs(&entry, &page.records);
+            from = page.next;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+fn take_configs<D: Dialect>(entry: &Entry<D>, records: &[KeyedRecord]) {
+    for document in records.iter().filter_map(|record| record.value.as_ref()) {
+        entry.take_config(document, "log");
+    }
+}
+
+/// Reads the records of endpoints every `every`. Endpoints write several times a
+/// second in all, so a reading that waits for the next record would return at once.
+pub async fn follow_endpoints<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L, every: Duration) {
+    loop {
+        let start = log.newest(Topic::Endpoints).await;
+        let Some(page) = noted(&entry, start) else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        let listed: Vec<(String, u64)> = page.records.iter().map(|r| (r.key.clone(), r.offset)).collect();
+        let mut from = page.next;
+        take_endpoints(&entry, &page.records);
+        let now_ms = entry.clock.now_ms();
+        let missing = entry.state.borrow_mut().catalog.keep_only(&listed, from, now_ms);
+        entry.apply(missing);
+        loop {
+            tokio::time::sleep(every).await;
+            let Some(page) = noted(&entry, log.read(Topic::Endpoints, from, 0).await) else { break };
+            take_endpoints(&entry, &page.records);
+            from = page.next;
+            let now_ms = entry.clock.now_ms();
+            let overdue = entry.state.borrow_mut().catalog.overdue(now_ms);
+            entry.apply(overdue);
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+fn take_endpoints<D: Dialect>(entry: &Entry<D>, records: &[KeyedRecord]) {
+    for record in records {
+        entry.take_endpoint(&record.key, record.offset, record.value.as_ref());
+    }
+}
+
+/// Writes this box into the list of our own boxes, and reads who else is there.
+pub async fn follow_boxes<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
+    let mut is_written = false;
+    loop {
+        if !is_written {
+            let addr = entry.identity.peer_addr.to_string();
+            let written = log.append(Topic::Boxes, &entry.identity.name, addr.as_bytes()).await;
+            is_written = noted(&entry, written).is_some();
+        }
+        let page = noted(&entry, log.newest(Topic::Boxes).await);
+        for record in page.iter().flat_map(|page| &page.records) {
+            let addr = record.value.as_ref().and_then(|value| std::str::from_utf8(value).ok()?.parse().ok());
+            if let Some(addr) = addr {
+                entry.take_box(&record.key, addr);
+            }
+        }
+        tokio::time::sleep(if page.is_some() && is_written { BOXES_EVERY } else { RETRY_PAUSE }).await;
+    }
+}
+
+/// Notes whether the log answered, and drops the reason of a failure after it has been logged.
+fn noted<D: Dialect, T>(entry: &Entry<D>, result: Result<T, KeyedLogError>) -> Option<T> {
+    match result {
+        Ok(value) => {
+            entry.note_log(true, "");
+            Some(value)
+        }
+        Err(KeyedLogError::Gone { first }) => {
+            log::warn!("event=log_records_gone first={first}");
+            None
+        }
+        Err(KeyedLogError::Unavailable(problem)) => {
+            entry.note_log(false, &problem);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/keyed_log.rs
@@ -0,0 +1,64 @@
+//! The platform's log, as far as this process uses it: topics that keep the
+//! newest record of each key.
+
+use std::future::Future;
+
+use bytes::Bytes;
+
+/// What a topic holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Topic {
+    /// The operators' configuration.
+    Config,
+    /// The records that endpoints write of themselves.
+    Endpoints,
+    /// The records that our own boxes write of themselves.
+    Boxes,
+}
+
+/// One record. A key without a value has been dropped.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyedRecord {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Option<Bytes>,
+    /// Where it stands in the topic.
+    pub offset: u64,
+}
+
+/// Records in the order of the topic.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct KeyedPage {
+    /// The records.
+    pub records: Vec<KeyedRecord>,
+    /// Where to read on.
+    pub next: u64,
+}
+
+/// Why the log gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum KeyedLogError {
+    /// The records asked for are no longer kept.
+    #[error("records before {first} are gone")]
+    Gone {
+        /// The first one that is kept.
+        first: u64,
+    },
+    /// It could not be reached, or refused.
+    #[error("unavailable: {0}")]
+    Unavailable(String),
+}
+
+/// The platform's log.
+pub trait KeyedLog: Clone + 'static {
+    /// The newest record of each key. Pages are no snapshot: a record may be
+    /// newer than `next`, so later readings must compare offsets.
+    fn newest(&self, topic: Topic) -> impl Future<Output = Result<KeyedPage, KeyedLogError>>;
+
+    /// Records from an offset on; waits up to `wait_ms` for the first one.
+    fn read(&self, topic: Topic, from: u64, wait_ms: u64) -> impl Future<Output = Result<KeyedPage, KeyedLogError>>;
+
+    /// Appends a record.
+    fn append(&self, topic: Topic, key: &str, value: &[u8]) -> impl Future<Output = Result<(), KeyedLogError>>;
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -0,0 +1,30 @@
+//! An entry that calls endpoints itself, over plain HTTP.
+//!
+//! Where an endpoint says of itself that it has not run a request, and checks
+//! that it is the one that is meant, no agent is needed between: a request's
+//! whole story is in the one process that took it from the caller. This package
+//! is the input and output; what is decided is in [`ochreyard_core::direct`].
+//!
+//! What the surroundings call things is in a [`Dialect`], and their log is
+//! behind [`KeyedLog`]; both are given to [`serve::run`].
+
+mod answer_body;
+mod attempt;
+mod connection_pool;
+mod dialect;
+mod entry;
+mod fields;
+mod follow;
+mod forward;
+mod keyed_log;
+mod link;
+mod peers;
+mod refusal;
+mod relay;
+pub mod serve;
+mod server;
+
+pub use dialect::{Dialect, HeaderNames, Unreadable};
+pub use fields::FIELDS;
+pub use keyed_log::{KeyedLog, KeyedLogError, KeyedPage, KeyedRecord, Topic};
+pub use link::{CallError, CallLink};
--- /dev/null
+++ b/crates/ochreyard-direct/src/peers.rs
@@ -0,0 +1,144 @@
+//! What boxes tell each other: the configuration, the endpoints, and who is there.
+//!
+//! A box asks others while the platform's log gives it no answer, and when it
+//! starts. All of it is compared by version or offset, so that a box that is
+//! behind cannot bring back what is old.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use ochreyard_core::direct::EndpointRecord;
+use serde::{Deserialize, Serialize};
+
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+use crate::link::CallLink;
+
+/// Where a box tells what it knows.
+pub const STATE_PATH: &str = "/state";
+/// How often others are asked while the log gives no answer: several times within
+/// the time in which a change must be in force.
+const ASK_EVERY: Duration = Duration::from_millis(400);
+/// Longest wait for another box.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Boxes that are asked at a time.
+const ASKED_AT_ONCE: usize = 3;
+
+/// What a box knows and another one may lack.
+#[derive(Debug, Clone, Serialize, Deserialize, Default)]
+pub struct PeerState {
+    /// The configuration's document, unless the asker has this version or a newer one.
+    pub config: Option<String>,
+    /// Endpoints, with the offset of their records.
+    pub endpoints: Vec<PeerEndpoint>,
+    /// Boxes by name.
+    pub boxes: BTreeMap<String, SocketAddr>,
+}
+
+/// One endpoint in a box's answer; without a record its entry has gone.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PeerEndpoint {
+    /// Its identifier.
+    pub id: String,
+    /// The offset of its record.
+    pub offset: u64,
+    /// Its record.
+    pub record: Option<EndpointRecord>,
+}
+
+/// The answer to a box that asks; what it says of itself is noted.
+pub fn state_for<D: Dialect>(entry: &Entry<D>, request: &Request<Incoming>, _from: SocketAddr) -> Bytes {
+    let query: BTreeMap<&str, &str> =
+        request.uri().query().unwrap_or("").split('&').filter_map(|pair| pair.split_once('=')).collect();
+    let version = query.get("version").and_then(|version| version.parse::<u64>().ok());
+    if let (Some(name), Some(Ok(addr))) = (query.get("box"), query.get("addr").map(|addr| addr.parse())) {
+        entry.take_box(name, addr);
+    }
+    let state = entry.state.borrow();
+    let newer = state.table.as_ref().filter(|table| version.is_none_or(|version| version < table.version()));
+    let config = newer.and_then(|_| String::from_utf8(state.config_document.to_vec()).ok());
+    let endpoints = state.catalog.endpoints().map(|(id, offset, record)| PeerEndpoint {
+        id: id.to_owned(),
+        offset,
+        record: record.cloned(),
+    });
+    let mut boxes = state.boxes.clone();
+    boxes.insert(entry.identity.name.clone(), entry.identity.peer_addr);
+    let told = PeerState { config, endpoints: endpoints.collect(), boxes };
+    serde_json::to_vec(&told).map(Bytes::from).unwrap_or_else(|error| {
+        log::error!("event=state_unwritable error=\"{error}\"");
+        Bytes::new()
+    })
+}
+
+/// Asks other boxes while the log gives no answer. `seeds` are addresses that
+/// are tried beside the boxes that are known.
+pub async fn keep_asking<D: Dialect>(entry: Rc<Entry<D>>, seeds: Vec<SocketAddr>) {
+    let mut links: BTreeMap<SocketAddr, Rc<CallLink>> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(ASK_EVERY).await;
+        let addrs = to_ask(&entry, &seeds);
+        for addr in addrs {
+            let link = links.entry(addr).or_insert_with(|| Rc::new(CallLink::new(addr)));
+            tokio::task::spawn_local(ask(Rc::clone(&entry), Rc::clone(link)));
+        }
+    }
+}
+
+fn to_ask<D: Dialect>(entry: &Entry<D>, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+    let state = entry.state.borrow();
+    if state.log_answers && state.table.is_some() {
+        return Vec::new();
+    }
+    let own = entry.identity.peer_addr;
+    let mut addrs: Vec<SocketAddr> = state.boxes.values().chain(seeds).copied().filter(|addr| *addr != own).collect();
+    addrs.sort_unstable();
+    addrs.dedup();
+    if addrs.is_empty() {
+        return addrs;
+    }
+    let first = usize::try_from(entry.draw() % addrs.len() as u64).unwrap_or(0);
+    addrs.rotate_left(first);
+    addrs.truncate(ASKED_AT_ONCE);
+    addrs
+}
+
+async fn ask<D: Dialect>(entry: Rc<Entry<D>>, link: Rc<CallLink>) {
+    let known = entry.state.borrow().table.as_ref().map(|table| table.version());
+    let version = known.map_or_else(String::new, |version| format!("version={version}&"));
+    let identity = &entry.identity;
+    let path = format!("{STATE_PATH}?{version}box={}&addr={}", identity.name, identity.peer_addr);
+    let request = Request::get(path).header(http::header::HOST, link.addr().to_string()).body(Full::default());
+    let Ok(request) = request else { return };
+    let told = match link.call(request, ASK_TIMEOUT).await {
+        Ok(response) => serde_json::from_slice::<PeerState>(response.body()),
+        Err(error) => {
+            log::debug!("event=peer_silent addr={} error=\"{error}\"", link.addr());
+            return;
+        }
+    };
+    match told {
+        Ok(told) => take(&entry, told, link.addr()),
+        Err(error) => log::warn!("event=peer_unreadable addr={} error=\"{error}\"", link.addr()),
+    }
+}
+
+fn take<D: Dialect>(entry: &Entry<D>, told: PeerState, from: SocketAddr) {
+    if let Some(document) = told.config {
+        entry.take_config(&Bytes::from(document), &format!("peer-{from}"));
+    }
+    let now_ms = entry.clock.now_ms();
+    for PeerEndpoint { id, offset, record } in told.endpoints {
+        let change = entry.state.borrow_mut().catalog.take(&id, offset, record, now_ms);
+        entry.apply(change);
+    }
+    for (name, addr) in told.boxes {
+        entry.take_box(&name, addr);
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -0,0 +1,138 @@
+//! Passes a stream of events on as they come, and lets another endpoint go on
+//! where one broke off.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http::{HeaderValue, Response};
+use http_body_util::BodyExt;
+use ochreyard_core::direct::{EventSplitter, Outcome, RouteKind};
+
+use crate::answer_body::{AnswerBody, BrokenOff};
+use crate::attempt::Answer;
+use crate::dialect::Dialect;
+use crate::forward::{Job, pass_on};
+
+/// Longest pause, in pauses that are still in time, before an endpoint that is
+/// silent to everybody loses the stream to another one.
+const PATIENCE_GAPS: u64 = 8;
+/// The pause between events that is assumed where the route names none.
+const USUAL_GAP_MS: u64 = 150;
+
+/// Starts the answer to the caller; the rest follows as it arrives.
+pub fn stream<D: Dialect>(job: Job<D>, answer: Answer<D>) -> Response<AnswerBody> {
+    let last_event = &job.entry.dialect.headers().last_event;
+    let seen = job.request.headers.get(last_event).and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let head = answer.head.clone();
+    let relay = Relay { job, answer: Some(answer), splitter: EventSplitter::new(seen) };
+    let pieces = futures::stream::unfold(relay, |mut relay| async move {
+        let piece = relay.next_piece().await?;
+        Some((piece, relay))
+    });
+    pass_on(head.status, head.headers, AnswerBody::Pieces(pieces.boxed_local()))
+}
+
+struct Relay<D: Dialect> {
+    job: Job<D>,
+    answer: Option<Answer<D>>,
+    splitter: EventSplitter,
+}
+
+enum Step {
+    Events(Bytes),
+    Part,
+    End,
+    Broken(String),
+    TimeUp,
+}
+
+impl<D: Dialect> Relay<D> {
+    /// The next whole events; `None` after the last one.
+    async fn next_piece(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        loop {
+            match self.step().await {
+                Step::Events(bytes) => return Some(Ok(bytes)),
+                Step::Part => {}
+                Step::End => return None,
+                Step::TimeUp => return self.break_off("time is up"),
+                Step::Broken(cause) => {
+                    if !self.go_on_elsewhere(&cause).await {
+                        return self.break_off(&cause);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let Some(answer) = self.answer.as_mut() else { return Step::End };
+        let left_ms = self.job.deadline_ms.saturating_sub(self.job.entry.clock.now_ms());
+        if left_ms == 0 {
+            return Step::TimeUp;
+        }
+        let patience_ms = self.job.route.gap_aim_ms.unwrap_or(USUAL_GAP_MS) * PATIENCE_GAPS;
+        let wait = Duration::from_millis(left_ms.min(patience_ms));
+        match tokio::time::timeout(wait, answer.body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                answer.flight.on_heard();
+                let data = frame.into_data().unwrap_or_default();
+                let whole = self.splitter.push(&data);
+                if whole.count == 0 { Step::Part } else { Step::Events(whole.bytes) }
+            }
+            Ok(Some(Err(error))) => Step::Broken(error.to_string()),
+            Ok(None) if self.splitter.has_part() => Step::Broken("ended within an event".to_owned()),
+            Ok(None) => {
+                answer.flight.set(Outcome::Good);
+                if let Some(answer) = self.answer.take() {
+                    let entry = std::rc::Rc::clone(&self.job.entry);
+                    answer.finish(&entry);
+                }
+                Step::End
+            }
+            Err(_) if self.job.time_left_ms() == 0 => Step::TimeUp,
+            Err(_) if answer.flight.is_silent(patience_ms) && self.may_go_on() => {
+                Step::Broken(format!("silent for {patience_ms} ms"))
+            }
+            Err(_) => Step::Part,
+        }
+    }
+
+    fn may_go_on(&self) -> bool {
+        let resumable = self.job.route.kind == RouteKind::Stream { resumable: true };
+        resumable && self.job.sent < self.job.route.max_attempts
+    }
+
+    /// Lets another endpoint go on after the last whole event. The answer keeps
+    /// the head of the endpoint that began it.
+    async fn go_on_elsewhere(&mut self, cause: &str) -> bool {
+        let Some(former) = self.answer.take() else { return false };
+        former.flight.set(Outcome::Failed);
+        let pick = former.pick.clone();
+        drop(former);
+        self.job.note_failed_attempt(&pick, cause);
+        self.splitter.drop_part();
+        if !self.may_go_on() {
+            return false;
+        }
+        if let Some(last) = self.splitter.last_id().and_then(|id| HeaderValue::from_str(id).ok()) {
+            let name = self.job.entry.dialect.headers().last_event.clone();
+            self.job.request.headers.insert(name, last);
+        }
+        match self.job.next_answer().await {
+            Ok(answer) if answer.head.status.is_success() => {
+                self.answer = Some(answer);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn break_off(&mut self, cause: &str) -> Option<Result<Bytes, BrokenOff>> {
+        let pick = self.answer.take().map(|answer| answer.pick.clone());
+        if let Some(pick) = pick {
+            self.job.note_broken_stream(&pick, cause);
+        }
+        Some(Err(BrokenOff))
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -0,0 +1,132 @@
+//! Runs an entry that calls endpoints itself, until its planned stop.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use miette::{Context, IntoDiagnostic, Result};
+use ochreyard_core::direct::RepeatLimits;
+use ochreyard_process::{Clock, Settings, new_life, start_logging, start_metrics};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::dialect::Dialect;
+use crate::entry::{Entry, Identity};
+use crate::keyed_log::KeyedLog;
+use crate::server::{Phase, Side};
+use crate::{follow, peers, server};
+
+/// How often idle connections to endpoints are looked through.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// How long a stopping box takes new connections: the balancer asks every second
+/// and leaves a box after two misses.
+const BALANCER_LAG_MS: u64 = 3_500;
+/// Kept from the grace period, so that the process ends by itself.
+const END_RESERVE_MS: u64 = 400;
+
+/// Runs the entry on one thread: with the whole box a quarter of a core, more
+/// threads would only take turns.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub fn run<D: Dialect, L: KeyedLog>(settings: &Settings, dialect: D, log: L) -> Result<()> {
+    start_logging(settings).into_diagnostic()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve(settings, dialect, log))
+}
+
+async fn serve<D: Dialect, L: KeyedLog>(settings: &Settings, dialect: D, log: L) -> Result<()> {
+    let clock = Clock::start();
+    let metrics = start_metrics().map_err(|error| miette::miette!("{error}"))?;
+    let identity = Identity {
+        name: settings.text("entry").to_owned(),
+        data_centre: settings.text("data_centre").to_owned(),
+        life: new_life(settings.text("entry")),
+        peer_addr: settings.addr("peer_addr"),
+    };
+    let limits = RepeatLimits {
+        ratio: settings.fraction("repeat_ratio"),
+        fixed: settings.number("repeat_fixed"),
+        window_ms: settings.number("repeat_window_s") * 1000,
+    };
+    log::info!("event=entry_started entry={} life={} pid={}", identity.name, identity.life, std::process::id());
+    let entry = Rc::new(Entry::new(dialect, identity, limits, clock));
+
+    let callers = bind(settings, "callers_addr").await?;
+    let ready = bind(settings, "ready_addr").await?;
+    let peer = bind(settings, "peer_addr").await?;
+    let (phase, phases) = watch::channel(Phase::Open);
+    tokio::task::spawn_local(server::serve_callers(Rc::clone(&entry), callers, phases));
+    tokio::task::spawn_local(server::serve_side(Rc::clone(&entry), ready, Side::Ready, metrics.clone()));
+    tokio::task::spawn_local(server::serve_side(Rc::clone(&entry), peer, Side::Peers, metrics));
+    let read_every = Duration::from_millis(settings.number("endpoints_read_ms"));
+    tokio::task::spawn_local(follow::follow_config(Rc::clone(&entry), log.clone()));
+    tokio::task::spawn_local(follow::follow_endpoints(Rc::clone(&entry), log.clone(), read_every));
+    tokio::task::spawn_local(follow::follow_boxes(Rc::clone(&entry), log));
+    tokio::task::spawn_local(peers::keep_asking(Rc::clone(&entry), seeds(settings)));
+    tokio::task::spawn_local(sweep(Rc::clone(&entry)));
+
+    wait_for_stop().await?;
+    drain(&entry, &phase, settings.number("drain_grace_s") * 1000).await;
+    log::info!("event=entry_stopped");
+    Ok(())
+}
+
+/// The peer addresses of the boxes that the platform names: same port as ours.
+fn seeds(settings: &Settings) -> Vec<SocketAddr> {
+    let port = settings.addr("peer_addr").port();
+    settings.addrs("seeds").iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
+}
+
+async fn bind(settings: &Settings, field: &str) -> Result<TcpListener> {
+    let addr: SocketAddr = settings.addr(field);
+    let problem = || format!("field `{field}`: {addr} cannot be bound; choose a free address");
+    TcpListener::bind(addr).await.into_diagnostic().wrap_err_with(problem)
+}
+
+async fn sweep<D: Dialect>(entry: Rc<Entry<D>>) {
+    loop {
+        tokio::time::sleep(SWEEP_EVERY).await;
+        entry.state.borrow_mut().connections.sweep();
+    }
+}
+
+/// Waits for SIGTERM or SIGINT; SIGHUP is noted and changes nothing while serving.
+async fn wait_for_stop() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            // Addresses are bound for the life of the process, and figures of the
+            // platform are read at the next start.
+            _ = hangup.recv() => log::info!("event=reload_noted"),
+        }
+    }
+}
+
+/// The planned stop: readiness fails at once, work is taken until the balancer
+/// has noticed, then idle connections close, and the rest end with their answers.
+async fn drain<D: Dialect>(entry: &Entry<D>, phase: &watch::Sender<Phase>, grace_ms: u64) {
+    let started_ms = entry.clock.now_ms();
+    log::info!("event=entry_leaving grace_ms={grace_ms}");
+    entry.is_stopping.set(true);
+    let lag_ms = BALANCER_LAG_MS.min(grace_ms / 2);
+    tokio::time::sleep(Duration::from_millis(lag_ms)).await;
+    phase.send_replace(Phase::Closing);
+    let end_ms = started_ms + grace_ms.saturating_sub(END_RESERVE_MS);
+    let left_ms = end_ms.saturating_sub(entry.clock.now_ms());
+    // Each connection holds a receiver; the one that accepts holds one, too.
+    let mut ended = tokio::time::interval(Duration::from_millis(50));
+    let all_ended = async {
+        while phase.receiver_count() > 1 {
+            ended.tick().await;
+        }
+    };
+    let in_time = tokio::time::timeout(Duration::from_millis(left_ms), all_ended).await.is_ok();
+    log::info!("event=entry_drained in_time={in_time} connections={}", phase.receiver_count().saturating_sub(1));
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/server.rs
@@ -0,0 +1,154 @@
+//! The listeners: callers, readiness, other boxes.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::answer_body::AnswerBody;
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+use crate::{forward, link, peers};
+
+/// Least size of the buffer for a head; the library needs this much.
+const LEAST_HEAD_BYTES: usize = 8_192;
+/// Pause after a failed accept: descriptors may have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A phase of the planned stop, as connections see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Serving.
+    Open,
+    /// Idle connections are closed; the others close after their answer.
+    Closing,
+}
+
+/// Accepts callers until the process ends.
+pub async fn serve_callers<D: Dialect>(entry: Rc<Entry<D>>, listener: TcpListener, phase: watch::Receiver<Phase>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::task::spawn_local(serve_caller(Rc::clone(&entry), stream, phase.clone()))),
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller<D: Dialect>(entry: Rc<Entry<D>>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
+    if let Err(error) = link::tune(&stream) {
+        log::debug!("event=tune_refused error=\"{error}\"");
+    }
+    let limits = entry.state.borrow().table.as_ref().map(|table| table.limits()).unwrap_or_default();
+    let handled = Rc::clone(&entry);
+    let service = service_fn(move |request| {
+        let entry = Rc::clone(&handled);
+        async move { Ok::<_, Infallible>(answer_caller(entry, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    // The library counts the rest between requests as part of the wait for a head,
+    // and callers may use a connection that has rested for long.
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms)))
+        .max_buf_size(limits.max_header_bytes.max(LEAST_HEAD_BYTES))
+        .pipeline_flush(true);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let outcome = tokio::select! {
+        outcome = &mut connection => outcome,
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = outcome {
+        log::debug!("event=caller_connection_ended error=\"{error}\"");
+    }
+}
+
+async fn answer_caller<D: Dialect>(entry: Rc<Entry<D>>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let mut response = forward::answer(Rc::clone(&entry), request).await;
+    if entry.is_stopping.get() {
+        response.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Which of the small listeners a connection came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// The balancer's question whether this box is ready; also metrics.
+    Ready,
+    /// Other boxes.
+    Peers,
+}
+
+/// Answers one of the small listeners until the process ends.
+pub async fn serve_side<D: Dialect>(
+    entry: Rc<Entry<D>>,
+    listener: TcpListener,
+    side: Side,
+    metrics: metrics_exporter_prometheus::PrometheusHandle,
+) {
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (entry, metrics) = (Rc::clone(&entry), metrics.clone());
+        tokio::task::spawn_local(async move {
+            if let Err(error) = link::tune(&stream) {
+                log::debug!("event=tune_refused error=\"{error}\"");
+            }
+            let service = service_fn(move |request| {
+                let response = answer_side(&entry, side, from, &request, &metrics);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("event=side_connection_ended error=\"{error}\"");
+            }
+        });
+    }
+}
+
+fn answer_side<D: Dialect>(
+    entry: &Entry<D>,
+    side: Side,
+    from: SocketAddr,
+    request: &Request<Incoming>,
+    metrics: &metrics_exporter_prometheus::PrometheusHandle,
+) -> Response<AnswerBody> {
+    let path = request.uri().path();
+    match (side, request.method(), path) {
+        (_, &Method::GET, "/metrics") => Response::new(AnswerBody::whole(metrics.render())),
+        (Side::Ready, &Method::GET, _) => ready(entry),
+        (Side::Peers, &Method::GET, peers::STATE_PATH) => {
+            Response::new(AnswerBody::whole(peers::state_for(entry, request, from)))
+        }
+        _ => status_only(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Ready means: a configuration is known and no stop has begun.
+fn ready<D: Dialect>(entry: &Entry<D>) -> Response<AnswerBody> {
+    let is_ready = entry.state.borrow().table.is_some() && !entry.is_stopping.get();
+    status_only(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
+fn status_only(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(""));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/ochreyard-entry/src/flags.rs
+++ b/crates/ochreyard-entry/src/flags.rs
@@ -10,6 +10,11 @@
             /// The settings file, in YAML.
             required settings: PathBuf
         }
+        /// Runs an entry that calls endpoints itself, without agents between.
+        cmd direct {
+            /// The settings file, in YAML.
+            required settings: PathBuf
+        }
         /// Checks a settings file and lists all its faults.
         cmd check {
             /// The settings file, in YAML.
--- a/crates/ochreyard-entry/src/main.rs
+++ b/crates/ochreyard-entry/src/main.rs
@@ -2,6 +2,7 @@
 
 mod balancer;
 mod control;
+mod direct;
 mod fields;
 mod flags;
 mod forward;
@@ -32,6 +33,7 @@
 fn run(flags: Ochreyard) -> miette::Result<()> {
     match flags.subcommand {
         OchreyardCmd::Serve(args) => serve::run(read(&args.settings)?),
+        OchreyardCmd::Direct(args) => direct::run(&Settings::read(&args.settings, ochreyard_direct::FIELDS)?),
         OchreyardCmd::Check(args) => {
             read(&args.settings)?;
             println!("{}: ok", args.settings.display());
--- a/crates/ochreyard-process/src/lib.rs
+++ b/crates/ochreyard-process/src/lib.rs
@@ -1,12 +1,14 @@
 //! What both programs share: checked settings, log lines, clock, exit codes.
 
 mod clock;
+mod life;
 mod logging;
 mod settings;
 mod stop;
 mod usage;
 
 pub use clock::Clock;
+pub use life::new_life;
 pub use logging::{LOG_LEVEL, LOG_TARGET, start_logging};
 pub use settings::{FieldKind, FieldSpec, Settings, SettingsFault, SettingsFaults, reference};
 pub use stop::stop_signal;
--- a/crates/ochreyard-process/src/settings.rs
+++ b/crates/ochreyard-process/src/settings.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 
 /// What a field may hold.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum FieldKind {
     /// A name of 1 to 63 of a-z, 0-9, '-' and '.'.
     Name,
@@ -20,6 +20,8 @@
     Url,
     /// A whole number in a range, both ends included.
     Number(u64, u64),
+    /// A number with a fraction in a range, both ends included.
+    Fraction(f64, f64),
     /// One of some words.
     Choice(&'static [&'static str]),
     /// A file that can be read, with at least one character in it.
@@ -167,6 +169,16 @@
         self.values.get(name).and_then(Value::as_u64).expect("the table of fields has this number")
     }
 
+    /// A field as a number with a fraction.
+    ///
+    /// # Panics
+    ///
+    /// When the table has no such field of that kind: a fault in the program.
+    #[must_use]
+    pub fn fraction(&self, name: &str) -> f64 {
+        self.values.get(name).and_then(Value::as_f64).expect("the table of fields has this fraction")
+    }
+
     /// A field as an address.
     ///
     /// # Panics
@@ -246,6 +258,7 @@
 fn default_value(kind: FieldKind, default: &str) -> Value {
     match kind {
         FieldKind::Number(..) => default.parse::<u64>().map_or(Value::Null, Value::from),
+        FieldKind::Fraction(..) => default.parse::<f64>().map_or(Value::Null, Value::from),
         FieldKind::Addrs => Value::Array(Vec::new()),
         _ => Value::from(default),
     }
@@ -260,6 +273,11 @@
             Some(number) => Err(format!("is out of range: {number}")),
             None => refuse("is not a whole number"),
         },
+        FieldKind::Fraction(min, max) => match value.as_f64() {
+            Some(number) if (min..=max).contains(&number) => Ok(()),
+            Some(number) => Err(format!("is out of range: {number}")),
+            None => refuse("is not a number"),
+        },
         FieldKind::Addr if text.is_some_and(is_addr) => Ok(()),
         FieldKind::Addr => refuse("is not an address with port"),
         FieldKind::Addrs => match value.as_array() {
@@ -307,6 +325,7 @@
         FieldKind::Addrs => "a list of addresses with port".into(),
         FieldKind::Url => "an address that starts with http://".into(),
         FieldKind::Number(min, max) => format!("a whole number from {min} to {max}"),
+        FieldKind::Fraction(min, max) => format!("a number from {min} to {max}"),
         FieldKind::Choice(words) => format!("one of: {}", words.join(", ")),
         FieldKind::SecretFile => "the name of a file that holds the secret".into(),
         FieldKind::Sha256 => "a SHA-256: 64 lower-case hexadecimal digits".into(),
