--- a/crates/ochreyard-agent/src/flags.rs
+++ b/crates/ochreyard-agent/src/flags.rs
@@ -10,6 +10,11 @@
             /// The settings file, in YAML.
             required settings: PathBuf
         }
+        /// Runs the agent of one rank of a group, which calls no endpoint for callers.
+        cmd rank {
+            /// The settings file, in YAML.
+            required settings: PathBuf
+        }
         /// Checks a settings file and lists all its faults.
         cmd check {
             /// The settings file, in YAML.
--- a/crates/ochreyard-agent/src/main.rs
+++ b/crates/ochreyard-agent/src/main.rs
@@ -6,6 +6,7 @@
 mod flags;
 mod leases;
 mod ops;
+mod rank;
 mod rebalancer;
 mod serve;
 
@@ -21,6 +22,9 @@
     let flags = OchreyardAgent::from_env().unwrap_or_else(|error| exit_for_usage("ochreyard-agent", &error));
     let result = match flags.subcommand {
         OchreyardAgentCmd::Serve(args) => read(&args.settings).and_then(serve::run),
+        OchreyardAgentCmd::Rank(args) => {
+            Settings::read(&args.settings, ochreyard_rank::FIELDS).map_err(Into::into).and_then(|s| rank::run(&s))
+        }
         OchreyardAgentCmd::Check(args) => read(&args.settings).map(|_| println!("{}: ok", args.settings.display())),
         OchreyardAgentCmd::Fields(_) => {
             print!("{}", ochreyard_process::reference(FIELDS));
--- /dev/null
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -0,0 +1,20 @@
+//! One expert map for all ranks of a group, where engines take the orders
+//! prepare, hold, arm and go, may lose them, and may carry them out late.
+//!
+//! A [`Controller`] drives one change at a time from fresh views of all ranks.
+//! A [`Grant`] in each agent makes sure that only one controller gives orders.
+//! [`Demand`] and [`Planner`] decide what map is worth a change.
+
+mod controller;
+mod demand;
+mod grant;
+mod order;
+mod placement;
+mod planner;
+
+pub use controller::{Controller, ControllerSettings, Phase, Round};
+pub use demand::{Demand, chosen_between};
+pub use grant::{Grant, LeaderId, Leadership};
+pub use order::{Armed, Order, OrderOutcome, RankView, SentOrder};
+pub use placement::GroupPlacement;
+pub use planner::{PlanSettings, Planned, Planner};
--- /dev/null
+++ b/crates/ochreyard-core/src/group_map/controller.rs
@@ -0,0 +1,429 @@
+//! One change of a group's map at a time, driven by fresh views of all ranks.
+//!
+//! The steps are: prepare everywhere; hold a step ahead at one rank; arm the new
+//! map for that step everywhere; once every rank has confirmed, release the hold.
+//! If not all confirm, everything is undone before the hold is released.
+//!
+//! Orders may be carried out seconds late. Each one names the number of orders
+//! that its rank had taken, so it is void once the rank has taken another. Before
+//! an undone hold is released, every rank whose arm may still be under way is
+//! given an order that raises that number.
+//!
+//! A hold that a former leader left is first backed by one of our own at another
+//! rank: the former leader's late release cannot open the group while its arms
+//! are undone.
+
+use super::order::{Armed, Order, OrderOutcome, RankView, SentOrder};
+use super::placement::GroupPlacement;
+
+/// Times and distances of a change.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ControllerSettings {
+    /// Steps between the last one begun and the one that is held: enough for all
+    /// orders to arrive before any rank has to wait.
+    pub lead_steps: u64,
+    /// Longest time for a hold to be confirmed, in milliseconds.
+    pub hold_timeout_ms: u64,
+    /// Longest time for all ranks to confirm that they are armed, in milliseconds.
+    pub arm_timeout_ms: u64,
+    /// Longest time for copies, in milliseconds, for each copy to one rank.
+    pub copy_timeout_ms: f64,
+    /// Longest time for copies beside that, in milliseconds: orders may be lost.
+    pub prepare_slack_ms: u64,
+    /// Pause before an order whose outcome is unknown is sent again, in milliseconds.
+    pub resend_ms: u64,
+    /// Pause after a change that came to nothing, in milliseconds.
+    pub pause_ms: u64,
+}
+
+impl Default for ControllerSettings {
+    /// A step takes about 50 to 100 ms and an order a few, so two steps of lead
+    /// leave room for a lost order; the rest are small multiples of those.
+    fn default() -> Self {
+        Self {
+            lead_steps: 2,
+            hold_timeout_ms: 300,
+            arm_timeout_ms: 400,
+            copy_timeout_ms: 400.0,
+            prepare_slack_ms: 2_000,
+            resend_ms: 250,
+            pause_ms: 500,
+        }
+    }
+}
+
+/// Where a change stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Phase {
+    /// No change.
+    Idle,
+    /// The ranks copy experts.
+    Preparing {
+        /// The map.
+        version: u64,
+    },
+    /// A step ahead is being held at one rank.
+    Holding {
+        /// The map.
+        version: u64,
+        /// The step.
+        step: u64,
+        /// The rank.
+        rank: usize,
+    },
+    /// The ranks arm the map.
+    Arming {
+        /// The map.
+        version: u64,
+        /// The first step that uses it.
+        step: u64,
+    },
+    /// All ranks are armed, or all are undone: holds are released.
+    Releasing,
+    /// A former leader's hold is backed by one of our own.
+    Backing {
+        /// The held step.
+        step: u64,
+        /// The rank of our own hold.
+        rank: usize,
+    },
+    /// Armed ranks are disarmed, and late arms are made void.
+    Undoing,
+}
+
+/// What one exchange with all ranks brought.
+#[derive(Debug, Clone, Default)]
+pub struct Round {
+    /// A fresh view of each rank, where one came.
+    pub views: Vec<Option<RankView>>,
+    /// What became of the orders that were sent, by rank.
+    pub outcomes: Vec<(usize, SentOrder, OrderOutcome)>,
+}
+
+/// The orders of one leader for one group.
+#[derive(Debug, Clone)]
+pub struct Controller {
+    settings: ControllerSettings,
+    phase: Phase,
+    since_ms: u64,
+    next_sent_ms: u64,
+    pause_until_ms: u64,
+    timeout_ms: u64,
+    target: Option<GroupPlacement>,
+    present: Option<(u64, GroupPlacement)>,
+    epoch: Option<u64>,
+    highest_version: u64,
+    /// By rank: the sequence above which no arm of ours can be carried out any more.
+    unfenced: Vec<Option<u64>>,
+    switched: u64,
+    undone: u64,
+}
+
+impl Controller {
+    /// A controller that knows nothing of the group yet.
+    #[must_use]
+    pub const fn new(settings: ControllerSettings) -> Self {
+        Self {
+            settings,
+            phase: Phase::Idle,
+            since_ms: 0,
+            next_sent_ms: 0,
+            pause_until_ms: 0,
+            timeout_ms: 0,
+            target: None,
+            present: None,
+            epoch: None,
+            highest_version: 0,
+            unfenced: Vec::new(),
+            switched: 0,
+            undone: 0,
+        }
+    }
+
+    /// Where it stands.
+    #[must_use]
+    pub const fn phase(&self) -> &Phase {
+        &self.phase
+    }
+
+    /// Whether a change or a clean-up is under way, so that ranks should be asked often.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.phase != Phase::Idle
+    }
+
+    /// Whether ranks must be reached even where their agents are down.
+    #[must_use]
+    pub const fn must_reach_all(&self) -> bool {
+        matches!(self.phase, Phase::Backing { .. } | Phase::Undoing | Phase::Releasing)
+    }
+
+    /// Changes that came into use, and changes that were undone.
+    #[must_use]
+    pub const fn counts(&self) -> (u64, u64) {
+        (self.switched, self.undone)
+    }
+
+    /// The placement that is known to be in use, and its number.
+    #[must_use]
+    pub const fn present(&self) -> Option<&(u64, GroupPlacement)> {
+        self.present.as_ref()
+    }
+
+    /// Sets the placement that the ranks told of map `version`.
+    pub fn set_present(&mut self, version: u64, placement: GroupPlacement) {
+        self.present = Some((version, placement));
+    }
+
+    /// Forgets everything but the numbers of maps: leadership was lost.
+    pub fn stand_down(&mut self) {
+        self.phase = Phase::Idle;
+        self.target = None;
+        self.unfenced.clear();
+        self.epoch = None;
+    }
+
+    /// Whether a new map may be proposed, given these views.
+    #[must_use]
+    pub fn takes_proposal(&self, views: &[Option<RankView>], now_ms: u64) -> bool {
+        let Some(views) = all_of_one_epoch(views) else { return false };
+        let map = views[0].map;
+        self.phase == Phase::Idle
+            && now_ms >= self.pause_until_ms
+            && self.present.as_ref().is_some_and(|(version, _)| *version == map)
+            && views.iter().all(|view| view.is_open && !view.is_busy && view.map == map)
+            && views.iter().all(|view| view.armed.is_none() && view.held.is_none())
+    }
+
+    /// Starts a change; `copies_of_rank` is the most that one rank copies.
+    pub fn propose(&mut self, placement: GroupPlacement, copies_of_rank: usize, now_ms: u64) {
+        self.highest_version += 1;
+        self.target = Some(placement);
+        let copying_ms = (copies_of_rank as f64 * self.settings.copy_timeout_ms) as u64;
+        self.timeout_ms = copying_ms + self.settings.prepare_slack_ms;
+        self.enter(Phase::Preparing { version: self.highest_version }, now_ms);
+    }
+
+    fn enter(&mut self, phase: Phase, now_ms: u64) {
+        self.phase = phase;
+        self.since_ms = now_ms;
+        self.next_sent_ms = now_ms;
+    }
+
+    /// Takes a round, and says what to send to which rank. Orders may be given
+    /// only while the lease holds.
+    pub fn on_round(&mut self, round: &Round, now_ms: u64) -> Vec<(usize, SentOrder)> {
+        self.note_outcomes(&round.outcomes);
+        self.note_versions(&round.views);
+        let Some(views) = all_of_one_epoch(&round.views) else {
+            self.on_incomplete(&round.views, now_ms);
+            return Vec::new();
+        };
+        if self.epoch.replace(views[0].epoch) != Some(views[0].epoch) {
+            self.on_new_epoch(&views, now_ms);
+        }
+        if !views.iter().all(|view| view.is_open) {
+            return Vec::new();
+        }
+        self.note_fences(&views);
+        self.advance(&views, now_ms);
+        self.orders(&views, now_ms)
+    }
+
+    /// The group formed anew: map 0, nothing prepared, armed or held.
+    fn on_new_epoch(&mut self, views: &[&RankView], now_ms: u64) {
+        self.unfenced = vec![None; views.len()];
+        self.target = None;
+        self.enter(Phase::Idle, now_ms);
+        if self.present.as_ref().is_some_and(|(version, _)| *version != views[0].map) {
+            self.present = None;
+        }
+    }
+
+    fn on_incomplete(&mut self, views: &[Option<RankView>], now_ms: u64) {
+        let waited_ms = now_ms.saturating_sub(self.since_ms);
+        let is_broken = views.iter().flatten().any(|view| !view.is_open);
+        match self.phase {
+            Phase::Preparing { .. } if waited_ms > self.timeout_ms || is_broken => self.give_up(now_ms),
+            Phase::Holding { .. } if waited_ms > self.settings.hold_timeout_ms => self.undo(now_ms),
+            Phase::Arming { .. } if waited_ms > self.settings.arm_timeout_ms => self.undo(now_ms),
+            _ => {}
+        }
+    }
+
+    fn note_versions(&mut self, views: &[Option<RankView>]) {
+        for view in views.iter().flatten() {
+            let told = [Some(view.map), view.prepared, view.armed.map(|armed| armed.version)];
+            let highest = told.into_iter().flatten().max().unwrap_or(0);
+            self.highest_version = self.highest_version.max(highest);
+        }
+    }
+
+    fn note_outcomes(&mut self, outcomes: &[(usize, SentOrder, OrderOutcome)]) {
+        for (rank, sent, outcome) in outcomes {
+            // One that was taken shows in the next view that counts it: until then it is open.
+            let is_void = *outcome == OrderOutcome::Refused;
+            let is_arm = matches!(sent.order, Order::Arm { .. });
+            if is_arm && is_void && self.unfenced.get(*rank) == Some(&Some(sent.expected_sequence)) {
+                self.unfenced[*rank] = None;
+            }
+        }
+    }
+
+    /// A rank that has taken another order since makes a late arm void.
+    fn note_fences(&mut self, views: &[&RankView]) {
+        for (unfenced, view) in self.unfenced.iter_mut().zip(views) {
+            if unfenced.is_some_and(|sequence| view.sequence > sequence) {
+                *unfenced = None;
+            }
+        }
+    }
+
+    fn give_up(&mut self, now_ms: u64) {
+        self.undone += 1;
+        self.target = None;
+        self.pause_until_ms = now_ms + self.settings.pause_ms;
+        self.enter(Phase::Idle, now_ms);
+    }
+
+    fn undo(&mut self, now_ms: u64) {
+        self.undone += 1;
+        self.target = None;
+        self.pause_until_ms = now_ms + self.settings.pause_ms;
+        self.enter(Phase::Undoing, now_ms);
+    }
+
+    fn advance(&mut self, views: &[&RankView], now_ms: u64) {
+        let waited_ms = now_ms.saturating_sub(self.since_ms);
+        match self.phase.clone() {
+            Phase::Idle => self.look_for_left_holds(views, now_ms),
+            Phase::Preparing { version } => {
+                if views.iter().all(|view| view.prepared == Some(version)) {
+                    let step = newest_step(views) + self.settings.lead_steps;
+                    self.enter(Phase::Holding { version, step, rank: 0 }, now_ms);
+                } else if waited_ms > self.timeout_ms {
+                    self.give_up(now_ms);
+                }
+            }
+            Phase::Holding { version, step, rank } => {
+                if views[rank].held == Some(step) {
+                    self.enter(Phase::Arming { version, step }, now_ms);
+                } else if waited_ms > self.settings.hold_timeout_ms || newest_step(views) >= step {
+                    self.undo(now_ms);
+                }
+            }
+            Phase::Arming { version, step } => {
+                let is_armed = |view: &&RankView| view.armed.is_some_and(|armed| armed.version == version);
+                if views.iter().all(is_armed) {
+                    self.switched += 1;
+                    self.present = self.target.take().map(|target| (version, target));
+                    self.enter(Phase::Releasing, now_ms);
+                } else if waited_ms > self.settings.arm_timeout_ms || newest_step(views) >= step {
+                    self.undo(now_ms);
+                }
+            }
+            Phase::Backing { step, rank } => {
+                if views[rank].held == Some(step) {
+                    self.undo(now_ms);
+                } else if views.iter().all(|view| view.held.is_none()) {
+                    // The former leader's release came through: all of its ranks were armed.
+                    self.enter(Phase::Idle, now_ms);
+                }
+            }
+            Phase::Undoing => {
+                let is_clear =
+                    views.iter().all(|view| view.armed.is_none()) && self.unfenced.iter().all(Option::is_none);
+                if is_clear {
+                    self.enter(Phase::Releasing, now_ms);
+                }
+            }
+            Phase::Releasing => {
+                if views.iter().all(|view| view.held.is_none()) {
+                    self.enter(Phase::Idle, now_ms);
+                }
+            }
+        }
+    }
+
+    /// A hold that nobody here placed was left by a former leader, whose arms may
+    /// be under way at any rank.
+    fn look_for_left_holds(&mut self, views: &[&RankView], now_ms: u64) {
+        let Some(step) = views.iter().find_map(|view| view.held) else { return };
+        self.unfenced = views.iter().map(|view| Some(view.sequence)).collect();
+        match views.iter().position(|view| view.held.is_none()) {
+            Some(rank) => self.enter(Phase::Backing { step, rank }, now_ms),
+            None => self.undo(now_ms),
+        }
+    }
+
+    fn orders(&mut self, views: &[&RankView], now_ms: u64) -> Vec<(usize, SentOrder)> {
+        if now_ms < self.next_sent_ms {
+            return Vec::new();
+        }
+        let orders = self.due_orders(views);
+        if orders.is_empty() {
+            return Vec::new();
+        }
+        let is_slow = matches!(self.phase, Phase::Preparing { .. });
+        self.next_sent_ms = if is_slow { now_ms + self.settings.resend_ms } else { now_ms };
+        let sent = |(rank, order): (usize, Order)| {
+            let view = views[rank];
+            (rank, SentOrder { order, epoch: view.epoch, expected_sequence: view.sequence })
+        };
+        let sent: Vec<(usize, SentOrder)> = orders.into_iter().map(sent).collect();
+        for (rank, sent) in &sent {
+            if matches!(sent.order, Order::Arm { .. }) {
+                self.unfenced[*rank] = Some(sent.expected_sequence);
+            }
+        }
+        sent
+    }
+
+    fn due_orders(&mut self, views: &[&RankView]) -> Vec<(usize, Order)> {
+        let ranks = 0..views.len();
+        match self.phase.clone() {
+            Phase::Idle => Vec::new(),
+            Phase::Preparing { version } => {
+                let Some(target) = &self.target else { return Vec::new() };
+                let lacks = |rank: &usize| views[*rank].prepared != Some(version) && !views[*rank].is_busy;
+                let map = target.sets();
+                ranks.filter(lacks).map(|rank| (rank, Order::Prepare { version, map: map.to_vec() })).collect()
+            }
+            Phase::Holding { step, rank, .. } | Phase::Backing { step, rank } => vec![(rank, Order::Hold { step })],
+            Phase::Arming { version, step } => {
+                let lacks = |rank: &usize| views[*rank].armed.is_none();
+                ranks.filter(lacks).map(|rank| (rank, Order::Arm { version, step })).collect()
+            }
+            Phase::Releasing => {
+                let held = |rank: usize| views[rank].held.map(|step| (rank, Order::Go { step }));
+                ranks.filter_map(held).collect()
+            }
+            Phase::Undoing => self.undoing_orders(views),
+        }
+    }
+
+    fn undoing_orders(&mut self, views: &[&RankView]) -> Vec<(usize, Order)> {
+        self.highest_version += 1;
+        let version = self.highest_version;
+        let map = self.present.as_ref().map(|(_, placement)| placement.sets().to_vec());
+        let order = |rank: usize| match views[rank].armed {
+            Some(Armed { version, .. }) => Some(Order::Disarm { version }),
+            // The present map copies nothing, and still counts as an order.
+            None if self.unfenced[rank].is_some() => Some(Order::Prepare { version, map: map.clone()? }),
+            None => None,
+        };
+        (0..views.len()).filter_map(|rank| Some((rank, order(rank)?))).collect()
+    }
+}
+
+/// The views, if there is one of each rank and all are of one epoch.
+fn all_of_one_epoch(views: &[Option<RankView>]) -> Option<Vec<&RankView>> {
+    let views: Vec<&RankView> = views.iter().map(Option::as_ref).collect::<Option<_>>()?;
+    let first = views.first()?;
+    let is_whole = first.size == views.len();
+    (is_whole && views.iter().all(|view| view.epoch == first.epoch)).then_some(views)
+}
+
+fn newest_step(views: &[&RankView]) -> u64 {
+    views.iter().map(|view| view.step).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/ochreyard-core/src/group_map/order.rs
@@ -0,0 +1,101 @@
+//! Orders to one rank, and what a rank tells of itself.
+
+use serde::{Deserialize, Serialize};
+
+/// An order to one rank.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Order {
+    /// Copy the experts of this map that are new to the rank.
+    Prepare {
+        /// Number of the map; above every number before.
+        version: u64,
+        /// Experts by set and rank.
+        map: Vec<Vec<Vec<u16>>>,
+    },
+    /// Use a prepared map from this step on.
+    Arm {
+        /// Number of the map.
+        version: u64,
+        /// The first step that uses it.
+        step: u64,
+    },
+    /// Forget what was armed.
+    Disarm {
+        /// Number of the map.
+        version: u64,
+    },
+    /// The group does not begin this step until it is released at this rank.
+    Hold {
+        /// The step.
+        step: u64,
+    },
+    /// Release a hold.
+    Go {
+        /// The step that is held.
+        step: u64,
+    },
+}
+
+/// An order as it is sent: it fits one state of one epoch of the group only.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SentOrder {
+    /// The order.
+    pub order: Order,
+    /// The epoch of the group that is meant.
+    pub epoch: u64,
+    /// Orders that the rank has taken so far; with any other number it refuses.
+    pub expected_sequence: u64,
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderOutcome {
+    /// It was taken, or had been before.
+    Taken,
+    /// It did not fit.
+    Refused,
+    /// Nobody knows; it may still be carried out.
+    Unknown,
+}
+
+/// What is armed at a rank.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Armed {
+    /// Number of the map.
+    pub version: u64,
+    /// The first step that uses it, if the rank tells.
+    pub step: Option<u64>,
+}
+
+/// A rank's fresh report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct RankView {
+    /// Name of the group.
+    pub group: String,
+    /// The rank's place in the group.
+    pub rank: usize,
+    /// How many ranks the group has.
+    pub size: usize,
+    /// Rises each time the group forms anew.
+    pub epoch: u64,
+    /// Whether all ranks are there.
+    pub is_open: bool,
+    /// The last step begun.
+    pub step: u64,
+    /// Orders taken.
+    pub sequence: u64,
+    /// Whether an order is under way.
+    pub is_busy: bool,
+    /// The map in use.
+    pub map: u64,
+    /// The map whose experts have been copied.
+    pub prepared: Option<u64>,
+    /// The map that is armed.
+    pub armed: Option<Armed>,
+    /// The step that is held.
+    pub held: Option<u64>,
+    /// Requests that run.
+    pub running: u64,
+    /// Requests that wait.
+    pub waiting: u64,
+}
--- /dev/null
+++ b/crates/ochreyard-core/src/group_map/placement.rs
@@ -0,0 +1,85 @@
+//! Which rank holds which experts, for all sets of a group.
+
+use serde::{Deserialize, Serialize};
+
+/// Experts by set and rank.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupPlacement {
+    experts: usize,
+    sets: Vec<Vec<Vec<u16>>>,
+}
+
+impl GroupPlacement {
+    /// The placement that a group starts with: experts dealt in turn.
+    #[must_use]
+    pub fn dealt(sets: usize, experts: usize, ranks: usize) -> Self {
+        let of_rank = |rank: usize| (rank..experts).step_by(ranks.max(1)).map(as_expert).collect();
+        let set: Vec<Vec<u16>> = (0..ranks).map(of_rank).collect();
+        Self { experts, sets: vec![set; sets] }
+    }
+
+    /// A placement from what each rank tells: experts by rank and set.
+    #[must_use]
+    pub fn from_ranks(experts: usize, ranks: &[Vec<Vec<u16>>]) -> Self {
+        let sets = ranks.first().map_or(0, Vec::len);
+        let set = |at: usize| ranks.iter().map(|held| held.get(at).cloned().unwrap_or_default()).collect();
+        Self { experts, sets: (0..sets).map(set).collect() }
+    }
+
+    /// Number of experts in a set.
+    #[must_use]
+    pub const fn experts(&self) -> usize {
+        self.experts
+    }
+
+    /// Experts by set and rank.
+    #[must_use]
+    pub fn sets(&self) -> &[Vec<Vec<u16>>] {
+        &self.sets
+    }
+
+    /// Experts by set and rank, to be changed.
+    pub(super) const fn sets_mut(&mut self) -> &mut Vec<Vec<Vec<u16>>> {
+        &mut self.sets
+    }
+
+    /// Whether each expert of each set is held by a rank.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        let holds = |set: &Vec<Vec<u16>>, expert: usize| set.iter().flatten().any(|held| usize::from(*held) == expert);
+        self.sets.iter().all(|set| (0..self.experts).all(|expert| holds(set, expert)))
+    }
+
+    /// The load of the most loaded rank over the mean, summed over sets by their demand.
+    /// `demand` holds the load of each expert, set by set.
+    #[must_use]
+    pub fn skew(&self, demand: &[f64]) -> f64 {
+        let ranks = self.sets.first().map_or(1, Vec::len) as f64;
+        let of_set = |set: usize| &demand[set * self.experts..(set + 1) * self.experts];
+        let most: f64 = (0..self.sets.len()).map(|set| most_loaded(&self.sets[set], of_set(set))).sum();
+        let total: f64 = demand.iter().sum();
+        if total > 0.0 { most * ranks / total } else { 1.0 }
+    }
+}
+
+fn as_expert(expert: usize) -> u16 {
+    u16::try_from(expert).unwrap_or(u16::MAX)
+}
+
+/// How many ranks hold each expert.
+pub(super) fn replicas(set: &[Vec<u16>], experts: usize) -> Vec<u32> {
+    let mut replicas = vec![0; experts];
+    set.iter().flatten().for_each(|expert| replicas[usize::from(*expert)] += 1);
+    replicas
+}
+
+/// The load of each rank: ranks that hold an expert share its load evenly.
+pub(super) fn rank_loads(set: &[Vec<u16>], demand: &[f64]) -> Vec<f64> {
+    let replicas = replicas(set, demand.len());
+    let share = |expert: &u16| demand[usize::from(*expert)] / f64::from(replicas[usize::from(*expert)].max(1));
+    set.iter().map(|held| held.iter().map(share).sum()).collect()
+}
+
+fn most_loaded(set: &[Vec<u16>], demand: &[f64]) -> f64 {
+    rank_loads(set, demand).into_iter().fold(0.0, f64::max)
+}
--- a/crates/ochreyard-core/src/lib.rs
+++ b/crates/ochreyard-core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod drain;
 pub mod error_kind;
 pub mod frame;
+pub mod group_map;
 pub mod hash;
 pub mod home;
 pub mod ids;
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -61,6 +61,8 @@
     pub state: RefCell<State>,
     /// Whether a planned stop has begun.
     pub is_stopping: Cell<bool>,
+    /// Whether new requests are refused, because they might not end before the process.
+    pub is_refusing: Cell<bool>,
     draws: Cell<u64>,
 }
 
@@ -79,7 +81,15 @@
             log_answers: false,
         };
         let draws = Cell::new(identity.life);
-        Self { dialect, identity, clock, state: RefCell::new(state), is_stopping: Cell::new(false), draws }
+        Self {
+            dialect,
+            identity,
+            clock,
+            state: RefCell::new(state),
+            is_stopping: Cell::new(false),
+            is_refusing: Cell::new(false),
+            draws,
+        }
     }
 
     /// An evenly spread number that differs from call to call and from box to box.
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -80,6 +80,9 @@
         Ok(body) => body,
         Err(kind) => return refusal::of_kind(kind),
     };
+    if entry.is_refusing.get() {
+        return refusal::response(&Refusal::new(ErrorKind::Leaving).with_retry_after_ms(COME_BACK_MS));
+    }
     // The newest configuration counts: the body may have taken its time.
     let table = entry.state.borrow().table.clone().unwrap_or(table);
     match admit(&entry, &table, head, body, started_ms) {
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -27,4 +27,4 @@
 pub use dialect::{Dialect, HeaderNames, Unreadable};
 pub use fields::FIELDS;
 pub use keyed_log::{KeyedLog, KeyedLogError, KeyedPage, KeyedRecord, Topic};
-pub use link::{CallError, CallLink};
+pub use link::{CallError, CallLink, tune};
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -19,11 +19,12 @@
 
 /// How often idle connections to endpoints are looked through.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
-/// How long a stopping box takes new connections: the balancer asks every second
-/// and leaves a box after two misses.
-const BALANCER_LAG_MS: u64 = 3_500;
+/// How long a stopping box takes requests: the balancer asks every second and
+/// leaves a box after two misses. What comes later is refused as not run, since
+/// it might not end within the grace period.
+const BALANCER_LAG_MS: u64 = 2_600;
 /// Kept from the grace period, so that the process ends by itself.
-const END_RESERVE_MS: u64 = 400;
+const END_RESERVE_MS: u64 = 150;
 
 /// Runs the entry on one thread: with the whole box a quarter of a core, more
 /// threads would only take turns.
@@ -117,6 +118,7 @@
     entry.is_stopping.set(true);
     let lag_ms = BALANCER_LAG_MS.min(grace_ms / 2);
     tokio::time::sleep(Duration::from_millis(lag_ms)).await;
+    entry.is_refusing.set(true);
     phase.send_replace(Phase::Closing);
     let end_ms = started_ms + grace_ms.saturating_sub(END_RESERVE_MS);
     let left_ms = end_ms.saturating_sub(entry.clock.now_ms());
--- /dev/null
+++ b/crates/ochreyard-rank/src/agent.rs
@@ -0,0 +1,111 @@
+//! What an agent does for whoever is granted its rank.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ochreyard_core::group_map::{Grant, LeaderId, OrderOutcome, RankView};
+use ochreyard_process::Clock;
+
+use crate::engine::{EngineError, RankEngine};
+use crate::message::{Ask, Told};
+
+/// The agent of one rank.
+pub struct Agent<E> {
+    /// Its own engine.
+    pub engine: E,
+    /// Where that engine listens.
+    pub engine_addr: SocketAddr,
+    /// Where this agent is asked.
+    pub peer_addr: SocketAddr,
+    /// A number that no other life of any agent has.
+    pub life: u64,
+    /// Time.
+    pub clock: Clock,
+    grant: RefCell<Grant>,
+    view: RefCell<Option<RankView>>,
+    is_reachable: Cell<bool>,
+}
+
+impl<E: RankEngine> Agent<E> {
+    /// An agent that starts now.
+    pub fn new(engine: E, addrs: (SocketAddr, SocketAddr), life: u64, lease_ms: u64, clock: Clock) -> Rc<Self> {
+        let (engine_addr, peer_addr) = addrs;
+        let grant = RefCell::new(Grant::new(lease_ms, clock.now_ms()));
+        Rc::new(Self {
+            engine,
+            engine_addr,
+            peer_addr,
+            life,
+            clock,
+            grant,
+            view: RefCell::new(None),
+            is_reachable: Cell::new(true),
+        })
+    }
+
+    /// The last view of its own rank.
+    pub fn last_view(&self) -> Option<RankView> {
+        self.view.borrow().clone()
+    }
+
+    /// Reads its own engine.
+    pub async fn look(&self) -> Option<RankView> {
+        let view = self.noted(self.engine.view().await);
+        if view.is_some() {
+            self.view.replace(view.clone());
+        }
+        view
+    }
+
+    /// Whether another leader is granted, or this agent has started too recently to say.
+    pub fn is_led_by_other(&self, me: &LeaderId) -> bool {
+        let now_ms = self.clock.now_ms();
+        let grant = self.grant.borrow();
+        grant.is_quiet(now_ms) || grant.holder(now_ms).is_some_and(|holder| holder != me)
+    }
+
+    /// Answers a leader: grants or refuses, carries out its orders, and tells of the rank.
+    pub async fn answer(&self, ask: &Ask) -> Told {
+        if ask.releases {
+            self.grant.borrow_mut().release(&ask.leader);
+            return Told::default();
+        }
+        let now_ms = self.clock.now_ms();
+        let granted = self.grant.borrow_mut().ask(&ask.leader, now_ms);
+        let holder = self.grant.borrow().holder(now_ms).filter(|_| !granted).cloned();
+        let outcomes = if granted { self.carry_out(ask).await } else { Vec::new() };
+        let view = self.look().await;
+        let counts = if ask.wants_counts { self.noted(self.engine.counts().await) } else { None };
+        let lists = if ask.wants_lists { self.noted(self.engine.lists().await) } else { None };
+        Told { granted, holder, view, outcomes, counts, lists }
+    }
+
+    async fn carry_out(&self, ask: &Ask) -> Vec<OrderOutcome> {
+        let mut outcomes = Vec::with_capacity(ask.orders.len());
+        for order in &ask.orders {
+            // A process may have stood still since the grant was looked at.
+            let is_granted = self.grant.borrow().holder(self.clock.now_ms()) == Some(&ask.leader);
+            outcomes.push(if is_granted { self.engine.order(order).await } else { OrderOutcome::Unknown });
+        }
+        outcomes
+    }
+
+    fn noted<T>(&self, result: Result<T, EngineError>) -> Option<T> {
+        let was_reachable = self.is_reachable.replace(result.is_ok());
+        match result {
+            Ok(value) => {
+                if !was_reachable {
+                    log::info!("event=engine_regained addr={}", self.engine_addr);
+                }
+                Some(value)
+            }
+            Err(error) => {
+                if was_reachable {
+                    log::warn!("event=engine_lost addr={} error=\"{error}\"", self.engine_addr);
+                }
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-rank/src/engine.rs
@@ -0,0 +1,65 @@
+//! The engine of a rank, as an agent uses it.
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use ochreyard_core::group_map::{OrderOutcome, RankView, SentOrder};
+use serde::{Deserialize, Serialize};
+
+/// Why an engine told nothing.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum EngineError {
+    /// It gave no whole answer.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    /// Its answer cannot be read.
+    #[error("unreadable answer: {0}")]
+    Unreadable(String),
+    /// It belongs to no group.
+    #[error("the engine belongs to no group")]
+    NoGroup,
+}
+
+/// How often a rank's requests have chosen each expert since its start, set by set.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct Counts {
+    /// The epoch of the group.
+    pub epoch: u64,
+    /// The counts.
+    pub counts: Vec<u64>,
+}
+
+/// The experts that a rank holds, by set, under the map in use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct Lists {
+    /// The epoch of the group.
+    pub epoch: u64,
+    /// The number of the map.
+    pub version: u64,
+    /// The experts by set.
+    pub experts: Vec<Vec<u16>>,
+}
+
+/// One engine.
+pub trait RankEngine: 'static {
+    /// Its fresh report.
+    fn view(&self) -> impl Future<Output = Result<RankView, EngineError>>;
+
+    /// Its running counts.
+    fn counts(&self) -> impl Future<Output = Result<Counts, EngineError>>;
+
+    /// What it holds.
+    fn lists(&self) -> impl Future<Output = Result<Lists, EngineError>>;
+
+    /// Gives it an order.
+    fn order(&self, order: &SentOrder) -> impl Future<Output = OrderOutcome>;
+}
+
+/// Makes clients for engines.
+pub trait Engines: Clone + 'static {
+    /// The client.
+    type Engine: RankEngine;
+
+    /// A client for the engine at `addr`.
+    fn at(&self, addr: SocketAddr) -> Self::Engine;
+}
--- /dev/null
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -0,0 +1,454 @@
+//! Leads a group while most of its agents grant it.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use http::Request;
+use http_body_util::Full;
+use ochreyard_core::direct::EngineFigures;
+use ochreyard_core::group_map::{
+    Controller, ControllerSettings, Demand, GroupPlacement, LeaderId, Leadership, PlanSettings, Planner, RankView,
+    Round, SentOrder, chosen_between,
+};
+use ochreyard_direct::{CallLink, Dialect, KeyedLog, Topic};
+
+use crate::agent::Agent;
+use crate::engine::{Counts, Engines, Lists, RankEngine};
+use crate::message::{ASK_PATH, Ask, RankRecord, Told, rank_key};
+
+/// Pause between looks of an agent that does not lead.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
+/// How much longer each rank waits before it asks to lead: the lowest goes first.
+const RANK_STAGGER_MS: u64 = 150;
+/// Longest wait for an agent's answer: its engine's answers and a few round trips.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause between rounds while a change is under way.
+const BUSY_PAUSE: Duration = Duration::from_millis(10);
+/// Pause between rounds while experts are copied, which takes hundreds of milliseconds.
+const COPY_PAUSE: Duration = Duration::from_millis(50);
+/// Least time that a grant must still hold for orders to go out, in milliseconds.
+const ORDER_MARGIN_MS: u64 = 200;
+/// Least pause between readings of the list of ranks, in milliseconds.
+const DIRECTORY_EVERY_MS: u64 = 2_000;
+/// Choices that a plan must rest on, for each expert and set.
+const LEAST_WEIGHT: f64 = 4.0;
+
+/// What a leader weighs, from the settings.
+#[derive(Debug, Clone, Copy)]
+pub struct LeaderSettings {
+    /// How long a grant lasts, in milliseconds.
+    pub lease_ms: u64,
+    /// Pause between rounds while nothing changes, in milliseconds.
+    pub round_ms: u64,
+    /// After this time counts have lost most of their weight, in milliseconds.
+    pub fade_ms: u64,
+    /// For how long a map is expected to fit, in milliseconds.
+    pub horizon_ms: u64,
+    /// What a copy costs beside its time, in milliseconds of the group's time.
+    pub copy_price_ms: f64,
+    /// Saving over the horizon below which nothing is changed, in milliseconds.
+    pub least_saving_ms: u64,
+}
+
+/// Time of a change beside the copies, in milliseconds: two steps and a few round trips.
+const SWITCH_MS: f64 = 250.0;
+/// How much longer steps take while experts are copied, as engines state it.
+const COPY_DRAG: f64 = 0.15;
+
+/// One other rank: its agent, and its engine for when the agent is down.
+struct Member<E> {
+    record: RankRecord,
+    link: Rc<CallLink>,
+    engine: E,
+    counts: Counts,
+}
+
+/// Leads one group, or waits until it may.
+pub struct Leader<D, L, S: Engines> {
+    agent: Rc<Agent<S::Engine>>,
+    dialect: D,
+    log: L,
+    engines: S,
+    service: String,
+    settings: LeaderSettings,
+    leadership: Leadership,
+    controller: Controller,
+    members: BTreeMap<usize, Member<S::Engine>>,
+    directory_read_ms: u64,
+    figures: Option<EngineFigures>,
+    demand: Option<Demand>,
+    leaderless_since_ms: Option<u64>,
+    pending: Vec<(usize, SentOrder)>,
+    last_round: Round,
+    own_counts: Counts,
+}
+
+impl<D: Dialect, L: KeyedLog, S: Engines> Leader<D, L, S> {
+    /// A leader that waits.
+    pub fn new(
+        agent: Rc<Agent<S::Engine>>,
+        dialect: D,
+        log: L,
+        engines: S,
+        service: &str,
+        settings: LeaderSettings,
+    ) -> Self {
+        Self {
+            agent,
+            dialect,
+            log,
+            engines,
+            service: service.to_owned(),
+            settings,
+            leadership: Leadership::new(settings.lease_ms),
+            controller: Controller::new(ControllerSettings::default()),
+            members: BTreeMap::new(),
+            directory_read_ms: 0,
+            figures: None,
+            demand: None,
+            leaderless_since_ms: None,
+            pending: Vec::new(),
+            last_round: Round::default(),
+            own_counts: Counts::default(),
+        }
+    }
+
+    /// Waits and leads until the process ends.
+    pub async fn run(mut self) {
+        self.register().await;
+        loop {
+            if self.may_lead().await {
+                self.lead().await;
+                self.stand_down().await;
+            }
+            tokio::time::sleep(FOLLOW_PAUSE).await;
+        }
+    }
+
+    /// Writes the rank's record once its engine tells the group.
+    async fn register(&mut self) {
+        loop {
+            if let Some(view) = self.agent.look().await {
+                let record = RankRecord { agent_addr: self.agent.peer_addr, engine_addr: self.agent.engine_addr };
+                let text = serde_json::to_vec(&record).unwrap_or_default();
+                match self.log.append(Topic::Ranks, &rank_key(&view.group, view.rank), &text).await {
+                    Ok(()) => {
+                        log::info!("event=rank_registered group={} rank={}", view.group, view.rank);
+                        return;
+                    }
+                    Err(error) => log::warn!("event=rank_not_registered error=\"{error}\""),
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+    }
+
+    fn me(&self, view: &RankView) -> LeaderId {
+        LeaderId { rank: view.rank, life: self.agent.life }
+    }
+
+    /// Whether nobody leads, and it is this rank's turn to ask.
+    async fn may_lead(&mut self) -> bool {
+        let Some(view) = self.agent.last_view() else {
+            self.agent.look().await;
+            return false;
+        };
+        if self.agent.is_led_by_other(&self.me(&view)) {
+            self.leaderless_since_ms = None;
+            return false;
+        }
+        let now_ms = self.agent.clock.now_ms();
+        let since_ms = *self.leaderless_since_ms.get_or_insert(now_ms);
+        if now_ms < since_ms + view.rank as u64 * RANK_STAGGER_MS {
+            return false;
+        }
+        self.read_figures().await;
+        self.figures.is_some()
+    }
+
+    async fn read_figures(&mut self) {
+        let page = match self.log.newest(Topic::Config).await {
+            Ok(page) => page,
+            Err(error) => {
+                log::debug!("event=figures_unread error=\"{error}\"");
+                return;
+            }
+        };
+        for document in page.records.iter().filter_map(|record| record.value.as_ref()) {
+            let Ok(table) = self.dialect.read_config(document) else { continue };
+            let figures = table.service(&self.service).and_then(|service| service.engine);
+            self.figures = figures.filter(|figures| figures.sets > 0).or(self.figures);
+        }
+    }
+
+    /// Reads where the other ranks are.
+    async fn read_directory(&mut self, view: &RankView) {
+        let now_ms = self.agent.clock.now_ms();
+        if self.directory_read_ms > 0 && now_ms < self.directory_read_ms + DIRECTORY_EVERY_MS {
+            return;
+        }
+        self.directory_read_ms = now_ms;
+        let page = match self.log.newest(Topic::Ranks).await {
+            Ok(page) => page,
+            Err(error) => {
+                log::debug!("event=ranks_unread error=\"{error}\"");
+                return;
+            }
+        };
+        for rank in (0..view.size).filter(|rank| *rank != view.rank) {
+            let key = rank_key(&view.group, rank);
+            let value = page.records.iter().find(|record| record.key == key).and_then(|record| record.value.as_ref());
+            let record = value.and_then(|value| serde_json::from_slice::<RankRecord>(value).ok());
+            if let Some(record) = record {
+                self.note_member(rank, record);
+            }
+        }
+    }
+
+    fn note_member(&mut self, rank: usize, record: RankRecord) {
+        if self.members.get(&rank).is_some_and(|member| member.record == record) {
+            return;
+        }
+        let link = Rc::new(CallLink::new(record.agent_addr));
+        let engine = self.engines.at(record.engine_addr);
+        self.members.insert(rank, Member { record, link, engine, counts: Counts::default() });
+    }
+
+    /// Leads until most agents no longer grant it.
+    async fn lead(&mut self) {
+        let Some(view) = self.agent.last_view() else { return };
+        log::info!("event=leading_asked group={} rank={}", view.group, view.rank);
+        self.read_directory(&view).await;
+        let mut is_leading = false;
+        loop {
+            let holder = self.round(&view).await;
+            let now_ms = self.agent.clock.now_ms();
+            if !self.leadership.holds(view.size, now_ms, 0) {
+                log::info!("event=leading_ended group={} rank={} holder={holder:?}", view.group, view.rank);
+                return;
+            }
+            if !is_leading {
+                is_leading = true;
+                log::info!("event=leading group={} rank={}", view.group, view.rank);
+            }
+            if self.last_round.views.iter().any(Option::is_none) {
+                self.read_directory(&view).await;
+            }
+            self.decide();
+            tokio::time::sleep(self.pause()).await;
+        }
+    }
+
+    async fn stand_down(&mut self) {
+        self.controller.stand_down();
+        self.leadership.clear();
+        self.pending.clear();
+        self.leaderless_since_ms = None;
+        let Some(view) = self.agent.last_view() else { return };
+        // Whoever is granted more than we are should not wait for our grants to run out.
+        let ask = Ask {
+            leader: self.me(&view),
+            group: view.group,
+            orders: Vec::new(),
+            wants_counts: false,
+            wants_lists: false,
+            releases: true,
+        };
+        self.agent.answer(&ask).await;
+        let links: Vec<Rc<CallLink>> = self.members.values().map(|member| Rc::clone(&member.link)).collect();
+        join_all(links.into_iter().map(|link| ask_agent(link, ask.clone()))).await;
+    }
+
+    fn pause(&self) -> Duration {
+        use ochreyard_core::group_map::Phase;
+        match self.controller.phase() {
+            Phase::Idle => Duration::from_millis(self.settings.round_ms),
+            Phase::Preparing { .. } => COPY_PAUSE,
+            _ => BUSY_PAUSE,
+        }
+    }
+
+    /// Asks all ranks at once, with the orders that are due. Says who else is granted, if somebody is.
+    async fn round(&mut self, view: &RankView) -> Option<LeaderId> {
+        let asked_ms = self.agent.clock.now_ms();
+        let size = view.size;
+        let orders = std::mem::take(&mut self.pending);
+        let knows_present = self.knows_present();
+        let ask_for = |rank: usize| Ask {
+            leader: self.me(view),
+            group: view.group.clone(),
+            orders: orders.iter().filter(|(to, _)| *to == rank).map(|(_, order)| order.clone()).collect(),
+            wants_counts: true,
+            wants_lists: !knows_present,
+            releases: false,
+        };
+        let own_ask = ask_for(view.rank);
+        let own = self.agent.answer(&own_ask);
+        let reach = self.controller.must_reach_all();
+        let others = self.members.iter().map(|(rank, member)| {
+            let ask = ask_for(*rank);
+            async move { (*rank, ask_member(member, ask, reach).await) }
+        });
+        let (own, others) = futures::join!(own, join_all(others));
+        let mut told: Vec<Option<Told>> = (0..size).map(|_| None).collect();
+        if let Some(place) = told.get_mut(view.rank) {
+            *place = Some(own);
+        }
+        for (rank, answer) in others {
+            if let Some(place) = told.get_mut(rank) {
+                *place = answer;
+            }
+        }
+        self.take(told, &orders, asked_ms)
+    }
+
+    fn knows_present(&self) -> bool {
+        let map = self.last_round.views.iter().flatten().next().map(|view| view.map);
+        map.is_some() && self.controller.present().map(|(version, _)| *version) == map
+    }
+
+    fn take(&mut self, told: Vec<Option<Told>>, orders: &[(usize, SentOrder)], asked_ms: u64) -> Option<LeaderId> {
+        let mut holder = None;
+        let mut round = Round { views: vec![None; told.len()], outcomes: Vec::new() };
+        let mut chosen: Vec<f64> = Vec::new();
+        let mut lists: Vec<Option<Lists>> = vec![None; told.len()];
+        for (rank, told) in told.into_iter().enumerate() {
+            let Some(told) = told else { continue };
+            self.leadership.on_answer(rank, told.granted, asked_ms);
+            holder = holder.or(told.holder);
+            round.views[rank] = told.view.filter(|view| view.rank == rank && view.size == round.views.len());
+            let sent = orders.iter().filter(|(to, _)| *to == rank);
+            round.outcomes.extend(sent.zip(told.outcomes).map(|((to, order), outcome)| (*to, order.clone(), outcome)));
+            lists[rank] = told.lists;
+            if let Some(counts) = told.counts {
+                self.add_chosen(rank, counts, &mut chosen);
+            }
+        }
+        self.take_lists(&lists);
+        let now_ms = self.agent.clock.now_ms();
+        if !chosen.is_empty() {
+            let fade_ms = self.settings.fade_ms as f64;
+            self.demand.get_or_insert_with(|| Demand::new(chosen.len(), fade_ms)).add(&chosen, now_ms);
+        }
+        self.last_round = round;
+        holder
+    }
+
+    fn add_chosen(&mut self, rank: usize, counts: Counts, chosen: &mut Vec<f64>) {
+        let now = &counts.counts;
+        let before = self.members.get(&rank).map_or(&self.own_counts, |member| &member.counts);
+        let news = chosen_between(&before.counts, now);
+        let is_first = before.counts.is_empty();
+        if chosen.is_empty() {
+            chosen.resize(now.len(), 0.0);
+        }
+        if !is_first {
+            chosen.iter_mut().zip(&news).for_each(|(sum, more)| *sum += *more as f64);
+        }
+        match self.members.get_mut(&rank) {
+            Some(member) => member.counts = counts,
+            None => self.own_counts = counts,
+        }
+    }
+
+    fn take_lists(&mut self, lists: &[Option<Lists>]) {
+        let Some(figures) = self.figures else { return };
+        let all: Option<Vec<&Lists>> = lists.iter().map(Option::as_ref).collect();
+        let Some(all) = all else { return };
+        let Some(first) = all.first() else { return };
+        if all.iter().all(|list| list.version == first.version && list.epoch == first.epoch) {
+            let ranks: Vec<Vec<Vec<u16>>> = all.iter().map(|list| list.experts.clone()).collect();
+            let placement = GroupPlacement::from_ranks(figures.experts, &ranks);
+            if placement.is_complete() {
+                self.controller.set_present(first.version, placement);
+            }
+        }
+    }
+
+    /// Lets the controller take the round, and proposes a map where one is worth it.
+    fn decide(&mut self) {
+        let now_ms = self.agent.clock.now_ms();
+        let size = self.last_round.views.len();
+        if !self.leadership.holds(size, now_ms, ORDER_MARGIN_MS) {
+            return;
+        }
+        let before = self.controller.phase().clone();
+        let round = std::mem::take(&mut self.last_round);
+        self.pending = self.controller.on_round(&round, now_ms);
+        self.last_round = round;
+        if self.controller.takes_proposal(&self.last_round.views, now_ms) {
+            self.propose(now_ms);
+        }
+        if *self.controller.phase() != before {
+            let (switched, undone) = self.controller.counts();
+            log::info!("event=map_phase phase={:?} switched={switched} undone={undone}", self.controller.phase());
+        }
+    }
+
+    fn propose(&mut self, now_ms: u64) {
+        let (Some(figures), Some((_, present)), Some(demand)) = (self.figures, self.controller.present(), &self.demand)
+        else {
+            return;
+        };
+        let enough = demand.rates().len() as f64 * LEAST_WEIGHT;
+        if demand.rates().len() != figures.sets * figures.experts || demand.weight() < enough {
+            return;
+        }
+        let planner = Planner::new(plan_settings(&figures, &self.settings));
+        let Some(planned) = planner.plan(present, demand.rates()) else { return };
+        log::info!(
+            "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0}",
+            planned.skew.0,
+            planned.skew.1,
+            planned.copies_of_rank,
+            planned.saving_ms
+        );
+        self.controller.propose(planned.placement, planned.copies_of_rank, now_ms);
+    }
+}
+
+fn plan_settings(figures: &EngineFigures, settings: &LeaderSettings) -> PlanSettings {
+    const BITS_OF_MEGABYTE: f64 = 8.0;
+    PlanSettings {
+        places: figures.places,
+        spare: figures.spare,
+        copy_ms: figures.expert_mb * BITS_OF_MEGABYTE / figures.link_mbps.max(1.0) * 1000.0,
+        switch_ms: SWITCH_MS,
+        copy_drag: COPY_DRAG,
+        horizon_ms: settings.horizon_ms as f64,
+        copy_price_ms: settings.copy_price_ms,
+        least_saving_ms: settings.least_saving_ms as f64,
+    }
+}
+
+/// Asks a rank's agent; where it is down and the rank must be reached, its engine.
+async fn ask_member<E: RankEngine>(member: &Member<E>, ask: Ask, must_reach: bool) -> Option<Told> {
+    let told = ask_agent(Rc::clone(&member.link), ask.clone()).await;
+    if told.is_some() || !must_reach {
+        return told;
+    }
+    let mut outcomes = Vec::new();
+    for order in &ask.orders {
+        outcomes.push(member.engine.order(order).await);
+    }
+    let view = member.engine.view().await.ok()?;
+    Some(Told { view: Some(view), outcomes, ..Told::default() })
+}
+
+async fn ask_agent(link: Rc<CallLink>, ask: Ask) -> Option<Told> {
+    let body = serde_json::to_vec(&ask).ok()?;
+    let request = Request::post(ASK_PATH)
+        .header(http::header::HOST, link.addr().to_string())
+        .body(Full::from(Bytes::from(body)))
+        .ok()?;
+    match link.call(request, ASK_TIMEOUT).await {
+        Ok(response) => serde_json::from_slice(response.body()).ok(),
+        Err(error) => {
+            log::debug!("event=agent_silent addr={} error=\"{error}\"", link.addr());
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-rank/src/message.rs
@@ -0,0 +1,60 @@
+//! What a leader asks an agent, and what it is told.
+
+use std::net::SocketAddr;
+
+use ochreyard_core::group_map::{LeaderId, OrderOutcome, RankView, SentOrder};
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{Counts, Lists};
+
+/// Where an agent is asked.
+pub const ASK_PATH: &str = "/rank";
+
+/// A leader's question to one agent. It renews the leader's grant.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Ask {
+    /// Who asks.
+    pub leader: LeaderId,
+    /// The group that is meant.
+    pub group: String,
+    /// Orders for the rank, carried out only if the leader is granted.
+    pub orders: Vec<SentOrder>,
+    /// Whether the running counts are wanted.
+    pub wants_counts: bool,
+    /// Whether the held experts are wanted.
+    pub wants_lists: bool,
+    /// Whether the leader gives its grant back.
+    pub releases: bool,
+}
+
+/// An agent's answer.
+#[derive(Debug, Clone, Serialize, Deserialize, Default)]
+pub struct Told {
+    /// Whether the leader is granted.
+    pub granted: bool,
+    /// Who is granted, if not the leader.
+    pub holder: Option<LeaderId>,
+    /// The rank's view, after the orders.
+    pub view: Option<RankView>,
+    /// What became of the orders, in their order.
+    pub outcomes: Vec<OrderOutcome>,
+    /// The running counts.
+    pub counts: Option<Counts>,
+    /// The held experts.
+    pub lists: Option<Lists>,
+}
+
+/// An agent's record in the log: where it and its engine are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankRecord {
+    /// Where the agent is asked.
+    pub agent_addr: SocketAddr,
+    /// Where the engine listens, for when the agent is down.
+    pub engine_addr: SocketAddr,
+}
+
+/// The key of a rank's record.
+#[must_use]
+pub fn rank_key(group: &str, rank: usize) -> String {
+    format!("{group}.{rank}")
+}
--- /dev/null
+++ b/crates/ochreyard-rank/src/server.rs
@@ -0,0 +1,77 @@
+//! Answers leaders.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use ochreyard_direct::tune;
+use tokio::net::TcpListener;
+
+use crate::agent::Agent;
+use crate::engine::RankEngine;
+use crate::message::{ASK_PATH, Ask};
+
+/// Largest question: a map of a large group, in JSON.
+const MAX_ASK_BYTES: usize = 1 << 20;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers until the process ends.
+pub async fn serve<E: RankEngine>(agent: Rc<Agent<E>>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let agent = Rc::clone(&agent);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = tune(&stream) {
+                log::debug!("event=tune_refused error=\"{error}\"");
+            }
+            let service = service_fn(move |request| {
+                let agent = Rc::clone(&agent);
+                async move { Ok::<_, Infallible>(answer(&agent, request).await) }
+            });
+            if let Err(error) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
+                log::debug!("event=leader_connection_ended error=\"{error}\"");
+            }
+        });
+    }
+}
+
+async fn answer<E: RankEngine>(agent: &Agent<E>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.method() != Method::POST || request.uri().path() != ASK_PATH {
+        return status_only(StatusCode::NOT_FOUND);
+    }
+    let Ok(body) = Limited::new(request.into_body(), MAX_ASK_BYTES).collect().await else {
+        return status_only(StatusCode::BAD_REQUEST);
+    };
+    let ask: Ask = match serde_json::from_slice(&body.to_bytes()) {
+        Ok(ask) => ask,
+        Err(error) => {
+            log::warn!("event=ask_unreadable error=\"{error}\"");
+            return status_only(StatusCode::BAD_REQUEST);
+        }
+    };
+    let told = agent.answer(&ask).await;
+    match serde_json::to_vec(&told) {
+        Ok(bytes) => Response::new(Full::from(bytes)),
+        Err(error) => {
+            log::error!("event=answer_unwritable error=\"{error}\"");
+            status_only(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn status_only(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
