--- a/crates/ochreyard-direct/src/follow.rs
+++ b/crates/ochreyard-direct/src/follow.rs
@@ -5,13 +5,14 @@
 
 use crate::dialect::Dialect;
 use crate::entry::Entry;
-use crate::keyed_log::{KeyedLog, KeyedLogError, KeyedRecord, Topic};
+use crate::keyed_log::{KeyedLog, KeyedLogError, KeyedPage, KeyedRecord, Topic};
 
 /// Longest pause between looks while the log fails: several looks within the
 /// time in which a change must be in force once the log is back.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// How long one reading of the configuration waits for news.
-const CONFIG_WAIT_MS: u64 = 8_000;
+/// How long one reading of the configuration waits for news. A reading whose
+/// answer is lost ends after this and the time-out; other boxes tell meanwhile.
+const CONFIG_WAIT_MS: u64 = 5_000;
 /// How often the list of our own boxes is read: they change rarely.
 const BOXES_EVERY: Duration = Duration::from_secs(8);
 
@@ -24,15 +25,28 @@
             continue;
         };
         take_configs(&entry, &page.records);
-        let mut from = page.next;
-        while let Some(page) = noted(&entry, log.read(Topic::Config, from, CONFIG_WAIT_MS).await) {
-            take_configs(&entry, &page.records);
-            from = page.next;
+        let mut from = after_last(&page);
+        loop {
+            match log.read(Topic::Config, from, CONFIG_WAIT_MS).await {
+                Err(KeyedLogError::Gone { first }) if first > from => from = first,
+                result => {
+                    let Some(page) = noted(&entry, result) else { break };
+                    take_configs(&entry, &page.records);
+                    from = page.next;
+                }
+            }
         }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
+/// Where to read on after the newest records. The end that comes with them may
+/// already count a record that is not among them, so reading goes on from the last
+/// one that is; records in between that are no longer kept have been replaced.
+fn after_last(page: &KeyedPage) -> u64 {
+    page.records.iter().map(|record| record.offset + 1).max().unwrap_or(page.next)
+}
+
 fn take_configs<D: Dialect>(entry: &Entry<D>, records: &[KeyedRecord]) {
     for document in records.iter().filter_map(|record| record.value.as_ref()) {
         entry.take_config(document, "log");
@@ -49,7 +63,7 @@
             continue;
         };
         let listed: Vec<(String, u64)> = page.records.iter().map(|r| (r.key.clone(), r.offset)).collect();
-        let mut from = page.next;
+        let mut from = after_last(&page);
         take_endpoints(&entry, &page.records);
         let now_ms = entry.clock.now_ms();
         let missing = entry.state.borrow_mut().catalog.keep_only(&listed, from, now_ms);
--- a/crates/ochreyard-direct/src/peers.rs
+++ b/crates/ochreyard-direct/src/peers.rs
@@ -1,8 +1,10 @@
 //! What boxes tell each other: the configuration, the endpoints, and who is there.
 //!
-//! A box asks others while the platform's log gives it no answer, and when it
-//! starts. All of it is compared by version or offset, so that a box that is
-//! behind cannot bring back what is old.
+//! A box asks one other for a newer configuration now and then, since a reading
+//! of the platform's log may hang or miss a record; and several others for all
+//! they know while the log gives it no answer, and when it starts. All of it is
+//! compared by version or offset, so that a box that is behind cannot bring back
+//! what is old.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,12 +24,12 @@
 
 /// Where a box tells what it knows.
 pub const STATE_PATH: &str = "/state";
-/// How often others are asked while the log gives no answer: several times within
-/// the time in which a change must be in force.
+/// How often others are asked: several times within the time in which a change
+/// must be in force.
 const ASK_EVERY: Duration = Duration::from_millis(400);
 /// Longest wait for another box.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
-/// Boxes that are asked at a time.
+/// Boxes that are asked at a time while the log gives no answer.
 const ASKED_AT_ONCE: usize = 3;
 
 /// What a box knows and another one may lack.
@@ -63,12 +65,13 @@
     let state = entry.state.borrow();
     let newer = state.table.as_ref().filter(|table| version.is_none_or(|version| version < table.version()));
     let config = newer.and_then(|_| String::from_utf8(state.config_document.to_vec()).ok());
-    let endpoints = state.catalog.endpoints().map(|(id, offset, record)| PeerEndpoint {
+    let wanted = query.contains_key("endpoints");
+    let endpoints = state.catalog.endpoints().filter(|_| wanted).map(|(id, offset, record)| PeerEndpoint {
         id: id.to_owned(),
         offset,
         record: record.cloned(),
     });
-    let mut boxes = state.boxes.clone();
+    let mut boxes = if wanted { state.boxes.clone() } else { BTreeMap::new() };
     boxes.insert(entry.identity.name.clone(), entry.identity.peer_addr);
     let told = PeerState { config, endpoints: endpoints.collect(), boxes };
     serde_json::to_vec(&told).map(Bytes::from).unwrap_or_else(|error| {
@@ -77,7 +80,7 @@
     })
 }
 
-/// Asks other boxes while the log gives no answer. `seeds` are addresses that
+/// Asks other boxes. `seeds` are addresses that
 /// are tried beside the boxes that are known.
 pub async fn keep_asking<D: Dialect>(entry: Rc<Entry<D>>, seeds: Vec<SocketAddr>) {
     let mut links: BTreeMap<SocketAddr, Rc<CallLink>> = BTreeMap::new();
@@ -93,9 +96,7 @@
 
 fn to_ask<D: Dialect>(entry: &Entry<D>, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
     let state = entry.state.borrow();
-    if state.log_answers && state.table.is_some() {
-        return Vec::new();
-    }
+    let is_well = state.log_answers && state.table.is_some();
     let own = entry.identity.peer_addr;
     let mut addrs: Vec<SocketAddr> = state.boxes.values().chain(seeds).copied().filter(|addr| *addr != own).collect();
     addrs.sort_unstable();
@@ -105,7 +106,7 @@
     }
     let first = usize::try_from(entry.draw() % addrs.len() as u64).unwrap_or(0);
     addrs.rotate_left(first);
-    addrs.truncate(ASKED_AT_ONCE);
+    addrs.truncate(if is_well { 1 } else { ASKED_AT_ONCE });
     addrs
 }
 
@@ -113,7 +114,8 @@
     let known = entry.state.borrow().table.as_ref().map(|table| table.version());
     let version = known.map_or_else(String::new, |version| format!("version={version}&"));
     let identity = &entry.identity;
-    let path = format!("{STATE_PATH}?{version}box={}&addr={}", identity.name, identity.peer_addr);
+    let endpoints = if entry.state.borrow().log_answers { "" } else { "&endpoints=1" };
+    let path = format!("{STATE_PATH}?{version}box={}&addr={}{endpoints}", identity.name, identity.peer_addr);
     let request = Request::get(path).header(http::header::HOST, link.addr().to_string()).body(Full::default());
     let Ok(request) = request else { return };
     let told = match link.call(request, ASK_TIMEOUT).await {
