Make late arms void by a newer prepared map; tell entries of groups that stand

A rank arms only what it prepared last, so a newer number of the present map fences instead. The hold sits at the leader's own rank; ranks whose agents are down are reached through their endpoints.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -7,12 +7,14 @@
 mod catalog;
 mod endpoint_pool;
 mod event_splitter;
+mod group_news;
 mod repeat_budget;
 mod route_table;
 
 pub use catalog::{Catalog, EndpointChange, EndpointRecord};
 pub use endpoint_pool::{EndpointPool, Outcome, Pick, ReportedLoad};
 pub use event_splitter::{EventSplitter, WholeEvents};
+pub use group_news::{GroupNews, RankNews};
 pub use repeat_budget::{RepeatBudget, RepeatLimits};
 pub use route_table::{
     CallerLimits, EngineFigures, Route, RouteKind, RouteTable, ServiceSpec, WeightedService, Workspace,
--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use super::catalog::{EndpointChange, EndpointRecord};
+use super::group_news::GroupNews;
 use crate::hash;
 
 /// Weight of one more outcome in the share of failures.
@@ -18,6 +19,12 @@
 /// After this time, reported load says nothing more, in milliseconds.
 const LOAD_LIFE_MS: f64 = 1_500.0;
 
+/// After this time, what a leader told of its group says nothing more, in milliseconds.
+const NEWS_LIFE_MS: u64 = 1_500;
+/// How long a group is passed over after one of its ranks told that another one
+/// is at fault, in milliseconds; its leader knows more by then.
+const FAULT_PAUSE_MS: u64 = 600;
+
 /// The load that an endpoint told with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ReportedLoad {
@@ -64,6 +71,15 @@
     unreachable_times: u32,
     aside_until_ms: u64,
     heard_ms: u64,
+    group: Option<String>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Group {
+    is_serving: bool,
+    step_ms: f64,
+    told_ms: u64,
+    fault_until_ms: u64,
 }
 
 impl Member {
@@ -78,6 +94,7 @@
             unreachable_times: 0,
             aside_until_ms: 0,
             heard_ms: 0,
+            group: None,
         }
     }
 
@@ -99,6 +116,7 @@
 pub struct EndpointPool {
     members: HashMap<String, Member>,
     by_service: HashMap<String, Vec<String>>,
+    groups: HashMap<String, Group>,
 }
 
 impl EndpointPool {
@@ -160,12 +178,46 @@
             let members = self.of_service(service).enumerate();
             members.filter(|(_, (id, member))| !member.record.is_leaving && !tried.iter().any(|other| other == id))
         };
-        let sound = open().filter(|(_, (_, member))| member.aside_until_ms <= now_ms);
+        let sound =
+            open().filter(|(_, (_, member))| member.aside_until_ms <= now_ms && self.is_serving(member, now_ms));
         let best = least_loaded(sound, draw, now_ms).or_else(|| least_loaded(open(), draw, now_ms))?;
         let (id, member) = best;
         Some(Pick { id: id.to_owned(), addr: member.record.addr, in_flight: member.in_flight })
     }
 
+    /// Whether the group of an endpoint goes on, as far as known.
+    fn is_serving(&self, member: &Member, now_ms: u64) -> bool {
+        let Some(group) = member.group.as_ref().and_then(|name| self.groups.get(name)) else { return true };
+        let is_fresh = now_ms < group.told_ms + NEWS_LIFE_MS;
+        now_ms >= group.fault_until_ms && (group.is_serving || !is_fresh)
+    }
+
+    /// A leader told of its group.
+    pub fn on_news(&mut self, news: &GroupNews, now_ms: u64) {
+        let name = format!("{}/{}", news.service, news.group);
+        for rank in &news.ranks {
+            let Some(member) = self.members.get_mut(&rank.endpoint) else { continue };
+            if member.group.as_ref() != Some(&name) {
+                member.group = Some(name.clone());
+            }
+            member.load = ReportedLoad { running: rank.running, waiting: rank.waiting };
+            member.own_at_load = member.in_flight;
+            member.load_at_ms = now_ms;
+        }
+        let group = self.groups.entry(name).or_default();
+        group.is_serving = news.is_serving;
+        group.step_ms = news.step_ms;
+        group.told_ms = now_ms;
+    }
+
+    /// An endpoint told that another rank of its group is at fault.
+    pub fn on_group_fault(&mut self, id: &str, now_ms: u64) {
+        let name = self.members.get(id).and_then(|member| member.group.as_ref());
+        if let Some(group) = name.and_then(|name| self.groups.get_mut(name)) {
+            group.fault_until_ms = now_ms + FAULT_PAUSE_MS;
+        }
+    }
+
     /// An attempt is on its way.
     pub fn on_start(&mut self, id: &str) {
         if let Some(member) = self.members.get_mut(id) {
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/group_news.rs
@@ -0,0 +1,29 @@
+//! What a group's leader tells entries of it.
+
+use serde::{Deserialize, Serialize};
+
+/// One group, as its leader saw it a moment ago.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
+pub struct GroupNews {
+    /// Name of the service.
+    pub service: String,
+    /// Name of the group.
+    pub group: String,
+    /// Whether its steps go on: it is whole, and does not stand.
+    pub is_serving: bool,
+    /// Time of one step, in milliseconds; 0 while none was measured.
+    pub step_ms: f64,
+    /// Its ranks, as far as their endpoints are known.
+    pub ranks: Vec<RankNews>,
+}
+
+/// One rank of a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankNews {
+    /// Identifier of its endpoint.
+    pub endpoint: String,
+    /// Requests that it runs.
+    pub running: u64,
+    /// Requests that wait there.
+    pub waiting: u64,
+}
--- a/crates/ochreyard-core/src/group_map/controller.rs
+++ b/crates/ochreyard-core/src/group_map/controller.rs
@@ -4,10 +4,11 @@
 //! map for that step everywhere; once every rank has confirmed, release the hold.
 //! If not all confirm, everything is undone before the hold is released.
 //!
-//! Orders may be carried out seconds late. Each one names the number of orders
-//! that its rank had taken, so it is void once the rank has taken another. Before
-//! an undone hold is released, every rank whose arm may still be under way is
-//! given an order that raises that number.
+//! Orders may be carried out seconds late. A rank arms only the map that it
+//! prepared last, so a late arm is void once a newer map has been prepared: before
+//! an undone hold is released, every rank whose arm may still be under way is made
+//! to prepare the present map under a new number. Numbers of maps are never used
+//! by two leaders, so that no late order can mix two maps under one number.
 //!
 //! A hold that a former leader left is first backed by one of our own at another
 //! rank: the former leader's late release cannot open the group while its arms
@@ -52,6 +53,10 @@
     }
 }
 
+/// Numbers of maps end in a mark of their leader below this bound; together with
+/// the count of changes they stay exact in JSON.
+const VERSION_MARKS: u64 = 1 << 20;
+
 /// Where a change stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Phase {
@@ -112,19 +117,25 @@
     target: Option<GroupPlacement>,
     present: Option<(u64, GroupPlacement)>,
     epoch: Option<u64>,
+    own_rank: usize,
+    version_mark: u64,
     highest_version: u64,
-    /// By rank: the sequence above which no arm of ours can be carried out any more.
+    /// By rank: the map that may still be armed by an order under way.
     unfenced: Vec<Option<u64>>,
     switched: u64,
     undone: u64,
 }
 
 impl Controller {
-    /// A controller that knows nothing of the group yet.
+    /// A controller that knows nothing of the group yet. Its holds are placed at
+    /// `own_rank`, whose agent it shares the box with: then one box less can
+    /// delay a release. `life` marks its numbers of maps.
     #[must_use]
-    pub const fn new(settings: ControllerSettings) -> Self {
+    pub const fn new(settings: ControllerSettings, own_rank: usize, life: u64) -> Self {
         Self {
             settings,
+            own_rank,
+            version_mark: life % VERSION_MARKS,
             phase: Phase::Idle,
             since_ms: 0,
             next_sent_ms: 0,
@@ -152,6 +163,12 @@
         self.phase != Phase::Idle
     }
 
+    /// Whether experts are being copied, which takes long and needs no haste.
+    #[must_use]
+    pub const fn is_copying(&self) -> bool {
+        matches!(self.phase, Phase::Preparing { .. })
+    }
+
     /// Whether ranks must be reached even where their agents are down.
     #[must_use]
     pub const fn must_reach_all(&self) -> bool {
@@ -175,14 +192,6 @@
         self.present = Some((version, placement));
     }
 
-    /// Forgets everything but the numbers of maps: leadership was lost.
-    pub fn stand_down(&mut self) {
-        self.phase = Phase::Idle;
-        self.target = None;
-        self.unfenced.clear();
-        self.epoch = None;
-    }
-
     /// Whether a new map may be proposed, given these views.
     #[must_use]
     pub fn takes_proposal(&self, views: &[Option<RankView>], now_ms: u64) -> bool {
@@ -197,11 +206,17 @@
 
     /// Starts a change; `copies_of_rank` is the most that one rank copies.
     pub fn propose(&mut self, placement: GroupPlacement, copies_of_rank: usize, now_ms: u64) {
-        self.highest_version += 1;
+        let version = self.next_version();
         self.target = Some(placement);
         let copying_ms = (copies_of_rank as f64 * self.settings.copy_timeout_ms) as u64;
         self.timeout_ms = copying_ms + self.settings.prepare_slack_ms;
-        self.enter(Phase::Preparing { version: self.highest_version }, now_ms);
+        self.enter(Phase::Preparing { version }, now_ms);
+    }
+
+    /// A number above all that are known, and never used by another leader.
+    const fn next_version(&mut self) -> u64 {
+        self.highest_version = (self.highest_version / VERSION_MARKS + 1) * VERSION_MARKS + self.version_mark;
+        self.highest_version
     }
 
     fn enter(&mut self, phase: Phase, now_ms: u64) {
@@ -261,19 +276,18 @@
 
     fn note_outcomes(&mut self, outcomes: &[(usize, SentOrder, OrderOutcome)]) {
         for (rank, sent, outcome) in outcomes {
-            // One that was taken shows in the next view that counts it: until then it is open.
-            let is_void = *outcome == OrderOutcome::Refused;
-            let is_arm = matches!(sent.order, Order::Arm { .. });
-            if is_arm && is_void && self.unfenced.get(*rank) == Some(&Some(sent.expected_sequence)) {
+            // One that was taken may not show in the next view yet, so it stays open.
+            let Order::Arm { version, .. } = sent.order else { continue };
+            if *outcome == OrderOutcome::Refused && self.unfenced.get(*rank) == Some(&Some(version)) {
                 self.unfenced[*rank] = None;
             }
         }
     }
 
-    /// A rank that has taken another order since makes a late arm void.
+    /// A rank that has prepared a newer map since makes a late arm void.
     fn note_fences(&mut self, views: &[&RankView]) {
         for (unfenced, view) in self.unfenced.iter_mut().zip(views) {
-            if unfenced.is_some_and(|sequence| view.sequence > sequence) {
+            if unfenced.is_some_and(|version| view.prepared.is_some_and(|prepared| prepared > version)) {
                 *unfenced = None;
             }
         }
@@ -300,7 +314,8 @@
             Phase::Preparing { version } => {
                 if views.iter().all(|view| view.prepared == Some(version)) {
                     let step = newest_step(views) + self.settings.lead_steps;
-                    self.enter(Phase::Holding { version, step, rank: 0 }, now_ms);
+                    let rank = self.own_rank.min(views.len() - 1);
+                    self.enter(Phase::Holding { version, step, rank }, now_ms);
                 } else if waited_ms > self.timeout_ms {
                     self.give_up(now_ms);
                 }
@@ -349,8 +364,10 @@
     /// be under way at any rank.
     fn look_for_left_holds(&mut self, views: &[&RankView], now_ms: u64) {
         let Some(step) = views.iter().find_map(|view| view.held) else { return };
-        self.unfenced = views.iter().map(|view| Some(view.sequence)).collect();
-        match views.iter().position(|view| view.held.is_none()) {
+        let highest = self.highest_version;
+        self.unfenced = vec![Some(highest); views.len()];
+        let own = Some(self.own_rank).filter(|rank| views.get(*rank).is_some_and(|view| view.held.is_none()));
+        match own.or_else(|| views.iter().position(|view| view.held.is_none())) {
             Some(rank) => self.enter(Phase::Backing { step, rank }, now_ms),
             None => self.undo(now_ms),
         }
@@ -364,7 +381,7 @@
         if orders.is_empty() {
             return Vec::new();
         }
-        let is_slow = matches!(self.phase, Phase::Preparing { .. });
+        let is_slow = matches!(self.phase, Phase::Preparing { .. } | Phase::Undoing);
         self.next_sent_ms = if is_slow { now_ms + self.settings.resend_ms } else { now_ms };
         let sent = |(rank, order): (usize, Order)| {
             let view = views[rank];
@@ -372,8 +389,8 @@
         };
         let sent: Vec<(usize, SentOrder)> = orders.into_iter().map(sent).collect();
         for (rank, sent) in &sent {
-            if matches!(sent.order, Order::Arm { .. }) {
-                self.unfenced[*rank] = Some(sent.expected_sequence);
+            if let Order::Arm { version, .. } = sent.order {
+                self.unfenced[*rank] = Some(version);
             }
         }
         sent
@@ -403,8 +420,10 @@
     }
 
     fn undoing_orders(&mut self, views: &[&RankView]) -> Vec<(usize, Order)> {
-        self.highest_version += 1;
-        let version = self.highest_version;
+        if views.iter().all(|view| view.armed.is_none()) && self.unfenced.iter().all(Option::is_none) {
+            return Vec::new();
+        }
+        let version = self.next_version();
         let map = self.present.as_ref().map(|(_, placement)| placement.sets().to_vec());
         let order = |rank: usize| match views[rank].armed {
             Some(Armed { version, .. }) => Some(Order::Disarm { version }),
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -242,6 +242,11 @@
     if says_not_run && (is_own || !head.headers.contains_key(&names.attempt_id)) {
         let is_full = head.status == StatusCode::SERVICE_UNAVAILABLE || head.status == StatusCode::TOO_MANY_REQUESTS;
         flight.set(if is_full { Outcome::Full } else { Outcome::Unreachable });
+        let at_fault = head.headers.get(&names.at_fault);
+        if is_full && at_fault.is_some_and(|other| other.as_bytes() != pick.id.as_bytes()) {
+            let now_ms = entry.clock.now_ms();
+            entry.state.borrow_mut().pool.on_group_fault(&pick.id, now_ms);
+        }
         return Attempt::NotRun { status: head.status };
     }
     let lacks_proof = head.status.is_success() && !head.headers.contains_key(&names.proof);
--- a/crates/ochreyard-direct/src/dialect.rs
+++ b/crates/ochreyard-direct/src/dialect.rs
@@ -22,6 +22,8 @@
     pub last_event: HeaderName,
     /// Says that the endpoint did not run the request.
     pub not_run: HeaderName,
+    /// Names the endpoint at fault where it is not the one that answers.
+    pub at_fault: HeaderName,
     /// Proves that an answer is the endpoint's own.
     pub proof: HeaderName,
     /// The endpoint's load.
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -28,3 +28,4 @@
 pub use fields::FIELDS;
 pub use keyed_log::{KeyedLog, KeyedLogError, KeyedPage, KeyedRecord, Topic};
 pub use link::{CallError, CallLink, tune};
+pub use peers::GROUP_PATH;
--- a/crates/ochreyard-direct/src/peers.rs
+++ b/crates/ochreyard-direct/src/peers.rs
@@ -12,10 +12,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
-use http_body_util::Full;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use ochreyard_core::direct::EndpointRecord;
+use ochreyard_core::direct::{EndpointRecord, GroupNews};
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::Dialect;
@@ -24,6 +24,10 @@
 
 /// Where a box tells what it knows.
 pub const STATE_PATH: &str = "/state";
+/// Where the leader of a group tells of it.
+pub const GROUP_PATH: &str = "/group";
+/// Largest news of a group.
+const MAX_NEWS_BYTES: usize = 64 << 10;
 /// How often others are asked: several times within the time in which a change
 /// must be in force.
 const ASK_EVERY: Duration = Duration::from_millis(400);
@@ -55,9 +59,8 @@
 }
 
 /// The answer to a box that asks; what it says of itself is noted.
-pub fn state_for<D: Dialect>(entry: &Entry<D>, request: &Request<Incoming>, _from: SocketAddr) -> Bytes {
-    let query: BTreeMap<&str, &str> =
-        request.uri().query().unwrap_or("").split('&').filter_map(|pair| pair.split_once('=')).collect();
+pub fn state_for<D: Dialect>(entry: &Entry<D>, query: &str) -> Bytes {
+    let query: BTreeMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
     let version = query.get("version").and_then(|version| version.parse::<u64>().ok());
     if let (Some(name), Some(Ok(addr))) = (query.get("box"), query.get("addr").map(|addr| addr.parse())) {
         entry.take_box(name, addr);
@@ -80,6 +83,20 @@
     })
 }
 
+/// Takes what a leader tells of its group.
+pub async fn take_news<D: Dialect>(entry: &Entry<D>, request: Request<Incoming>) -> StatusCode {
+    let Ok(body) = Limited::new(request.into_body(), MAX_NEWS_BYTES).collect().await else {
+        return StatusCode::BAD_REQUEST;
+    };
+    let Ok(news) = serde_json::from_slice::<GroupNews>(&body.to_bytes()) else {
+        log::warn!("event=group_news_unreadable");
+        return StatusCode::BAD_REQUEST;
+    };
+    let now_ms = entry.clock.now_ms();
+    entry.state.borrow_mut().pool.on_news(&news, now_ms);
+    StatusCode::NO_CONTENT
+}
+
 /// Asks other boxes. `seeds` are addresses that
 /// are tried beside the boxes that are known.
 pub async fn keep_asking<D: Dialect>(entry: Rc<Entry<D>>, seeds: Vec<SocketAddr>) {
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -1,7 +1,6 @@
 //! The listeners: callers, readiness, other boxes.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -102,7 +101,7 @@
     metrics: metrics_exporter_prometheus::PrometheusHandle,
 ) {
     loop {
-        let Ok((stream, from)) = listener.accept().await else {
+        let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -112,8 +111,8 @@
                 log::debug!("event=tune_refused error=\"{error}\"");
             }
             let service = service_fn(move |request| {
-                let response = answer_side(&entry, side, from, &request, &metrics);
-                async move { Ok::<_, Infallible>(response) }
+                let (entry, metrics) = (Rc::clone(&entry), metrics.clone());
+                async move { Ok::<_, Infallible>(answer_side(&entry, side, request, &metrics).await) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
@@ -123,11 +122,10 @@
     }
 }
 
-fn answer_side<D: Dialect>(
+async fn answer_side<D: Dialect>(
     entry: &Entry<D>,
     side: Side,
-    from: SocketAddr,
-    request: &Request<Incoming>,
+    request: Request<Incoming>,
     metrics: &metrics_exporter_prometheus::PrometheusHandle,
 ) -> Response<AnswerBody> {
     let path = request.uri().path();
@@ -135,8 +133,10 @@
         (_, &Method::GET, "/metrics") => Response::new(AnswerBody::whole(metrics.render())),
         (Side::Ready, &Method::GET, _) => ready(entry),
         (Side::Peers, &Method::GET, peers::STATE_PATH) => {
-            Response::new(AnswerBody::whole(peers::state_for(entry, request, from)))
+            let query = request.uri().query().unwrap_or_default();
+            Response::new(AnswerBody::whole(peers::state_for(entry, query)))
         }
+        (Side::Peers, &Method::POST, peers::GROUP_PATH) => status_only(peers::take_news(entry, request).await),
         _ => status_only(StatusCode::NOT_FOUND),
     }
 }
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -8,7 +8,7 @@
 use futures::future::join_all;
 use http::Request;
 use http_body_util::Full;
-use ochreyard_core::direct::EngineFigures;
+use ochreyard_core::direct::{EngineFigures, GroupNews, RankNews};
 use ochreyard_core::group_map::{
     Controller, ControllerSettings, Demand, GroupPlacement, LeaderId, Leadership, PlanSettings, Planner, RankView,
     Round, SentOrder, chosen_between,
@@ -16,8 +16,11 @@
 use ochreyard_direct::{CallLink, Dialect, KeyedLog, Topic};
 
 use crate::agent::Agent;
+use crate::endpoints::GroupEndpoints;
 use crate::engine::{Counts, Engines, Lists, RankEngine};
+use crate::entries::Entries;
 use crate::message::{ASK_PATH, Ask, RankRecord, Told, rank_key};
+use crate::step_pace::StepPace;
 
 /// Pause between looks of an agent that does not lead.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
@@ -33,6 +36,8 @@
 const ORDER_MARGIN_MS: u64 = 200;
 /// Least pause between readings of the list of ranks, in milliseconds.
 const DIRECTORY_EVERY_MS: u64 = 2_000;
+/// How long a change takes before what it waits for is logged, in milliseconds.
+const STUCK_NOTE_MS: u64 = 1_000;
 /// Choices that a plan must rest on, for each expert and set.
 const LEAST_WEIGHT: f64 = 4.0;
 
@@ -58,11 +63,10 @@
 /// How much longer steps take while experts are copied, as engines state it.
 const COPY_DRAG: f64 = 0.15;
 
-/// One other rank: its agent, and its engine for when the agent is down.
-struct Member<E> {
+/// One other rank: its agent.
+struct Member {
     record: RankRecord,
     link: Rc<CallLink>,
-    engine: E,
     counts: Counts,
 }
 
@@ -71,12 +75,14 @@
     agent: Rc<Agent<S::Engine>>,
     dialect: D,
     log: L,
-    engines: S,
     service: String,
     settings: LeaderSettings,
     leadership: Leadership,
     controller: Controller,
-    members: BTreeMap<usize, Member<S::Engine>>,
+    members: BTreeMap<usize, Member>,
+    endpoints: GroupEndpoints<S>,
+    entries: Entries,
+    pace: StepPace,
     directory_read_ms: u64,
     figures: Option<EngineFigures>,
     demand: Option<Demand>,
@@ -84,6 +90,7 @@
     pending: Vec<(usize, SentOrder)>,
     last_round: Round,
     own_counts: Counts,
+    busy_noted_ms: u64,
 }
 
 impl<D: Dialect, L: KeyedLog, S: Engines> Leader<D, L, S> {
@@ -100,12 +107,14 @@
             agent,
             dialect,
             log,
-            engines,
             service: service.to_owned(),
             settings,
             leadership: Leadership::new(settings.lease_ms),
-            controller: Controller::new(ControllerSettings::default()),
+            controller: Controller::new(ControllerSettings::default(), 0, 0),
             members: BTreeMap::new(),
+            endpoints: GroupEndpoints::new(engines),
+            entries: Entries::default(),
+            pace: StepPace::default(),
             directory_read_ms: 0,
             figures: None,
             demand: None,
@@ -113,6 +122,7 @@
             pending: Vec::new(),
             last_round: Round::default(),
             own_counts: Counts::default(),
+            busy_noted_ms: 0,
         }
     }
 
@@ -213,20 +223,24 @@
             return;
         }
         let link = Rc::new(CallLink::new(record.agent_addr));
-        let engine = self.engines.at(record.engine_addr);
-        self.members.insert(rank, Member { record, link, engine, counts: Counts::default() });
+        self.members.insert(rank, Member { record, link, counts: Counts::default() });
     }
 
     /// Leads until most agents no longer grant it.
     async fn lead(&mut self) {
         let Some(view) = self.agent.last_view() else { return };
         log::info!("event=leading_asked group={} rank={}", view.group, view.rank);
+        self.controller = Controller::new(ControllerSettings::default(), view.rank, self.agent.life);
         self.read_directory(&view).await;
         let mut is_leading = false;
         loop {
             let holder = self.round(&view).await;
             let now_ms = self.agent.clock.now_ms();
             if !self.leadership.holds(view.size, now_ms, 0) {
+                if holder.is_none() {
+                    // Cut off from most of the group, this agent may be the only one that reaches these entries.
+                    self.tell_entries(&view).await;
+                }
                 log::info!("event=leading_ended group={} rank={} holder={holder:?}", view.group, view.rank);
                 return;
             }
@@ -238,12 +252,12 @@
                 self.read_directory(&view).await;
             }
             self.decide();
+            self.tell_entries(&view).await;
             tokio::time::sleep(self.pause()).await;
         }
     }
 
     async fn stand_down(&mut self) {
-        self.controller.stand_down();
         self.leadership.clear();
         self.pending.clear();
         self.leaderless_since_ms = None;
@@ -273,24 +287,31 @@
 
     /// Asks all ranks at once, with the orders that are due. Says who else is granted, if somebody is.
     async fn round(&mut self, view: &RankView) -> Option<LeaderId> {
+        let reach = self.controller.must_reach_all() && self.last_round.views.iter().any(Option::is_none);
+        if reach {
+            let epoch = self.epoch();
+            self.endpoints.find(&self.log, &self.dialect, &self.service, view, epoch, self.agent.clock.now_ms()).await;
+        }
         let asked_ms = self.agent.clock.now_ms();
         let size = view.size;
         let orders = std::mem::take(&mut self.pending);
         let knows_present = self.knows_present();
+        let is_busy = self.controller.is_busy();
         let ask_for = |rank: usize| Ask {
             leader: self.me(view),
             group: view.group.clone(),
             orders: orders.iter().filter(|(to, _)| *to == rank).map(|(_, order)| order.clone()).collect(),
-            wants_counts: true,
+            wants_counts: !is_busy || self.controller.is_copying(),
             wants_lists: !knows_present,
             releases: false,
         };
         let own_ask = ask_for(view.rank);
         let own = self.agent.answer(&own_ask);
-        let reach = self.controller.must_reach_all();
+        let endpoints = &self.endpoints;
         let others = self.members.iter().map(|(rank, member)| {
             let ask = ask_for(*rank);
-            async move { (*rank, ask_member(member, ask, reach).await) }
+            let engine = endpoints.engine(*rank).filter(|_| reach);
+            async move { (*rank, ask_member(member, ask, engine).await) }
         });
         let (own, others) = futures::join!(own, join_all(others));
         let mut told: Vec<Option<Told>> = (0..size).map(|_| None).collect();
@@ -305,6 +326,31 @@
         self.take(told, &orders, asked_ms)
     }
 
+    fn epoch(&self) -> u64 {
+        self.last_round.views.iter().flatten().map(|view| view.epoch).max().unwrap_or(0)
+    }
+
+    /// Tells entries of the group: at once when it stops or goes on, else now and then.
+    async fn tell_entries(&mut self, view: &RankView) {
+        let now_ms = self.agent.clock.now_ms();
+        let is_serving = self.pace.note(&self.last_round.views, now_ms);
+        if !self.entries.is_due(is_serving, now_ms) {
+            return;
+        }
+        let epoch = self.epoch();
+        self.endpoints.find(&self.log, &self.dialect, &self.service, view, epoch, self.agent.clock.now_ms()).await;
+        self.entries.read(&self.log, now_ms).await;
+        let rank_news = |(rank, view): (usize, &Option<RankView>)| {
+            let view = view.as_ref()?;
+            let endpoint = self.endpoints.id(rank)?.to_owned();
+            Some(RankNews { endpoint, running: view.running, waiting: view.waiting })
+        };
+        let ranks = self.last_round.views.iter().enumerate().filter_map(rank_news).collect();
+        let step_ms = self.pace.step_ms();
+        let news = GroupNews { service: self.service.clone(), group: view.group.clone(), is_serving, step_ms, ranks };
+        self.entries.tell(&news);
+    }
+
     fn knows_present(&self) -> bool {
         let map = self.last_round.views.iter().flatten().next().map(|view| view.map);
         map.is_some() && self.controller.present().map(|(version, _)| *version) == map
@@ -368,6 +414,20 @@
         }
     }
 
+    /// Tells once a second what a change that does not end waits for.
+    fn note_stuck(&mut self, now_ms: u64) {
+        if !self.controller.is_busy() {
+            self.busy_noted_ms = now_ms;
+        }
+        if now_ms < self.busy_noted_ms + STUCK_NOTE_MS {
+            return;
+        }
+        self.busy_noted_ms = now_ms;
+        let views: Vec<String> =
+            self.last_round.views.iter().map(|view| view.as_ref().map_or("-".into(), brief)).collect();
+        log::warn!("event=map_change_waits phase={:?} ranks=\"{}\"", self.controller.phase(), views.join(" "));
+    }
+
     /// Lets the controller take the round, and proposes a map where one is worth it.
     fn decide(&mut self) {
         let now_ms = self.agent.clock.now_ms();
@@ -375,6 +435,7 @@
         if !self.leadership.holds(size, now_ms, ORDER_MARGIN_MS) {
             return;
         }
+        self.note_stuck(now_ms);
         let before = self.controller.phase().clone();
         let round = std::mem::take(&mut self.last_round);
         self.pending = self.controller.on_round(&round, now_ms);
@@ -410,6 +471,15 @@
     }
 }
 
+/// A rank's view in a few words: epoch, step, orders taken, map, prepared, armed, held.
+fn brief(view: &RankView) -> String {
+    let open = if view.is_open { "open" } else { "broken" };
+    let number = |value: Option<u64>| value.map_or("-".to_owned(), |value| value.to_string());
+    let armed = number(view.armed.map(|armed| armed.version));
+    let (prepared, held) = (number(view.prepared), number(view.held));
+    format!("{open}:{}:{}:{}:{}:{prepared}:{armed}:{held}", view.epoch, view.step, view.sequence, view.map)
+}
+
 fn plan_settings(figures: &EngineFigures, settings: &LeaderSettings) -> PlanSettings {
     const BITS_OF_MEGABYTE: f64 = 8.0;
     PlanSettings {
@@ -424,17 +494,15 @@
     }
 }
 
-/// Asks a rank's agent; where it is down and the rank must be reached, its engine.
-async fn ask_member<E: RankEngine>(member: &Member<E>, ask: Ask, must_reach: bool) -> Option<Told> {
+/// Asks a rank's agent; where it does not answer, its engine, if one is given.
+async fn ask_member<E: RankEngine>(member: &Member, ask: Ask, engine: Option<&E>) -> Option<Told> {
     let told = ask_agent(Rc::clone(&member.link), ask.clone()).await;
-    if told.is_some() || !must_reach {
-        return told;
-    }
+    let Some(engine) = engine.filter(|_| told.is_none()) else { return told };
     let mut outcomes = Vec::new();
     for order in &ask.orders {
-        outcomes.push(member.engine.order(order).await);
+        outcomes.push(engine.order(order).await);
     }
-    let view = member.engine.view().await.ok()?;
+    let view = engine.view().await.ok()?;
     Some(Told { view: Some(view), outcomes, ..Told::default() })
 }
 
--- a/crates/ochreyard-rank/src/lib.rs
+++ b/crates/ochreyard-rank/src/lib.rs
@@ -7,12 +7,15 @@
 //! [`ochreyard_core::group_map`]; this package is the input and output.
 
 mod agent;
+mod endpoints;
 mod engine;
+mod entries;
 mod fields;
 mod leader;
 mod message;
 pub mod serve;
 mod server;
+mod step_pace;
 
 pub use engine::{Counts, EngineError, Engines, Lists, RankEngine};
 pub use fields::FIELDS;
