--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -12,7 +12,7 @@
 mod route_table;
 
 pub use catalog::{Catalog, EndpointChange, EndpointRecord};
-pub use endpoint_pool::{EndpointPool, Outcome, Pick, ReportedLoad};
+pub use endpoint_pool::{EndpointPool, NoPick, Outcome, Pick, ReportedLoad};
 pub use event_splitter::{EventSplitter, WholeEvents};
 pub use group_news::{GroupNews, RankNews};
 pub use repeat_budget::{RepeatBudget, RepeatLimits};
--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -6,6 +6,7 @@
 
 use super::catalog::{EndpointChange, EndpointRecord};
 use super::group_news::GroupNews;
+use super::stream_limit::StreamLimit;
 use crate::hash;
 
 /// Weight of one more outcome in the share of failures.
@@ -16,6 +17,8 @@
 const SET_ASIDE_MS: u64 = 500;
 /// The longest that it is set aside, in milliseconds.
 const MAX_SET_ASIDE_MS: u64 = 4_000;
+/// How much more loaded an endpoint counts that is still slow from its start.
+const COLD_COST: f64 = 1.5;
 /// After this time, reported load says nothing more, in milliseconds.
 const LOAD_LIFE_MS: f64 = 1_500.0;
 
@@ -25,6 +28,12 @@
 /// is at fault, in milliseconds; its leader knows more by then.
 const FAULT_PAUSE_MS: u64 = 600;
 
+/// Requests for each slot that an endpoint without a group may have, running and
+/// waiting: what waits starts after about as many runs.
+const PLAIN_DEPTH: f64 = 3.0;
+/// How much more loaded a group counts whose leader has fallen silent.
+const SILENT_LEADER_COST: f64 = 2.0;
+
 /// The load that an endpoint told with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ReportedLoad {
@@ -74,14 +83,23 @@
     group: Option<String>,
 }
 
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 struct Group {
     is_serving: bool,
-    step_ms: f64,
+    limit: StreamLimit,
     told_ms: u64,
     fault_until_ms: u64,
 }
 
+/// Why no endpoint was picked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPick {
+    /// None is left that takes work.
+    Nobody,
+    /// Those that take work have as much as they can serve in time.
+    Full,
+}
+
 impl Member {
     const fn new(record: EndpointRecord) -> Self {
         Self {
@@ -98,16 +116,20 @@
         }
     }
 
-    /// Requests there for each slot, as far as known: our own exactly, those of
-    /// other boxes from the last report, fading with its age.
-    fn pressure(&self, now_ms: u64) -> f64 {
+    /// Requests there, as far as known: our own exactly, those of other boxes from
+    /// the last report, fading with its age.
+    fn requests(&self, now_ms: u64) -> f64 {
         let reported = self.load.running + self.load.waiting;
         let others = reported.saturating_sub(self.own_at_load) as f64;
         let age_ms = now_ms.saturating_sub(self.load_at_ms) as f64;
-        let faded = others * (1.0 - age_ms / LOAD_LIFE_MS).max(0.0);
+        self.in_flight as f64 + others * (1.0 - age_ms / LOAD_LIFE_MS).max(0.0)
+    }
+
+    /// How loaded it counts for a comparison.
+    fn pressure(&self, now_ms: u64) -> f64 {
         let slots = self.record.slots.max(1) as f64;
-        let cold = if self.record.cold_ms > 0 { 1.5 } else { 1.0 };
-        (self.in_flight as f64 + faded + 1.0) / slots * cold * (1.0 + FAILURE_COST * self.failures)
+        let cold = if self.record.cold_ms > 0 { COLD_COST } else { 1.0 };
+        (self.requests(now_ms) + 1.0) / slots * cold * (1.0 + FAILURE_COST * self.failures)
     }
 }
 
@@ -172,31 +194,63 @@
 
     /// Picks the least loaded endpoint of a service that is not in `tried`.
     /// Endpoints that were set aside are used only where no other is left.
-    #[must_use]
-    pub fn pick(&self, service: &str, tried: &[String], draw: u64, now_ms: u64) -> Option<Pick> {
-        let open = || {
-            let members = self.of_service(service).enumerate();
-            members.filter(|(_, (id, member))| !member.record.is_leaving && !tried.iter().any(|other| other == id))
-        };
-        let sound =
-            open().filter(|(_, (_, member))| member.aside_until_ms <= now_ms && self.is_serving(member, now_ms));
-        let best = least_loaded(sound, draw, now_ms).or_else(|| least_loaded(open(), draw, now_ms))?;
-        let (id, member) = best;
-        Some(Pick { id: id.to_owned(), addr: member.record.addr, in_flight: member.in_flight })
+    ///
+    /// # Errors
+    ///
+    /// When nobody takes work, or all have as much as they can serve in time.
+    pub fn pick(&self, service: &str, tried: &[String], draw: u64, now_ms: u64) -> Result<Pick, NoPick> {
+        let open: Vec<(&str, &Member)> = self
+            .of_service(service)
+            .filter(|(id, member)| !member.record.is_leaving && !tried.iter().any(|other| other == id))
+            .collect();
+        let is_sound = |member: &Member| member.aside_until_ms <= now_ms && self.is_serving(member, now_ms);
+        let sound: Vec<(&str, &Member)> = open.iter().copied().filter(|(_, member)| is_sound(member)).collect();
+        let usable = if sound.is_empty() { open } else { sound };
+        if usable.is_empty() {
+            return Err(NoPick::Nobody);
+        }
+        let with_room = usable.into_iter().filter(|(_, member)| self.has_room(member, now_ms));
+        // Ties go to a place that differs from box to box, so that boxes do not all start at the same endpoint.
+        let tie = |at: usize| hash::mix(draw ^ at as u64);
+        let keyed =
+            with_room.enumerate().map(|(at, (id, member))| (self.pressure(member, now_ms), tie(at), id, member));
+        let best = keyed.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let (_, _, id, member) = best.ok_or(NoPick::Full)?;
+        Ok(Pick { id: id.to_owned(), addr: member.record.addr, in_flight: member.in_flight })
+    }
+
+    fn group_of(&self, member: &Member) -> Option<&Group> {
+        member.group.as_ref().and_then(|name| self.groups.get(name))
+    }
+
+    /// Whether an endpoint can serve one more request in time.
+    fn has_room(&self, member: &Member, now_ms: u64) -> bool {
+        let limit = self
+            .group_of(member)
+            .map_or_else(|| member.record.slots.max(1) as f64 * PLAIN_DEPTH, |group| group.limit.limit());
+        member.requests(now_ms) < limit
+    }
+
+    fn pressure(&self, member: &Member, now_ms: u64) -> f64 {
+        let is_silent = self.group_of(member).is_some_and(|group| now_ms >= group.told_ms + NEWS_LIFE_MS);
+        member.pressure(now_ms) * if is_silent { SILENT_LEADER_COST } else { 1.0 }
     }
 
     /// Whether the group of an endpoint goes on, as far as known.
     fn is_serving(&self, member: &Member, now_ms: u64) -> bool {
-        let Some(group) = member.group.as_ref().and_then(|name| self.groups.get(name)) else { return true };
+        let Some(group) = self.group_of(member) else { return true };
         let is_fresh = now_ms < group.told_ms + NEWS_LIFE_MS;
         now_ms >= group.fault_until_ms && (group.is_serving || !is_fresh)
     }
 
-    /// A leader told of its group.
-    pub fn on_news(&mut self, news: &GroupNews, now_ms: u64) {
+    /// A leader told of its group. `gap_aim_ms` is the longest pause between events
+    /// that is in time there.
+    pub fn on_news(&mut self, news: &GroupNews, gap_aim_ms: Option<u64>, now_ms: u64) {
         let name = format!("{}/{}", news.service, news.group);
+        let mut slots = 0;
         for rank in &news.ranks {
             let Some(member) = self.members.get_mut(&rank.endpoint) else { continue };
+            slots = member.record.slots;
             if member.group.as_ref() != Some(&name) {
                 member.group = Some(name.clone());
             }
@@ -204,10 +258,26 @@
             member.own_at_load = member.in_flight;
             member.load_at_ms = now_ms;
         }
-        let group = self.groups.entry(name).or_default();
+        if slots == 0 {
+            return;
+        }
+        let group = self.groups.entry(name).or_insert_with(|| Group {
+            is_serving: true,
+            limit: StreamLimit::new(slots, now_ms),
+            told_ms: now_ms,
+            fault_until_ms: 0,
+        });
         group.is_serving = news.is_serving;
-        group.step_ms = news.step_ms;
         group.told_ms = now_ms;
+        if let Some(gap_aim_ms) = gap_aim_ms {
+            group.limit.on_step(news.step_ms, gap_aim_ms as f64, now_ms);
+        }
+    }
+
+    /// How many requests each rank of the group of an endpoint may have now.
+    #[must_use]
+    pub fn limit_of(&self, id: &str) -> Option<f64> {
+        self.group_of(self.members.get(id)?).map(|group| group.limit.limit())
     }
 
     /// An endpoint told that another rank of its group is at fault.
@@ -267,15 +337,3 @@
         }
     }
 }
-
-fn least_loaded<'a>(
-    members: impl Iterator<Item = (usize, (&'a str, &'a Member))>,
-    draw: u64,
-    now_ms: u64,
-) -> Option<(&'a str, &'a Member)> {
-    // Ties go to a place that differs from box to box, so that boxes do not all start at the same endpoint.
-    let tie = |at: usize| hash::mix(draw ^ at as u64);
-    let keyed = members.map(|(at, (id, member))| (member.pressure(now_ms), tie(at), id, member));
-    let best = keyed.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))?;
-    Some((best.2, best.3))
-}
--- a/crates/ochreyard-core/src/direct/group_news.rs
+++ b/crates/ochreyard-core/src/direct/group_news.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// One group, as its leader saw it a moment ago.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct GroupNews {
     /// Name of the service.
     pub service: String,
@@ -11,8 +11,6 @@
     pub group: String,
     /// Whether its steps go on: it is whole, and does not stand.
     pub is_serving: bool,
-    /// Time of one step, in milliseconds; 0 while none was measured.
-    pub step_ms: f64,
     /// Its ranks, as far as their endpoints are known.
     pub ranks: Vec<RankNews>,
 }
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use ochreyard_core::direct::{Outcome, Pick, Route, RouteKind, RouteTable};
+use ochreyard_core::direct::{NoPick, Outcome, Pick, Route, RouteKind, RouteTable};
 use ochreyard_core::error_kind::{ErrorKind, Refusal};
 
 use crate::answer_body::AnswerBody;
@@ -18,9 +18,17 @@
 use crate::refusal;
 use crate::relay;
 
-/// When a caller that could not be served should come back, in milliseconds: long
-/// enough for a request in the way to end, short enough for the caller's own aim.
-const COME_BACK_MS: u64 = 60;
+/// When a caller should come back whose box is leaving, in milliseconds: at once,
+/// since its next connection leads to another box.
+const LEAVING_COME_BACK_MS: u64 = 50;
+/// Least and most time after which a caller should come back that found no room,
+/// in milliseconds: about as long as a stream runs, spread so that they do not
+/// come all at once.
+const COME_BACK_MS: (u64, u64) = (500, 2_500);
+/// A request waits for room for one part in this many of its aim, and is refused then.
+const WAIT_SHARE_OF_AIM: u64 = 5;
+/// How often a waiting request looks for room.
+const ROOM_LOOK: Duration = Duration::from_millis(10);
 /// Endpoints that are tried in vain for one request before it is given up, where
 /// none of them got it.
 const MAX_UNREACHED: usize = 4;
@@ -81,7 +89,7 @@
         Err(kind) => return refusal::of_kind(kind),
     };
     if entry.is_refusing.get() {
-        return refusal::response(&Refusal::new(ErrorKind::Leaving).with_retry_after_ms(COME_BACK_MS));
+        return refusal::response(&Refusal::new(ErrorKind::Leaving).with_retry_after_ms(LEAVING_COME_BACK_MS));
     }
     // The newest configuration counts: the body may have taken its time.
     let table = entry.state.borrow().table.clone().unwrap_or(table);
@@ -177,7 +185,7 @@
     pub async fn next_answer(&mut self) -> Result<Answer<D>, GivenUp> {
         let mut last = GivenUp::NoEndpoint;
         loop {
-            let pick = self.pick_next(last)?;
+            let pick = self.wait_for_pick(last).await?;
             let left_ms = self.time_left_ms();
             let wait = Duration::from_millis(left_ms);
             let request = self.request.clone();
@@ -232,20 +240,39 @@
         }
     }
 
+    /// Picks an endpoint; where all are full, waits a little for room.
+    async fn wait_for_pick(&mut self, last: GivenUp) -> Result<Pick, GivenUp> {
+        let until_ms = self.entry.clock.now_ms() + self.route.aim_ms / WAIT_SHARE_OF_AIM;
+        loop {
+            match self.pick_next(last) {
+                Err(GivenUp::Full) if self.entry.clock.now_ms() < until_ms && !self.is_spent() => {
+                    tokio::time::sleep(ROOM_LOOK).await;
+                }
+                result => return result,
+            }
+        }
+    }
+
+    /// Whether no further attempt is allowed.
+    fn is_spent(&self) -> bool {
+        self.sent >= self.route.max_attempts || self.tried.len() >= MAX_UNREACHED
+    }
+
     fn pick_next(&mut self, last: GivenUp) -> Result<Pick, GivenUp> {
         let now_ms = self.entry.clock.now_ms();
         let is_repeat = self.sent > 0;
         if self.may_have_run && !self.route.kind.may_run_again() {
             return Err(GivenUp::Failed);
         }
-        if self.sent >= self.route.max_attempts || self.tried.len() >= MAX_UNREACHED {
+        if self.is_spent() {
             return Err(last);
         }
         if self.time_left_ms() < LEAST_USEFUL_MS {
             return Err(GivenUp::TimeUp);
         }
         let mut state = self.entry.state.borrow_mut();
-        let pick = state.pool.pick(&self.service, &self.tried, self.entry.draw(), now_ms).ok_or(last)?;
+        let pick = state.pool.pick(&self.service, &self.tried, self.entry.draw(), now_ms);
+        let pick = pick.map_err(|none| if none == NoPick::Full { GivenUp::Full } else { last })?;
         if is_repeat && !state.budget.try_take(&self.service, now_ms) {
             return Err(GivenUp::Budget);
         }
@@ -290,7 +317,7 @@
             && self.sent < self.route.max_attempts
             && self.time_left_ms() >= LEAST_USEFUL_MS
             && state.budget.has_one(&self.service, now_ms)
-            && state.pool.pick(&self.service, &self.tried, 0, now_ms).is_some()
+            && state.pool.pick(&self.service, &self.tried, 0, now_ms).is_ok()
     }
 
     fn id(&self) -> &str {
@@ -329,7 +356,9 @@
         );
         let refusal = Refusal::new(kind);
         let comes_back = refusal.kind.rule().status == StatusCode::SERVICE_UNAVAILABLE;
-        refusal::response(&if comes_back { refusal.with_retry_after_ms(COME_BACK_MS) } else { refusal })
+        let (least_ms, most_ms) = COME_BACK_MS;
+        let after_ms = least_ms + self.entry.draw() % (most_ms - least_ms);
+        refusal::response(&if comes_back { refusal.with_retry_after_ms(after_ms) } else { refusal })
     }
 
     /// A stream was broken off for good.
--- a/crates/ochreyard-rank/src/entries.rs
+++ b/crates/ochreyard-rank/src/entries.rs
@@ -26,6 +26,7 @@
     read_ms: u64,
     told_ms: u64,
     told_serving: bool,
+    last_serving: Option<bool>,
 }
 
 impl Entries {
@@ -59,9 +60,11 @@
         }
     }
 
-    /// Tells all entries, without waiting for them.
-    pub fn tell(&self, news: &GroupNews) {
-        let Ok(body) = serde_json::to_vec(news) else { return };
+    /// Tells all entries, without waiting for them. Says whether it is news that
+    /// the group goes on, or does not.
+    pub fn tell(&mut self, news: &GroupNews) -> bool {
+        let is_change = self.last_serving.replace(news.is_serving) != Some(news.is_serving);
+        let Ok(body) = serde_json::to_vec(news) else { return is_change };
         let body = Bytes::from(body);
         for link in self.links.values() {
             let (link, body) = (Rc::clone(link), body.clone());
@@ -74,5 +77,6 @@
                 }
             });
         }
+        is_change
     }
 }
--- a/crates/ochreyard-rank/src/fields.rs
+++ b/crates/ochreyard-rank/src/fields.rs
@@ -24,19 +24,19 @@
     FieldSpec {
         name: "round_ms",
         kind: FieldKind::Number(20, 5_000),
-        default: Some("150"),
+        default: Some("100"),
         about: "pause between the leader's questions while nothing changes; well under lease_ms",
     },
     FieldSpec {
         name: "demand_fade_ms",
         kind: FieldKind::Number(50, 600_000),
-        default: Some("700"),
+        default: Some("300"),
         about: "after this time the counts of chosen experts have lost most of their weight",
     },
     FieldSpec {
         name: "map_horizon_ms",
         kind: FieldKind::Number(100, 3_600_000),
-        default: Some("3000"),
+        default: Some("2500"),
         about: "for how long a new expert map is expected to fit the demand",
     },
     FieldSpec {
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -348,7 +348,9 @@
         let ranks = self.last_round.views.iter().enumerate().filter_map(rank_news).collect();
         let step_ms = self.pace.step_ms();
         let news = GroupNews { service: self.service.clone(), group: view.group.clone(), is_serving, step_ms, ranks };
-        self.entries.tell(&news);
+        if self.entries.tell(&news) {
+            log::info!("event=group_state group={} serving={is_serving} step_ms={step_ms:.1}", view.group);
+        }
     }
 
     fn knows_present(&self) -> bool {
