--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -6,7 +6,6 @@
 
 use super::catalog::{EndpointChange, EndpointRecord};
 use super::group_news::GroupNews;
-use super::stream_limit::StreamLimit;
 use crate::hash;
 
 /// Weight of one more outcome in the share of failures.
@@ -31,6 +30,9 @@
 /// Requests for each slot that an endpoint without a group may have, running and
 /// waiting: what waits starts after about as many runs.
 const PLAIN_DEPTH: f64 = 3.0;
+/// Requests that may wait at a rank of a group: the next place is free within the
+/// aim of a first event, a second one hardly.
+const GROUP_WAITING: f64 = 1.0;
 /// How much more loaded a group counts whose leader has fallen silent.
 const SILENT_LEADER_COST: f64 = 2.0;
 
@@ -86,7 +88,6 @@
 #[derive(Debug, Clone)]
 struct Group {
     is_serving: bool,
-    limit: StreamLimit,
     told_ms: u64,
     fault_until_ms: u64,
 }
@@ -225,9 +226,8 @@
 
     /// Whether an endpoint can serve one more request in time.
     fn has_room(&self, member: &Member, now_ms: u64) -> bool {
-        let limit = self
-            .group_of(member)
-            .map_or_else(|| member.record.slots.max(1) as f64 * PLAIN_DEPTH, |group| group.limit.limit());
+        let slots = member.record.slots.max(1) as f64;
+        let limit = if self.group_of(member).is_some() { slots + GROUP_WAITING } else { slots * PLAIN_DEPTH };
         member.requests(now_ms) < limit
     }
 
@@ -243,14 +243,11 @@
         now_ms >= group.fault_until_ms && (group.is_serving || !is_fresh)
     }
 
-    /// A leader told of its group. `gap_aim_ms` is the longest pause between events
-    /// that is in time there.
-    pub fn on_news(&mut self, news: &GroupNews, gap_aim_ms: Option<u64>, now_ms: u64) {
+    /// A leader told of its group.
+    pub fn on_news(&mut self, news: &GroupNews, now_ms: u64) {
         let name = format!("{}/{}", news.service, news.group);
-        let mut slots = 0;
         for rank in &news.ranks {
             let Some(member) = self.members.get_mut(&rank.endpoint) else { continue };
-            slots = member.record.slots;
             if member.group.as_ref() != Some(&name) {
                 member.group = Some(name.clone());
             }
@@ -258,26 +255,10 @@
             member.own_at_load = member.in_flight;
             member.load_at_ms = now_ms;
         }
-        if slots == 0 {
-            return;
-        }
-        let group = self.groups.entry(name).or_insert_with(|| Group {
-            is_serving: true,
-            limit: StreamLimit::new(slots, now_ms),
-            told_ms: now_ms,
-            fault_until_ms: 0,
-        });
+        let group =
+            self.groups.entry(name).or_insert_with(|| Group { is_serving: true, told_ms: now_ms, fault_until_ms: 0 });
         group.is_serving = news.is_serving;
         group.told_ms = now_ms;
-        if let Some(gap_aim_ms) = gap_aim_ms {
-            group.limit.on_step(news.step_ms, gap_aim_ms as f64, now_ms);
-        }
-    }
-
-    /// How many requests each rank of the group of an endpoint may have now.
-    #[must_use]
-    pub fn limit_of(&self, id: &str) -> Option<f64> {
-        self.group_of(self.members.get(id)?).map(|group| group.limit.limit())
     }
 
     /// An endpoint told that another rank of its group is at fault.
--- a/crates/ochreyard-core/src/direct/route_table.rs
+++ b/crates/ochreyard-core/src/direct/route_table.rs
@@ -236,14 +236,6 @@
         self.services.get(name)
     }
 
-    /// The shortest of the longest pauses between events that routes of a service allow.
-    #[must_use]
-    pub fn gap_aim_ms(&self, service: &str) -> Option<u64> {
-        let routes = self.routes.values().flat_map(HashMap::values);
-        let of_service = routes.filter(|route| route.services.iter().any(|entry| entry.service == service));
-        of_service.filter_map(|route| route.gap_aim_ms).min()
-    }
-
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
         self.services.values()
--- a/crates/ochreyard-direct/src/peers.rs
+++ b/crates/ochreyard-direct/src/peers.rs
@@ -93,16 +93,8 @@
         return StatusCode::BAD_REQUEST;
     };
     let now_ms = entry.clock.now_ms();
-    let mut state = entry.state.borrow_mut();
-    let gap_aim_ms = state.table.as_ref().and_then(|table| table.gap_aim_ms(&news.service));
-    state.pool.on_news(&news, gap_aim_ms, now_ms);
-    let limit = news.ranks.first().and_then(|rank| state.pool.limit_of(&rank.endpoint));
-    log::debug!(
-        "event=group_told group={} serving={} step_ms={:.1} limit={limit:?}",
-        news.group,
-        news.is_serving,
-        news.step_ms
-    );
+    entry.state.borrow_mut().pool.on_news(&news, now_ms);
+    log::debug!("event=group_told group={} serving={}", news.group, news.is_serving);
     StatusCode::NO_CONTENT
 }
 
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -20,7 +20,7 @@
 use crate::engine::{Counts, Engines, Lists, RankEngine};
 use crate::entries::Entries;
 use crate::message::{ASK_PATH, Ask, RankRecord, Told, rank_key};
-use crate::step_pace::StepPace;
+use crate::step_progress::StepProgress;
 
 /// Pause between looks of an agent that does not lead.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
@@ -82,7 +82,7 @@
     members: BTreeMap<usize, Member>,
     endpoints: GroupEndpoints<S>,
     entries: Entries,
-    pace: StepPace,
+    progress: StepProgress,
     directory_read_ms: u64,
     figures: Option<EngineFigures>,
     demand: Option<Demand>,
@@ -114,7 +114,7 @@
             members: BTreeMap::new(),
             endpoints: GroupEndpoints::new(engines),
             entries: Entries::default(),
-            pace: StepPace::default(),
+            progress: StepProgress::default(),
             directory_read_ms: 0,
             figures: None,
             demand: None,
@@ -333,7 +333,7 @@
     /// Tells entries of the group: at once when it stops or goes on, else now and then.
     async fn tell_entries(&mut self, view: &RankView) {
         let now_ms = self.agent.clock.now_ms();
-        let is_serving = self.pace.note(&self.last_round.views, now_ms);
+        let is_serving = self.progress.note(&self.last_round.views, now_ms);
         if !self.entries.is_due(is_serving, now_ms) {
             return;
         }
@@ -346,10 +346,9 @@
             Some(RankNews { endpoint, running: view.running, waiting: view.waiting })
         };
         let ranks = self.last_round.views.iter().enumerate().filter_map(rank_news).collect();
-        let step_ms = self.pace.step_ms();
-        let news = GroupNews { service: self.service.clone(), group: view.group.clone(), is_serving, step_ms, ranks };
+        let news = GroupNews { service: self.service.clone(), group: view.group.clone(), is_serving, ranks };
         if self.entries.tell(&news) {
-            log::info!("event=group_state group={} serving={is_serving} step_ms={step_ms:.1}", view.group);
+            log::info!("event=group_state group={} serving={is_serving}", view.group);
         }
     }
 
--- a/crates/ochreyard-rank/src/lib.rs
+++ b/crates/ochreyard-rank/src/lib.rs
@@ -15,7 +15,7 @@
 mod message;
 pub mod serve;
 mod server;
-mod step_pace;
+mod step_progress;
 
 pub use engine::{Counts, EngineError, Engines, Lists, RankEngine};
 pub use fields::FIELDS;
