--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -228,7 +228,7 @@
     fn has_room(&self, member: &Member, now_ms: u64) -> bool {
         let slots = member.record.slots.max(1) as f64;
         let limit = if self.group_of(member).is_some() { slots + GROUP_WAITING } else { slots * PLAIN_DEPTH };
-        member.requests(now_ms) < limit
+        member.requests(now_ms).round() < limit
     }
 
     fn pressure(&self, member: &Member, now_ms: u64) -> f64 {
--- a/crates/ochreyard-core/src/group_map/controller.rs
+++ b/crates/ochreyard-core/src/group_map/controller.rs
@@ -57,6 +57,9 @@
 /// the count of changes they stay exact in JSON.
 const VERSION_MARKS: u64 = 1 << 20;
 
+/// Most doublings of the distance by which numbers are raised after refusals.
+const MAX_DOUBLINGS: u32 = 10;
+
 /// Where a change stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Phase {
@@ -120,6 +123,9 @@
     own_rank: usize,
     version_mark: u64,
     highest_version: u64,
+    refused_in_turn: u32,
+    /// The step of our own confirmed hold.
+    held_step: u64,
     /// By rank: the map that may still be armed by an order under way.
     unfenced: Vec<Option<u64>>,
     switched: u64,
@@ -145,12 +151,23 @@
             present: None,
             epoch: None,
             highest_version: 0,
+            refused_in_turn: 0,
+            held_step: 0,
             unfenced: Vec::new(),
             switched: 0,
             undone: 0,
         }
     }
 
+    /// Begins to lead, or to lead again: everything is forgotten but the numbers of
+    /// maps, since orders of an earlier time may still be carried out.
+    #[must_use]
+    pub const fn renewed(&self, own_rank: usize) -> Self {
+        let mut renewed = Self::new(self.settings, own_rank, self.version_mark);
+        renewed.highest_version = self.highest_version;
+        renewed
+    }
+
     /// Where it stands.
     #[must_use]
     pub const fn phase(&self) -> &Phase {
@@ -230,6 +247,7 @@
     pub fn on_round(&mut self, round: &Round, now_ms: u64) -> Vec<(usize, SentOrder)> {
         self.note_outcomes(&round.outcomes);
         self.note_versions(&round.views);
+        self.climb_if_refused(&round.outcomes, now_ms);
         let Some(views) = all_of_one_epoch(&round.views) else {
             self.on_incomplete(&round.views, now_ms);
             return Vec::new();
@@ -284,6 +302,23 @@
         }
     }
 
+    /// A rank refuses numbers up to the highest that it ever had, which it does not
+    /// tell and a new leader does not know: the number is raised in growing steps.
+    fn climb_if_refused(&mut self, outcomes: &[(usize, SentOrder, OrderOutcome)], now_ms: u64) {
+        let Phase::Preparing { version } = self.phase else { return };
+        let is_refusal = |(_, sent, outcome): &(usize, SentOrder, OrderOutcome)| {
+            let is_ours = matches!(sent.order, Order::Prepare { version: sent, .. } if sent == version);
+            is_ours && *outcome == OrderOutcome::Refused
+        };
+        if !outcomes.iter().any(is_refusal) {
+            return;
+        }
+        self.highest_version += VERSION_MARKS << self.refused_in_turn.min(MAX_DOUBLINGS);
+        self.refused_in_turn += 1;
+        self.phase = Phase::Preparing { version: self.next_version() };
+        self.next_sent_ms = now_ms;
+    }
+
     /// A rank that has prepared a newer map since makes a late arm void.
     fn note_fences(&mut self, views: &[&RankView]) {
         for (unfenced, view) in self.unfenced.iter_mut().zip(views) {
@@ -313,6 +348,7 @@
             Phase::Idle => self.look_for_left_holds(views, now_ms),
             Phase::Preparing { version } => {
                 if views.iter().all(|view| view.prepared == Some(version)) {
+                    self.refused_in_turn = 0;
                     let step = newest_step(views) + self.settings.lead_steps;
                     let rank = self.own_rank.min(views.len() - 1);
                     self.enter(Phase::Holding { version, step, rank }, now_ms);
@@ -322,6 +358,7 @@
             }
             Phase::Holding { version, step, rank } => {
                 if views[rank].held == Some(step) {
+                    self.held_step = step;
                     self.enter(Phase::Arming { version, step }, now_ms);
                 } else if waited_ms > self.settings.hold_timeout_ms || newest_step(views) >= step {
                     self.undo(now_ms);
@@ -339,7 +376,11 @@
             }
             Phase::Backing { step, rank } => {
                 if views[rank].held == Some(step) {
+                    self.held_step = step;
                     self.undo(now_ms);
+                } else if newest_step(views) >= step {
+                    // Too late for this step: what is left is looked at again.
+                    self.enter(Phase::Idle, now_ms);
                 } else if views.iter().all(|view| view.held.is_none()) {
                     // The former leader's release came through: all of its ranks were armed.
                     self.enter(Phase::Idle, now_ms);
@@ -363,7 +404,11 @@
     /// A hold that nobody here placed was left by a former leader, whose arms may
     /// be under way at any rank.
     fn look_for_left_holds(&mut self, views: &[&RankView], now_ms: u64) {
-        let Some(step) = views.iter().find_map(|view| view.held) else { return };
+        let Some(held) = views.iter().find_map(|view| view.held) else { return };
+        // What is armed may be due before the step that is held.
+        let next = newest_step(views) + self.settings.lead_steps;
+        let armed = views.iter().filter_map(|view| view.armed).map(|armed| armed.step.unwrap_or(next));
+        let step = armed.chain([held]).min().unwrap_or(held);
         let highest = self.highest_version;
         self.unfenced = vec![Some(highest); views.len()];
         let own = Some(self.own_rank).filter(|rank| views.get(*rank).is_some_and(|view| view.held.is_none()));
@@ -425,8 +470,11 @@
         }
         let version = self.next_version();
         let map = self.present.as_ref().map(|(_, placement)| placement.sets().to_vec());
+        // A map that is due before our hold may come into use meanwhile: at all ranks or at none.
+        let stands = newest_step(views) + 1 >= self.held_step;
+        let is_held = |armed: Armed| stands || armed.step.is_some_and(|step| step >= self.held_step);
         let order = |rank: usize| match views[rank].armed {
-            Some(Armed { version, .. }) => Some(Order::Disarm { version }),
+            Some(armed) => is_held(armed).then_some(Order::Disarm { version: armed.version }),
             // The present map copies nothing, and still counts as an order.
             None if self.unfenced[rank].is_some() => Some(Order::Prepare { version, map: map.clone()? }),
             None => None,
--- /dev/null
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -0,0 +1,224 @@
+//! What an entry decides that calls endpoints itself.
+
+use std::net::SocketAddr;
+
+use ochreyard_core::direct::{
+    Catalog, EndpointChange, EndpointPool, EndpointRecord, EventSplitter, GroupNews, NoPick, Outcome, RankNews,
+    RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, WeightedService, Workspace,
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn route(prefix: &str, service: &str) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: "Maps.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Repeatable,
+        timeout_ms: 2_000,
+        aim_ms: 300,
+        gap_aim_ms: None,
+        priority: 1,
+        services: vec![WeightedService { service: service.to_owned(), weight: 1 }],
+        max_attempts: 2,
+        public: false,
+    }
+}
+
+fn addr(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn endpoint(port: u16) -> EndpointRecord {
+    EndpointRecord {
+        service: "tiles".to_owned(),
+        addr: addr(port),
+        data_centre: "a".to_owned(),
+        slots: 2,
+        is_leaving: false,
+        cold_ms: 0,
+    }
+}
+
+#[rstest]
+#[case::longest_prefix("/a/b/c", Some("/a/b/"))]
+#[case::shorter_prefix("/a/x", Some("/a/"))]
+#[case::prefix_without_its_slash("/a", None)]
+#[case::other_path("/b/a/", None)]
+fn the_longest_prefix_of_the_host_wins(#[case] path: &str, #[case] wanted: Option<&str>) {
+    let table = RouteTable::new(1).with_route(route("/a/", "x")).with_route(route("/a/b/", "y"));
+    let found = table.route("maps.EXAMPLE:8080", path).map(|route| route.path_prefix.as_str());
+    assert_eq!(found, wanted);
+    assert!(table.route("other.example", path).is_none());
+}
+
+#[test]
+fn a_split_route_gives_each_service_its_weight() {
+    let mut split = route("/a/", "x");
+    split.services =
+        vec![WeightedService { service: "x".into(), weight: 9 }, WeightedService { service: "y".into(), weight: 1 }];
+    let to_y = (0..1_000).filter(|draw| split.service_for(*draw) == Some("y")).count();
+    assert_eq!(to_y, 100);
+}
+
+#[test]
+fn keys_belong_to_workspaces_and_are_needed_once_there_are_any() {
+    let table = RouteTable::new(1);
+    assert!(!table.needs_key());
+    let workspace = Workspace { name: "resort".into(), priority: None };
+    let table = table.with_workspace(workspace, ["k1".to_owned()]);
+    assert!(table.needs_key());
+    assert_eq!(table.workspace_of("k1").map(|workspace| workspace.name.as_str()), Some("resort"));
+    assert!(table.workspace_of("k2").is_none());
+}
+
+#[test]
+fn of_two_records_the_newer_one_counts_whichever_comes_first() {
+    let mut catalog = Catalog::new();
+    let leaving = EndpointRecord { is_leaving: true, ..endpoint(1) };
+    assert_eq!(catalog.take("e", 7, Some(leaving.clone()), 0), Some(EndpointChange::Known("e".into(), leaving)));
+    assert_eq!(catalog.take("e", 5, Some(endpoint(1)), 0), None);
+}
+
+#[test]
+fn a_record_that_goes_while_the_log_is_read_means_gone() {
+    let mut catalog = Catalog::new();
+    catalog.take("e", 1, Some(endpoint(1)), 0);
+    assert_eq!(catalog.take("e", 2, None, 10), Some(EndpointChange::Gone("e".into())));
+}
+
+#[test]
+fn a_record_that_lapsed_in_an_outage_means_gone_only_two_seconds_after_it() {
+    let mut catalog = Catalog::new();
+    catalog.take("stays", 1, Some(endpoint(1)), 0);
+    catalog.take("dies", 2, Some(endpoint(2)), 0);
+    catalog.on_log_away(1_000);
+    catalog.on_log_read(6_000);
+    assert_eq!(catalog.take("stays", 3, None, 6_000), None);
+    assert_eq!(catalog.take("dies", 4, None, 6_000), None);
+    assert!(catalog.take("stays", 5, Some(endpoint(1)), 6_900).is_some());
+    assert!(catalog.overdue(7_900).is_empty());
+    assert_eq!(catalog.overdue(8_100), [EndpointChange::Gone("dies".into())]);
+}
+
+#[test]
+fn an_endpoint_that_a_whole_reading_no_longer_lists_is_gone() {
+    let mut catalog = Catalog::new();
+    catalog.take("e", 1, Some(endpoint(1)), 0);
+    catalog.take("f", 2, Some(endpoint(2)), 0);
+    assert_eq!(catalog.keep_only(&[("f".into(), 2)], 9, 10), [EndpointChange::Gone("e".into())]);
+}
+
+proptest! {
+    #[test]
+    fn events_come_out_whole_and_unchanged_however_bytes_arrive(cuts in proptest::collection::vec(1usize..9, 1..80)) {
+        let text = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nversions: 1\nid: 3\ndata: d\n\nid: 4\ndata: half";
+        let mut splitter = EventSplitter::default();
+        let mut out = Vec::new();
+        let mut rest = text.as_bytes();
+        for cut in cuts.into_iter().chain(std::iter::repeat(9)) {
+            let (piece, after) = rest.split_at(cut.min(rest.len()));
+            out.extend_from_slice(&splitter.push(piece).bytes);
+            rest = after;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        prop_assert_eq!(out, text.as_bytes()[..text.find("id: 4").unwrap()].to_vec());
+        prop_assert_eq!(splitter.last_id(), Some("3"));
+        prop_assert!(splitter.has_part());
+    }
+
+    #[test]
+    fn boxes_that_each_see_a_part_never_repeat_more_than_the_whole_budget(
+        arrivals in proptest::collection::vec((0usize..8, 0u64..40, any::<bool>()), 200..900)
+    ) {
+        let limits = RepeatLimits { ratio: 0.2, fixed: 90, window_ms: 10_000 };
+        let mut boxes: Vec<RepeatBudget> = (0..8).map(|_| RepeatBudget::new(limits, 8)).collect();
+        let (mut now_ms, mut requests, mut repeats) = (0, Vec::new(), Vec::new());
+        for (at, pause_ms, wants_repeat) in arrivals {
+            now_ms += pause_ms;
+            boxes[at].on_request("s", now_ms);
+            requests.push(now_ms);
+            if wants_repeat && boxes[at].try_take("s", now_ms) {
+                repeats.push(now_ms);
+            }
+            let recent = |all: &[u64]| all.iter().filter(|then| **then + 10_000 > now_ms).count() as f64;
+            prop_assert!(recent(&repeats) <= 0.2 * recent(&requests) + 90.0);
+        }
+    }
+}
+
+fn pool(ports: impl IntoIterator<Item = u16>) -> EndpointPool {
+    let mut pool = EndpointPool::new();
+    ports.into_iter().for_each(|port| pool.apply(EndpointChange::Known(format!("e{port}"), endpoint(port))));
+    pool
+}
+
+fn news(is_serving: bool, ports: &[u16], running: u64) -> GroupNews {
+    let ranks = ports.iter().map(|port| RankNews { endpoint: format!("e{port}"), running, waiting: 0 }).collect();
+    GroupNews { service: "tiles".into(), group: format!("g{}", ports[0]), is_serving, ranks }
+}
+
+#[test]
+fn the_endpoint_with_least_of_our_own_requests_is_picked() {
+    let mut pool = pool([1, 2]);
+    pool.on_start("e1");
+    assert_eq!(pool.pick("tiles", &[], 0, 0).unwrap().id, "e2");
+    assert_eq!(pool.pick("tiles", &["e2".into()], 0, 0).unwrap().id, "e1");
+    assert_eq!(pool.pick("other", &[], 0, 0), Err(NoPick::Nobody));
+}
+
+#[test]
+fn an_endpoint_that_leaves_gets_nothing_more() {
+    let mut pool = pool([1]);
+    pool.apply(EndpointChange::Known("e1".into(), EndpointRecord { is_leaving: true, ..endpoint(1) }));
+    assert_eq!(pool.pick("tiles", &[], 0, 0), Err(NoPick::Nobody));
+}
+
+#[test]
+fn an_address_that_passed_to_another_endpoint_keeps_no_history() {
+    let mut pool = pool([1]);
+    pool.on_start("e1");
+    pool.on_end("e1", Outcome::Unreachable, 0);
+    pool.apply(EndpointChange::Gone("e1".into()));
+    pool.apply(EndpointChange::Known("new".into(), endpoint(1)));
+    assert_eq!(pool.pick("tiles", &[], 0, 1).unwrap().id, "new");
+}
+
+#[test]
+fn one_that_cannot_be_reached_is_set_aside_but_used_where_no_other_is_left() {
+    let mut pool = pool([1, 2]);
+    pool.on_start("e1");
+    pool.on_end("e1", Outcome::Unreachable, 0);
+    assert!((0..20).all(|draw| pool.pick("tiles", &[], draw, 100).unwrap().id == "e2"));
+    assert_eq!(pool.pick("tiles", &["e2".into()], 0, 100).unwrap().id, "e1");
+}
+
+#[test]
+fn a_group_that_stands_is_passed_over_until_its_leader_falls_silent() {
+    let mut pool = pool([1, 2]);
+    pool.on_news(&news(false, &[1], 0), 0);
+    pool.on_news(&news(true, &[2], 1), 0);
+    assert!((0..20).all(|draw| pool.pick("tiles", &[], draw, 100).unwrap().id == "e2"));
+    assert!((0..20).any(|draw| pool.pick("tiles", &[], draw, 5_000).unwrap().id == "e1"));
+}
+
+#[test]
+fn a_rank_at_fault_takes_its_group_out_for_a_while() {
+    let mut pool = pool([1, 2]);
+    pool.on_news(&news(true, &[1], 0), 0);
+    pool.on_news(&news(true, &[2], 1), 0);
+    pool.on_group_fault("e1", 10);
+    assert_eq!(pool.pick("tiles", &[], 0, 100).unwrap().id, "e2");
+    pool.on_news(&news(true, &[1], 0), 700);
+    pool.on_news(&news(true, &[2], 1), 700);
+    assert_eq!(pool.pick("tiles", &[], 0, 800).unwrap().id, "e1");
+}
+
+#[test]
+fn a_full_group_is_said_to_be_full() {
+    let mut pool = pool([1]);
+    pool.on_news(&news(true, &[1], 3), 0);
+    assert_eq!(pool.pick("tiles", &[], 0, 1), Err(NoPick::Full));
+}
--- /dev/null
+++ b/crates/ochreyard-core/tests/group_map.rs
@@ -0,0 +1,104 @@
+//! In every step, all ranks of a group use one and the same map; and a group that
+//! stands goes on once faults have ended.
+
+mod common;
+mod group_map_model;
+
+use group_map_model::World;
+use ochreyard_core::group_map::{Demand, GroupPlacement, PlanSettings, Planner, chosen_between};
+use proptest::prelude::*;
+
+/// Time with faults, in milliseconds.
+const FAULTS_MS: u64 = 12_000;
+/// Time within which a group must go on after the last fault, in milliseconds:
+/// late orders (3 s), a lease, a few rounds of undoing.
+const CALM_MS: u64 = 8_000;
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(common::cases(256)))]
+
+    #[test]
+    fn no_step_begins_with_two_maps_and_no_group_stands_for_good(seed in any::<u64>()) {
+        let mut world = World::new(seed);
+        world.run(FAULTS_MS).map_err(TestCaseError::fail)?;
+        world.calm();
+        world.run(CALM_MS).map_err(TestCaseError::fail)?;
+        let switches = world.switches;
+        world.run(CALM_MS).map_err(TestCaseError::fail)?;
+        prop_assert!(world.switches > switches, "the map no longer changes");
+    }
+}
+
+#[test]
+fn without_faults_maps_change_and_the_group_hardly_stands() {
+    let mut world = World::new(1);
+    world.calm();
+    world.run(20_000).unwrap();
+    assert!(world.switches > 20, "{}", world.switches);
+    assert!(world.stood_ms < 100, "{}", world.stood_ms);
+}
+
+const SETTINGS: PlanSettings = PlanSettings {
+    places: 5,
+    spare: 4,
+    copy_ms: 100.0,
+    switch_ms: 200.0,
+    copy_drag: 0.15,
+    horizon_ms: 3_000.0,
+    copy_price_ms: 0.2,
+    least_saving_ms: 50.0,
+};
+
+#[test]
+fn a_hot_expert_gets_replicas() {
+    let present = GroupPlacement::dealt(2, 16, 4);
+    let mut demand = vec![1.0; 32];
+    demand[3] = 30.0;
+    let planned = Planner::new(SETTINGS).plan(&present, &demand).expect("worth a change");
+    assert!(planned.skew.1 < planned.skew.0 * 0.6, "{:?}", planned.skew);
+    assert!(planned.placement.is_complete());
+    let most = planned.placement.sets().iter().flatten().map(Vec::len).max();
+    assert!(most <= Some(SETTINGS.places));
+}
+
+#[test]
+fn even_demand_changes_nothing() {
+    let present = GroupPlacement::dealt(2, 16, 4);
+    assert!(Planner::new(SETTINGS).plan(&present, &[1.0; 32]).is_none());
+}
+
+#[test]
+fn a_gain_smaller_than_its_copies_changes_nothing() {
+    let present = GroupPlacement::dealt(2, 16, 4);
+    let mut demand = vec![1.0; 32];
+    demand[3] = 3.0;
+    let dear = PlanSettings { copy_ms: 2_900.0, ..SETTINGS };
+    assert!(Planner::new(dear).plan(&present, &demand).is_none());
+}
+
+proptest! {
+    #[test]
+    fn a_plan_keeps_every_expert_and_every_bound(demand in proptest::collection::vec(0.0f64..50.0, 32)) {
+        let present = GroupPlacement::dealt(2, 16, 4);
+        if let Some(planned) = Planner::new(SETTINGS).plan(&present, &demand) {
+            prop_assert!(planned.placement.is_complete());
+            for (old, new) in present.sets().iter().zip(planned.placement.sets()) {
+                for (old, new) in old.iter().zip(new) {
+                    prop_assert!(new.len() <= SETTINGS.places);
+                    prop_assert!(new.iter().filter(|expert| !old.contains(expert)).count() <= SETTINGS.spare);
+                    prop_assert!((1..new.len()).all(|at| !new[..at].contains(&new[at])));
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn old_counts_fade_and_a_restart_counts_anew() {
+    let mut demand = Demand::new(2, 100.0);
+    demand.add(&[100.0, 0.0], 0);
+    demand.add(&[0.0, 10.0], 500);
+    assert!(demand.rates()[0] < demand.rates()[1]);
+    assert_eq!(chosen_between(&[5, 7], &[6, 7]), [1, 0]);
+    assert_eq!(chosen_between(&[5, 7], &[2, 8]), [2, 8]);
+}
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -87,6 +87,7 @@
     figures: Option<EngineFigures>,
     demand: Option<Demand>,
     leaderless_since_ms: Option<u64>,
+    waits_until_ms: u64,
     pending: Vec<(usize, SentOrder)>,
     last_round: Round,
     own_counts: Counts,
@@ -103,6 +104,7 @@
         service: &str,
         settings: LeaderSettings,
     ) -> Self {
+        let controller = Controller::new(ControllerSettings::default(), 0, agent.life);
         Self {
             agent,
             dialect,
@@ -110,7 +112,7 @@
             service: service.to_owned(),
             settings,
             leadership: Leadership::new(settings.lease_ms),
-            controller: Controller::new(ControllerSettings::default(), 0, 0),
+            controller,
             members: BTreeMap::new(),
             endpoints: GroupEndpoints::new(engines),
             entries: Entries::default(),
@@ -119,6 +121,7 @@
             figures: None,
             demand: None,
             leaderless_since_ms: None,
+            waits_until_ms: 0,
             pending: Vec::new(),
             last_round: Round::default(),
             own_counts: Counts::default(),
@@ -171,6 +174,9 @@
             return false;
         }
         let now_ms = self.agent.clock.now_ms();
+        if now_ms < self.waits_until_ms {
+            return false;
+        }
         let since_ms = *self.leaderless_since_ms.get_or_insert(now_ms);
         if now_ms < since_ms + view.rank as u64 * RANK_STAGGER_MS {
             return false;
@@ -230,10 +236,16 @@
     async fn lead(&mut self) {
         let Some(view) = self.agent.last_view() else { return };
         log::info!("event=leading_asked group={} rank={}", view.group, view.rank);
-        self.controller = Controller::new(ControllerSettings::default(), view.rank, self.agent.life);
+        self.controller = self.controller.renewed(view.rank);
         self.read_directory(&view).await;
         let mut is_leading = false;
         loop {
+            // A process may have stood still: what it knew of the group is void once its
+            // grants have run out, even if it is granted again.
+            if is_leading && !self.leadership.holds(view.size, self.agent.clock.now_ms(), 0) {
+                log::info!("event=leading_lapsed group={} rank={}", view.group, view.rank);
+                return;
+            }
             let holder = self.round(&view).await;
             let now_ms = self.agent.clock.now_ms();
             if !self.leadership.holds(view.size, now_ms, 0) {
@@ -261,6 +273,8 @@
         self.leadership.clear();
         self.pending.clear();
         self.leaderless_since_ms = None;
+        // Leaves the others a lease to agree on one of them.
+        self.waits_until_ms = self.agent.clock.now_ms() + self.settings.lease_ms;
         let Some(view) = self.agent.last_view() else { return };
         // Whoever is granted more than we are should not wait for our grants to run out.
         let ask = Ask {
