Find a new leader sooner; reach ranks of a group that stands without their agents

The engine beside a frozen agent does not answer at its endpoint either (7 of 8 found while it lasted), so a hold there cannot be released. A hold placed from another box would avoid it at the price of two far orders a change; not tried yet.

--- a/crates/ochreyard-rank/src/fields.rs
+++ b/crates/ochreyard-rank/src/fields.rs
@@ -18,7 +18,7 @@
     FieldSpec {
         name: "lease_ms",
         kind: FieldKind::Number(300, 60_000),
-        default: Some("1500"),
+        default: Some("800"),
         about: "how long an agent obeys a leader after its last word",
     },
     FieldSpec {
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -25,9 +25,9 @@
 /// Pause between looks of an agent that does not lead.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
 /// How much longer each rank waits before it asks to lead: the lowest goes first.
-const RANK_STAGGER_MS: u64 = 150;
+const RANK_STAGGER_MS: u64 = 60;
 /// Longest wait for an agent's answer: its engine's answers and a few round trips.
-const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause between rounds while a change is under way.
 const BUSY_PAUSE: Duration = Duration::from_millis(10);
 /// Pause between rounds while experts are copied, which takes hundreds of milliseconds.
@@ -83,6 +83,7 @@
     endpoints: GroupEndpoints<S>,
     entries: Entries,
     progress: StepProgress,
+    is_serving: bool,
     directory_read_ms: u64,
     figures: Option<EngineFigures>,
     demand: Option<Demand>,
@@ -117,6 +118,7 @@
             endpoints: GroupEndpoints::new(engines),
             entries: Entries::default(),
             progress: StepProgress::default(),
+            is_serving: true,
             directory_read_ms: 0,
             figures: None,
             demand: None,
@@ -301,7 +303,9 @@
 
     /// Asks all ranks at once, with the orders that are due. Says who else is granted, if somebody is.
     async fn round(&mut self, view: &RankView) -> Option<LeaderId> {
-        let reach = self.controller.must_reach_all() && self.last_round.views.iter().any(Option::is_none);
+        // A group that stands may be held at a rank whose agent is down.
+        let is_needed = self.controller.must_reach_all() || !self.is_serving;
+        let reach = is_needed && self.last_round.views.iter().any(Option::is_none);
         if reach {
             let epoch = self.epoch();
             self.endpoints.find(&self.log, &self.dialect, &self.service, view, epoch, self.agent.clock.now_ms()).await;
@@ -348,6 +352,7 @@
     async fn tell_entries(&mut self, view: &RankView) {
         let now_ms = self.agent.clock.now_ms();
         let is_serving = self.progress.note(&self.last_round.views, now_ms);
+        self.is_serving = is_serving;
         if !self.entries.is_due(is_serving, now_ms) {
             return;
         }
@@ -517,8 +522,12 @@
     for order in &ask.orders {
         outcomes.push(engine.order(order).await);
     }
-    let view = engine.view().await.ok()?;
-    Some(Told { view: Some(view), outcomes, ..Told::default() })
+    let view = engine.view().await;
+    match &view {
+        Ok(view) => log::info!("event=rank_reached_directly rank={} view={}", view.rank, brief(view)),
+        Err(error) => log::info!("event=rank_unreachable agent={} error=\"{error}\"", member.record.agent_addr),
+    }
+    Some(Told { view: Some(view.ok()?), outcomes, ..Told::default() })
 }
 
 async fn ask_agent(link: Rc<CallLink>, ask: Ask) -> Option<Told> {
