Relieve slow ranks: of experts by the plan, of requests by the entry

Plans weigh a rank's load by its pace; entries give a rank from pace 1.5 on requests only where no other is left.

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -33,6 +33,10 @@
 /// Requests that may wait at a rank of a group: the next place is free within the
 /// aim of a first event, a second one hardly.
 const GROUP_WAITING: f64 = 1.0;
+/// The pace of an endpoint that is as fast as usual, in thousandths.
+const USUAL_PACE_PERMILLE: u64 = 1_000;
+/// From this pace on a rank gets requests only where no other is left, in thousandths.
+const SLOW_PACE_PERMILLE: u64 = 1_500;
 /// How much more loaded a group counts whose leader has fallen silent.
 const SILENT_LEADER_COST: f64 = 2.0;
 
@@ -83,6 +87,7 @@
     aside_until_ms: u64,
     heard_ms: u64,
     group: Option<String>,
+    pace_permille: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -114,6 +119,7 @@
             aside_until_ms: 0,
             heard_ms: 0,
             group: None,
+            pace_permille: USUAL_PACE_PERMILLE,
         }
     }
 
@@ -126,6 +132,12 @@
         self.in_flight as f64 + others * (1.0 - age_ms / LOAD_LIFE_MS).max(0.0)
     }
 
+    /// Whether its leader said of late that it is slow: as a rank of a group it makes
+    /// every step of all others longer by its own requests.
+    const fn is_slow(&self, now_ms: u64) -> bool {
+        self.pace_permille >= SLOW_PACE_PERMILLE && now_ms < self.load_at_ms + NEWS_LIFE_MS
+    }
+
     /// How loaded it counts for a comparison.
     fn pressure(&self, now_ms: u64) -> f64 {
         let slots = self.record.slots.max(1) as f64;
@@ -204,7 +216,9 @@
             .of_service(service)
             .filter(|(id, member)| !member.record.is_leaving && !tried.iter().any(|other| other == id))
             .collect();
-        let is_sound = |member: &Member| member.aside_until_ms <= now_ms && self.is_serving(member, now_ms);
+        let is_sound = |member: &Member| {
+            member.aside_until_ms <= now_ms && !member.is_slow(now_ms) && self.is_serving(member, now_ms)
+        };
         let sound: Vec<(&str, &Member)> = open.iter().copied().filter(|(_, member)| is_sound(member)).collect();
         let usable = if sound.is_empty() { open } else { sound };
         if usable.is_empty() {
@@ -251,6 +265,7 @@
             if member.group.as_ref() != Some(&name) {
                 member.group = Some(name.clone());
             }
+            member.pace_permille = rank.pace_permille;
             member.load = ReportedLoad { running: rank.running, waiting: rank.waiting };
             member.own_at_load = member.in_flight;
             member.load_at_ms = now_ms;
--- a/crates/ochreyard-core/src/direct/group_news.rs
+++ b/crates/ochreyard-core/src/direct/group_news.rs
@@ -24,4 +24,6 @@
     pub running: u64,
     /// Requests that wait there.
     pub waiting: u64,
+    /// How much longer its work takes than usual, in thousandths of the usual time.
+    pub pace_permille: u64,
 }
--- a/crates/ochreyard-core/src/group_map/order.rs
+++ b/crates/ochreyard-core/src/group_map/order.rs
@@ -94,6 +94,8 @@
     pub armed: Option<Armed>,
     /// The step that is held.
     pub held: Option<u64>,
+    /// How much longer its work takes than usual, in thousandths of the usual time.
+    pub pace_permille: u64,
     /// Requests that run.
     pub running: u64,
     /// Requests that wait.
--- a/crates/ochreyard-core/src/group_map/placement.rs
+++ b/crates/ochreyard-core/src/group_map/placement.rs
@@ -51,12 +51,13 @@
     }
 
     /// The load of the most loaded rank over the mean, summed over sets by their demand.
-    /// `demand` holds the load of each expert, set by set.
+    /// `demand` holds the load of each expert, set by set; a load counts by the pace
+    /// of its rank, where 1 is as fast as usual.
     #[must_use]
-    pub fn skew(&self, demand: &[f64]) -> f64 {
+    pub fn skew(&self, demand: &[f64], paces: &[f64]) -> f64 {
         let ranks = self.sets.first().map_or(1, Vec::len) as f64;
         let of_set = |set: usize| &demand[set * self.experts..(set + 1) * self.experts];
-        let most: f64 = (0..self.sets.len()).map(|set| most_loaded(&self.sets[set], of_set(set))).sum();
+        let most: f64 = (0..self.sets.len()).map(|set| most_loaded(&self.sets[set], of_set(set), paces)).sum();
         let total: f64 = demand.iter().sum();
         if total > 0.0 { most * ranks / total } else { 1.0 }
     }
@@ -73,13 +74,13 @@
     replicas
 }
 
-/// The load of each rank: ranks that hold an expert share its load evenly.
-pub(super) fn rank_loads(set: &[Vec<u16>], demand: &[f64]) -> Vec<f64> {
+/// The load of each rank by its pace: ranks that hold an expert share its load evenly.
+pub(super) fn rank_loads(set: &[Vec<u16>], demand: &[f64], paces: &[f64]) -> Vec<f64> {
     let replicas = replicas(set, demand.len());
     let share = |expert: &u16| demand[usize::from(*expert)] / f64::from(replicas[usize::from(*expert)].max(1));
-    set.iter().map(|held| held.iter().map(share).sum()).collect()
+    set.iter().zip(paces).map(|(held, pace)| pace * held.iter().map(share).sum::<f64>()).collect()
 }
 
-fn most_loaded(set: &[Vec<u16>], demand: &[f64]) -> f64 {
-    rank_loads(set, demand).into_iter().fold(0.0, f64::max)
+fn most_loaded(set: &[Vec<u16>], demand: &[f64], paces: &[f64]) -> f64 {
+    rank_loads(set, demand, paces).into_iter().fold(0.0, f64::max)
 }
--- a/crates/ochreyard-core/src/group_map/planner.rs
+++ b/crates/ochreyard-core/src/group_map/planner.rs
@@ -64,29 +64,31 @@
         Self { settings }
     }
 
-    /// The change that saves most over the horizon, if one saves enough.
+    /// The change that saves most over the horizon, if one saves enough. `paces` holds
+    /// how much longer work takes at each rank than usual.
     #[must_use]
-    pub fn plan(&self, present: &GroupPlacement, demand: &[f64]) -> Option<Planned> {
+    pub fn plan(&self, present: &GroupPlacement, demand: &[f64], paces: &[f64]) -> Option<Planned> {
         let total: f64 = demand.iter().sum();
         if total <= 0.0 {
             return None;
         }
         let sets = present.sets().len();
         let budgets = COPY_BUDGETS.into_iter().take_while(|budget| *budget <= sets * self.settings.spare);
-        let plans = budgets.filter_map(|budget| self.plan_within(present, demand, total, budget));
+        let plans = budgets.filter_map(|budget| self.plan_within(present, demand, paces, budget));
         let best = plans.max_by(|a, b| a.saving_ms.total_cmp(&b.saving_ms))?;
         (best.saving_ms >= self.settings.least_saving_ms).then_some(best)
     }
 
     /// The best map found with at most `budget` copies to any one rank.
-    fn plan_within(&self, present: &GroupPlacement, demand: &[f64], total: f64, budget: usize) -> Option<Planned> {
+    fn plan_within(&self, present: &GroupPlacement, demand: &[f64], paces: &[f64], budget: usize) -> Option<Planned> {
         let experts = present.experts();
+        let total: f64 = demand.iter().sum();
         let mut placement = present.clone();
         let ranks = placement.sets().first()?.len();
         let mut budget_left = vec![budget; ranks];
         let mut searches: Vec<SetSearch> = Vec::new();
         for (at, set) in placement.sets().iter().enumerate() {
-            searches.push(SetSearch::new(set, &demand[at * experts..(at + 1) * experts], self.settings));
+            searches.push(SetSearch::new(set, &demand[at * experts..(at + 1) * experts], paces, self.settings));
         }
         for _ in 0..MAX_STEPS * searches.len() {
             let best =
@@ -103,7 +105,7 @@
         }
         let copies: usize = copies_of_ranks(present, &placement).iter().sum();
         let copies_of_rank = copies_of_ranks(present, &placement).into_iter().max().unwrap_or(0);
-        let skew = (present.skew(demand), placement.skew(demand));
+        let skew = (present.skew(demand, paces), placement.skew(demand, paces));
         let saving_ms = self.saving_ms(skew, copies_of_rank, copies);
         Some(Planned { placement, saving_ms, copies_of_rank, skew })
     }
@@ -162,6 +164,7 @@
     set: Vec<Vec<u16>>,
     former: Vec<Vec<u16>>,
     demand: &'a [f64],
+    paces: &'a [f64],
     settings: PlanSettings,
     replicas: Vec<u32>,
     loads: Vec<f64>,
@@ -170,13 +173,14 @@
 }
 
 impl<'a> SetSearch<'a> {
-    fn new(set: &[Vec<u16>], demand: &'a [f64], settings: PlanSettings) -> Self {
-        let loads = rank_loads(set, demand);
+    fn new(set: &[Vec<u16>], demand: &'a [f64], paces: &'a [f64], settings: PlanSettings) -> Self {
+        let loads = rank_loads(set, demand, paces);
         let mean = (loads.iter().sum::<f64>() / loads.len().max(1) as f64).max(f64::MIN_POSITIVE);
         Self {
             set: set.to_vec(),
             former: set.to_vec(),
             demand,
+            paces,
             settings,
             replicas: replicas(set, demand.len()),
             loads,
@@ -286,7 +290,8 @@
                 let added = [change.add, change.add_back].contains(&Some((*expert, rank)));
                 let dropped = change.drop.contains(&Some((*expert, rank)));
                 let holds_after = (held_before || added) && !dropped;
-                loads[rank] += f64::from(u8::from(holds_after)) * new - f64::from(u8::from(held_before)) * old;
+                let more = f64::from(u8::from(holds_after)) * new - f64::from(u8::from(held_before)) * old;
+                loads[rank] += self.paces[rank] * more;
             }
         }
         self.soft_most(&self.loads) - self.soft_most(&loads)
@@ -309,7 +314,7 @@
                 budget_left[*rank] = budget_left[*rank].saturating_sub(1);
             }
         }
-        self.loads = rank_loads(&self.set, self.demand);
+        self.loads = rank_loads(&self.set, self.demand, self.paces);
         self.best = None;
     }
 }
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -156,7 +156,10 @@
 }
 
 fn news(is_serving: bool, ports: &[u16], running: u64) -> GroupNews {
-    let ranks = ports.iter().map(|port| RankNews { endpoint: format!("e{port}"), running, waiting: 0 }).collect();
+    let ranks = ports
+        .iter()
+        .map(|port| RankNews { endpoint: format!("e{port}"), running, waiting: 0, pace_permille: 1_000 })
+        .collect();
     GroupNews { service: "tiles".into(), group: format!("g{}", ports[0]), is_serving, ranks }
 }
 
@@ -222,3 +225,15 @@
     pool.on_news(&news(true, &[1], 3), 0);
     assert_eq!(pool.pick("tiles", &[], 0, 1), Err(NoPick::Full));
 }
+
+#[test]
+fn a_slow_rank_gets_requests_only_where_no_other_is_left() {
+    let mut pool = pool([1, 2]);
+    let mut slow = news(true, &[1, 2], 0);
+    slow.ranks[0].pace_permille = 4_000;
+    pool.on_news(&slow, 0);
+    pool.on_start("e2");
+    assert_eq!(pool.pick("tiles", &[], 0, 1).unwrap().id, "e2");
+    assert_eq!(pool.pick("tiles", &["e2".into()], 0, 1).unwrap().id, "e1");
+    assert_eq!(pool.pick("tiles", &[], 0, 5_000).unwrap().id, "e1");
+}
--- a/crates/ochreyard-core/tests/group_map.rs
+++ b/crates/ochreyard-core/tests/group_map.rs
@@ -66,12 +66,25 @@
     least_saving_ms: 50.0,
 };
 
+/// All ranks are as fast as usual.
+const EVEN: [f64; 4] = [1.0; 4];
+
+#[test]
+fn a_slow_rank_is_relieved() {
+    let present = GroupPlacement::dealt(2, 16, 4);
+    let demand = [1.0; 32];
+    let paces = [1.0, 1.0, 5.0, 1.0];
+    let planned = Planner::new(SETTINGS).plan(&present, &demand, &paces).expect("worth a change");
+    assert!(planned.skew.1 < planned.skew.0 * 0.6, "{:?}", planned.skew);
+    assert!(planned.placement.is_complete());
+}
+
 #[test]
 fn a_hot_expert_gets_replicas() {
     let present = GroupPlacement::dealt(2, 16, 4);
     let mut demand = vec![1.0; 32];
     demand[3] = 30.0;
-    let planned = Planner::new(SETTINGS).plan(&present, &demand).expect("worth a change");
+    let planned = Planner::new(SETTINGS).plan(&present, &demand, &EVEN).expect("worth a change");
     assert!(planned.skew.1 < planned.skew.0 * 0.6, "{:?}", planned.skew);
     assert!(planned.placement.is_complete());
     let most = planned.placement.sets().iter().flatten().map(Vec::len).max();
@@ -81,7 +94,7 @@
 #[test]
 fn even_demand_changes_nothing() {
     let present = GroupPlacement::dealt(2, 16, 4);
-    assert!(Planner::new(SETTINGS).plan(&present, &[1.0; 32]).is_none());
+    assert!(Planner::new(SETTINGS).plan(&present, &[1.0; 32], &EVEN).is_none());
 }
 
 #[test]
@@ -90,14 +103,14 @@
     let mut demand = vec![1.0; 32];
     demand[3] = 3.0;
     let dear = PlanSettings { copy_ms: 2_900.0, ..SETTINGS };
-    assert!(Planner::new(dear).plan(&present, &demand).is_none());
+    assert!(Planner::new(dear).plan(&present, &demand, &EVEN).is_none());
 }
 
 proptest! {
     #[test]
     fn a_plan_keeps_every_expert_and_every_bound(demand in proptest::collection::vec(0.0f64..50.0, 32)) {
         let present = GroupPlacement::dealt(2, 16, 4);
-        if let Some(planned) = Planner::new(SETTINGS).plan(&present, &demand) {
+        if let Some(planned) = Planner::new(SETTINGS).plan(&present, &demand, &EVEN) {
             prop_assert!(planned.placement.is_complete());
             for (old, new) in present.sets().iter().zip(planned.placement.sets()) {
                 for (old, new) in old.iter().zip(new) {
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -362,7 +362,8 @@
         let rank_news = |(rank, view): (usize, &Option<RankView>)| {
             let view = view.as_ref()?;
             let endpoint = self.endpoints.id(rank)?.to_owned();
-            Some(RankNews { endpoint, running: view.running, waiting: view.waiting })
+            let (running, waiting, pace_permille) = (view.running, view.waiting, view.pace_permille);
+            Some(RankNews { endpoint, running, waiting, pace_permille })
         };
         let ranks = self.last_round.views.iter().enumerate().filter_map(rank_news).collect();
         let news = GroupNews { service: self.service.clone(), group: view.group.clone(), is_serving, ranks };
@@ -478,8 +479,10 @@
         if demand.rates().len() != figures.sets * figures.experts || demand.weight() < enough {
             return;
         }
+        let views = self.last_round.views.iter().flatten();
+        let paces: Vec<f64> = views.map(|view| (view.pace_permille as f64 / 1000.0).max(1.0)).collect();
         let planner = Planner::new(plan_settings(&figures, &self.settings));
-        let Some(planned) = planner.plan(present, demand.rates()) else { return };
+        let Some(planned) = planner.plan(present, demand.rates(), &paces) else { return };
         log::info!(
             "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0}",
             planned.skew.0,
