--- /dev/null
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -0,0 +1,130 @@
+//! One endpoint as it looks from this box: its load, its failures and its group.
+
+use super::NEWS_LIFE_MS;
+use super::outcome::Outcome;
+use super::reported_load::ReportedLoad;
+use crate::direct::EndpointRecord;
+
+/// Weight of one more outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// How much an endpoint that always fails counts as more loaded.
+const FAILURE_COST: f64 = 6.0;
+/// How long an endpoint that cannot be reached is set aside at first, in milliseconds.
+const SET_ASIDE_MS: u64 = 500;
+/// The longest that it is set aside, in milliseconds.
+const MAX_SET_ASIDE_MS: u64 = 4_000;
+/// Most doublings of the time for which it is set aside: keeps the shift within a `u64`,
+/// well beyond [`MAX_SET_ASIDE_MS`].
+const MAX_DOUBLINGS: u32 = 8;
+/// How much more loaded an endpoint counts that is still slow from its start.
+const COLD_COST: f64 = 1.5;
+/// After this time, reported load says nothing more, in milliseconds.
+const LOAD_LIFE_MS: f64 = 1_500.0;
+/// The pace of an endpoint that is as fast as usual, in thousandths.
+const USUAL_PACE_PERMILLE: u64 = 1_000;
+/// From this pace on a rank gets requests only where no other is left, in thousandths.
+const SLOW_PACE_PERMILLE: u64 = 1_500;
+
+/// One endpoint.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its record.
+    pub record: EndpointRecord,
+    /// Requests that this box has there.
+    pub in_flight: u64,
+    /// The name of its group, once a leader has told of it.
+    pub group: Option<String>,
+    /// How much longer its work takes than usual, in thousandths.
+    pub pace_permille: u64,
+    load: ReportedLoad,
+    /// Requests that this box had there when the load was told.
+    own_at_load: u64,
+    load_at_ms: u64,
+    /// Share of its outcomes that were failures, the last ones weighing most.
+    failures: f64,
+    unreachable_times: u32,
+    aside_until_ms: u64,
+    heard_ms: u64,
+}
+
+impl Member {
+    /// An endpoint of which nothing but its record is known.
+    pub const fn new(record: EndpointRecord) -> Self {
+        Self {
+            record,
+            in_flight: 0,
+            load: ReportedLoad { running: 0, waiting: 0 },
+            own_at_load: 0,
+            load_at_ms: 0,
+            failures: 0.0,
+            unreachable_times: 0,
+            aside_until_ms: 0,
+            heard_ms: 0,
+            group: None,
+            pace_permille: USUAL_PACE_PERMILLE,
+        }
+    }
+
+    /// Requests there, as far as known: our own exactly, those of other boxes from
+    /// the last report, fading with its age.
+    pub fn requests(&self, now_ms: u64) -> f64 {
+        let reported = self.load.running + self.load.waiting;
+        let others = reported.saturating_sub(self.own_at_load) as f64;
+        let age_ms = now_ms.saturating_sub(self.load_at_ms) as f64;
+        self.in_flight as f64 + others * (1.0 - age_ms / LOAD_LIFE_MS).max(0.0)
+    }
+
+    /// Whether its leader said of late that it is slow: as a rank of a group it makes
+    /// every step of all others longer by its own requests.
+    pub const fn is_slow(&self, now_ms: u64) -> bool {
+        self.pace_permille >= SLOW_PACE_PERMILLE && now_ms < self.load_at_ms + NEWS_LIFE_MS
+    }
+
+    /// How loaded it counts for a comparison.
+    pub fn pressure(&self, now_ms: u64) -> f64 {
+        let slots = self.record.slots.max(1) as f64;
+        let cold = if self.record.cold_ms > 0 { COLD_COST } else { 1.0 };
+        (self.requests(now_ms) + 1.0) / slots * cold * (1.0 + FAILURE_COST * self.failures)
+    }
+
+    /// Whether it is set aside, since it could not be reached.
+    pub const fn is_aside(&self, now_ms: u64) -> bool {
+        self.aside_until_ms > now_ms
+    }
+
+    /// Whether it has said nothing to this box for so long.
+    pub const fn is_silent(&self, for_ms: u64, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.heard_ms) >= for_ms
+    }
+
+    /// It was heard.
+    pub const fn on_heard(&mut self, now_ms: u64) {
+        self.heard_ms = now_ms;
+    }
+
+    /// It, or its leader, told its load.
+    pub const fn on_load(&mut self, load: ReportedLoad, now_ms: u64) {
+        self.load = load;
+        self.own_at_load = self.in_flight;
+        self.load_at_ms = now_ms;
+    }
+
+    /// An attempt there has ended.
+    pub fn on_end(&mut self, outcome: Outcome, now_ms: u64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let failed = match outcome {
+            Outcome::Good => 0.0,
+            Outcome::Failed | Outcome::Unreachable => 1.0,
+            Outcome::Full | Outcome::Unknown => return,
+        };
+        self.failures += FAILURE_WEIGHT * (failed - self.failures);
+        if outcome == Outcome::Unreachable {
+            let times = self.unreachable_times.min(MAX_DOUBLINGS);
+            self.aside_until_ms = now_ms + (SET_ASIDE_MS << times).min(MAX_SET_ASIDE_MS);
+            self.unreachable_times += 1;
+        } else if outcome == Outcome::Good {
+            self.unreachable_times = 0;
+            self.aside_until_ms = 0;
+        }
+    }
+}
--- a/crates/ochreyard-core/src/direct/route_table.rs
+++ b/crates/ochreyard-core/src/direct/route_table.rs
@@ -235,9 +235,4 @@
     pub fn service(&self, name: &str) -> Option<&Arc<ServiceSpec>> {
         self.services.get(name)
     }
-
-    /// All services.
-    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
-        self.services.values()
-    }
 }
