Split planner and controller of a group's map by job

The step from one phase to the next is one function a phase, and what giving up and undoing share, or what the end of undoing is, is written once. Behaviour is unchanged.

--- a/crates/ochreyard-core/src/group_map/controller.rs
+++ b/crates/ochreyard-core/src/group_map/controller.rs
@@ -17,45 +17,17 @@
 //! rank: the former leader's late release cannot open the group while its arms
 //! are undone.
 
-use super::order::{Armed, Order, OrderOutcome, RankView, SentOrder};
+mod orders;
+mod phase;
+mod round;
+mod settings;
+
+pub use self::phase::Phase;
+pub use self::round::Round;
+pub use self::settings::ControllerSettings;
+use super::order::{Order, OrderOutcome, RankView, SentOrder};
 use super::placement::GroupPlacement;
 
-/// Times and distances of a change.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ControllerSettings {
-    /// Steps between the last one begun and the one that is held: enough for all
-    /// orders to arrive before any rank has to wait.
-    pub lead_steps: u64,
-    /// Longest time for a hold to be confirmed, in milliseconds.
-    pub hold_timeout_ms: u64,
-    /// Longest time for all ranks to confirm that they are armed, in milliseconds.
-    pub arm_timeout_ms: u64,
-    /// Longest time for copies, in milliseconds, for each copy to one rank.
-    pub copy_timeout_ms: f64,
-    /// Longest time for copies beside that, in milliseconds: orders may be lost.
-    pub prepare_slack_ms: u64,
-    /// Pause before an order whose outcome is unknown is sent again, in milliseconds.
-    pub resend_ms: u64,
-    /// Pause after a change that came to nothing, in milliseconds.
-    pub pause_ms: u64,
-}
-
-impl Default for ControllerSettings {
-    /// A step takes about 50 to 100 ms and an order a few, so two steps of lead
-    /// leave room for a lost order; the rest are small multiples of those.
-    fn default() -> Self {
-        Self {
-            lead_steps: 2,
-            hold_timeout_ms: 300,
-            arm_timeout_ms: 400,
-            copy_timeout_ms: 400.0,
-            prepare_slack_ms: 2_000,
-            resend_ms: 250,
-            pause_ms: 500,
-        }
-    }
-}
-
 /// Numbers of maps end in a mark of their leader below this bound; together with
 /// the count of changes they stay exact in JSON.
 const VERSION_MARKS: u64 = 1 << 20;
@@ -63,54 +35,6 @@
 /// Most doublings of the distance by which numbers are raised after refusals.
 const MAX_DOUBLINGS: u32 = 10;
 
-/// Where a change stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Phase {
-    /// No change.
-    Idle,
-    /// The ranks copy experts.
-    Preparing {
-        /// The map.
-        version: u64,
-    },
-    /// A step ahead is being held at one rank.
-    Holding {
-        /// The map.
-        version: u64,
-        /// The step.
-        step: u64,
-        /// The rank.
-        rank: usize,
-    },
-    /// The ranks arm the map.
-    Arming {
-        /// The map.
-        version: u64,
-        /// The first step that uses it.
-        step: u64,
-    },
-    /// All ranks are armed, or all are undone: holds are released.
-    Releasing,
-    /// A former leader's hold is backed by one of our own.
-    Backing {
-        /// The held step.
-        step: u64,
-        /// The rank of our own hold.
-        rank: usize,
-    },
-    /// Armed ranks are disarmed, and late arms are made void.
-    Undoing,
-}
-
-/// What one exchange with all ranks brought.
-#[derive(Debug, Clone, Default)]
-pub struct Round {
-    /// A fresh view of each rank, where one came.
-    pub views: Vec<Option<RankView>>,
-    /// What became of the orders that were sent, by rank.
-    pub outcomes: Vec<(usize, SentOrder, OrderOutcome)>,
-}
-
 /// The orders of one leader for one group.
 #[derive(Debug, Clone)]
 pub struct Controller {
@@ -285,7 +209,7 @@
     }
 
     fn on_incomplete(&mut self, views: &[Option<RankView>], now_ms: u64) {
-        let waited_ms = now_ms.saturating_sub(self.since_ms);
+        let waited_ms = self.waited_ms(now_ms);
         let is_broken = views.iter().flatten().any(|view| !view.is_open);
         match self.phase {
             Phase::Preparing { .. } if waited_ms > self.timeout_ms || is_broken => self.give_up(now_ms),
@@ -339,80 +263,93 @@
         }
     }
 
+    /// Drops a change of which no rank was held or armed.
     fn give_up(&mut self, now_ms: u64) {
-        self.undone += 1;
-        self.target = None;
-        self.pause_until_ms = now_ms + self.settings.pause_ms;
+        self.drop_change(now_ms);
         self.enter(Phase::Idle, now_ms);
     }
 
+    /// Drops a change that ranks may be held or armed for.
     fn undo(&mut self, now_ms: u64) {
+        self.drop_change(now_ms);
+        self.enter(Phase::Undoing, now_ms);
+    }
+
+    fn drop_change(&mut self, now_ms: u64) {
         self.undone += 1;
         self.target = None;
         self.pause_until_ms = now_ms + self.settings.pause_ms;
-        self.enter(Phase::Undoing, now_ms);
     }
 
     fn advance(&mut self, views: &[&RankView], now_ms: u64) {
-        let waited_ms = now_ms.saturating_sub(self.since_ms);
         match self.phase.clone() {
             Phase::Idle => self.look_for_left_holds(views, now_ms),
-            Phase::Preparing { version } => {
-                if views.iter().all(|view| view.prepared == Some(version)) {
-                    self.refused_in_turn = 0;
-                    let step = newest_step(views) + self.settings.lead_steps;
-                    self.clear_from = Some(step);
-                    let rank = self.own_rank.min(views.len() - 1);
-                    self.enter(Phase::Holding { version, step, rank }, now_ms);
-                } else if waited_ms > self.timeout_ms {
-                    self.give_up(now_ms);
-                }
-            }
-            Phase::Holding { version, step, rank } => {
-                if views[rank].held == Some(step) {
-                    self.held_step = step;
-                    self.enter(Phase::Arming { version, step }, now_ms);
-                } else if waited_ms > self.settings.hold_timeout_ms || newest_step(views) >= step {
-                    self.undo(now_ms);
-                }
-            }
-            Phase::Arming { version, step } => {
-                let is_armed = |view: &&RankView| view.armed.is_some_and(|armed| armed.version == version);
-                if views.iter().all(is_armed) {
-                    self.switched += 1;
-                    self.present = self.target.take().map(|target| (version, target));
-                    self.enter(Phase::Releasing, now_ms);
-                } else if waited_ms > self.settings.arm_timeout_ms || newest_step(views) >= step {
-                    self.undo(now_ms);
-                }
-            }
-            Phase::Backing { step, rank } => {
-                if views[rank].held == Some(step) {
-                    self.held_step = step;
-                    self.undo(now_ms);
-                } else if newest_step(views) >= step {
-                    // Too late for this step: what is left is looked at again.
-                    self.enter(Phase::Idle, now_ms);
-                } else if views.iter().all(|view| view.held.is_none()) {
-                    // The former leader's release came through: all of its ranks were armed.
-                    self.enter(Phase::Idle, now_ms);
-                }
-            }
-            Phase::Undoing => {
-                let is_clear =
-                    views.iter().all(|view| view.armed.is_none()) && self.unfenced.iter().all(Option::is_none);
-                if is_clear {
-                    self.enter(Phase::Releasing, now_ms);
-                }
-            }
-            Phase::Releasing => {
-                if views.iter().all(|view| view.held.is_none()) {
-                    self.enter(Phase::Idle, now_ms);
-                }
-            }
+            Phase::Preparing { version } => self.advance_preparing(views, version, now_ms),
+            Phase::Holding { version, step, rank } => self.advance_holding(views, (version, step, rank), now_ms),
+            Phase::Arming { version, step } => self.advance_arming(views, version, step, now_ms),
+            Phase::Backing { step, rank } => self.advance_backing(views, step, rank, now_ms),
+            Phase::Undoing if self.is_undone(views) => self.enter(Phase::Releasing, now_ms),
+            Phase::Releasing if views.iter().all(|view| view.held.is_none()) => self.enter(Phase::Idle, now_ms),
+            Phase::Undoing | Phase::Releasing => {}
+        }
+    }
+
+    /// Time since the phase began.
+    const fn waited_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.since_ms)
+    }
+
+    fn advance_preparing(&mut self, views: &[&RankView], version: u64, now_ms: u64) {
+        if views.iter().all(|view| view.prepared == Some(version)) {
+            self.refused_in_turn = 0;
+            let step = newest_step(views) + self.settings.lead_steps;
+            self.clear_from = Some(step);
+            let rank = self.own_rank.min(views.len() - 1);
+            self.enter(Phase::Holding { version, step, rank }, now_ms);
+        } else if self.waited_ms(now_ms) > self.timeout_ms {
+            self.give_up(now_ms);
+        }
+    }
+
+    fn advance_holding(&mut self, views: &[&RankView], hold: (u64, u64, usize), now_ms: u64) {
+        let (version, step, rank) = hold;
+        if views[rank].held == Some(step) {
+            self.held_step = step;
+            self.enter(Phase::Arming { version, step }, now_ms);
+        } else if self.waited_ms(now_ms) > self.settings.hold_timeout_ms || newest_step(views) >= step {
+            self.undo(now_ms);
+        }
+    }
+
+    fn advance_arming(&mut self, views: &[&RankView], version: u64, step: u64, now_ms: u64) {
+        let is_armed = |view: &&RankView| view.armed.is_some_and(|armed| armed.version == version);
+        if views.iter().all(is_armed) {
+            self.switched += 1;
+            self.present = self.target.take().map(|target| (version, target));
+            self.enter(Phase::Releasing, now_ms);
+        } else if self.waited_ms(now_ms) > self.settings.arm_timeout_ms || newest_step(views) >= step {
+            self.undo(now_ms);
         }
     }
 
+    fn advance_backing(&mut self, views: &[&RankView], step: u64, rank: usize, now_ms: u64) {
+        // Too late for this step: what is left is looked at again.
+        let is_late = newest_step(views) >= step;
+        // The former leader's release came through: all of its ranks were armed.
+        let is_released = views.iter().all(|view| view.held.is_none());
+        if views[rank].held == Some(step) {
+            self.held_step = step;
+            self.undo(now_ms);
+        } else if is_late || is_released {
+            self.enter(Phase::Idle, now_ms);
+        }
+    }
+
+    /// Whether no rank is armed, and no arm under way can still take effect.
+    fn is_undone(&self, views: &[&RankView]) -> bool {
+        views.iter().all(|view| view.armed.is_none()) && self.unfenced.iter().all(Option::is_none)
+    }
+
     /// A hold that nobody here placed was left by a former leader, whose arms may
     /// be under way at any rank.
     fn look_for_left_holds(&mut self, views: &[&RankView], now_ms: u64) {
@@ -430,70 +367,6 @@
             None => self.undo(now_ms),
         }
     }
-
-    fn orders(&mut self, views: &[&RankView], now_ms: u64) -> Vec<(usize, SentOrder)> {
-        if now_ms < self.next_sent_ms {
-            return Vec::new();
-        }
-        let orders = self.due_orders(views);
-        if orders.is_empty() {
-            return Vec::new();
-        }
-        let is_slow = matches!(self.phase, Phase::Preparing { .. } | Phase::Undoing);
-        self.next_sent_ms = if is_slow { now_ms + self.settings.resend_ms } else { now_ms };
-        let sent = |(rank, order): (usize, Order)| {
-            let view = views[rank];
-            (rank, SentOrder { order, epoch: view.epoch, expected_sequence: view.sequence })
-        };
-        let sent: Vec<(usize, SentOrder)> = orders.into_iter().map(sent).collect();
-        for (rank, sent) in &sent {
-            if let Order::Arm { version, .. } = sent.order {
-                self.unfenced[*rank] = Some(version);
-            }
-        }
-        sent
-    }
-
-    fn due_orders(&mut self, views: &[&RankView]) -> Vec<(usize, Order)> {
-        let ranks = 0..views.len();
-        match self.phase.clone() {
-            Phase::Idle => Vec::new(),
-            Phase::Preparing { version } => {
-                let Some(target) = &self.target else { return Vec::new() };
-                let lacks = |rank: &usize| views[*rank].prepared != Some(version) && !views[*rank].is_busy;
-                let map = target.sets();
-                ranks.filter(lacks).map(|rank| (rank, Order::Prepare { version, map: map.to_vec() })).collect()
-            }
-            Phase::Holding { step, rank, .. } | Phase::Backing { step, rank } => vec![(rank, Order::Hold { step })],
-            Phase::Arming { version, step } => {
-                let lacks = |rank: &usize| views[*rank].armed.is_none();
-                ranks.filter(lacks).map(|rank| (rank, Order::Arm { version, step })).collect()
-            }
-            Phase::Releasing => {
-                let held = |rank: usize| views[rank].held.map(|step| (rank, Order::Go { step }));
-                ranks.filter_map(held).collect()
-            }
-            Phase::Undoing => self.undoing_orders(views),
-        }
-    }
-
-    fn undoing_orders(&mut self, views: &[&RankView]) -> Vec<(usize, Order)> {
-        if views.iter().all(|view| view.armed.is_none()) && self.unfenced.iter().all(Option::is_none) {
-            return Vec::new();
-        }
-        let version = self.next_version();
-        let map = self.present.as_ref().map(|(_, placement)| placement.sets().to_vec());
-        // A map that is due before our hold may come into use meanwhile: at all ranks or at none.
-        let stands = newest_step(views) + 1 >= self.held_step;
-        let is_held = |armed: Armed| stands || armed.step.is_some_and(|step| step >= self.held_step);
-        let order = |rank: usize| match views[rank].armed {
-            Some(armed) => is_held(armed).then_some(Order::Disarm { version: armed.version }),
-            // The present map copies nothing, and still counts as an order.
-            None if self.unfenced[rank].is_some() => Some(Order::Prepare { version, map: map.clone()? }),
-            None => None,
-        };
-        (0..views.len()).filter_map(|rank| Some((rank, order(rank)?))).collect()
-    }
 }
 
 /// The views, if there is one of each rank and all are of one epoch.
--- /dev/null
+++ b/crates/ochreyard-core/src/group_map/planner/planned.rs
@@ -0,0 +1,16 @@
+//! What a plan comes to.
+
+use crate::group_map::GroupPlacement;
+
+/// A map worth a change.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Planned {
+    /// The map.
+    pub placement: GroupPlacement,
+    /// Time saved over the horizon, in milliseconds.
+    pub saving_ms: f64,
+    /// The most copies that one rank takes.
+    pub copies_of_rank: usize,
+    /// Skew of the present map and of the new one, under the demand.
+    pub skew: (f64, f64),
+}
