Split forwarding by job: the request, its attempts, the answer

`forward` admitted a request, tried endpoints, read answers and worded failures; `attempt` held four types beside the sending. A job, a caller's request, an attempt under way and an answer have files of their own, `forward` keeps admission and the way to the final answer, and the start of an entry is three functions. The pause between looks of a drain has a name. Behaviour is unchanged.

--- /dev/null
+++ b/crates/ochreyard-direct/src/answer.rs
@@ -0,0 +1,45 @@
+//! An endpoint's answer whose head has come.
+
+use http::{HeaderMap, Response, StatusCode, response};
+use hyper::body::Incoming;
+use ochreyard_core::direct::Pick;
+
+use crate::answer_body::AnswerBody;
+use crate::caller_request::strip_hop_by_hop;
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+use crate::flight::Flight;
+use crate::link::Connection;
+
+/// An answer whose head has come.
+pub struct Answer<D: Dialect> {
+    /// Its head.
+    pub head: response::Parts,
+    /// Its body, still to be read.
+    pub body: Incoming,
+    /// The connection that it comes on.
+    pub connection: Connection,
+    /// The endpoint that gave it.
+    pub pick: Pick,
+    /// Counts the attempt.
+    pub flight: Flight<D>,
+}
+
+impl<D: Dialect> Answer<D> {
+    /// Keeps the connection, once the body was read to its end.
+    pub fn finish(self, entry: &Entry<D>) {
+        let mut state = entry.state.borrow_mut();
+        state.connections.keep(&self.pick.id, self.pick.addr, self.connection, &self.head.headers);
+    }
+}
+
+/// The endpoint's own answer, as the caller gets it.
+pub fn pass_on(status: StatusCode, headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let mut headers = headers;
+    strip_hop_by_hop(&mut headers, &[]);
+    headers.remove(http::header::CONTENT_LENGTH);
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/flight.rs
@@ -0,0 +1,48 @@
+//! An attempt under way, as it counts at its endpoint.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use ochreyard_core::direct::Outcome;
+
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+
+/// Counts an attempt at its endpoint for as long as it lives.
+pub struct Flight<D: Dialect> {
+    entry: Rc<Entry<D>>,
+    id: String,
+    outcome: Cell<Outcome>,
+}
+
+impl<D: Dialect> Flight<D> {
+    /// An attempt at the endpoint `id` begins.
+    pub fn start(entry: &Rc<Entry<D>>, id: &str) -> Self {
+        entry.state.borrow_mut().pool.on_start(id);
+        Self { entry: Rc::clone(entry), id: id.to_owned(), outcome: Cell::new(Outcome::Unknown) }
+    }
+
+    /// Sets how the attempt ended.
+    pub fn set(&self, outcome: Outcome) {
+        self.outcome.set(outcome);
+    }
+
+    /// Notes that the endpoint was heard.
+    pub fn on_heard(&self) {
+        let now_ms = self.entry.clock.now_ms();
+        self.entry.state.borrow_mut().pool.on_heard(&self.id, now_ms);
+    }
+
+    /// Whether the endpoint has said nothing to anybody here for so long.
+    pub fn is_silent(&self, for_ms: u64) -> bool {
+        let now_ms = self.entry.clock.now_ms();
+        self.entry.state.borrow().pool.is_silent(&self.id, for_ms, now_ms)
+    }
+}
+
+impl<D: Dialect> Drop for Flight<D> {
+    fn drop(&mut self) {
+        let now_ms = self.entry.clock.now_ms();
+        self.entry.state.borrow_mut().pool.on_end(&self.id, self.outcome.get(), now_ms);
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/given_up.rs
@@ -0,0 +1,16 @@
+//! Why a request is not tried again.
+
+/// Why no further attempt is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GivenUp {
+    /// No endpoint can take it.
+    NoEndpoint,
+    /// The endpoints that were asked have no room.
+    Full,
+    /// The budget of repeats is used up.
+    Budget,
+    /// An attempt failed and no other is allowed.
+    Failed,
+    /// Its time is over.
+    TimeUp,
+}
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -8,14 +8,19 @@
 //! What the surroundings call things is in a [`Dialect`], and their log is
 //! behind [`KeyedLog`]; both are given to [`serve::run`].
 
+mod answer;
 mod answer_body;
 mod attempt;
+mod caller_request;
 mod connection_pool;
 mod dialect;
 mod entry;
 mod fields;
+mod flight;
 mod follow;
 mod forward;
+mod given_up;
+mod job;
 mod keyed_log;
 mod link;
 mod peers;
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -9,10 +9,10 @@
 use http_body_util::BodyExt;
 use ochreyard_core::direct::{EventSplitter, Outcome, RouteKind};
 
+use crate::answer::{Answer, pass_on};
 use crate::answer_body::{AnswerBody, BrokenOff};
-use crate::attempt::Answer;
 use crate::dialect::Dialect;
-use crate::forward::{Job, pass_on};
+use crate::job::Job;
 
 /// Longest pause, in pauses that are still in time, before an endpoint that is
 /// silent to everybody loses the stream to another one.
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -25,6 +25,11 @@
 const BALANCER_LAG_MS: u64 = 2_600;
 /// Kept from the grace period, so that the process ends by itself.
 const END_RESERVE_MS: u64 = 150;
+/// How often a stopping box looks whether all connections have ended: a third of
+/// [`END_RESERVE_MS`], so that the last look comes in time.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Milliseconds in a second.
+const MS_PER_S: u64 = 1_000;
 
 /// Runs the entry on one thread: with the whole box a quarter of a core, more
 /// threads would only take turns.
@@ -41,17 +46,7 @@
 async fn serve<D: Dialect, L: KeyedLog>(settings: &Settings, dialect: D, log: L) -> Result<()> {
     let clock = Clock::start();
     let metrics = start_metrics().map_err(|error| miette::miette!("{error}"))?;
-    let identity = Identity {
-        name: settings.text("entry").to_owned(),
-        data_centre: settings.text("data_centre").to_owned(),
-        life: new_life(settings.text("entry")),
-        peer_addr: settings.addr("peer_addr"),
-    };
-    let limits = RepeatLimits {
-        ratio: settings.fraction("repeat_ratio"),
-        fixed: settings.number("repeat_fixed"),
-        window_ms: settings.number("repeat_window_s") * 1000,
-    };
+    let identity = identity(settings);
     log::info!(
         "event=entry_started entry={} data_centre={} life={} pid={}",
         identity.name,
@@ -59,7 +54,7 @@
         identity.life,
         std::process::id()
     );
-    let entry = Rc::new(Entry::new(dialect, identity, limits, clock));
+    let entry = Rc::new(Entry::new(dialect, identity, repeat_limits(settings), clock));
 
     let callers = bind(settings, "callers_addr").await?;
     let ready = bind(settings, "ready_addr").await?;
@@ -68,19 +63,41 @@
     tokio::task::spawn_local(server::serve_callers(Rc::clone(&entry), callers, phases));
     tokio::task::spawn_local(server::serve_side(Rc::clone(&entry), ready, Side::Ready, metrics.clone()));
     tokio::task::spawn_local(server::serve_side(Rc::clone(&entry), peer, Side::Peers, metrics));
-    let read_every = Duration::from_millis(settings.number("endpoints_read_ms"));
-    tokio::task::spawn_local(follow::follow_config(Rc::clone(&entry), log.clone()));
-    tokio::task::spawn_local(follow::follow_endpoints(Rc::clone(&entry), log.clone(), read_every));
-    tokio::task::spawn_local(follow::follow_boxes(Rc::clone(&entry), log));
-    tokio::task::spawn_local(peers::keep_asking(Rc::clone(&entry), seeds(settings)));
-    tokio::task::spawn_local(sweep(Rc::clone(&entry)));
+    start_followers(settings, &entry, log);
 
     wait_for_stop().await?;
-    drain(&entry, &phase, settings.number("drain_grace_s") * 1000).await;
+    drain(&entry, &phase, settings.number("drain_grace_s") * MS_PER_S).await;
     log::info!("event=entry_stopped");
     Ok(())
 }
 
+fn identity(settings: &Settings) -> Identity {
+    Identity {
+        name: settings.text("entry").to_owned(),
+        data_centre: settings.text("data_centre").to_owned(),
+        life: new_life(settings.text("entry")),
+        peer_addr: settings.addr("peer_addr"),
+    }
+}
+
+fn repeat_limits(settings: &Settings) -> RepeatLimits {
+    RepeatLimits {
+        ratio: settings.fraction("repeat_ratio"),
+        fixed: settings.number("repeat_fixed"),
+        window_ms: settings.number("repeat_window_s") * MS_PER_S,
+    }
+}
+
+/// Starts what keeps the entry's knowledge fresh: the log, other boxes, the sweep of connections.
+fn start_followers<D: Dialect, L: KeyedLog>(settings: &Settings, entry: &Rc<Entry<D>>, log: L) {
+    let read_every = Duration::from_millis(settings.number("endpoints_read_ms"));
+    tokio::task::spawn_local(follow::follow_config(Rc::clone(entry), log.clone()));
+    tokio::task::spawn_local(follow::follow_endpoints(Rc::clone(entry), log.clone(), read_every));
+    tokio::task::spawn_local(follow::follow_boxes(Rc::clone(entry), log));
+    tokio::task::spawn_local(peers::keep_asking(Rc::clone(entry), seeds(settings)));
+    tokio::task::spawn_local(sweep(Rc::clone(entry)));
+}
+
 /// The peer addresses of the boxes that the platform names: same port as ours.
 fn seeds(settings: &Settings) -> Vec<SocketAddr> {
     let port = settings.addr("peer_addr").port();
@@ -129,7 +146,7 @@
     let end_ms = started_ms + grace_ms.saturating_sub(END_RESERVE_MS);
     let left_ms = end_ms.saturating_sub(entry.clock.now_ms());
     // Each connection holds a receiver; the one that accepts holds one, too.
-    let mut ended = tokio::time::interval(Duration::from_millis(50));
+    let mut ended = tokio::time::interval(DRAIN_LOOK);
     let all_ended = async {
         while phase.receiver_count() > 1 {
             ended.tick().await;
