Split the leader of a group by job

One file held the directory of members, the round of questions, what entries are told and the proposal of a map. Each has its own module now, and the leader keeps who leads, for how long, and what is decided after a round. The search for endpoints before a round and before news is one function. Timeouts and thresholds say where they come from. `RankRecord::engine_addr` stays: a change of it makes the leader forget the counts of the former engine, and agents that run now need it in the record. Behaviour is unchanged.

--- a/crates/ochreyard-rank/src/endpoints.rs
+++ b/crates/ochreyard-rank/src/endpoints.rs
@@ -15,6 +15,7 @@
 /// Least pause between searches, in milliseconds: each asks every endpoint of the service.
 const FIND_EVERY_MS: u64 = 2_000;
 
+/// The endpoint of one rank.
 struct Known<E> {
     id: String,
     engine: E,
@@ -58,18 +59,8 @@
             return;
         }
         self.next_ms = now_ms + FIND_EVERY_MS;
-        let page = match log.newest(Topic::Endpoints).await {
-            Ok(page) => page,
-            Err(error) => {
-                log::debug!("event=endpoints_unread error=\"{error}\"");
-                return;
-            }
-        };
-        let records = page.records.iter().filter_map(|record| {
-            let found = dialect.read_endpoint(record.value.as_ref()?).ok()?;
-            (found.service == service).then(|| (record.key.clone(), self.engines.at(found.addr)))
-        });
-        let asked = records.map(|(id, engine)| async move {
+        let Some(candidates) = self.candidates(log, dialect, service).await else { return };
+        let asked = candidates.into_iter().map(|(id, engine)| async move {
             let told = engine.view().await;
             (id, engine, told)
         });
@@ -85,4 +76,25 @@
             self.epoch = Some(epoch);
         }
     }
+
+    /// All endpoints of the service with their engines, unless the log does not answer.
+    async fn candidates<D: Dialect, L: KeyedLog>(
+        &self,
+        log: &L,
+        dialect: &D,
+        service: &str,
+    ) -> Option<Vec<(String, S::Engine)>> {
+        let page = match log.newest(Topic::Endpoints).await {
+            Ok(page) => page,
+            Err(error) => {
+                log::debug!("event=endpoints_unread error=\"{error}\"");
+                return None;
+            }
+        };
+        let of_service = page.records.into_iter().filter_map(|record| {
+            let found = dialect.read_endpoint(record.value.as_ref()?).ok()?;
+            (found.service == service).then(|| (record.key, self.engines.at(found.addr)))
+        });
+        Some(of_service.collect())
+    }
 }
--- a/crates/ochreyard-rank/src/entries.rs
+++ b/crates/ochreyard-rank/src/entries.rs
@@ -12,11 +12,12 @@
 use ochreyard_direct::{CallLink, GROUP_PATH, KeyedLog, Topic};
 
 /// How often entries are told while nothing changes: a few times within the time
-/// for which they believe it.
+/// for which they believe it. In milliseconds.
 const TELL_EVERY_MS: u64 = 300;
-/// How often the list of entries is read.
+/// How often the list of entries is read, in milliseconds: boxes seldom come or go, and
+/// each reading is a call to the log.
 const READ_EVERY_MS: u64 = 8_000;
-/// Longest wait for an entry.
+/// Longest wait for an entry: until it is told again.
 const TELL_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The entries known to a leader.
--- /dev/null
+++ b/crates/ochreyard-rank/src/leader/proposal.rs
@@ -0,0 +1,105 @@
+//! The map in use, the demand on it, and the proposal of a better map.
+
+use ochreyard_core::direct::EngineFigures;
+use ochreyard_core::group_map::{Demand, GroupPlacement, PlanSettings, Planner, RankView, chosen_between};
+use ochreyard_direct::{Dialect, KeyedLog};
+
+use super::{Leader, LeaderSettings};
+use crate::engine::{Counts, Engines, Lists};
+
+/// Choices that a plan must rest on, for each expert and set: with fewer, chance
+/// decides which expert looks busy.
+const LEAST_CHOICES_PER_EXPERT: f64 = 4.0;
+/// Time of a change beside the copies, in milliseconds: two steps and a few round trips.
+const SWITCH_MS: f64 = 250.0;
+/// How much longer steps take while experts are copied, as engines state it.
+const COPY_DRAG: f64 = 0.15;
+/// Bits in a byte: engines state sizes in megabytes and links in megabits a second.
+const BITS_PER_BYTE: f64 = 8.0;
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1000.0;
+/// The pace that ranks state when they are as fast as usual, in thousandths.
+const USUAL_PACE_PERMILLE: f64 = 1000.0;
+
+impl<D: Dialect, L: KeyedLog, S: Engines> Leader<D, L, S> {
+    /// Adds the choices of one round, summed over the ranks, to the demand.
+    pub(super) fn add_demand(&mut self, chosen: &[f64]) {
+        if chosen.is_empty() {
+            return;
+        }
+        let now_ms = self.agent.clock.now_ms();
+        let fade_ms = self.settings.fade_ms as f64;
+        self.demand.get_or_insert_with(|| Demand::new(chosen.len(), fade_ms)).add(chosen, now_ms);
+    }
+
+    /// Adds what a rank has chosen since its counts before to `chosen`. A rank's
+    /// first counts only say where it starts.
+    pub(super) fn add_chosen(&mut self, rank: usize, counts: Counts, chosen: &mut Vec<f64>) {
+        let before = self.members.counts_mut(rank).unwrap_or(&mut self.own_counts);
+        if chosen.is_empty() {
+            chosen.resize(counts.counts.len(), 0.0);
+        }
+        if !before.counts.is_empty() {
+            let news = chosen_between(&before.counts, &counts.counts);
+            chosen.iter_mut().zip(&news).for_each(|(sum, more)| *sum += *more as f64);
+        }
+        *before = counts;
+    }
+
+    /// Takes the map in use from what all ranks hold, if all told of the same map.
+    pub(super) fn take_lists(&mut self, lists: &[Option<Lists>]) {
+        let Some(figures) = self.figures else { return };
+        let all: Option<Vec<&Lists>> = lists.iter().map(Option::as_ref).collect();
+        let Some(all) = all else { return };
+        let Some(first) = all.first() else { return };
+        if all.iter().all(|list| list.version == first.version && list.epoch == first.epoch) {
+            let ranks: Vec<Vec<Vec<u16>>> = all.iter().map(|list| list.experts.clone()).collect();
+            let placement = GroupPlacement::from_ranks(figures.experts, &ranks);
+            if placement.is_complete() {
+                self.controller.set_present(first.version, placement);
+            }
+        }
+    }
+
+    /// Proposes a new map, if the demand is known well enough and one is worth it.
+    pub(super) fn propose(&mut self, now_ms: u64) {
+        let (Some(figures), Some((_, present)), Some(demand)) = (self.figures, self.controller.present(), &self.demand)
+        else {
+            return;
+        };
+        let enough = demand.rates().len() as f64 * LEAST_CHOICES_PER_EXPERT;
+        if demand.rates().len() != figures.sets * figures.experts || demand.weight() < enough {
+            return;
+        }
+        let views = self.last_round.views.iter().flatten();
+        let paces: Vec<f64> = views.map(pace).collect();
+        let planner = Planner::new(plan_settings(&figures, &self.settings));
+        let Some(planned) = planner.plan(present, demand.rates(), &paces) else { return };
+        log::info!(
+            "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0}",
+            planned.skew.0,
+            planned.skew.1,
+            planned.copies_of_rank,
+            planned.saving_ms
+        );
+        self.controller.propose(planned.placement, planned.copies_of_rank, now_ms);
+    }
+}
+
+/// How much longer work takes at a rank than usual; faster than usual counts as usual.
+fn pace(view: &RankView) -> f64 {
+    (view.pace_permille as f64 / USUAL_PACE_PERMILLE).max(1.0)
+}
+
+fn plan_settings(figures: &EngineFigures, settings: &LeaderSettings) -> PlanSettings {
+    PlanSettings {
+        places: figures.places,
+        spare: figures.spare,
+        copy_ms: figures.expert_mb * BITS_PER_BYTE / figures.link_mbps.max(1.0) * MS_PER_S,
+        switch_ms: SWITCH_MS,
+        copy_drag: COPY_DRAG,
+        horizon_ms: settings.horizon_ms as f64,
+        copy_price_ms: settings.copy_price_ms,
+        least_saving_ms: settings.least_saving_ms as f64,
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-rank/src/leader/round.rs
@@ -0,0 +1,105 @@
+//! One round: all ranks are asked at once, and their answers taken.
+
+use futures::future::join_all;
+use ochreyard_core::group_map::{LeaderId, RankView, Round, SentOrder};
+use ochreyard_direct::{Dialect, KeyedLog};
+
+use super::Leader;
+use super::questions::ask_member;
+use crate::engine::{Engines, Lists};
+use crate::message::{Ask, Told};
+
+impl<D: Dialect, L: KeyedLog, S: Engines> Leader<D, L, S> {
+    /// Asks all ranks at once, with the orders that are due. Says who else is granted, if somebody is.
+    pub(super) async fn round(&mut self, view: &RankView) -> Option<LeaderId> {
+        let reaches_engines = self.reaches_engines();
+        if reaches_engines {
+            self.find_endpoints(view).await;
+        }
+        let asked_ms = self.agent.clock.now_ms();
+        let orders = std::mem::take(&mut self.pending);
+        let told = self.ask_all(view, &orders, reaches_engines).await;
+        self.take(told, &orders, asked_ms)
+    }
+
+    /// Whether ranks whose agents are down are reached through their engines: a
+    /// group that stands may be held at such a rank.
+    fn reaches_engines(&self) -> bool {
+        let is_needed = self.controller.must_reach_all() || !self.is_serving;
+        is_needed && self.last_round.views.iter().any(Option::is_none)
+    }
+
+    /// Looks which endpoint is which rank, unless that is known for this epoch.
+    pub(super) async fn find_endpoints(&mut self, view: &RankView) {
+        let (epoch, now_ms) = (self.epoch(), self.agent.clock.now_ms());
+        self.endpoints.find(&self.log, &self.dialect, &self.service, view, epoch, now_ms).await;
+    }
+
+    fn epoch(&self) -> u64 {
+        self.last_round.views.iter().flatten().map(|view| view.epoch).max().unwrap_or(0)
+    }
+
+    /// The answers by rank, where they came.
+    async fn ask_all(
+        &self,
+        view: &RankView,
+        orders: &[(usize, SentOrder)],
+        reaches_engines: bool,
+    ) -> Vec<Option<Told>> {
+        let own_ask = self.ask_for(view.rank, view, orders);
+        let own = self.agent.answer(&own_ask);
+        let others = self.members.iter().map(|(rank, member)| {
+            let ask = self.ask_for(rank, view, orders);
+            let engine = self.endpoints.engine(rank).filter(|_| reaches_engines);
+            async move { (rank, ask_member(member, ask, engine).await) }
+        });
+        let (own, others) = futures::join!(own, join_all(others));
+        let mut told: Vec<Option<Told>> = (0..view.size).map(|_| None).collect();
+        for (rank, answer) in [(view.rank, Some(own))].into_iter().chain(others) {
+            if let Some(place) = told.get_mut(rank) {
+                *place = answer;
+            }
+        }
+        told
+    }
+
+    fn ask_for(&self, rank: usize, view: &RankView, orders: &[(usize, SentOrder)]) -> Ask {
+        Ask {
+            leader: self.me(view),
+            group: view.group.clone(),
+            orders: orders.iter().filter(|(to, _)| *to == rank).map(|(_, order)| order.clone()).collect(),
+            wants_counts: !self.controller.is_busy() || self.controller.is_copying(),
+            wants_lists: !self.knows_present(),
+            releases: false,
+        }
+    }
+
+    fn knows_present(&self) -> bool {
+        let map = self.last_round.views.iter().flatten().next().map(|view| view.map);
+        map.is_some() && self.controller.present().map(|(version, _)| *version) == map
+    }
+
+    /// Takes the answers. Says who else is granted, if an answer names somebody.
+    fn take(&mut self, told: Vec<Option<Told>>, orders: &[(usize, SentOrder)], asked_ms: u64) -> Option<LeaderId> {
+        let mut holder = None;
+        let mut round = Round { views: vec![None; told.len()], outcomes: Vec::new() };
+        let mut chosen: Vec<f64> = Vec::new();
+        let mut lists: Vec<Option<Lists>> = vec![None; told.len()];
+        for (rank, told) in told.into_iter().enumerate() {
+            let Some(told) = told else { continue };
+            self.leadership.on_answer(rank, told.granted, asked_ms);
+            holder = holder.or(told.holder);
+            round.views[rank] = told.view.filter(|view| view.rank == rank && view.size == round.views.len());
+            let sent = orders.iter().filter(|(to, _)| *to == rank);
+            round.outcomes.extend(sent.zip(told.outcomes).map(|((to, order), outcome)| (*to, order.clone(), outcome)));
+            lists[rank] = told.lists;
+            if let Some(counts) = told.counts {
+                self.add_chosen(rank, counts, &mut chosen);
+            }
+        }
+        self.take_lists(&lists);
+        self.add_demand(&chosen);
+        self.last_round = round;
+        holder
+    }
+}
--- a/crates/ochreyard-rank/src/message.rs
+++ b/crates/ochreyard-rank/src/message.rs
@@ -49,7 +49,8 @@
 pub struct RankRecord {
     /// Where the agent is asked.
     pub agent_addr: SocketAddr,
-    /// Where the engine listens, for when the agent is down.
+    /// Where the engine listens. Nobody calls it from here: a change of it tells that
+    /// the rank has another engine, whose counts start anew.
     pub engine_addr: SocketAddr,
 }
 
