Search once for a plan; send maps as short text

Maps in JSON numbers filled the 8 Mbit/s link for 0.26 s. One search now, its best moment kept; only touched ranks are summed; two signs an expert; waits grow with what is on the link. Open: on the grown sites maps still do not change: a round of 32 ranks with 1,536 counts each takes longer than the lead of the hold.

--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -5,6 +5,7 @@
 //! A [`Grant`] in each agent makes sure that only one controller gives orders.
 //! [`Demand`] and [`Planner`] decide what map is worth a change.
 
+mod compact_map;
 mod controller;
 mod demand;
 mod grant;
--- a/crates/ochreyard-core/src/group_map/order.rs
+++ b/crates/ochreyard-core/src/group_map/order.rs
@@ -10,6 +10,7 @@
         /// Number of the map; above every number before.
         version: u64,
         /// Experts by set and rank.
+        #[serde(with = "super::compact_map")]
         map: Vec<Vec<Vec<u16>>>,
     },
     /// Use a prepared map from this step on.
--- a/crates/ochreyard-core/src/group_map/placement.rs
+++ b/crates/ochreyard-core/src/group_map/placement.rs
@@ -38,9 +38,9 @@
         &self.sets
     }
 
-    /// Experts by set and rank, to be changed.
-    pub(super) const fn sets_mut(&mut self) -> &mut Vec<Vec<Vec<u16>>> {
-        &mut self.sets
+    /// The same experts under other sets.
+    pub(super) const fn with_sets(&self, sets: Vec<Vec<Vec<u16>>>) -> Self {
+        Self { experts: self.experts, sets }
     }
 
     /// Whether each expert of each set is held by a rank.
--- a/crates/ochreyard-core/src/group_map/planner.rs
+++ b/crates/ochreyard-core/src/group_map/planner.rs
@@ -15,10 +15,10 @@
 use self::set_search::SetSearch;
 use super::placement::GroupPlacement;
 
-/// Steps of the search for one set and number of copies; a bound for its time.
+/// Steps of the search for one set; a bound for its time.
 const MAX_STEPS: usize = 48;
-/// Copies to one rank that are tried as the most of a change.
-const COPY_BUDGETS: [usize; 7] = [1, 2, 3, 4, 6, 9, 14];
+/// Copies to one rank that a change takes at the most; a bound for the search, too.
+const MAX_COPIES: usize = 14;
 /// Gains below this share of the whole load are noise.
 const LEAST_GAIN: f64 = 0.002;
 
@@ -37,48 +37,60 @@
 
     /// The change that saves most over the horizon, if one saves enough. `paces` holds
     /// how much longer work takes at each rank than usual.
+    ///
+    /// The search makes the step that gains most for each copy, again and again, and
+    /// the map is taken as it was when the saving was largest.
     #[must_use]
     pub fn plan(&self, present: &GroupPlacement, demand: &[f64], paces: &[f64]) -> Option<Planned> {
         let total: f64 = demand.iter().sum();
-        if total <= 0.0 {
+        let ranks = present.sets().first().map_or(0, Vec::len);
+        if total <= 0.0 || ranks == 0 {
             return None;
         }
-        let sets = present.sets().len();
-        let budgets = COPY_BUDGETS.into_iter().take_while(|budget| *budget <= sets * self.settings.spare);
-        let plans = budgets.filter_map(|budget| self.plan_within(present, demand, paces, budget));
-        let best = plans.max_by(|a, b| a.saving_ms.total_cmp(&b.saving_ms))?;
-        (best.saving_ms >= self.settings.least_saving_ms).then_some(best)
-    }
-
-    /// The best map found with at most `budget` copies to any one rank.
-    fn plan_within(&self, present: &GroupPlacement, demand: &[f64], paces: &[f64], budget: usize) -> Option<Planned> {
-        let experts = present.experts();
-        let total: f64 = demand.iter().sum();
-        let mut placement = present.clone();
-        let ranks = placement.sets().first()?.len();
-        let mut budget_left = vec![budget; ranks];
-        let mut searches: Vec<SetSearch> = Vec::new();
-        for (at, set) in placement.sets().iter().enumerate() {
-            searches.push(SetSearch::new(set, &demand[at * experts..(at + 1) * experts], paces, self.settings));
-        }
+        let mean = total / ranks as f64;
+        let mut searches = self.searches(present, demand, paces);
+        let mut copies = vec![0; ranks];
+        let skew_before = skew_of(&searches, mean);
+        let mut best: Option<Planned> = None;
         for _ in 0..MAX_STEPS * searches.len() {
-            let best =
-                searches.iter_mut().enumerate().filter_map(|(at, search)| Some((at, search.best(&budget_left)?)));
-            let Some((at, found)) = best.max_by(|a, b| a.1.worth().total_cmp(&b.1.worth())) else { break };
-            if found.gain < LEAST_GAIN * total / ranks as f64 {
+            if !self.make_best_step(&mut searches, &mut copies, LEAST_GAIN * mean) {
                 break;
             }
-            searches[at].apply(&found, &mut budget_left);
-            searches.iter_mut().for_each(|search| search.forget_if_over(&budget_left));
-        }
-        for (set, search) in placement.sets_mut().iter_mut().zip(searches) {
-            *set = search.set;
+            let skew = (skew_before, skew_of(&searches, mean));
+            let copies_of_rank = copies.iter().copied().max().unwrap_or(0);
+            let saving_ms = self.saving_ms(skew, copies_of_rank, copies.iter().sum());
+            if best.as_ref().is_none_or(|best| saving_ms > best.saving_ms) {
+                let sets = searches.iter().map(|search| search.set.clone()).collect();
+                best = Some(Planned { placement: present.with_sets(sets), saving_ms, copies_of_rank, skew });
+            }
         }
-        let copies: usize = copies_of_ranks(present, &placement).iter().sum();
-        let copies_of_rank = copies_of_ranks(present, &placement).into_iter().max().unwrap_or(0);
-        let skew = (present.skew(demand, paces), placement.skew(demand, paces));
-        let saving_ms = self.saving_ms(skew, copies_of_rank, copies);
-        Some(Planned { placement, saving_ms, copies_of_rank, skew })
+        best.filter(|best| best.saving_ms >= self.settings.least_saving_ms)
+    }
+
+    /// A search for each set.
+    fn searches<'a>(&self, present: &GroupPlacement, demand: &'a [f64], paces: &'a [f64]) -> Vec<SetSearch<'a>> {
+        let experts = present.experts();
+        let of_set = |at: usize| &demand[at * experts..(at + 1) * experts];
+        let sets = present.sets().iter().enumerate();
+        sets.map(|(at, set)| SetSearch::new(set, of_set(at), paces, self.settings)).collect()
+    }
+
+    /// Makes the step over all sets that gains most for each copy; `false` if none is left.
+    fn make_best_step(&self, searches: &mut [SetSearch], copies: &mut [usize], least_gain: f64) -> bool {
+        let most_copies = self.most_copies();
+        let found = searches.iter_mut().enumerate();
+        let found = found.filter_map(|(at, search)| Some((at, search.best(copies, most_copies)?)));
+        let best = found.max_by(|a, b| a.1.worth().total_cmp(&b.1.worth()));
+        let Some((at, step)) = best.filter(|(_, step)| step.gain >= least_gain) else { return false };
+        searches[at].apply(&step, copies);
+        true
+    }
+
+    /// Copies to one rank beyond which a change can no longer save anything.
+    fn most_copies(&self) -> usize {
+        let settings = &self.settings;
+        let fitting = (settings.horizon_ms - settings.switch_ms) / settings.copy_ms.max(1.0);
+        (fitting.max(0.0) as usize).min(MAX_COPIES)
     }
 
     /// The one formula: what the new map saves once it is in use, less the longer
@@ -92,14 +104,7 @@
     }
 }
 
-/// Experts that are new to each rank.
-fn copies_of_ranks(present: &GroupPlacement, next: &GroupPlacement) -> Vec<usize> {
-    let ranks = present.sets().first().map_or(0, Vec::len);
-    let mut copies = vec![0; ranks];
-    for (old, new) in present.sets().iter().zip(next.sets()) {
-        for (rank, copied) in copies.iter_mut().enumerate() {
-            *copied += new[rank].iter().filter(|expert| !old[rank].contains(expert)).count();
-        }
-    }
-    copies
+/// The load of the most loaded rank over the mean one, summed over sets.
+fn skew_of(searches: &[SetSearch], mean: f64) -> f64 {
+    searches.iter().map(SetSearch::most_loaded).sum::<f64>() / mean
 }
--- a/crates/ochreyard-core/src/group_map/planner/set_search.rs
+++ b/crates/ochreyard-core/src/group_map/planner/set_search.rs
@@ -7,6 +7,38 @@
 /// The power that makes a sum over ranks come near the most loaded one, and still
 /// tells a step in the right direction when several ranks are equally loaded.
 const NORM: i32 = 16;
+/// Ranks that one change may touch: holders of up to three experts before and after.
+/// A change that touches more is passed over.
+const MAX_TOUCHED: usize = 48;
+
+/// By how much a change moves the loads of the ranks that it touches.
+struct Touched {
+    by_rank: [(usize, f64); MAX_TOUCHED],
+    count: usize,
+}
+
+impl Touched {
+    const fn new() -> Self {
+        Self { by_rank: [(0, 0.0); MAX_TOUCHED], count: 0 }
+    }
+
+    fn ranks(&self) -> &[(usize, f64)] {
+        &self.by_rank[..self.count]
+    }
+
+    /// Adds to a rank's load; `false` if there is no room for another rank.
+    fn add(&mut self, rank: usize, by: f64) -> bool {
+        match self.by_rank[..self.count].iter_mut().find(|(other, _)| *other == rank) {
+            Some((_, sum)) => *sum += by,
+            None if self.count == MAX_TOUCHED => return false,
+            None => {
+                self.by_rank[self.count] = (rank, by);
+                self.count += 1;
+            }
+        }
+        true
+    }
+}
 
 /// One set under change.
 pub struct SetSearch<'a> {
@@ -19,6 +51,10 @@
     settings: PlanSettings,
     replicas: Vec<u32>,
     loads: Vec<f64>,
+    /// The ranks that hold each expert.
+    holders: Vec<Vec<usize>>,
+    /// The sum over ranks that [`NORM`] speaks of.
+    powers: f64,
     mean: f64,
     /// The outcome of the last search, unless it must be done anew.
     best: Option<Option<SetChange>>,
@@ -29,7 +65,7 @@
     pub fn new(set: &[Vec<u16>], demand: &'a [f64], paces: &'a [f64], settings: PlanSettings) -> Self {
         let loads = rank_loads(set, demand, paces);
         let mean = (loads.iter().sum::<f64>() / loads.len().max(1) as f64).max(f64::MIN_POSITIVE);
-        Self {
+        let mut search = Self {
             set: set.to_vec(),
             former: set.to_vec(),
             demand,
@@ -37,29 +73,45 @@
             settings,
             replicas: replicas(set, demand.len()),
             loads,
+            holders: Vec::new(),
+            powers: 0.0,
             mean,
             best: None,
-        }
+        };
+        search.follow();
+        search
     }
 
-    /// Forgets the best change if it needs a copy that is no longer allowed.
-    pub fn forget_if_over(&mut self, budget_left: &[usize]) {
-        let Some(Some(best)) = self.best else { return };
-        let mut added = best.add.iter().chain(&best.add_back);
-        if added.any(|(expert, rank)| !self.may_add(*expert, *rank, budget_left)) {
-            self.best = None;
+    /// Works out anew what follows from the set.
+    fn follow(&mut self) {
+        self.loads = rank_loads(&self.set, self.demand, self.paces);
+        self.powers = self.loads.iter().map(|load| self.power(*load)).sum();
+        self.holders = vec![Vec::new(); self.demand.len()];
+        for (rank, held) in self.set.iter().enumerate() {
+            held.iter().for_each(|expert| self.holders[usize::from(*expert)].push(rank));
         }
+        self.best = None;
     }
 
-    /// The change that is worth most within the copies that ranks may still take.
-    pub fn best(&mut self, budget_left: &[usize]) -> Option<SetChange> {
-        if self.best.is_none() {
-            self.best = Some(self.find_best(budget_left));
+    /// The load of the most loaded rank.
+    pub fn most_loaded(&self) -> f64 {
+        self.loads.iter().copied().fold(0.0, f64::max)
+    }
+
+    /// The change that is worth most where no rank copies more than `most_copies`
+    /// experts in all; `copies` holds what each rank copies by now.
+    pub fn best(&mut self, copies: &[usize], most_copies: usize) -> Option<SetChange> {
+        let is_allowed = |change: &SetChange| {
+            let mut added = change.add.iter().chain(&change.add_back);
+            added.all(|(expert, rank)| self.may_add(*expert, *rank, copies, most_copies))
+        };
+        if !self.best.is_some_and(|best| best.as_ref().is_none_or(is_allowed)) {
+            self.best = Some(self.find_best(copies, most_copies));
         }
         self.best.flatten()
     }
 
-    fn find_best(&self, budget_left: &[usize]) -> Option<SetChange> {
+    fn find_best(&self, copies: &[usize], most_copies: usize) -> Option<SetChange> {
         let hot = (0..self.loads.len()).max_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]))?;
         let mut best: Option<SetChange> = None;
         let mut consider = |change: SetChange| {
@@ -75,21 +127,23 @@
                 consider(SetChange { add: None, drop, add_back: None, gain: 0.0 });
             }
             for rank in (0..self.loads.len()).filter(|rank| *rank != hot && !self.set[*rank].contains(expert)) {
-                if self.may_add(*expert, rank, budget_left) {
-                    self.changes_to(*expert, hot, rank, budget_left, &mut consider);
+                if self.may_add(*expert, rank, copies, most_copies) {
+                    let may_return = |other: u16| self.may_add(other, hot, copies, most_copies);
+                    self.changes_to(*expert, hot, rank, may_return, &mut consider);
                 }
             }
         }
         best
     }
 
-    /// All ways to bring `expert` of the hottest rank to `rank`.
+    /// All ways to bring `expert` of the hottest rank to `rank`; `may_return` says which
+    /// experts the hottest rank may take in return.
     fn changes_to(
         &self,
         expert: u16,
         hot: usize,
         rank: usize,
-        budget_left: &[usize],
+        may_return: impl Fn(u16) -> bool,
         consider: &mut impl FnMut(SetChange),
     ) {
         let add = Some((expert, rank));
@@ -104,7 +158,7 @@
                 consider(SetChange { add, drop: [given_up, None], add_back: None, gain: 0.0 });
                 consider(SetChange { add, drop: [given_up, moved], add_back: None, gain: 0.0 });
             }
-            if !self.set[hot].contains(other) && self.may_add(*other, hot, budget_left) {
+            if !self.set[hot].contains(other) && may_return(*other) {
                 let add_back = Some((*other, hot));
                 consider(SetChange { add, drop: [given_up, moved], add_back, gain: 0.0 });
             }
@@ -112,47 +166,55 @@
     }
 
     /// Whether a rank may take one more expert. One that it held before the change costs no copy.
-    fn may_add(&self, expert: u16, rank: usize, budget_left: &[usize]) -> bool {
+    fn may_add(&self, expert: u16, rank: usize, copies: &[usize], most_copies: usize) -> bool {
         if self.former[rank].contains(&expert) {
             return true;
         }
         let new = self.set[rank].iter().filter(|held| !self.former[rank].contains(held)).count();
-        budget_left[rank] > 0 && new < self.settings.spare
+        copies[rank] < most_copies && new < self.settings.spare
     }
 
-    /// By how much a change lowers the load of the most loaded rank, softly.
+    /// By how much a change lowers the load of the most loaded rank, softly: see [`NORM`].
     fn gain(&self, change: &SetChange) -> f64 {
-        let mut loads = self.loads.clone();
+        let mut touched = Touched::new();
         for (expert, by) in change.replica_changes() {
-            self.shift_loads(&mut loads, change, expert, by);
+            if !self.shift_loads(&mut touched, change, expert, by) {
+                return 0.0;
+            }
         }
-        self.soft_most(&self.loads) - self.soft_most(&loads)
+        let more = |(rank, by): &(usize, f64)| self.power(self.loads[*rank] + by) - self.power(self.loads[*rank]);
+        let after = self.powers + touched.ranks().iter().map(more).sum::<f64>();
+        self.soft_most(self.powers) - self.soft_most(after)
     }
 
-    /// Adds to `loads` what a change does to the load of one expert, which gains `by` replicas.
-    fn shift_loads(&self, loads: &mut [f64], change: &SetChange, expert: u16, by: i32) {
+    /// Notes what a change does to the load of one expert, which gains `by` replicas;
+    /// `false` if it touches too many ranks.
+    fn shift_loads(&self, touched: &mut Touched, change: &SetChange, expert: u16, by: i32) -> bool {
         let at = usize::from(expert);
         let before = f64::from(self.replicas[at]);
         let after = before + f64::from(by);
         let (old, new) = (self.demand[at] / before, self.demand[at] / after.max(1.0));
-        for (rank, held) in self.set.iter().enumerate() {
-            let held_before = held.contains(&expert);
-            let added = [change.add, change.add_back].contains(&Some((expert, rank)));
-            let dropped = change.drop.contains(&Some((expert, rank)));
-            let holds_after = (held_before || added) && !dropped;
-            let more = f64::from(u8::from(holds_after)) * new - f64::from(u8::from(held_before)) * old;
-            loads[rank] += self.paces[rank] * more;
-        }
+        let holders = &self.holders[at];
+        let added = change.add.iter().chain(&change.add_back);
+        let added = added.filter(|(other, _)| *other == expert).map(|(_, rank)| *rank);
+        let mut ranks = holders.iter().copied().chain(added);
+        ranks.all(|rank| {
+            let was_held = f64::from(u8::from(holders.contains(&rank)));
+            let is_held = f64::from(u8::from(!change.drop.contains(&Some((expert, rank)))));
+            touched.add(rank, self.paces[rank] * (is_held * new - was_held * old))
+        })
+    }
+
+    fn power(&self, load: f64) -> f64 {
+        (load / self.mean).max(0.0).powi(NORM)
     }
 
-    /// The load of the most loaded rank, softly: see [`NORM`].
-    fn soft_most(&self, loads: &[f64]) -> f64 {
-        let sum: f64 = loads.iter().map(|load| (load / self.mean).max(0.0).powi(NORM)).sum();
-        self.mean * sum.powf(1.0 / f64::from(NORM))
+    fn soft_most(&self, powers: f64) -> f64 {
+        self.mean * powers.max(0.0).powf(1.0 / f64::from(NORM))
     }
 
-    /// Makes a change, and counts its copies off the budget.
-    pub fn apply(&mut self, change: &SetChange, budget_left: &mut [usize]) {
+    /// Makes a change, and counts its copies.
+    pub fn apply(&mut self, change: &SetChange, copies: &mut [usize]) {
         for (expert, rank) in change.drop.iter().flatten() {
             self.set[*rank].retain(|held| held != expert);
             self.replicas[usize::from(*expert)] -= 1;
@@ -161,10 +223,9 @@
             self.set[*rank].push(*expert);
             self.replicas[usize::from(*expert)] += 1;
             if !self.former[*rank].contains(expert) {
-                budget_left[*rank] = budget_left[*rank].saturating_sub(1);
+                copies[*rank] += 1;
             }
         }
-        self.loads = rank_loads(&self.set, self.demand, self.paces);
-        self.best = None;
+        self.follow();
     }
 }
--- a/crates/ochreyard-core/tests/group_map.rs
+++ b/crates/ochreyard-core/tests/group_map.rs
@@ -5,7 +5,7 @@
 mod group_map_model;
 
 use group_map_model::World;
-use ochreyard_core::group_map::{Demand, GroupPlacement, PlanSettings, Planner, chosen_between};
+use ochreyard_core::group_map::{Demand, GroupPlacement, Order, PlanSettings, Planner, chosen_between};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -132,3 +132,15 @@
     assert_eq!(chosen_between(&[5, 7], &[6, 7]), [1, 0]);
     assert_eq!(chosen_between(&[5, 7], &[2, 8]), [2, 8]);
 }
+
+proptest! {
+    #[test]
+    fn an_order_is_read_as_it_was_written(
+        map in proptest::collection::vec(
+            proptest::collection::vec(proptest::collection::vec(0u16..4_096, 0..6), 1..5), 1..4)
+    ) {
+        let order = Order::Prepare { version: 7, map };
+        let text = serde_json::to_string(&order).unwrap();
+        prop_assert_eq!(serde_json::from_str::<Order>(&text).unwrap(), order);
+    }
+}
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -230,7 +230,7 @@
             releases: true,
         };
         self.agent.answer(&ask).await;
-        join_all(self.members.links().into_iter().map(|link| ask_agent(link, ask.clone()))).await;
+        join_all(self.members.links().into_iter().map(|link| ask_agent(link, ask.clone(), 1))).await;
     }
 
     fn pause(&self) -> Duration {
--- a/crates/ochreyard-rank/src/leader/questions.rs
+++ b/crates/ochreyard-rank/src/leader/questions.rs
@@ -15,10 +15,18 @@
 
 /// Longest wait for an agent's answer: its engine's answers and a few round trips.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Bytes that the link of a box carries in a millisecond at the least (8 megabits a
+/// second); the questions of one round share it.
+const LINK_BYTES_PER_MS: usize = 1_000;
 
 /// Asks a rank's agent; where it does not answer, its engine, if one is given.
-pub async fn ask_member<E: RankEngine>(member: &Member, ask: Ask, engine: Option<&E>) -> Option<Told> {
-    let told = ask_agent(Rc::clone(&member.link), ask.clone()).await;
+pub async fn ask_member<E: RankEngine>(
+    member: &Member,
+    ask: Ask,
+    engine: Option<&E>,
+    asked_at_once: usize,
+) -> Option<Told> {
+    let told = ask_agent(Rc::clone(&member.link), ask.clone(), asked_at_once).await;
     let Some(engine) = engine.filter(|_| told.is_none()) else { return told };
     let mut outcomes = Vec::new();
     for order in &ask.orders {
@@ -32,14 +40,16 @@
     Some(Told { view: Some(view.ok()?), outcomes, ..Told::default() })
 }
 
-/// Asks an agent; `None` where no readable answer comes in time.
-pub async fn ask_agent(link: Rc<CallLink>, ask: Ask) -> Option<Told> {
+/// Asks an agent, one of several that are asked at once; `None` where no readable
+/// answer comes in time.
+pub async fn ask_agent(link: Rc<CallLink>, ask: Ask, asked_at_once: usize) -> Option<Told> {
     let body = serde_json::to_vec(&ask).ok()?;
+    let on_link = Duration::from_millis((body.len() * asked_at_once / LINK_BYTES_PER_MS) as u64);
     let request = Request::post(ASK_PATH)
         .header(http::header::HOST, link.addr().to_string())
         .body(Full::from(Bytes::from(body)))
         .ok()?;
-    match link.call(request, ASK_TIMEOUT).await {
+    match link.call(request, ASK_TIMEOUT + on_link).await {
         Ok(response) => serde_json::from_slice(response.body()).ok(),
         Err(error) => {
             log::debug!("event=agent_silent addr={} error=\"{error}\"", link.addr());
--- a/crates/ochreyard-rank/src/leader/round.rs
+++ b/crates/ochreyard-rank/src/leader/round.rs
@@ -51,7 +51,7 @@
         let others = self.members.iter().map(|(rank, member)| {
             let ask = self.ask_for(rank, view, orders);
             let engine = self.endpoints.engine(rank).filter(|_| reaches_engines);
-            async move { (rank, ask_member(member, ask, engine).await) }
+            async move { (rank, ask_member(member, ask, engine, view.size).await) }
         });
         let (own, others) = futures::join!(own, join_all(others));
         let mut told: Vec<Option<Told>> = (0..view.size).map(|_| None).collect();
