--- a/crates/ochreyard-core/src/direct/route_table.rs
+++ b/crates/ochreyard-core/src/direct/route_table.rs
@@ -1,152 +1,23 @@
 //! Which route a request takes, and whose request it is.
 
+mod caller_limits;
+mod engine_figures;
+mod route;
+mod route_kind;
+mod service_spec;
+mod weighted_service;
+mod workspace;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
-
-/// What may be done again with requests of a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RouteKind {
-    /// May run more than once.
-    Repeatable,
-    /// Runs at most once for each attempt of the caller.
-    Once,
-    /// A stream of events; a resumable one may go on at another endpoint.
-    Stream {
-        /// Whether another run may continue it.
-        resumable: bool,
-    },
-}
-
-impl RouteKind {
-    /// Whether a request that may have run may be sent again.
-    #[must_use]
-    pub const fn may_run_again(self) -> bool {
-        matches!(self, Self::Repeatable | Self::Stream { resumable: true })
-    }
-}
-
-/// One of the services that share a route.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WeightedService {
-    /// The service.
-    pub service: String,
-    /// Its share of the requests, against the sum over the route.
-    pub weight: u64,
-}
-
-/// One route of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Route {
-    /// Name, for log lines.
-    pub name: String,
-    /// The host that callers name.
-    pub host: String,
-    /// Start of the path; begins and ends with a slash.
-    pub path_prefix: String,
-    /// What may be done again.
-    pub kind: RouteKind,
-    /// The longest time that a request is held.
-    pub timeout_ms: u64,
-    /// The time within which an answer is in time.
-    pub aim_ms: u64,
-    /// The longest pause between events that is still in time.
-    pub gap_aim_ms: Option<u64>,
-    /// 0 is the most urgent.
-    pub priority: u64,
-    /// The services that serve it.
-    pub services: Vec<WeightedService>,
-    /// The most endpoints that one request may be sent to.
-    pub max_attempts: u64,
-    /// Whether it may be used without a key.
-    pub public: bool,
-}
-
-impl Route {
-    /// The service for a request; `draw` is any evenly spread number.
-    #[must_use]
-    pub fn service_for(&self, draw: u64) -> Option<&str> {
-        let total: u64 = self.services.iter().map(|entry| entry.weight).sum();
-        let mut rest = draw.checked_rem(total)?;
-        for entry in &self.services {
-            if rest < entry.weight {
-                return Some(&entry.service);
-            }
-            rest -= entry.weight;
-        }
-        None
-    }
-}
-
-/// What the configuration tells of the engines of a model service.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, Default)]
-pub struct EngineFigures {
-    /// Requests that one engine runs at once.
-    pub slots: u64,
-    /// Passes for each event of a stream.
-    pub stride: u64,
-    /// Time of a pass for one token, without the experts' skew, in milliseconds.
-    pub step_ms: f64,
-    /// More for each running request, in milliseconds.
-    pub per_request_ms: f64,
-    /// Prompt tokens read a second.
-    pub read_per_s: f64,
-    /// Layer sets that choose experts independently; 0 where there are no groups.
-    pub sets: usize,
-    /// Experts of a set.
-    pub experts: usize,
-    /// Experts that one rank can hold in a set.
-    pub places: usize,
-    /// Experts in a set that one change may bring to a rank.
-    pub spare: usize,
-    /// Size of one expert, in megabytes.
-    pub expert_mb: f64,
-    /// Rate at which experts are copied, in megabits a second.
-    pub link_mbps: f64,
-    /// Share of a pass that experts take.
-    pub expert_share: f64,
-}
-
-/// One service of the configuration.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ServiceSpec {
-    /// Its name.
-    pub name: String,
-    /// Connections that one endpoint accepts from all boxes together.
-    pub max_connections: u64,
-    /// Figures of its engines, for model services.
-    pub engine: Option<EngineFigures>,
-}
-
-/// A workspace and its standing.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Workspace {
-    /// Its name.
-    pub name: String,
-    /// Goes before the priority of the route, if given.
-    pub priority: Option<u64>,
-}
-
-/// What callers may send, and for how long.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CallerLimits {
-    /// Largest head, in bytes.
-    pub max_header_bytes: usize,
-    /// Largest body, in bytes.
-    pub max_body_bytes: usize,
-    /// Time for a head to arrive, in milliseconds.
-    pub header_timeout_ms: u64,
-    /// Time that a connection may rest, in milliseconds.
-    pub idle_timeout_ms: u64,
-}
-
-impl Default for CallerLimits {
-    /// Until a configuration names its own: small heads, bodies up to 4 MiB, rests of 15 s.
-    fn default() -> Self {
-        Self { max_header_bytes: 16_384, max_body_bytes: 4 << 20, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
-    }
-}
+pub use self::caller_limits::CallerLimits;
+pub use self::engine_figures::EngineFigures;
+pub use self::route::Route;
+pub use self::route_kind::RouteKind;
+pub use self::service_spec::ServiceSpec;
+pub use self::weighted_service::WeightedService;
+pub use self::workspace::Workspace;
 
 /// One version of the configuration, ready for look-ups.
 #[derive(Debug, Clone, Default)]
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/route_table/service_spec.rs
@@ -0,0 +1,16 @@
+//! One service of the configuration.
+
+use serde::{Deserialize, Serialize};
+
+use super::engine_figures::EngineFigures;
+
+/// One service of the configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceSpec {
+    /// Its name.
+    pub name: String,
+    /// Connections that one endpoint accepts from all boxes together.
+    pub max_connections: u64,
+    /// Figures of its engines, for model services.
+    pub engine: Option<EngineFigures>,
+}
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/route_table/workspace.rs
@@ -0,0 +1,12 @@
+//! Whose requests there are.
+
+use serde::{Deserialize, Serialize};
+
+/// A workspace and its standing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Workspace {
+    /// Its name.
+    pub name: String,
+    /// Goes before the priority of the route, if given.
+    pub priority: Option<u64>,
+}
--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -8,13 +8,17 @@
 mod controller;
 mod demand;
 mod grant;
+mod leader_id;
+mod leadership;
 mod order;
 mod placement;
 mod planner;
 
 pub use controller::{Controller, ControllerSettings, Phase, Round};
 pub use demand::{Demand, chosen_between};
-pub use grant::{Grant, LeaderId, Leadership};
+pub use grant::Grant;
+pub use leader_id::LeaderId;
+pub use leadership::Leadership;
 pub use order::{Armed, Order, OrderOutcome, RankView, SentOrder};
 pub use placement::GroupPlacement;
 pub use planner::{PlanSettings, Planned, Planner};
