Tell chosen experts as differences of one byte; no endpoint is silent whose leader hears it

Cause: on groups of 32 ranks a round with 1,536 running counts a rank in JSON took longer than the two steps of lead of a hold, so every hold came too late (409) and no map changed; grants ran out between rounds. And an entry that had heard nothing of an engine for 2.5 aims took the request away from it, though it only waited there: with 30 entries most engines are rarely heard by one box. Ruled out: the planner (20 to 190 ms a plan, now logged as planning_ms).

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -143,6 +143,9 @@
             }
             member.pace_permille = rank.pace_permille;
             member.on_load(ReportedLoad { running: rank.running, waiting: rank.waiting }, now_ms);
+            if news.is_serving {
+                member.on_told_serving(now_ms);
+            }
         }
         let group = self.groups.entry(name).or_insert_with(|| Group::new(news.is_serving, now_ms));
         group.on_news(news.is_serving, now_ms);
@@ -177,7 +180,8 @@
         }
     }
 
-    /// Whether an endpoint has said nothing to this box for so long, or is gone.
+    /// Whether an endpoint has said nothing for so long, neither to this box nor to its
+    /// leader, or is gone.
     #[must_use]
     pub fn is_silent(&self, id: &str, for_ms: u64, now_ms: u64) -> bool {
         self.members.get(id).is_none_or(|member| member.is_silent(for_ms, now_ms))
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -92,7 +92,13 @@
         self.aside_until_ms > now_ms
     }
 
-    /// Whether it has said nothing to this box for so long.
+    /// Its leader told that its group goes on.
+    pub const fn on_told_serving(&mut self, now_ms: u64) {
+        // Its requests get their turn, also where no answer to this box is due yet.
+        self.on_heard(now_ms);
+    }
+
+    /// Whether it has said nothing for so long, neither to this box nor to its leader.
     pub const fn is_silent(&self, for_ms: u64, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.heard_ms) >= for_ms
     }
--- a/crates/ochreyard-core/src/direct/group_news.rs
+++ b/crates/ochreyard-core/src/direct/group_news.rs
@@ -15,8 +15,10 @@
     pub ranks: Vec<RankNews>,
 }
 
-/// One rank of a group.
+/// One rank of a group. It is sent as a plain list of its four values, since a leader
+/// tells dozens of boxes of dozens of ranks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "RankNewsList", into = "RankNewsList")]
 pub struct RankNews {
     /// Identifier of its endpoint.
     pub endpoint: String,
@@ -27,3 +29,18 @@
     /// How much longer its work takes than usual, in thousandths of the usual time.
     pub pace_permille: u64,
 }
+
+/// Endpoint, running, waiting, pace in thousandths.
+type RankNewsList = (String, u64, u64, u64);
+
+impl From<RankNewsList> for RankNews {
+    fn from((endpoint, running, waiting, pace_permille): RankNewsList) -> Self {
+        Self { endpoint, running, waiting, pace_permille }
+    }
+}
+
+impl From<RankNews> for RankNewsList {
+    fn from(news: RankNews) -> Self {
+        (news.endpoint, news.running, news.waiting, news.pace_permille)
+    }
+}
--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -5,6 +5,7 @@
 //! A [`Grant`] in each agent makes sure that only one controller gives orders.
 //! [`Demand`] and [`Planner`] decide what map is worth a change.
 
+mod chosen_counts;
 mod compact_map;
 mod controller;
 mod demand;
@@ -15,6 +16,7 @@
 mod placement;
 mod planner;
 
+pub use chosen_counts::ChosenCounts;
 pub use controller::{Controller, ControllerSettings, Phase, Round};
 pub use demand::{Demand, chosen_between};
 pub use grant::Grant;
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -237,3 +237,13 @@
     assert_eq!(pool.pick("tiles", &["e2".into()], 0, 1).unwrap().id, "e1");
     assert_eq!(pool.pick("tiles", &[], 0, 5_000).unwrap().id, "e1");
 }
+
+#[test]
+fn an_endpoint_whose_leader_told_that_it_goes_on_is_not_silent() {
+    let mut pool = pool([1, 2]);
+    pool.on_news(&news(true, &[1], 3), 5_000);
+    pool.on_news(&news(false, &[2], 3), 5_000);
+    assert!(!pool.is_silent("e1", 1_000, 5_500), "its leader saw its step go on just now");
+    assert!(pool.is_silent("e2", 1_000, 5_500), "its group stands");
+    assert!(pool.is_silent("e1", 1_000, 6_500), "its leader has fallen silent");
+}
--- a/crates/ochreyard-core/tests/group_map.rs
+++ b/crates/ochreyard-core/tests/group_map.rs
@@ -5,7 +5,7 @@
 mod group_map_model;
 
 use group_map_model::World;
-use ochreyard_core::group_map::{Demand, GroupPlacement, Order, PlanSettings, Planner, chosen_between};
+use ochreyard_core::group_map::{ChosenCounts, Demand, GroupPlacement, Order, PlanSettings, Planner, chosen_between};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -144,3 +144,22 @@
         prop_assert_eq!(serde_json::from_str::<Order>(&text).unwrap(), order);
     }
 }
+
+proptest! {
+    #[test]
+    fn counts_told_in_one_byte_keep_their_proportions(chosen in proptest::collection::vec(0u64..5_000_000, 1..200)) {
+        let mut sums = Vec::new();
+        prop_assert!(ChosenCounts::new(&chosen).add_to(&mut sums));
+        let most = chosen.iter().copied().max().unwrap_or(0) as f64;
+        for (sum, count) in sums.iter().zip(&chosen) {
+            prop_assert!((sum - *count as f64).abs() <= most / 255.0 + 1.0, "{sum} {count}");
+        }
+    }
+}
+
+#[test]
+fn counts_of_another_length_add_nothing() {
+    let mut sums = vec![1.0; 3];
+    assert!(!ChosenCounts::new(&[5, 5]).add_to(&mut sums));
+    assert_eq!(sums, [1.0; 3]);
+}
--- a/crates/ochreyard-rank/src/agent.rs
+++ b/crates/ochreyard-rank/src/agent.rs
@@ -4,12 +4,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use ochreyard_core::group_map::{Grant, LeaderId, OrderOutcome, RankView};
+use ochreyard_core::group_map::{ChosenCounts, Grant, LeaderId, OrderOutcome, RankView, chosen_between};
 use ochreyard_process::Clock;
 
-use crate::engine::{EngineError, RankEngine};
+use crate::engine::{Counts, EngineError, RankEngine};
 use crate::message::{Ask, Told};
 
+/// The running counts as they stood when a leader was last told.
+#[derive(Debug, Clone)]
+struct ToldCounts {
+    leader: LeaderId,
+    counts: Counts,
+}
+
 /// The agent of one rank.
 pub struct Agent<E> {
     /// Its own engine.
@@ -24,6 +31,7 @@
     pub clock: Clock,
     grant: RefCell<Grant>,
     view: RefCell<Option<RankView>>,
+    told_counts: RefCell<Option<ToldCounts>>,
     is_reachable: Cell<bool>,
 }
 
@@ -40,6 +48,7 @@
             clock,
             grant,
             view: RefCell::new(None),
+            told_counts: RefCell::new(None),
             is_reachable: Cell::new(true),
         })
     }
@@ -76,9 +85,17 @@
         let holder = self.grant.borrow().holder(now_ms).filter(|_| !granted).cloned();
         let outcomes = if granted { self.carry_out(ask).await } else { Vec::new() };
         let view = self.look().await;
-        let counts = if ask.wants_counts { self.noted(self.engine.counts().await) } else { None };
+        let chosen = if ask.wants_counts { self.chosen_for(&ask.leader).await } else { None };
         let lists = if ask.wants_lists { self.noted(self.engine.lists().await) } else { None };
-        Told { granted, holder, view, outcomes, counts, lists }
+        Told { granted, holder, view, outcomes, chosen, lists }
+    }
+
+    /// What the rank has chosen since `leader` was last told.
+    async fn chosen_for(&self, leader: &LeaderId) -> Option<ChosenCounts> {
+        let counts = self.noted(self.engine.counts().await)?;
+        let told = ToldCounts { leader: leader.clone(), counts };
+        let before = self.told_counts.replace(Some(told.clone())).filter(|before| before.leader == *leader)?;
+        Some(ChosenCounts::new(&chosen_between(&before.counts.counts, &told.counts.counts)))
     }
 
     async fn carry_out(&self, ask: &Ask) -> Vec<OrderOutcome> {
--- a/crates/ochreyard-rank/src/engine.rs
+++ b/crates/ochreyard-rank/src/engine.rs
@@ -21,7 +21,7 @@
 }
 
 /// How often a rank's requests have chosen each expert since its start, set by set.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Counts {
     /// The epoch of the group.
     pub epoch: u64,
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -22,7 +22,7 @@
 pub use self::settings::LeaderSettings;
 use crate::agent::Agent;
 use crate::endpoints::GroupEndpoints;
-use crate::engine::{Counts, Engines};
+use crate::engine::Engines;
 use crate::entries::Entries;
 use crate::message::{Ask, RankRecord, rank_key};
 use crate::step_progress::StepProgress;
@@ -66,7 +66,6 @@
     waits_until_ms: u64,
     pending: Vec<(usize, SentOrder)>,
     last_round: Round,
-    own_counts: Counts,
     busy_noted_ms: u64,
 }
 
@@ -100,7 +99,6 @@
             waits_until_ms: 0,
             pending: Vec::new(),
             last_round: Round::default(),
-            own_counts: Counts::default(),
             busy_noted_ms: 0,
         }
     }
@@ -207,12 +205,24 @@
             if self.last_round.views.iter().any(Option::is_none) {
                 self.members.read(&self.log, &view, self.agent.clock.now_ms()).await;
             }
+            if self.controller.is_copying() {
+                self.look_at_own_rank(&view).await;
+            }
             self.decide();
             self.tell_entries(&view).await;
             tokio::time::sleep(self.pause()).await;
         }
     }
 
+    /// Reads the own rank once more: a hold is placed a few steps ahead of the newest
+    /// one known, and the answers of a large group take about as long as a step.
+    async fn look_at_own_rank(&mut self, view: &RankView) {
+        let own = self.agent.look().await;
+        if let Some(place) = self.last_round.views.get_mut(view.rank) {
+            *place = own;
+        }
+    }
+
     async fn stand_down(&mut self) {
         self.leadership.clear();
         self.pending.clear();
--- a/crates/ochreyard-rank/src/leader/members.rs
+++ b/crates/ochreyard-rank/src/leader/members.rs
@@ -1,4 +1,4 @@
-//! The other ranks of a group: where their agents are, and what they last counted.
+//! The other ranks of a group: where their agents are.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -6,7 +6,6 @@
 use ochreyard_core::group_map::RankView;
 use ochreyard_direct::{CallLink, KeyedLog, Topic};
 
-use crate::engine::Counts;
 use crate::message::{RankRecord, rank_key};
 
 /// Least pause between readings of the list of ranks, in milliseconds: a rank seldom
@@ -19,8 +18,6 @@
     pub record: RankRecord,
     /// The connection to its agent.
     pub link: Rc<CallLink>,
-    /// Its running counts at the last round that brought them.
-    pub counts: Counts,
 }
 
 /// The other ranks of a group, as far as they are known.
@@ -41,11 +38,6 @@
         self.by_rank.values().map(|member| Rc::clone(&member.link)).collect()
     }
 
-    /// The last counts of a rank, if it is known.
-    pub fn counts_mut(&mut self, rank: usize) -> Option<&mut Counts> {
-        self.by_rank.get_mut(&rank).map(|member| &mut member.counts)
-    }
-
     /// Reads where the other ranks are, unless that was done just now.
     pub async fn read<L: KeyedLog>(&mut self, log: &L, view: &RankView, now_ms: u64) {
         if self.read_ms > 0 && now_ms < self.read_ms + READ_EVERY_MS {
@@ -69,12 +61,12 @@
         }
     }
 
-    /// A rank whose record changed is known anew: its former counts say nothing of its engine.
+    /// A rank whose record changed is known anew: its agent has moved.
     fn note(&mut self, rank: usize, record: RankRecord) {
         if self.by_rank.get(&rank).is_some_and(|member| member.record == record) {
             return;
         }
         let link = Rc::new(CallLink::new(record.agent_addr));
-        self.by_rank.insert(rank, Member { record, link, counts: Counts::default() });
+        self.by_rank.insert(rank, Member { record, link });
     }
 }
--- a/crates/ochreyard-rank/src/leader/proposal.rs
+++ b/crates/ochreyard-rank/src/leader/proposal.rs
@@ -1,11 +1,11 @@
 //! The map in use, the demand on it, and the proposal of a better map.
 
 use ochreyard_core::direct::EngineFigures;
-use ochreyard_core::group_map::{Demand, GroupPlacement, PlanSettings, Planner, RankView, chosen_between};
+use ochreyard_core::group_map::{Demand, GroupPlacement, PlanSettings, Planner, RankView};
 use ochreyard_direct::{Dialect, KeyedLog};
 
 use super::{Leader, LeaderSettings};
-use crate::engine::{Counts, Engines, Lists};
+use crate::engine::{Engines, Lists};
 
 /// Choices that a plan must rest on, for each expert and set: with fewer, chance
 /// decides which expert looks busy.
@@ -32,20 +32,6 @@
         self.demand.get_or_insert_with(|| Demand::new(chosen.len(), fade_ms)).add(chosen, now_ms);
     }
 
-    /// Adds what a rank has chosen since its counts before to `chosen`. A rank's
-    /// first counts only say where it starts.
-    pub(super) fn add_chosen(&mut self, rank: usize, counts: Counts, chosen: &mut Vec<f64>) {
-        let before = self.members.counts_mut(rank).unwrap_or(&mut self.own_counts);
-        if chosen.is_empty() {
-            chosen.resize(counts.counts.len(), 0.0);
-        }
-        if !before.counts.is_empty() {
-            let news = chosen_between(&before.counts, &counts.counts);
-            chosen.iter_mut().zip(&news).for_each(|(sum, more)| *sum += *more as f64);
-        }
-        *before = counts;
-    }
-
     /// Takes the map in use from what all ranks hold, if all told of the same map.
     pub(super) fn take_lists(&mut self, lists: &[Option<Lists>]) {
         let Some(figures) = self.figures else { return };
@@ -75,8 +61,10 @@
         let paces: Vec<f64> = views.map(pace).collect();
         let planner = Planner::new(plan_settings(&figures, &self.settings));
         let Some(planned) = planner.plan(present, demand.rates(), &paces) else { return };
+        let planning_ms = self.agent.clock.now_ms() - now_ms;
         log::info!(
-            "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0}",
+            "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0} \
+             planning_ms={planning_ms}",
             planned.skew.0,
             planned.skew.1,
             planned.copies_of_rank,
--- a/crates/ochreyard-rank/src/leader/round.rs
+++ b/crates/ochreyard-rank/src/leader/round.rs
@@ -68,7 +68,8 @@
             leader: self.me(view),
             group: view.group.clone(),
             orders: orders.iter().filter(|(to, _)| *to == rank).map(|(_, order)| order.clone()).collect(),
-            wants_counts: !self.controller.is_busy() || self.controller.is_copying(),
+            // During a change rounds should be short; what is chosen meanwhile is told after it.
+            wants_counts: !self.controller.is_busy(),
             wants_lists: !self.knows_present(),
             releases: false,
         }
@@ -93,8 +94,8 @@
             let sent = orders.iter().filter(|(to, _)| *to == rank);
             round.outcomes.extend(sent.zip(told.outcomes).map(|((to, order), outcome)| (*to, order.clone(), outcome)));
             lists[rank] = told.lists;
-            if let Some(counts) = told.counts {
-                self.add_chosen(rank, counts, &mut chosen);
+            if told.chosen.is_some_and(|counts| !counts.add_to(&mut chosen)) {
+                log::warn!("event=counts_unreadable group={} rank={rank}", self.service);
             }
         }
         self.take_lists(&lists);
--- a/crates/ochreyard-rank/src/message.rs
+++ b/crates/ochreyard-rank/src/message.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use ochreyard_core::group_map::{LeaderId, OrderOutcome, RankView, SentOrder};
+use ochreyard_core::group_map::{ChosenCounts, LeaderId, OrderOutcome, RankView, SentOrder};
 use serde::{Deserialize, Serialize};
 
-use crate::engine::{Counts, Lists};
+use crate::engine::Lists;
 
 /// Where an agent is asked.
 pub const ASK_PATH: &str = "/rank";
@@ -19,7 +19,7 @@
     pub group: String,
     /// Orders for the rank, carried out only if the leader is granted.
     pub orders: Vec<SentOrder>,
-    /// Whether the running counts are wanted.
+    /// Whether it is wanted what the rank has chosen since it last told this leader.
     pub wants_counts: bool,
     /// Whether the held experts are wanted.
     pub wants_lists: bool,
@@ -38,8 +38,8 @@
     pub view: Option<RankView>,
     /// What became of the orders, in their order.
     pub outcomes: Vec<OrderOutcome>,
-    /// The running counts.
-    pub counts: Option<Counts>,
+    /// What the rank has chosen since it last told this leader; nothing the first time.
+    pub chosen: Option<ChosenCounts>,
     /// The held experts.
     pub lists: Option<Lists>,
 }
