Send ranks what changes of a map; let counts fade in half the time

Cause: a whole map of 32 ranks and 12 sets takes 4.3 KB, and 31 of them take 130 ms of a link of 8 megabits a second, in each change.

--- a/crates/ochreyard-core/src/group_map/compact_map.rs
+++ b/crates/ochreyard-core/src/group_map/compact_map.rs
@@ -11,7 +11,8 @@
 /// Between sets.
 const SET_END: char = ';';
 
-fn put(text: &mut String, expert: u16) {
+/// Writes a number below 4,096.
+pub(super) fn put(text: &mut String, expert: u16) {
     let sign = |bits: u16| char::from(SIGNS[usize::from(bits & 63)]);
     text.push(sign(expert >> 6));
     text.push(sign(expert));
@@ -21,9 +22,22 @@
     SIGNS.iter().position(|other| *other == sign).and_then(|at| u16::try_from(at).ok())
 }
 
+/// Reads the number at the start of `rest`, and goes on behind it.
+pub(super) fn take(rest: &mut &str) -> Option<u16> {
+    let (pair, after) = rest.as_bytes().split_at_checked(2)?;
+    let number = sign_value(pair[0])? << 6 | sign_value(pair[1])?;
+    // Both are signs of one byte, so what follows is text.
+    *rest = std::str::from_utf8(after).ok()?;
+    Some(number)
+}
+
 fn held_of(text: &str) -> Option<Vec<u16>> {
-    let pairs = text.as_bytes().chunks(2);
-    pairs.map(|pair| Some(sign_value(*pair.first()?)? << 6 | sign_value(*pair.get(1)?)?)).collect()
+    let mut rest = text;
+    let mut held = Vec::with_capacity(text.len() / 2);
+    while !rest.is_empty() {
+        held.push(take(&mut rest)?);
+    }
+    Some(held)
 }
 
 /// Writes a map; numbers of experts are below 4,096.
--- /dev/null
+++ b/crates/ochreyard-core/src/group_map/map_change.rs
@@ -0,0 +1,84 @@
+//! What changes from one map of a group to the next, as one short text.
+//!
+//! A plan moves a few experts of each rank, so this is a fraction of the whole map.
+//! Numbers of sets, ranks and experts take two signs each, as in
+//! [`compact_map`](super::compact_map).
+
+use serde::{Deserialize, Serialize};
+
+use super::compact_map::{put, take};
+
+/// After the experts that a rank gives up.
+const DROPPED_END: char = '.';
+/// After the experts that a rank gets.
+const ADDED_END: char = ',';
+
+/// The experts of a map by set and rank.
+pub type Experts = Vec<Vec<Vec<u16>>>;
+
+/// The way from one map to the next.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MapChange {
+    /// Number of the map that it starts from.
+    pub base: u64,
+    /// For each rank of a set that changes: set, rank, what it gives up, what it gets.
+    changes: String,
+}
+
+impl MapChange {
+    /// The way from map number `base` to `after`; `None` where the two differ in
+    /// the number of sets or ranks.
+    #[must_use]
+    pub fn between(base: u64, before: &Experts, after: &Experts) -> Option<Self> {
+        let is_alike = |(before, after): (&Vec<Vec<u16>>, &Vec<Vec<u16>>)| before.len() == after.len();
+        if before.len() != after.len() || !before.iter().zip(after).all(is_alike) {
+            return None;
+        }
+        let mut changes = String::new();
+        for (set, (before, after)) in before.iter().zip(after).enumerate() {
+            for (rank, (before, after)) in before.iter().zip(after).enumerate() {
+                let dropped: Vec<u16> = before.iter().copied().filter(|expert| !after.contains(expert)).collect();
+                let added: Vec<u16> = after.iter().copied().filter(|expert| !before.contains(expert)).collect();
+                if dropped.is_empty() && added.is_empty() {
+                    continue;
+                }
+                put(&mut changes, u16::try_from(set).ok()?);
+                put(&mut changes, u16::try_from(rank).ok()?);
+                dropped.iter().for_each(|expert| put(&mut changes, *expert));
+                changes.push(DROPPED_END);
+                added.iter().for_each(|expert| put(&mut changes, *expert));
+                changes.push(ADDED_END);
+            }
+        }
+        Some(Self { base, changes })
+    }
+
+    /// The map that it leads to from `before`; `None` where it does not fit that map.
+    #[must_use]
+    pub fn apply(&self, before: &Experts) -> Option<Experts> {
+        let mut after = before.clone();
+        let mut rest = self.changes.as_str();
+        while !rest.is_empty() {
+            let set = usize::from(take(&mut rest)?);
+            let rank = usize::from(take(&mut rest)?);
+            let held = after.get_mut(set)?.get_mut(rank)?;
+            let dropped = take_until(&mut rest, DROPPED_END)?;
+            let added = take_until(&mut rest, ADDED_END)?;
+            held.retain(|expert| !dropped.contains(expert));
+            held.extend(added);
+        }
+        Some(after)
+    }
+}
+
+/// Reads numbers up to `end`, and `end` itself.
+fn take_until(rest: &mut &str, end: char) -> Option<Vec<u16>> {
+    let mut numbers = Vec::new();
+    loop {
+        if let Some(after) = rest.strip_prefix(end) {
+            *rest = after;
+            return Some(numbers);
+        }
+        numbers.push(take(rest)?);
+    }
+}
--- a/crates/ochreyard-core/tests/group_map.rs
+++ b/crates/ochreyard-core/tests/group_map.rs
@@ -5,7 +5,9 @@
 mod group_map_model;
 
 use group_map_model::World;
-use ochreyard_core::group_map::{ChosenCounts, Demand, GroupPlacement, Order, PlanSettings, Planner, chosen_between};
+use ochreyard_core::group_map::{
+    ChosenCounts, Demand, Experts, GroupPlacement, MapChange, Order, PlanSettings, Planner, chosen_between,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -163,3 +165,37 @@
     assert!(!ChosenCounts::new(&[5, 5]).add_to(&mut sums));
     assert_eq!(sums, [1.0; 3]);
 }
+
+/// Maps of 3 sets and 4 ranks, with no expert twice at a rank.
+fn maps() -> impl Strategy<Value = Experts> {
+    let held = proptest::collection::btree_set(0u16..4_096, 0..6).prop_map(|held| held.into_iter().collect::<Vec<_>>());
+    proptest::collection::vec(proptest::collection::vec(held, 4), 3)
+}
+
+fn sorted(mut map: Experts) -> Experts {
+    map.iter_mut().flatten().for_each(|held| held.sort_unstable());
+    map
+}
+
+proptest! {
+    #[test]
+    fn a_change_leads_from_one_map_to_the_next(before in maps(), after in maps()) {
+        let change = MapChange::between(7, &before, &after).expect("of one shape");
+        let text = serde_json::to_string(&change).unwrap();
+        let read: MapChange = serde_json::from_str(&text).unwrap();
+        prop_assert_eq!(read.apply(&before).map(sorted), Some(sorted(after)));
+    }
+
+    #[test]
+    fn a_change_that_does_not_fit_gives_no_map(before in maps(), after in maps(), cut in 1usize..9) {
+        let change = MapChange::between(7, &before, &after).expect("of one shape");
+        let mut value = serde_json::to_value(&change).unwrap();
+        let text = value["changes"].as_str().unwrap_or_default().to_owned();
+        prop_assume!(text.len() > cut);
+        value["changes"] = text[..text.len() - cut].into();
+        let read: MapChange = serde_json::from_value(value).unwrap();
+        let whole = sorted(after);
+        prop_assert!(read.apply(&before).map(sorted) != Some(whole));
+        prop_assert_eq!(change.apply(&vec![Vec::new(); 3]).filter(|_| !text.is_empty()), None);
+    }
+}
--- a/crates/ochreyard-rank/src/agent.rs
+++ b/crates/ochreyard-rank/src/agent.rs
@@ -1,10 +1,13 @@
 //! What an agent does for whoever is granted its rank.
 
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use ochreyard_core::group_map::{ChosenCounts, Grant, LeaderId, OrderOutcome, RankView, chosen_between};
+use ochreyard_core::group_map::{
+    ChosenCounts, Experts, Grant, LeaderId, Order, OrderOutcome, RankView, SentOrder, chosen_between,
+};
 use ochreyard_process::Clock;
 
 use crate::engine::{Counts, EngineError, RankEngine};
@@ -32,6 +35,7 @@
     grant: RefCell<Grant>,
     view: RefCell<Option<RankView>>,
     told_counts: RefCell<Option<ToldCounts>>,
+    known_map: RefCell<Option<(u64, Experts)>>,
     is_reachable: Cell<bool>,
 }
 
@@ -49,6 +53,7 @@
             grant,
             view: RefCell::new(None),
             told_counts: RefCell::new(None),
+            known_map: RefCell::new(None),
             is_reachable: Cell::new(true),
         })
     }
@@ -87,7 +92,8 @@
         let view = self.look().await;
         let chosen = if ask.wants_counts { self.chosen_for(&ask.leader).await } else { None };
         let lists = if ask.wants_lists { self.noted(self.engine.lists().await) } else { None };
-        Told { granted, holder, view, outcomes, chosen, lists }
+        let knows_map = self.known_map.borrow().as_ref().map(|(version, _)| *version);
+        Told { granted, holder, view, knows_map, outcomes, chosen, lists }
     }
 
     /// What the rank has chosen since `leader` was last told.
@@ -103,11 +109,30 @@
         for order in &ask.orders {
             // A process may have stood still since the grant was looked at.
             let is_granted = self.grant.borrow().holder(self.clock.now_ms()) == Some(&ask.leader);
-            outcomes.push(if is_granted { self.engine.order(order).await } else { OrderOutcome::Unknown });
+            let order = self.with_map(order, ask).filter(|_| is_granted);
+            outcomes.push(match order {
+                Some(order) => self.engine.order(&order).await,
+                None => OrderOutcome::Unknown,
+            });
         }
         outcomes
     }
 
+    /// An order with its whole map, which it may only hold as a change of one that is
+    /// known here; `None` where it is not.
+    fn with_map<'a>(&self, sent: &'a SentOrder, ask: &Ask) -> Option<Cow<'a, SentOrder>> {
+        let Order::Prepare { version, map } = &sent.order else { return Some(Cow::Borrowed(sent)) };
+        let mut known = self.known_map.borrow_mut();
+        let Some(change) = &ask.map_change else {
+            known.replace((*version, map.clone()));
+            return Some(Cow::Borrowed(sent));
+        };
+        let base = known.as_ref().filter(|(number, _)| *number == change.base);
+        let map = change.apply(&base?.1)?;
+        known.replace((*version, map.clone()));
+        Some(Cow::Owned(SentOrder { order: Order::Prepare { version: *version, map }, ..sent.clone() }))
+    }
+
     fn noted<T>(&self, result: Result<T, EngineError>) -> Option<T> {
         let was_reachable = self.is_reachable.replace(result.is_ok());
         match result {
--- a/crates/ochreyard-rank/src/fields.rs
+++ b/crates/ochreyard-rank/src/fields.rs
@@ -30,7 +30,7 @@
     FieldSpec {
         name: "demand_fade_ms",
         kind: FieldKind::Number(50, 600_000),
-        default: Some("300"),
+        default: Some("150"),
         about: "after this time the counts of chosen experts have lost most of their weight",
     },
     FieldSpec {
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -5,6 +5,7 @@
 mod proposal;
 mod questions;
 mod round;
+mod sent_maps;
 mod settings;
 
 use std::rc::Rc;
@@ -19,6 +20,7 @@
 
 use self::members::Members;
 use self::questions::{ask_agent, brief};
+use self::sent_maps::SentMaps;
 pub use self::settings::LeaderSettings;
 use crate::agent::Agent;
 use crate::endpoints::GroupEndpoints;
@@ -56,6 +58,7 @@
     leadership: Leadership,
     controller: Controller,
     members: Members,
+    sent_maps: SentMaps,
     endpoints: GroupEndpoints<S>,
     entries: Entries,
     progress: StepProgress,
@@ -89,6 +92,7 @@
             leadership: Leadership::new(settings.lease_ms),
             controller,
             members: Members::default(),
+            sent_maps: SentMaps::default(),
             endpoints: GroupEndpoints::new(engines),
             entries: Entries::default(),
             progress: StepProgress::default(),
@@ -235,6 +239,7 @@
             leader: self.me(&view),
             group: view.group,
             orders: Vec::new(),
+            map_change: None,
             wants_counts: false,
             wants_lists: false,
             releases: true,
--- a/crates/ochreyard-rank/src/leader/members.rs
+++ b/crates/ochreyard-rank/src/leader/members.rs
@@ -18,6 +18,8 @@
     pub record: RankRecord,
     /// The connection to its agent.
     pub link: Rc<CallLink>,
+    /// Number of the map that its agent knows.
+    pub knows_map: Option<u64>,
 }
 
 /// The other ranks of a group, as far as they are known.
@@ -38,6 +40,13 @@
         self.by_rank.values().map(|member| Rc::clone(&member.link)).collect()
     }
 
+    /// Notes which map the agent of a rank knows.
+    pub fn note_map(&mut self, rank: usize, version: Option<u64>) {
+        if let Some(member) = self.by_rank.get_mut(&rank) {
+            member.knows_map = version;
+        }
+    }
+
     /// Reads where the other ranks are, unless that was done just now.
     pub async fn read<L: KeyedLog>(&mut self, log: &L, view: &RankView, now_ms: u64) {
         if self.read_ms > 0 && now_ms < self.read_ms + READ_EVERY_MS {
@@ -67,6 +76,6 @@
             return;
         }
         let link = Rc::new(CallLink::new(record.agent_addr));
-        self.by_rank.insert(rank, Member { record, link });
+        self.by_rank.insert(rank, Member { record, link, knows_map: None });
     }
 }
--- a/crates/ochreyard-rank/src/leader/questions.rs
+++ b/crates/ochreyard-rank/src/leader/questions.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use ochreyard_core::group_map::RankView;
+use ochreyard_core::group_map::{RankView, SentOrder};
 use ochreyard_direct::CallLink;
 
 use super::members::Member;
@@ -19,17 +19,19 @@
 /// second); the questions of one round share it.
 const LINK_BYTES_PER_MS: usize = 1_000;
 
-/// Asks a rank's agent; where it does not answer, its engine, if one is given.
+/// Asks a rank's agent; where it does not answer, its engine, if one is given. `orders`
+/// are those of the question with their whole maps.
 pub async fn ask_member<E: RankEngine>(
     member: &Member,
     ask: Ask,
+    orders: &[SentOrder],
     engine: Option<&E>,
     asked_at_once: usize,
 ) -> Option<Told> {
-    let told = ask_agent(Rc::clone(&member.link), ask.clone(), asked_at_once).await;
+    let told = ask_agent(Rc::clone(&member.link), ask, asked_at_once).await;
     let Some(engine) = engine.filter(|_| told.is_none()) else { return told };
     let mut outcomes = Vec::new();
-    for order in &ask.orders {
+    for order in orders {
         outcomes.push(engine.order(order).await);
     }
     let view = engine.view().await;
--- a/crates/ochreyard-rank/src/leader/round.rs
+++ b/crates/ochreyard-rank/src/leader/round.rs
@@ -18,6 +18,7 @@
         }
         let asked_ms = self.agent.clock.now_ms();
         let orders = std::mem::take(&mut self.pending);
+        self.sent_maps.note(&orders);
         let told = self.ask_all(view, &orders, reaches_engines).await;
         self.take(told, &orders, asked_ms)
     }
@@ -51,7 +52,8 @@
         let others = self.members.iter().map(|(rank, member)| {
             let ask = self.ask_for(rank, view, orders);
             let engine = self.endpoints.engine(rank).filter(|_| reaches_engines);
-            async move { (rank, ask_member(member, ask, engine, view.size).await) }
+            let short = self.sent_maps.shortened(&ask, member.knows_map);
+            async move { (rank, ask_member(member, short, &ask.orders, engine, view.size).await) }
         });
         let (own, others) = futures::join!(own, join_all(others));
         let mut told: Vec<Option<Told>> = (0..view.size).map(|_| None).collect();
@@ -71,6 +73,7 @@
             // During a change rounds should be short; what is chosen meanwhile is told after it.
             wants_counts: !self.controller.is_busy(),
             wants_lists: !self.knows_present(),
+            map_change: None,
             releases: false,
         }
     }
@@ -90,6 +93,7 @@
             let Some(told) = told else { continue };
             self.leadership.on_answer(rank, told.granted, asked_ms);
             holder = holder.or(told.holder);
+            self.members.note_map(rank, told.knows_map);
             round.views[rank] = told.view.filter(|view| view.rank == rank && view.size == round.views.len());
             let sent = orders.iter().filter(|(to, _)| *to == rank);
             round.outcomes.extend(sent.zip(told.outcomes).map(|((to, order), outcome)| (*to, order.clone(), outcome)));
--- /dev/null
+++ b/crates/ochreyard-rank/src/leader/sent_maps.rs
@@ -0,0 +1,52 @@
+//! The maps that ranks were sent last: one that knows the map before is sent the change only.
+
+use ochreyard_core::group_map::{Experts, MapChange, Order, SentOrder};
+
+use crate::message::Ask;
+
+/// A map as it was sent.
+#[derive(Debug, Clone)]
+struct SentMap {
+    version: u64,
+    experts: Experts,
+}
+
+/// The newest map that was sent, and how it differs from the one before.
+#[derive(Debug, Clone, Default)]
+pub struct SentMaps {
+    newest: Option<SentMap>,
+    change: Option<MapChange>,
+}
+
+impl SentMaps {
+    /// Notes the map of these orders, if it is a new one.
+    pub fn note(&mut self, orders: &[(usize, SentOrder)]) {
+        let maps = orders.iter().filter_map(|(_, sent)| match &sent.order {
+            Order::Prepare { version, map } => Some((*version, map)),
+            _ => None,
+        });
+        for (version, map) in maps {
+            if self.newest.as_ref().is_some_and(|newest| newest.version == version) {
+                continue;
+            }
+            let before = self.newest.replace(SentMap { version, experts: map.clone() });
+            self.change = before.and_then(|before| MapChange::between(before.version, &before.experts, map));
+        }
+    }
+
+    /// The same question with the change in place of the whole map, for an agent that
+    /// knows map `known`.
+    pub fn shortened(&self, ask: &Ask, known: Option<u64>) -> Ask {
+        let mut ask = ask.clone();
+        let Some(change) = self.change.as_ref().filter(|change| Some(change.base) == known) else { return ask };
+        for sent in &mut ask.orders {
+            if let Order::Prepare { version, map } = &mut sent.order
+                && self.newest.as_ref().is_some_and(|newest| newest.version == *version)
+            {
+                map.clear();
+                ask.map_change = Some(change.clone());
+            }
+        }
+        ask
+    }
+}
--- a/crates/ochreyard-rank/src/message.rs
+++ b/crates/ochreyard-rank/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ochreyard_core::group_map::{ChosenCounts, LeaderId, OrderOutcome, RankView, SentOrder};
+use ochreyard_core::group_map::{ChosenCounts, LeaderId, MapChange, OrderOutcome, RankView, SentOrder};
 use serde::{Deserialize, Serialize};
 
 use crate::engine::Lists;
@@ -19,6 +19,9 @@
     pub group: String,
     /// Orders for the rank, carried out only if the leader is granted.
     pub orders: Vec<SentOrder>,
+    /// The map of an order to prepare that holds none, as a change of one that the agent knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub map_change: Option<MapChange>,
     /// Whether it is wanted what the rank has chosen since it last told this leader.
     pub wants_counts: bool,
     /// Whether the held experts are wanted.
@@ -36,6 +39,9 @@
     pub holder: Option<LeaderId>,
     /// The rank's view, after the orders.
     pub view: Option<RankView>,
+    /// Number of the map that the agent was last sent whole, or as a change that it could apply.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub knows_map: Option<u64>,
     /// What became of the orders, in their order.
     pub outcomes: Vec<OrderOutcome>,
     /// What the rank has chosen since it last told this leader; nothing the first time.
