Pick the least loaded of three drawn endpoints; tell the pace of a group once a second

Cause: every entry knows the same load, up to 300 ms old, and picked the least loaded of all: all sent to the same ranks at once. The new test fails with the former rule.

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -28,6 +28,10 @@
 /// Requests that may wait at a rank of a group: the next place is free within the
 /// aim of a first event, a second one hardly.
 const GROUP_WAITING: f64 = 1.0;
+/// Endpoints that are drawn for one request, of which the least loaded gets it. What is
+/// known of load is some hundred milliseconds old and alike at all boxes: were the
+/// least loaded of all picked, all boxes would send there at once.
+const COMPARED: usize = 3;
 /// How much more loaded a group counts whose leader has fallen silent.
 const SILENT_LEADER_COST: f64 = 2.0;
 
@@ -84,7 +88,7 @@
         ids.filter_map(|id| self.members.get(id).map(|member| (id.as_str(), member)))
     }
 
-    /// Picks the least loaded endpoint of a service that is not in `tried`.
+    /// Picks an endpoint of a service that is not in `tried`: the least loaded of a few drawn ones.
     /// Endpoints that were set aside are used only where no other is left.
     ///
     /// # Errors
@@ -103,12 +107,12 @@
             return Err(NoPick::Nobody);
         }
         let with_room = usable.into_iter().filter(|(_, member)| self.has_room(member, now_ms));
-        // Ties go to a place that differs from box to box, so that boxes do not all start at the same endpoint.
-        let tie = |at: usize| hash::mix(draw ^ at as u64);
-        let keyed =
-            with_room.enumerate().map(|(at, (id, member))| (self.pressure(member, now_ms), tie(at), id, member));
-        let best = keyed.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let (_, _, id, member) = best.ok_or(NoPick::Full)?;
+        let shuffled = with_room.enumerate().map(|(at, found)| (hash::mix(draw ^ at as u64), found));
+        let mut shuffled: Vec<(u64, (&str, &Member))> = shuffled.collect();
+        shuffled.sort_unstable_by_key(|(key, _)| *key);
+        let compared = shuffled.into_iter().take(COMPARED).map(|(_, found)| found);
+        let best = compared.min_by(|a, b| self.pressure(a.1, now_ms).total_cmp(&self.pressure(b.1, now_ms)));
+        let (id, member) = best.ok_or(NoPick::Full)?;
         Ok(Pick { id: id.to_owned(), addr: member.record.addr, in_flight: member.in_flight })
     }
 
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -247,3 +247,17 @@
     assert!(pool.is_silent("e2", 1_000, 5_500), "its group stands");
     assert!(pool.is_silent("e1", 1_000, 6_500), "its leader has fallen silent");
 }
+
+#[test]
+fn boxes_that_know_the_same_old_load_do_not_all_pick_the_same_endpoint() {
+    let ports: Vec<u16> = (1..=16).collect();
+    let mut pool = pool(ports.iter().copied());
+    let mut told = news(true, &ports, 2);
+    told.ranks[7].running = 0;
+    told.ranks[8].running = 3;
+    pool.on_news(&told, 0);
+    let picks: Vec<String> = (0..400).map(|draw| pool.pick("tiles", &[], draw, 10).unwrap().id).collect();
+    let at = |id: &str| picks.iter().filter(|pick| *pick == id).count();
+    assert!((40..160).contains(&at("e8")), "the least loaded is preferred, not flooded: {}", at("e8"));
+    assert_eq!(at("e9"), 0, "the most loaded of a draw is never picked");
+}
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -2,6 +2,7 @@
 
 mod entry_news;
 mod members;
+mod pace_note;
 mod proposal;
 mod questions;
 mod round;
@@ -19,6 +20,7 @@
 use ochreyard_direct::{Dialect, KeyedLog, Topic};
 
 use self::members::Members;
+use self::pace_note::PaceNote;
 use self::questions::{ask_agent, brief};
 use self::sent_maps::SentMaps;
 pub use self::settings::LeaderSettings;
@@ -62,6 +64,7 @@
     endpoints: GroupEndpoints<S>,
     entries: Entries,
     progress: StepProgress,
+    pace_note: PaceNote,
     is_serving: bool,
     figures: Option<EngineFigures>,
     demand: Option<Demand>,
@@ -96,6 +99,7 @@
             endpoints: GroupEndpoints::new(engines),
             entries: Entries::default(),
             progress: StepProgress::default(),
+            pace_note: PaceNote::default(),
             is_serving: true,
             figures: None,
             demand: None,
@@ -213,11 +217,20 @@
                 self.look_at_own_rank(&view).await;
             }
             self.decide();
+            self.note_pace(&view);
             self.tell_entries(&view).await;
             tokio::time::sleep(self.pause()).await;
         }
     }
 
+    /// Tells now and then how fast the group's steps are.
+    fn note_pace(&mut self, view: &RankView) {
+        let now_ms = self.agent.clock.now_ms();
+        let mut note = std::mem::take(&mut self.pace_note);
+        note.note(&view.group, &self.last_round.views, now_ms, || self.present_skew());
+        self.pace_note = note;
+    }
+
     /// Reads the own rank once more: a hold is placed a few steps ahead of the newest
     /// one known, and the answers of a large group take about as long as a step.
     async fn look_at_own_rank(&mut self, view: &RankView) {
--- a/crates/ochreyard-rank/src/leader/proposal.rs
+++ b/crates/ochreyard-rank/src/leader/proposal.rs
@@ -47,6 +47,20 @@
         }
     }
 
+    /// Load of the most loaded rank over the mean, under the map in use and the demand.
+    pub(super) fn present_skew(&self) -> Option<f64> {
+        let (_, present) = self.controller.present()?;
+        let demand = self.demand.as_ref()?;
+        let wanted = present.experts() * present.sets().len();
+        let paces = self.paces();
+        (demand.rates().len() == wanted).then(|| present.skew(demand.rates(), &paces))
+    }
+
+    /// How much longer work takes at each rank than usual.
+    fn paces(&self) -> Vec<f64> {
+        self.last_round.views.iter().flatten().map(pace).collect()
+    }
+
     /// Proposes a new map, if the demand is known well enough and one is worth it.
     pub(super) fn propose(&mut self, now_ms: u64) {
         let (Some(figures), Some((_, present)), Some(demand)) = (self.figures, self.controller.present(), &self.demand)
@@ -57,8 +71,7 @@
         if demand.rates().len() != figures.sets * figures.experts || demand.weight() < enough {
             return;
         }
-        let views = self.last_round.views.iter().flatten();
-        let paces: Vec<f64> = views.map(pace).collect();
+        let paces = self.paces();
         let planner = Planner::new(plan_settings(&figures, &self.settings));
         let Some(planned) = planner.plan(present, demand.rates(), &paces) else { return };
         let planning_ms = self.agent.clock.now_ms() - now_ms;
