Let two boxes read the records of endpoints for all others

An entry that lapsed while the log was away is told on only once it is settled. Weighed: readers by data centre (boxes do not know each other's; a cut zone falls back to its own reading anyway); a group of the store's (calls, a price each).

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -8,6 +8,7 @@
 mod endpoint_pool;
 mod event_splitter;
 mod group_news;
+mod reading;
 mod repeat_budget;
 mod route_table;
 
@@ -15,6 +16,7 @@
 pub use endpoint_pool::{EndpointPool, NoPick, Outcome, Pick, ReportedLoad};
 pub use event_splitter::{EventSplitter, WholeEvents};
 pub use group_news::{GroupNews, RankNews};
+pub use reading::Reading;
 pub use repeat_budget::{RepeatBudget, RepeatLimits};
 pub use route_table::{
     CallerLimits, EngineFigures, Route, RouteKind, RouteTable, ServiceSpec, WeightedService, Workspace,
--- a/crates/ochreyard-core/src/direct/catalog.rs
+++ b/crates/ochreyard-core/src/direct/catalog.rs
@@ -38,6 +38,8 @@
 #[derive(Debug, Clone)]
 struct Kept {
     offset: u64,
+    /// The offset at which it last changed; the records after it said the same.
+    changed: u64,
     record: Option<EndpointRecord>,
 }
 
@@ -83,7 +85,10 @@
         if self.kept.get(id).is_some_and(|kept| kept.offset >= offset) {
             return None;
         }
-        let former = self.kept.insert(id.to_owned(), Kept { offset, record: record.clone() });
+        let former = self.kept.remove(id);
+        let unchanged = former.as_ref().filter(|kept| kept.record == record).map(|kept| kept.changed);
+        let changed = unchanged.unwrap_or(offset);
+        self.kept.insert(id.to_owned(), Kept { offset, changed, record: record.clone() });
         let former = former.and_then(|kept| kept.record);
         match record {
             Some(record) => {
@@ -112,9 +117,23 @@
         due.into_iter().map(EndpointChange::Gone).collect()
     }
 
-    /// All endpoints known, with the offset of their records.
-    pub fn endpoints(&self) -> impl Iterator<Item = (&str, u64, Option<&EndpointRecord>)> {
-        self.kept.iter().map(|(id, kept)| (id.as_str(), kept.offset, kept.record.as_ref()))
+    /// The endpoints that changed at `from` or later, with the offset of their change,
+    /// as another box may take them over. One whose entry lapsed, and may come back,
+    /// is left out until that is settled.
+    pub fn changed_since(&self, from: u64) -> impl Iterator<Item = (&str, u64, Option<&EndpointRecord>)> {
+        let changed = self
+            .kept
+            .iter()
+            .filter(move |(id, kept)| kept.changed >= from && !self.unconfirmed.contains_key(id.as_str()));
+        changed.map(|(id, kept)| (id.as_str(), kept.changed, kept.record.as_ref()))
+    }
+
+    /// How far another box that took over all changes has come, if the log was read up
+    /// to `next`: not beyond an entry that lapsed and is not settled.
+    #[must_use]
+    pub fn settled_until(&self, next: u64) -> u64 {
+        let unsettled = self.unconfirmed.keys().filter_map(|id| self.kept.get(id));
+        unsettled.map(|kept| kept.changed).fold(next, u64::min)
     }
 
     /// Endpoints that a whole reading of the log no longer lists are gone.
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -1,10 +1,11 @@
 //! What an entry decides that calls endpoints itself.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use ochreyard_core::direct::{
     Catalog, EndpointChange, EndpointPool, EndpointRecord, EventSplitter, GroupNews, NoPick, Outcome, RankNews,
-    RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, WeightedService, Workspace,
+    Reading, RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, WeightedService, Workspace,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -261,3 +262,59 @@
     assert!((40..160).contains(&at("e8")), "the least loaded is preferred, not flooded: {}", at("e8"));
     assert_eq!(at("e9"), 0, "the most loaded of a draw is never picked");
 }
+
+fn boxes(names: &[&str]) -> BTreeMap<String, SocketAddr> {
+    names.iter().enumerate().map(|(at, name)| ((*name).to_owned(), addr(at as u16 + 1))).collect()
+}
+
+#[test]
+fn two_boxes_read_for_all_and_the_others_agree_on_them() {
+    let names: Vec<String> = (0..9).map(|at| format!("box-{at}")).collect();
+    let others = |own: &str| {
+        let others: Vec<&str> = names.iter().map(String::as_str).filter(|name| *name != own).collect();
+        boxes(&others)
+    };
+    let asked: Vec<Option<SocketAddr>> =
+        names.iter().map(|own| Reading::new(2_000).box_to_ask(own, &others(own))).collect();
+    assert_eq!(asked.iter().filter(|asked| asked.is_none()).count(), 2, "{asked:?}");
+    let reader = names.iter().zip(&asked).find(|(_, asked)| asked.is_none()).map(|(name, _)| name).unwrap();
+    assert!(Reading::new(2_000).box_to_ask("alone", &BTreeMap::new()).is_none(), "a box alone reads for itself");
+    assert!(!reader.is_empty());
+}
+
+#[test]
+fn a_box_reads_for_itself_once_what_it_was_told_is_old_and_asks_another_one() {
+    let others = boxes(&["a", "b", "c", "d"]);
+    // Of five boxes, the last ones of the order are told; one of these names is among them.
+    let own = ["v", "w", "x", "y", "z"].into_iter().find(|own| Reading::new(2_000).box_to_ask(own, &others).is_some());
+    let own = own.expect("one of five comes after two others");
+    let mut reading = Reading::new(2_000);
+    let first = reading.box_to_ask(own, &others);
+    assert!(!reading.is_fresh(0), "nothing is known yet");
+    assert!(reading.take_told(40, 1_000, 1_300));
+    assert!(reading.is_fresh(2_100), "well within the time of 2,000 ms");
+    assert!(!reading.is_fresh(2_200));
+    assert_eq!(reading.box_to_ask(own, &others), first);
+    assert!(!reading.take_told(50, 1_000, 2_300), "it knows only what is old");
+    assert_ne!(reading.box_to_ask(own, &others), first);
+    assert!(!reading.take_told(30, 2_300, 2_300), "it has not come as far as we have");
+    assert_eq!(reading.next(), Some(40));
+}
+
+#[test]
+fn another_box_is_told_of_an_entry_that_lapsed_only_once_that_is_settled() {
+    let mut catalog = Catalog::new();
+    catalog.take("e1", 1, Some(endpoint(1)), 0);
+    catalog.take("e1", 5, Some(endpoint(1)), 0);
+    assert_eq!(catalog.changed_since(2).count(), 0, "the later record says the same");
+    catalog.on_log_away(100);
+    catalog.on_log_read(200);
+    catalog.take("e1", 7, None, 300);
+    assert_eq!(catalog.changed_since(2).count(), 0);
+    assert_eq!(catalog.settled_until(9), 7, "whoever takes this over asks from there again");
+    assert_eq!(catalog.overdue(2_400).len(), 1);
+    let told: Vec<(&str, u64, bool)> =
+        catalog.changed_since(7).map(|(id, at, record)| (id, at, record.is_some())).collect();
+    assert_eq!(told, [("e1", 7, false)]);
+    assert_eq!(catalog.settled_until(9), 9);
+}
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use ochreyard_core::direct::{Catalog, EndpointChange, EndpointPool, RepeatBudget, RepeatLimits, RouteTable};
+use ochreyard_core::direct::{Catalog, EndpointChange, EndpointPool, Reading, RepeatBudget, RepeatLimits, RouteTable};
 use ochreyard_core::hash;
 use ochreyard_process::Clock;
 
@@ -37,6 +37,8 @@
     pub config_document: Bytes,
     /// What the log says of endpoints.
     pub catalog: Catalog,
+    /// How far and how recently the records of endpoints were read, here or by another box.
+    pub reading: Reading,
     /// The endpoints as seen from here.
     pub pool: EndpointPool,
     /// Kept connections to endpoints.
@@ -67,13 +69,15 @@
 }
 
 impl<D: Dialect> Entry<D> {
-    /// An entry that knows nothing yet.
+    /// An entry that knows nothing yet. An endpoint that leaves must get no more work
+    /// after `leaving_known_ms`.
     #[must_use]
-    pub fn new(dialect: D, identity: Identity, limits: RepeatLimits, clock: Clock) -> Self {
+    pub fn new(dialect: D, identity: Identity, limits: RepeatLimits, leaving_known_ms: u64, clock: Clock) -> Self {
         let state = State {
             table: None,
             config_document: Bytes::new(),
             catalog: Catalog::new(),
+            reading: Reading::new(leaving_known_ms),
             pool: EndpointPool::new(),
             connections: ConnectionPool::default(),
             budget: RepeatBudget::new(limits, ASSUMED_BOXES),
@@ -98,6 +102,12 @@
         hash::mix(self.draws.get())
     }
 
+    /// The box to ask for records of endpoints; `None` where this one reads for the others.
+    pub fn box_to_ask(&self) -> Option<SocketAddr> {
+        let state = self.state.borrow();
+        state.reading.box_to_ask(&self.identity.name, &state.boxes)
+    }
+
     /// Takes a configuration over if it is newer than the one in force: never an
     /// older one, wherever it comes from. Says whether it did.
     pub fn take_config(&self, document: &Bytes, source: &str) -> bool {
--- a/crates/ochreyard-direct/src/fields.rs
+++ b/crates/ochreyard-direct/src/fields.rs
@@ -28,10 +28,10 @@
         about: "longest wait for the platform's log, beside the wait that a reading asks for",
     },
     FieldSpec {
-        name: "endpoints_read_ms",
-        kind: FieldKind::Number(50, 10_000),
-        default: Some("600"),
-        about: "how often the records of endpoints are read; well under the time in which a leaving one must get no work",
+        name: "leaving_known_ms",
+        kind: FieldKind::Number(250, 60_000),
+        default: Some("2000"),
+        about: "an endpoint that leaves gets no more work after this time; its records are read five times within it",
     },
     FieldSpec {
         name: "repeat_ratio",
--- a/crates/ochreyard-direct/src/follow.rs
+++ b/crates/ochreyard-direct/src/follow.rs
@@ -13,6 +13,9 @@
 /// How long one reading of the configuration waits for news. A reading whose
 /// answer is lost ends after this and the time-out; other boxes tell meanwhile.
 const CONFIG_WAIT_MS: u64 = 5_000;
+/// How often, within a pause between readings, a box that is told by others looks
+/// whether what it knows has become too old.
+const LOOKS_A_PAUSE: u32 = 4;
 /// How often the list of our own boxes is read: they change rarely.
 const BOXES_EVERY: Duration = Duration::from_secs(8);
 
@@ -53,34 +56,57 @@
     }
 }
 
-/// Reads the records of endpoints every `every`. Endpoints write several times a
-/// second in all, so a reading that waits for the next record would return at once.
-pub async fn follow_endpoints<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L, every: Duration) {
+/// Reads the records of endpoints again and again, unless another box has told of them
+/// by then. Endpoints write several times a second in all, so a reading that waits
+/// for the next record would return at once.
+pub async fn follow_endpoints<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
     loop {
+        let asked_ms = entry.clock.now_ms();
         let start = log.newest(Topic::Endpoints).await;
         let Some(page) = noted(&entry, start) else {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
         let listed: Vec<(String, u64)> = page.records.iter().map(|r| (r.key.clone(), r.offset)).collect();
-        let mut from = after_last(&page);
+        let from = after_last(&page);
         take_endpoints(&entry, &page.records);
         let now_ms = entry.clock.now_ms();
         let missing = entry.state.borrow_mut().catalog.keep_only(&listed, from, now_ms);
         entry.apply(missing);
-        loop {
-            tokio::time::sleep(every).await;
-            let Some(page) = noted(&entry, log.read(Topic::Endpoints, from, 0).await) else { break };
-            take_endpoints(&entry, &page.records);
-            from = page.next;
-            let now_ms = entry.clock.now_ms();
-            let overdue = entry.state.borrow_mut().catalog.overdue(now_ms);
-            entry.apply(overdue);
-        }
+        entry.state.borrow_mut().reading.advance(from, asked_ms);
+        while read_on(&entry, &log).await {}
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
+/// Keeps the records of endpoints fresh for one pause; `false` if the log failed.
+async fn read_on<D: Dialect, L: KeyedLog>(entry: &Rc<Entry<D>>, log: &L) -> bool {
+    let every = Duration::from_millis(entry.state.borrow().reading.pause_ms());
+    if entry.box_to_ask().is_none() {
+        tokio::time::sleep(every).await;
+    } else {
+        tokio::time::sleep(every / LOOKS_A_PAUSE).await;
+        let now_ms = entry.clock.now_ms();
+        if entry.state.borrow().reading.is_fresh(now_ms) {
+            settle_overdue(entry);
+            return true;
+        }
+    }
+    let asked_ms = entry.clock.now_ms();
+    let Some(from) = entry.state.borrow().reading.next() else { return false };
+    let Some(page) = noted(entry, log.read(Topic::Endpoints, from, 0).await) else { return false };
+    take_endpoints(entry, &page.records);
+    entry.state.borrow_mut().reading.advance(page.next, asked_ms);
+    settle_overdue(entry);
+    true
+}
+
+fn settle_overdue<D: Dialect>(entry: &Entry<D>) {
+    let now_ms = entry.clock.now_ms();
+    let overdue = entry.state.borrow_mut().catalog.overdue(now_ms);
+    entry.apply(overdue);
+}
+
 fn take_endpoints<D: Dialect>(entry: &Entry<D>, records: &[KeyedRecord]) {
     for record in records {
         entry.take_endpoint(&record.key, record.offset, record.value.as_ref());
--- a/crates/ochreyard-direct/src/peers.rs
+++ b/crates/ochreyard-direct/src/peers.rs
@@ -41,18 +41,29 @@
 pub struct PeerState {
     /// The configuration's document, unless the asker has this version or a newer one.
     pub config: Option<String>,
-    /// Endpoints, with the offset of their records.
+    /// Endpoints that changed since the offset that the asker named.
     pub endpoints: Vec<PeerEndpoint>,
+    /// How far the records of endpoints were read, and how long ago.
+    pub reading: Option<PeerReading>,
     /// Boxes by name.
     pub boxes: BTreeMap<String, SocketAddr>,
 }
 
+/// How far a box has come with the records of endpoints.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct PeerReading {
+    /// Where to read on.
+    pub next: u64,
+    /// How long ago the log was asked, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// One endpoint in a box's answer; without a record its entry has gone.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PeerEndpoint {
     /// Its identifier.
     pub id: String,
-    /// The offset of its record.
+    /// The offset of its last change.
     pub offset: u64,
     /// Its record.
     pub record: Option<EndpointRecord>,
@@ -68,15 +79,16 @@
     let state = entry.state.borrow();
     let newer = state.table.as_ref().filter(|table| version.is_none_or(|version| version < table.version()));
     let config = newer.and_then(|_| String::from_utf8(state.config_document.to_vec()).ok());
-    let wanted = query.contains_key("endpoints");
-    let endpoints = state.catalog.endpoints().filter(|_| wanted).map(|(id, offset, record)| PeerEndpoint {
-        id: id.to_owned(),
-        offset,
-        record: record.cloned(),
-    });
-    let mut boxes = if wanted { state.boxes.clone() } else { BTreeMap::new() };
+    let from = query.get("from").and_then(|from| from.parse::<u64>().ok());
+    let changed = from.into_iter().flat_map(|from| state.catalog.changed_since(from));
+    let endpoints =
+        changed.map(|(id, offset, record)| PeerEndpoint { id: id.to_owned(), offset, record: record.cloned() });
+    let age_ms = state.reading.age_ms(entry.clock.now_ms());
+    let reading = state.reading.next().filter(|_| from.is_some());
+    let reading = reading.map(|next| PeerReading { next: state.catalog.settled_until(next), age_ms });
+    let mut boxes = if query.contains_key("boxes") { state.boxes.clone() } else { BTreeMap::new() };
     boxes.insert(entry.identity.name.clone(), entry.identity.peer_addr);
-    let told = PeerState { config, endpoints: endpoints.collect(), boxes };
+    let told = PeerState { config, endpoints: endpoints.collect(), reading, boxes };
     serde_json::to_vec(&told).map(Bytes::from).unwrap_or_else(|error| {
         log::error!("event=state_unwritable error=\"{error}\"");
         Bytes::new()
@@ -124,35 +136,45 @@
     }
     let first = usize::try_from(entry.draw() % addrs.len() as u64).unwrap_or(0);
     addrs.rotate_left(first);
-    addrs.truncate(if is_well { 1 } else { ASKED_AT_ONCE });
-    addrs
+    if !is_well {
+        addrs.truncate(ASKED_AT_ONCE);
+        return addrs;
+    }
+    drop(state);
+    vec![entry.box_to_ask().unwrap_or(addrs[0])]
 }
 
 async fn ask<D: Dialect>(entry: Rc<Entry<D>>, link: Rc<CallLink>) {
     let known = entry.state.borrow().table.as_ref().map(|table| table.version());
     let version = known.map_or_else(String::new, |version| format!("version={version}&"));
     let identity = &entry.identity;
-    let endpoints = if entry.state.borrow().log_answers { "" } else { "&endpoints=1" };
-    let path = format!("{STATE_PATH}?{version}box={}&addr={}{endpoints}", identity.name, identity.peer_addr);
+    let boxes = if entry.state.borrow().log_answers { "" } else { "&boxes=1" };
+    let asked_ms = entry.clock.now_ms();
+    let from = entry.state.borrow().reading.next().unwrap_or(0);
+    let path = format!("{STATE_PATH}?{version}box={}&addr={}&from={from}{boxes}", identity.name, identity.peer_addr);
     let request = Request::get(path).header(http::header::HOST, link.addr().to_string()).body(Full::default());
     let Ok(request) = request else { return };
     let told = match link.call(request, ASK_TIMEOUT).await {
         Ok(response) => serde_json::from_slice::<PeerState>(response.body()),
         Err(error) => {
             log::debug!("event=peer_silent addr={} error=\"{error}\"", link.addr());
+            entry.state.borrow_mut().reading.pass_over();
             return;
         }
     };
     match told {
-        Ok(told) => take(&entry, told, link.addr()),
+        Ok(told) => take(&entry, told, link.addr(), asked_ms),
         Err(error) => log::warn!("event=peer_unreadable addr={} error=\"{error}\"", link.addr()),
     }
 }
 
-fn take<D: Dialect>(entry: &Entry<D>, told: PeerState, from: SocketAddr) {
+fn take<D: Dialect>(entry: &Entry<D>, told: PeerState, from: SocketAddr, asked_ms: u64) {
     if let Some(document) = told.config {
         entry.take_config(&Bytes::from(document), &format!("peer-{from}"));
     }
+    if let Some(reading) = told.reading {
+        take_reading(entry, reading, asked_ms);
+    }
     let now_ms = entry.clock.now_ms();
     for PeerEndpoint { id, offset, record } in told.endpoints {
         let change = entry.state.borrow_mut().catalog.take(&id, offset, record, now_ms);
@@ -162,3 +184,14 @@
         entry.take_box(&name, addr);
     }
 }
+
+/// Takes over how far another box has read. Where the log was away, its reader says
+/// that it is back.
+fn take_reading<D: Dialect>(entry: &Entry<D>, told: PeerReading, asked_ms: u64) {
+    let as_of_ms = asked_ms.saturating_sub(told.age_ms);
+    let now_ms = entry.clock.now_ms();
+    let mut state = entry.state.borrow_mut();
+    if state.reading.take_told(told.next, as_of_ms, now_ms) {
+        state.catalog.on_log_read(now_ms);
+    }
+}
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -54,7 +54,8 @@
         identity.life,
         std::process::id()
     );
-    let entry = Rc::new(Entry::new(dialect, identity, repeat_limits(settings), clock));
+    let entry =
+        Rc::new(Entry::new(dialect, identity, repeat_limits(settings), settings.number("leaving_known_ms"), clock));
 
     let callers = bind(settings, "callers_addr").await?;
     let ready = bind(settings, "ready_addr").await?;
@@ -90,9 +91,8 @@
 
 /// Starts what keeps the entry's knowledge fresh: the log, other boxes, the sweep of connections.
 fn start_followers<D: Dialect, L: KeyedLog>(settings: &Settings, entry: &Rc<Entry<D>>, log: L) {
-    let read_every = Duration::from_millis(settings.number("endpoints_read_ms"));
     tokio::task::spawn_local(follow::follow_config(Rc::clone(entry), log.clone()));
-    tokio::task::spawn_local(follow::follow_endpoints(Rc::clone(entry), log.clone(), read_every));
+    tokio::task::spawn_local(follow::follow_endpoints(Rc::clone(entry), log.clone()));
     tokio::task::spawn_local(follow::follow_boxes(Rc::clone(entry), log));
     tokio::task::spawn_local(peers::keep_asking(Rc::clone(entry), seeds(settings)));
     tokio::task::spawn_local(sweep(Rc::clone(entry)));
