--- a/crates/ochreyard-agent/src/main.rs
+++ b/crates/ochreyard-agent/src/main.rs
@@ -12,12 +12,16 @@
 
 use std::process::ExitCode;
 
-use ochreyard_process::{Settings, exit_for_usage, exit_for_version};
+use ochreyard_process::{Settings, exit_for_usage, exit_for_version, outlive_hangup};
 
 use crate::fields::FIELDS;
 use crate::flags::{OchreyardAgent, OchreyardAgentCmd};
 
 fn main() -> ExitCode {
+    if let Err(error) = outlive_hangup() {
+        eprintln!("ochreyard-agent: SIGHUP cannot be taken: {error}");
+        return ExitCode::FAILURE;
+    }
     exit_for_version("ochreyard-agent", env!("CARGO_PKG_VERSION"));
     let flags = OchreyardAgent::from_env().unwrap_or_else(|error| exit_for_usage("ochreyard-agent", &error));
     let result = match flags.subcommand {
--- a/crates/ochreyard-entry/src/main.rs
+++ b/crates/ochreyard-entry/src/main.rs
@@ -13,12 +13,16 @@
 
 use std::process::ExitCode;
 
-use ochreyard_process::{Settings, exit_for_usage, exit_for_version};
+use ochreyard_process::{Settings, exit_for_usage, exit_for_version, outlive_hangup};
 
 use crate::fields::FIELDS;
 use crate::flags::{Ochreyard, OchreyardCmd, ReportCmd};
 
 fn main() -> ExitCode {
+    if let Err(error) = outlive_hangup() {
+        eprintln!("ochreyard: SIGHUP cannot be taken: {error}");
+        return ExitCode::FAILURE;
+    }
     exit_for_version("ochreyard", env!("CARGO_PKG_VERSION"));
     let flags = Ochreyard::from_env().unwrap_or_else(|error| exit_for_usage("ochreyard", &error));
     match run(flags) {
--- a/crates/ochreyard-entry/tests/cli.rs
+++ b/crates/ochreyard-entry/tests/cli.rs
@@ -75,3 +75,23 @@
         assert!(said.contains(said_so), "{said_so}: {said}");
     }
 }
+
+/// The process reads its settings from a pipe, so it is past its first lines, and
+/// not yet serving, for as long as nothing is written there.
+#[test]
+fn a_hangup_during_the_start_does_not_end_the_process() {
+    let pipe = std::env::temp_dir().join(format!("ochreyard-hangup-ochreyard-{}", std::process::id()));
+    let _ = std::fs::remove_file(&pipe);
+    assert!(Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+    let mut child = Command::new(env!("CARGO_BIN_EXE_ochreyard"))
+        .args(["check".as_ref(), pipe.as_os_str()])
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut settings = std::fs::OpenOptions::new().write(true).open(&pipe).unwrap();
+    assert!(Command::new("kill").args(["-HUP", &child.id().to_string()]).status().unwrap().success());
+    std::io::Write::write_all(&mut settings, b"bogus: 1\n").unwrap();
+    drop(settings);
+    assert_eq!(child.wait().unwrap().code(), Some(1), "it read the settings and told of their faults");
+    std::fs::remove_file(&pipe).unwrap();
+}
--- a/crates/ochreyard-process/src/lib.rs
+++ b/crates/ochreyard-process/src/lib.rs
@@ -11,7 +11,7 @@
 pub use life::new_life;
 pub use logging::{LOG_LEVEL, LOG_TARGET, start_logging};
 pub use settings::{FieldKind, FieldSpec, Settings, SettingsFault, SettingsFaults, reference};
-pub use stop::stop_signal;
+pub use stop::{outlive_hangup, stop_signal};
 pub use usage::{exit_for_usage, exit_for_version};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
--- a/crates/ochreyard-process/src/stop.rs
+++ b/crates/ochreyard-process/src/stop.rs
@@ -1,7 +1,21 @@
-//! The signal for a planned stop.
+//! The signals that a process gets from its surroundings.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use signal_hook::consts::SIGHUP;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// From now on SIGHUP does not end the process. Called first of all: the signal may
+/// come while the settings are still being read, long before anything waits for it.
+///
+/// # Errors
+///
+/// When the system refuses it.
+pub fn outlive_hangup() -> std::io::Result<()> {
+    signal_hook::flag::register(SIGHUP, Arc::new(AtomicBool::new(false))).map(drop)
+}
+
 /// Waits for SIGTERM or SIGINT.
 ///
 /// # Errors
