Send a change's first orders at once; place the own hold without a round

Cause: between a proposal and its first orders lay a pause of 50 ms and a whole round, and the hold at the own rank was placed and confirmed by a round of all ranks.

Not proved: the property drives whole rounds only; a round of which the own view is fresher than the others' is the same mix of ages that each round has.

--- a/crates/ochreyard-core/src/group_map/controller.rs
+++ b/crates/ochreyard-core/src/group_map/controller.rs
@@ -117,6 +117,12 @@
         matches!(self.phase, Phase::Preparing { .. })
     }
 
+    /// Whether a hold at `rank` is to be placed and confirmed next.
+    #[must_use]
+    pub const fn is_holding_at(&self, rank: usize) -> bool {
+        matches!(self.phase, Phase::Holding { rank: at, .. } if at == rank)
+    }
+
     /// Whether ranks must be reached even where their agents are down.
     #[must_use]
     pub const fn must_reach_all(&self) -> bool {
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -41,8 +41,11 @@
 const RANK_STAGGER_MS: u64 = 60;
 /// Pause between rounds while a change is under way: well under a step, which takes 50 ms and more.
 const BUSY_PAUSE: Duration = Duration::from_millis(10);
-/// Pause between rounds while experts are copied, which takes hundreds of milliseconds.
-const COPY_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between rounds while experts are copied: a copy takes tens of milliseconds, and
+/// a round as long again.
+const COPY_PAUSE: Duration = Duration::from_millis(25);
+/// Pause before orders go out: other tasks get their turn.
+const ORDER_PAUSE: Duration = Duration::from_millis(1);
 /// Least time that a grant must still hold for orders to go out, in milliseconds: a
 /// quarter of the default lease, and many times what an order takes to arrive.
 const ORDER_MARGIN_MS: u64 = 200;
@@ -217,12 +220,28 @@
                 self.look_at_own_rank(&view).await;
             }
             self.decide();
+            if self.controller.is_holding_at(view.rank) {
+                self.hold_own_rank(&view).await;
+            }
             self.note_pace(&view);
             self.tell_entries(&view).await;
             tokio::time::sleep(self.pause()).await;
         }
     }
 
+    /// Places the hold at the own rank, and goes on with its confirmation: that takes a
+    /// call on the own box, where a round takes the way to all others.
+    async fn hold_own_rank(&mut self, view: &RankView) {
+        let orders = std::mem::take(&mut self.pending);
+        let told = self.agent.answer(&self.ask_for(view.rank, view, &orders)).await;
+        if let Some(place) = self.last_round.views.get_mut(view.rank) {
+            *place = told.view;
+        }
+        let sent = orders.into_iter().zip(told.outcomes);
+        self.last_round.outcomes = sent.map(|((rank, order), outcome)| (rank, order, outcome)).collect();
+        self.decide();
+    }
+
     /// Tells now and then how fast the group's steps are.
     fn note_pace(&mut self, view: &RankView) {
         let now_ms = self.agent.clock.now_ms();
@@ -262,6 +281,9 @@
     }
 
     fn pause(&self) -> Duration {
+        if !self.pending.is_empty() {
+            return ORDER_PAUSE;
+        }
         match self.controller.phase() {
             Phase::Idle => Duration::from_millis(self.settings.round_ms),
             Phase::Preparing { .. } => COPY_PAUSE,
@@ -295,8 +317,10 @@
         let round = std::mem::take(&mut self.last_round);
         self.pending = self.controller.on_round(&round, now_ms);
         self.last_round = round;
-        if self.controller.takes_proposal(&self.last_round.views, now_ms) {
-            self.propose(now_ms);
+        if self.controller.takes_proposal(&self.last_round.views, now_ms) && self.propose(now_ms) {
+            // The first orders need not wait for another round.
+            let views = self.last_round.views.clone();
+            self.pending = self.controller.on_round(&Round { views, outcomes: Vec::new() }, now_ms);
         }
         if *self.controller.phase() != before {
             let (switched, undone) = self.controller.counts();
--- a/crates/ochreyard-rank/src/leader/proposal.rs
+++ b/crates/ochreyard-rank/src/leader/proposal.rs
@@ -61,19 +61,20 @@
         self.last_round.views.iter().flatten().map(pace).collect()
     }
 
-    /// Proposes a new map, if the demand is known well enough and one is worth it.
-    pub(super) fn propose(&mut self, now_ms: u64) {
+    /// Proposes a new map, if the demand is known well enough and one is worth it. Says
+    /// whether it did.
+    pub(super) fn propose(&mut self, now_ms: u64) -> bool {
         let (Some(figures), Some((_, present)), Some(demand)) = (self.figures, self.controller.present(), &self.demand)
         else {
-            return;
+            return false;
         };
         let enough = demand.rates().len() as f64 * LEAST_CHOICES_PER_EXPERT;
         if demand.rates().len() != figures.sets * figures.experts || demand.weight() < enough {
-            return;
+            return false;
         }
         let paces = self.paces();
         let planner = Planner::new(plan_settings(&figures, &self.settings));
-        let Some(planned) = planner.plan(present, demand.rates(), &paces) else { return };
+        let Some(planned) = planner.plan(present, demand.rates(), &paces) else { return false };
         let planning_ms = self.agent.clock.now_ms() - now_ms;
         log::info!(
             "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0} \
@@ -84,6 +85,7 @@
             planned.saving_ms
         );
         self.controller.propose(planned.placement, planned.copies_of_rank, now_ms);
+        true
     }
 }
 
--- a/crates/ochreyard-rank/src/leader/round.rs
+++ b/crates/ochreyard-rank/src/leader/round.rs
@@ -65,7 +65,7 @@
         told
     }
 
-    fn ask_for(&self, rank: usize, view: &RankView, orders: &[(usize, SentOrder)]) -> Ask {
+    pub(super) fn ask_for(&self, rank: usize, view: &RankView, orders: &[(usize, SentOrder)]) -> Ask {
         Ask {
             leader: self.me(view),
             group: view.group.clone(),
