Bound log lines by event, and never wait for their reader

Each event may write log_lines_per_s lines a second (new setting, 50); what is left out is counted in left_out of its next line. Before a line is written the stream is asked whether it takes one (poll); a pipe that can be written to takes 4,096 bytes at once, so no request waits for whoever reads the log. Weighed: a writer thread (a wake-up a line, which the platform charges) and a non-blocking stream (would change the stream of whoever started the process).

--- a/crates/ochreyard-agent/src/fields.rs
+++ b/crates/ochreyard-agent/src/fields.rs
@@ -1,6 +1,6 @@
 //! The table of settings.
 
-use ochreyard_process::{FieldKind, FieldSpec, LOG_LEVEL, LOG_TARGET};
+use ochreyard_process::{FieldKind, FieldSpec, LOG_LEVEL, LOG_LINES_PER_S, LOG_TARGET};
 
 /// The value of `listen_addr` that stands for `agent_addr`.
 pub const SAME_AS_AGENT_ADDR: &str = "0.0.0.0:0";
@@ -98,4 +98,5 @@
     },
     LOG_LEVEL,
     LOG_TARGET,
+    LOG_LINES_PER_S,
 ];
--- a/crates/ochreyard-entry/src/fields.rs
+++ b/crates/ochreyard-entry/src/fields.rs
@@ -1,6 +1,6 @@
 //! The table of settings.
 
-use ochreyard_process::{FieldKind, FieldSpec, LOG_LEVEL, LOG_TARGET};
+use ochreyard_process::{FieldKind, FieldSpec, LOG_LEVEL, LOG_LINES_PER_S, LOG_TARGET};
 
 /// Every field of the entry's settings.
 pub const FIELDS: &[FieldSpec] = &[
@@ -101,4 +101,5 @@
     },
     LOG_LEVEL,
     LOG_TARGET,
+    LOG_LINES_PER_S,
 ];
--- a/crates/ochreyard-process/src/lib.rs
+++ b/crates/ochreyard-process/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use clock::Clock;
 pub use life::new_life;
-pub use logging::{LOG_LEVEL, LOG_TARGET, start_logging};
+pub use logging::{LOG_LEVEL, LOG_LINES_PER_S, LOG_TARGET, LineBudget, Output, event_of, start_logging};
 pub use settings::{FieldKind, FieldSpec, Settings, SettingsFault, SettingsFaults, reference};
 pub use stop::{outlive_hangup, stop_signal};
 pub use usage::{exit_for_usage, exit_for_version};
--- a/crates/ochreyard-process/src/logging.rs
+++ b/crates/ochreyard-process/src/logging.rs
@@ -1,7 +1,15 @@
-//! One line of key=value pairs for each event.
+//! One line of key=value pairs for each event, bounded in number and never waited for.
 
+mod line_budget;
+mod output;
+
+use std::io::Write;
+use std::os::fd::AsFd;
+use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+pub use self::line_budget::{LineBudget, event_of};
+pub use self::output::Output;
 use crate::settings::{FieldKind, FieldSpec, Settings};
 
 /// The setting for the least level of log lines.
@@ -20,6 +28,14 @@
     about: "where log lines go",
 };
 
+/// The setting for the bound of log lines.
+pub const LOG_LINES_PER_S: FieldSpec = FieldSpec {
+    name: "log_lines_per_s",
+    kind: FieldKind::Number(1, 100_000),
+    default: Some("50"),
+    about: "most lines of one event in a second; the next line tells in left_out how many were left out",
+};
+
 /// Starts logging as `log_level` and `log_target` of the settings say.
 ///
 /// # Errors
@@ -38,9 +54,15 @@
         let level = record.level().as_str().to_lowercase();
         out.finish(format_args!("ts_ms={at} level={level} target={} {message}", record.target()));
     });
+    let lines_per_s = settings.number("log_lines_per_s");
     let dispatch = match settings.text("log_target") {
-        "stdout" => dispatch.chain(std::io::stdout()),
-        _ => dispatch.chain(std::io::stderr()),
+        "stdout" => dispatch.chain(bounded(std::io::stdout(), lines_per_s)),
+        _ => dispatch.chain(bounded(std::io::stderr(), lines_per_s)),
     };
     dispatch.apply()
 }
+
+fn bounded(stream: impl Write + AsFd + Send + 'static, lines_per_s: u64) -> fern::Output {
+    let output = Arc::new(Output::new(stream, lines_per_s));
+    fern::Output::call(move |record| output.write(&record.args().to_string()))
+}
--- a/crates/ochreyard-rank/src/fields.rs
+++ b/crates/ochreyard-rank/src/fields.rs
@@ -1,6 +1,6 @@
 //! The table of settings of the agent of a rank.
 
-use ochreyard_process::{FieldKind, FieldSpec, LOG_LEVEL, LOG_TARGET};
+use ochreyard_process::{FieldKind, FieldSpec, LOG_LEVEL, LOG_LINES_PER_S, LOG_TARGET};
 
 /// Every field.
 pub const FIELDS: &[FieldSpec] = &[
@@ -53,4 +53,5 @@
     },
     LOG_LEVEL,
     LOG_TARGET,
+    LOG_LINES_PER_S,
 ];
