Counters and latency histograms of entries, on a metrics address of their own

Answers by service and outcome, attempts that failed, repeats, time to the answer and to a stream's start, age of the endpoints' records, version in force; at metrics_addr (deploy: 9464/metrics) and beside readiness.

--- a/crates/ochreyard-direct/src/fields.rs
+++ b/crates/ochreyard-direct/src/fields.rs
@@ -57,6 +57,12 @@
         default: Some("8"),
         about: "time between SIGTERM and the end of the process",
     },
+    FieldSpec {
+        name: "metrics_addr",
+        kind: FieldKind::Addr,
+        default: Some("0.0.0.0:0"),
+        about: "where /metrics is served alone; port 0: only at ready_addr and peer_addr",
+    },
     LOG_LEVEL,
     LOG_TARGET,
     LOG_LINES_PER_S,
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -16,7 +16,7 @@
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::given_up::GivenUp;
-use crate::refusal;
+use crate::{meters, refusal};
 
 /// Least and most time after which a caller should come back that found no room,
 /// in milliseconds: about as long as a stream runs, spread so that they do not
@@ -164,6 +164,9 @@
         if is_repeat && !state.budget.try_take(&self.service, now_ms) {
             return Err(GivenUp::Budget);
         }
+        if is_repeat {
+            meters::on_repeat(&self.service);
+        }
         Ok(pick)
     }
 
@@ -193,6 +196,7 @@
             self.note_failed_attempt(&pick, &format!("status {}", head.status));
             return None;
         }
+        meters::on_answer(&self.service, if failed { "endpoint_answered_5xx" } else { "whole" }, self.elapsed_ms());
         Some(pass_on(head.status, head.headers, AnswerBody::whole(body)))
     }
 
@@ -211,7 +215,14 @@
         self.request.attempt_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
+    /// Milliseconds since the request's head came.
+    #[must_use]
+    pub fn elapsed_ms(&self) -> u64 {
+        self.entry.clock.now_ms() - self.started_ms
+    }
+
     fn note_failure(&self, pick: &Pick, cause: &str) {
+        meters::on_failed_attempt(&self.service);
         log::info!(
             "event=attempt_failed request={} service={} endpoint={} attempt={} left_ms={} cause=\"{cause}\"",
             self.id(),
@@ -239,8 +250,9 @@
             self.service,
             self.sent,
             self.config_version,
-            self.entry.clock.now_ms() - self.started_ms
+            self.elapsed_ms()
         );
+        meters::on_answer(&self.service, kind.as_str(), self.elapsed_ms());
         let refusal = Refusal::new(kind);
         let comes_back = refusal.kind.rule().status == StatusCode::SERVICE_UNAVAILABLE;
         let (least_ms, most_ms) = COME_BACK_MS;
@@ -250,6 +262,7 @@
 
     /// A stream was broken off for good.
     pub fn note_broken_stream(&self, pick: &Pick, cause: &str) {
+        meters::on_answer(&self.service, "broken_off", self.elapsed_ms());
         log::info!(
             "event=stream_broken request={} route={} service={} endpoint={} sent={} elapsed_ms={} cause=\"{cause}\"",
             self.id(),
@@ -257,7 +270,7 @@
             self.service,
             pick.id,
             self.sent,
-            self.entry.clock.now_ms() - self.started_ms
+            self.elapsed_ms()
         );
     }
 
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -23,6 +23,7 @@
 mod job;
 mod keyed_log;
 mod link;
+mod meters;
 mod peers;
 mod refusal;
 mod relay;
--- /dev/null
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -0,0 +1,65 @@
+//! Counters and latency histograms of an entry.
+
+use std::net::SocketAddr;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+
+/// Milliseconds in a second: the exporter's convention is seconds.
+const MS_PER_S: f64 = 1_000.0;
+
+/// A caller got its final answer.
+pub fn on_answer(service: &str, outcome: &'static str, elapsed_ms: u64) {
+    let service = service.to_owned();
+    metrics::counter!("ochreyard_direct_answers_total", "service" => service.clone(), "outcome" => outcome)
+        .increment(1);
+    metrics::histogram!("ochreyard_direct_answer_seconds", "service" => service).record(elapsed_ms as f64 / MS_PER_S);
+}
+
+/// The first part of a stream goes to its caller.
+pub fn on_stream_start(service: &str, elapsed_ms: u64) {
+    let service = service.to_owned();
+    metrics::histogram!("ochreyard_direct_stream_start_seconds", "service" => service)
+        .record(elapsed_ms as f64 / MS_PER_S);
+}
+
+/// An attempt at an endpoint failed.
+pub fn on_failed_attempt(service: &str) {
+    metrics::counter!("ochreyard_direct_failed_attempts_total", "service" => service.to_owned()).increment(1);
+}
+
+/// A request is sent a second time.
+pub fn on_repeat(service: &str) {
+    metrics::counter!("ochreyard_direct_repeats_total", "service" => service.to_owned()).increment(1);
+}
+
+/// All figures as text, with those that are looked up when they are asked for.
+pub fn render<D: Dialect>(entry: &Entry<D>, handle: &PrometheusHandle) -> String {
+    let state = entry.state.borrow();
+    let now_ms = entry.clock.now_ms();
+    let version = state.table.as_ref().map_or(0, |table| table.version());
+    metrics::gauge!("ochreyard_direct_config_version").set(version as f64);
+    metrics::gauge!("ochreyard_direct_endpoint_records_age_seconds")
+        .set(state.reading.age_ms(now_ms) as f64 / MS_PER_S);
+    metrics::gauge!("ochreyard_direct_log_answers").set(f64::from(u8::from(state.log_answers)));
+    metrics::gauge!("ochreyard_direct_known_boxes").set(state.boxes.len() as f64);
+    handle.render()
+}
+
+/// Binds the metrics address. A process serves without it, too: figures alone are no
+/// reason to stay away.
+pub async fn bind(addr: SocketAddr) -> Option<TcpListener> {
+    if addr.port() == 0 {
+        return None;
+    }
+    match TcpListener::bind(addr).await {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            log::warn!("event=metrics_not_served addr={addr} error=\"{error}\"");
+            None
+        }
+    }
+}
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::answer_body::{AnswerBody, BrokenOff};
 use crate::dialect::Dialect;
 use crate::job::Job;
+use crate::meters;
 
 /// Longest pause, in pauses that are still in time, before an endpoint that is
 /// silent to everybody loses the stream to another one.
@@ -25,6 +26,7 @@
     let last_event = &job.entry.dialect.headers().last_event;
     let seen = job.request.headers.get(last_event).and_then(|value| value.to_str().ok()).map(str::to_owned);
     let head = answer.head.clone();
+    meters::on_stream_start(&job.service, job.elapsed_ms());
     let relay = Relay { job, answer: Some(answer), splitter: EventSplitter::new(seen) };
     let pieces = futures::stream::unfold(relay, |mut relay| async move {
         let piece = relay.next_piece().await?;
@@ -84,6 +86,7 @@
             Ok(None) if self.splitter.has_part() => Step::Broken("ended within an event".to_owned()),
             Ok(None) => {
                 answer.flight.set(Outcome::Good);
+                meters::on_answer(&self.job.service, "whole", self.job.elapsed_ms());
                 if let Some(answer) = self.answer.take() {
                     let entry = std::rc::Rc::clone(&self.job.entry);
                     answer.finish(&entry);
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -6,7 +6,7 @@
 
 use miette::{Context, IntoDiagnostic, Result};
 use ochreyard_core::direct::RepeatLimits;
-use ochreyard_process::{Clock, Settings, new_life, start_logging, start_metrics};
+use ochreyard_process::{Clock, Settings, keep_metrics_up, new_life, start_logging, start_metrics};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -15,7 +15,7 @@
 use crate::entry::{Entry, Identity};
 use crate::keyed_log::KeyedLog;
 use crate::server::{Phase, Side};
-use crate::{follow, peers, server};
+use crate::{follow, meters, peers, server};
 
 /// How often idle connections to endpoints are looked through.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
@@ -63,7 +63,11 @@
     let (phase, phases) = watch::channel(Phase::Open);
     tokio::task::spawn_local(server::serve_callers(Rc::clone(&entry), callers, phases));
     tokio::task::spawn_local(server::serve_side(Rc::clone(&entry), ready, Side::Ready, metrics.clone()));
-    tokio::task::spawn_local(server::serve_side(Rc::clone(&entry), peer, Side::Peers, metrics));
+    tokio::task::spawn_local(server::serve_side(Rc::clone(&entry), peer, Side::Peers, metrics.clone()));
+    if let Some(listener) = meters::bind(settings.addr("metrics_addr")).await {
+        tokio::task::spawn_local(server::serve_side(Rc::clone(&entry), listener, Side::Metrics, metrics.clone()));
+    }
+    tokio::task::spawn_local(keep_metrics_up(metrics));
     start_followers(settings, &entry, log);
 
     wait_for_stop().await?;
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -15,7 +15,7 @@
 use crate::answer_body::AnswerBody;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
-use crate::{forward, link, peers};
+use crate::{forward, link, meters, peers};
 
 /// Least size of the buffer for a head; the library needs this much.
 const LEAST_HEAD_BYTES: usize = 8_192;
@@ -91,6 +91,8 @@
     Ready,
     /// Other boxes.
     Peers,
+    /// Metrics alone.
+    Metrics,
 }
 
 /// Answers one of the small listeners until the process ends.
@@ -130,7 +132,7 @@
 ) -> Response<AnswerBody> {
     let path = request.uri().path();
     match (side, request.method(), path) {
-        (_, &Method::GET, "/metrics") => Response::new(AnswerBody::whole(metrics.render())),
+        (_, &Method::GET, "/metrics") => Response::new(AnswerBody::whole(meters::render(entry, metrics))),
         (Side::Ready, &Method::GET, _) => ready(entry),
         (Side::Peers, &Method::GET, peers::STATE_PATH) => {
             let query = request.uri().query().unwrap_or_default();
--- a/crates/ochreyard-entry/src/serve.rs
+++ b/crates/ochreyard-entry/src/serve.rs
@@ -16,7 +16,7 @@
 use ochreyard_core::routing::Policy;
 use ochreyard_peer::{LocalThread, StateSource};
 use ochreyard_platform::HttpPlatform;
-use ochreyard_process::{Clock, Settings, start_logging, start_metrics, stop_signal};
+use ochreyard_process::{Clock, Settings, keep_metrics_up, start_logging, start_metrics, stop_signal};
 use tokio::net::TcpListener;
 
 use crate::balancer::{Balancer, GetConfig};
@@ -45,6 +45,7 @@
     let clock = Clock::start();
     let incarnation = Incarnation(clock.now_us());
     let metrics = start_metrics().map_err(|error| miette::miette!("{error}"))?;
+    tokio::spawn(keep_metrics_up(metrics.clone()));
     let log = HttpPlatform::new(settings.text("platform_url"), CONFIG_STREAM, settings.number("platform_timeout_ms"))
         .into_diagnostic()?;
     let identity = EntryIdentity {
