Let callers come back after a fifth to a third of the time they have left

Cause: a fixed 0.5 to 2.5 s brought many back into the same outage, and was longer than the whole time of short requests.

--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -18,10 +18,11 @@
 use crate::given_up::GivenUp;
 use crate::{meters, refusal};
 
-/// Least and most time after which a caller should come back that found no room,
-/// in milliseconds: about as long as a stream runs, spread so that they do not
-/// come all at once.
-const COME_BACK_MS: (u64, u64) = (500, 2_500);
+/// Least and most time after which a caller should come back that found no room, as
+/// one part in this many of the time that it has left: late enough that what was in
+/// the way has likely passed, with most of its time still left then, and spread so
+/// that callers do not come all at once.
+const COME_BACK_PARTS: (u64, u64) = (5, 3);
 /// A request waits for room for one part in this many of its aim, and is refused then.
 const WAIT_SHARE_OF_AIM: u64 = 5;
 /// How often a waiting request looks for room: well under the time of a step.
@@ -255,8 +256,8 @@
         meters::on_answer(&self.service, kind.as_str(), self.elapsed_ms());
         let refusal = Refusal::new(kind);
         let comes_back = refusal.kind.rule().status == StatusCode::SERVICE_UNAVAILABLE;
-        let (least_ms, most_ms) = COME_BACK_MS;
-        let after_ms = least_ms + self.entry.draw() % (most_ms - least_ms);
+        let (least_ms, most_ms) = (self.time_left_ms() / COME_BACK_PARTS.0, self.time_left_ms() / COME_BACK_PARTS.1);
+        let after_ms = least_ms + self.entry.draw() % (most_ms - least_ms).max(1);
         refusal::response(&if comes_back { refusal.with_retry_after_ms(after_ms) } else { refusal })
     }
 
