Weigh endpoints by the time of their group's steps

A leader tells entries how long the steps of its group take of late; a request that would run in a group with longer steps counts as more load.

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -32,6 +32,8 @@
 /// known of load is some hundred milliseconds old and alike at all boxes: were the
 /// least loaded of all picked, all boxes would send there at once.
 const COMPARED: usize = 3;
+/// The step of a group that told none, in milliseconds: what engines need under usual load.
+const USUAL_STEP_MS: u64 = 70;
 /// How much more loaded a group counts whose leader has fallen silent.
 const SILENT_LEADER_COST: f64 = 2.0;
 
@@ -127,9 +129,12 @@
         member.requests(now_ms).round() < limit
     }
 
+    /// How loaded an endpoint counts: in a group with longer steps each request takes longer.
     fn pressure(&self, member: &Member, now_ms: u64) -> f64 {
-        let is_silent = self.group_of(member).is_some_and(|group| group.is_silent(now_ms));
-        member.pressure(now_ms) * if is_silent { SILENT_LEADER_COST } else { 1.0 }
+        let group = self.group_of(member);
+        let is_silent = group.is_some_and(|group| group.is_silent(now_ms));
+        let step_ms = group.and_then(|group| group.step_ms(now_ms)).unwrap_or(USUAL_STEP_MS) as f64;
+        member.pressure(now_ms) * step_ms * if is_silent { SILENT_LEADER_COST } else { 1.0 }
     }
 
     /// Whether the group of an endpoint goes on, as far as known.
@@ -152,7 +157,7 @@
             }
         }
         let group = self.groups.entry(name).or_insert_with(|| Group::new(news.is_serving, now_ms));
-        group.on_news(news.is_serving, now_ms);
+        group.on_news(news.is_serving, news.step_ms, now_ms);
     }
 
     /// An endpoint told that another rank of its group is at fault.
--- a/crates/ochreyard-core/src/direct/group_news.rs
+++ b/crates/ochreyard-core/src/direct/group_news.rs
@@ -11,6 +11,9 @@
     pub group: String,
     /// Whether its steps go on: it is whole, and does not stand.
     pub is_serving: bool,
+    /// How long its steps take of late, in milliseconds; 0 where that is not known.
+    #[serde(default)]
+    pub step_ms: u64,
     /// Its ranks, as far as their endpoints are known.
     pub ranks: Vec<RankNews>,
 }
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -161,7 +161,7 @@
         .iter()
         .map(|port| RankNews { endpoint: format!("e{port}"), running, waiting: 0, pace_permille: 1_000 })
         .collect();
-    GroupNews { service: "tiles".into(), group: format!("g{}", ports[0]), is_serving, ranks }
+    GroupNews { service: "tiles".into(), group: format!("g{}", ports[0]), is_serving, step_ms: 0, ranks }
 }
 
 #[test]
@@ -318,3 +318,11 @@
     assert_eq!(told, [("e1", 7, false)]);
     assert_eq!(catalog.settled_until(9), 9);
 }
+
+#[test]
+fn of_two_groups_the_one_with_shorter_steps_gets_more() {
+    let mut pool = pool([1, 2]);
+    pool.on_news(&GroupNews { step_ms: 100, ..news(true, &[1], 0) }, 0);
+    pool.on_news(&GroupNews { step_ms: 40, ..news(true, &[2], 1) }, 0);
+    assert!((0..20).all(|draw| pool.pick("tiles", &[], draw, 1).unwrap().id == "e2"));
+}
--- a/crates/ochreyard-rank/src/leader/entry_news.rs
+++ b/crates/ochreyard-rank/src/leader/entry_news.rs
@@ -33,6 +33,12 @@
             Some(RankNews { endpoint, running, waiting, pace_permille })
         };
         let ranks = self.last_round.views.iter().enumerate().filter_map(rank_news).collect();
-        GroupNews { service: self.service.clone(), group: view.group.clone(), is_serving, ranks }
+        GroupNews {
+            service: self.service.clone(),
+            group: view.group.clone(),
+            is_serving,
+            step_ms: self.progress.step_ms(),
+            ranks,
+        }
     }
 }
