--- /dev/null
+++ b/crates/ochreyard-core/tests/at_most_once_model/world.rs
@@ -0,0 +1,129 @@
+//! Everything in the model, and what must hold of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ochreyard_core::admission::AdmissionAction;
+use ochreyard_core::config::{Change, ConfigFold, ConfigRecord, ConfirmedPlan, LogPage, LogRecord};
+use ochreyard_core::error_kind::Run;
+use ochreyard_core::ids::{AttemptId, Incarnation, PlanId};
+
+use super::agent::Agent;
+use super::entry::Entry;
+use super::message::Message;
+use super::specs::{admission, agent_addr, first_change};
+use super::{AGENTS, ENTRIES, KEYS, MARGIN_MS};
+
+/// The model.
+pub struct World {
+    pub now_ms: u64,
+    pub step: u64,
+    pub lives: u64,
+    pub log: Vec<ConfigRecord>,
+    /// The fold of the whole log, as operators see it.
+    pub truth: ConfigFold,
+    pub agents: Vec<Agent>,
+    pub entries: Vec<Entry>,
+    pub keys: Vec<String>,
+    pub messages: Vec<Message>,
+    pub key_of: BTreeMap<AttemptId, String>,
+    pub runs: BTreeMap<String, u64>,
+    pub started: BTreeSet<AttemptId>,
+    pub said_not_run: BTreeSet<AttemptId>,
+    pub accepted: u64,
+}
+
+impl World {
+    /// A model in which nothing has been called yet.
+    pub fn new() -> Self {
+        let agent = |number: usize| {
+            let (endpoint, addr) = (number / 2, number % 2);
+            let addr = agent_addr(endpoint, addr);
+            Agent { endpoint, addr, admission: admission(endpoint, addr, 1, 0), skew_ms: 0, running: Vec::new() }
+        };
+        let mut world = Self {
+            now_ms: 1_000_000,
+            step: 1,
+            lives: 1,
+            log: Vec::new(),
+            truth: ConfigFold::new(),
+            agents: (0..AGENTS).map(agent).collect(),
+            entries: Vec::new(),
+            keys: (0..KEYS).map(|k| format!("undated-{k}")).collect(),
+            messages: Vec::new(),
+            key_of: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            started: BTreeSet::new(),
+            said_not_run: BTreeSet::new(),
+            accepted: 0,
+        };
+        for agent in 0..AGENTS {
+            world.restart_agent(agent);
+            world.agents[agent].skew_ms = agent as u64 * MARGIN_MS / 16;
+        }
+        world.entries = (0..ENTRIES).map(|_| world.new_entry()).collect();
+        world.confirm(first_change());
+        world
+    }
+
+    pub fn new_entry(&mut self) -> Entry {
+        self.lives += 1;
+        Entry::new(Incarnation(self.lives))
+    }
+
+    pub fn restart_agent(&mut self, agent: usize) {
+        self.lives += 1;
+        let (endpoint, addr) = (self.agents[agent].endpoint, self.agents[agent].addr);
+        let now_ms = self.agents[agent].own_ms(self.now_ms);
+        self.agents[agent].admission = admission(endpoint, addr, self.lives, now_ms);
+        self.agents[agent].running.clear();
+    }
+
+    pub fn confirm(&mut self, change: Change) {
+        let page = self.page(self.truth.cursor());
+        self.truth.read(&page);
+        let plan = ConfirmedPlan {
+            plan_id: PlanId::from(format!("p{}", self.log.len())),
+            base_version: self.truth.version(),
+            change,
+        };
+        self.log.push(ConfigRecord::Confirmed(plan));
+    }
+
+    pub fn page(&self, from: u64) -> LogPage {
+        let records = self.log.iter().enumerate().skip(usize::try_from(from).unwrap());
+        let records =
+            records.map(|(at, r)| LogRecord { offset: at as u64, text: serde_json::to_string(r).unwrap() }).collect();
+        LogPage { first_offset: 0, next_offset: self.log.len() as u64, records }
+    }
+
+    pub fn carry_out(&mut self, agent: usize, actions: Vec<AdmissionAction>) {
+        for action in actions {
+            match action {
+                AdmissionAction::Start(attempt) => self.start(agent, attempt),
+                AdmissionAction::Refuse { attempt, refusal } if refusal.run == Run::NotRun => {
+                    self.note_not_run(attempt);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn start(&mut self, agent: usize, attempt: AttemptId) {
+        assert!(!self.said_not_run.contains(&attempt), "{attempt} started after it was said not to run");
+        assert!(self.started.insert(attempt), "{attempt} started twice");
+        self.agents[agent].running.push(attempt);
+        self.accepted += 1;
+        let key = self.key_of[&attempt].clone();
+        let runs = self.runs.entry(key.clone()).or_default();
+        *runs += 1;
+        // An undated key may run again once the window has passed; the model's keys
+        // without a date are judged by the window tests in key_store.rs.
+        let dated = !key.starts_with("undated");
+        assert!(!dated || *runs <= 1, "{key} ran {runs} times");
+    }
+
+    pub fn note_not_run(&mut self, attempt: AttemptId) {
+        assert!(!self.started.contains(&attempt), "{attempt} was said not to run after it had started");
+        self.said_not_run.insert(attempt);
+    }
+}
