--- /dev/null
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -0,0 +1,117 @@
+//! Asks other boxes, and takes what they tell.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+
+use super::peer_endpoint::PeerEndpoint;
+use super::peer_reading::PeerReading;
+use super::peer_state::PeerState;
+use super::question::Question;
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+use crate::link::CallLink;
+
+/// How often others are asked: several times within the time in which a change
+/// must be in force.
+const ASK_EVERY: Duration = Duration::from_millis(400);
+/// Longest wait for another box.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Boxes that are asked at a time while the log gives no answer.
+const ASKED_AT_ONCE: usize = 3;
+
+/// Asks other boxes. `seeds` are addresses that are tried beside the boxes that are known.
+pub async fn keep_asking<D: Dialect>(entry: Rc<Entry<D>>, seeds: Vec<SocketAddr>) {
+    let mut links: BTreeMap<SocketAddr, Rc<CallLink>> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(ASK_EVERY).await;
+        let addrs = to_ask(&entry, &seeds);
+        for addr in addrs {
+            let link = links.entry(addr).or_insert_with(|| Rc::new(CallLink::new(addr)));
+            tokio::task::spawn_local(ask(Rc::clone(&entry), Rc::clone(link)));
+        }
+    }
+}
+
+fn to_ask<D: Dialect>(entry: &Entry<D>, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+    let state = entry.state.borrow();
+    let is_well = state.log_answers && state.table.is_some();
+    let own = entry.identity.peer_addr;
+    let mut addrs: Vec<SocketAddr> = state.boxes.values().chain(seeds).copied().filter(|addr| *addr != own).collect();
+    addrs.sort_unstable();
+    addrs.dedup();
+    if addrs.is_empty() {
+        return addrs;
+    }
+    let first = usize::try_from(entry.draw() % addrs.len() as u64).unwrap_or(0);
+    addrs.rotate_left(first);
+    if !is_well {
+        addrs.truncate(ASKED_AT_ONCE);
+        return addrs;
+    }
+    drop(state);
+    vec![entry.box_to_ask().unwrap_or(addrs[0])]
+}
+
+async fn ask<D: Dialect>(entry: Rc<Entry<D>>, link: Rc<CallLink>) {
+    let asked_ms = entry.clock.now_ms();
+    let path = question(&entry).path();
+    let request = Request::get(path).header(http::header::HOST, link.addr().to_string()).body(Full::default());
+    let Ok(request) = request else { return };
+    let told = match link.call(request, ASK_TIMEOUT).await {
+        Ok(response) => serde_json::from_slice::<PeerState>(response.body()),
+        Err(error) => {
+            log::debug!("event=peer_silent addr={} error=\"{error}\"", link.addr());
+            entry.state.borrow_mut().reading.pass_over();
+            return;
+        }
+    };
+    match told {
+        Ok(told) => take(&entry, told, link.addr(), asked_ms),
+        Err(error) => log::warn!("event=peer_unreadable addr={} error=\"{error}\"", link.addr()),
+    }
+}
+
+fn question<D: Dialect>(entry: &Entry<D>) -> Question {
+    let state = entry.state.borrow();
+    Question {
+        version: state.table.as_ref().map(|table| table.version()),
+        name: Some(entry.identity.name.clone()),
+        addr: Some(entry.identity.peer_addr),
+        from: Some(state.reading.next().unwrap_or(0)),
+        wants_boxes: !state.log_answers,
+    }
+}
+
+fn take<D: Dialect>(entry: &Entry<D>, told: PeerState, from: SocketAddr, asked_ms: u64) {
+    if let Some(document) = told.config {
+        entry.take_config(&Bytes::from(document), &format!("peer-{from}"));
+    }
+    if let Some(reading) = told.reading {
+        take_reading(entry, reading, asked_ms);
+    }
+    let now_ms = entry.clock.now_ms();
+    for PeerEndpoint { id, offset, record } in told.endpoints {
+        let change = entry.state.borrow_mut().catalog.take(&id, offset, record, now_ms);
+        entry.apply(change);
+    }
+    for (name, addr) in told.boxes {
+        entry.take_box(&name, addr);
+    }
+}
+
+/// Takes over how far another box has read. Where the log was away, its reader says
+/// that it is back.
+fn take_reading<D: Dialect>(entry: &Entry<D>, told: PeerReading, asked_ms: u64) {
+    let as_of_ms = asked_ms.saturating_sub(told.age_ms);
+    let now_ms = entry.clock.now_ms();
+    let mut state = entry.state.borrow_mut();
+    if state.reading.take_told(told.next, as_of_ms, now_ms) {
+        state.catalog.on_log_read(now_ms);
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/peers/peer_endpoint.rs
@@ -0,0 +1,15 @@
+//! One endpoint as a box tells of it.
+
+use ochreyard_core::direct::EndpointRecord;
+use serde::{Deserialize, Serialize};
+
+/// One endpoint in a box's answer; without a record its entry has gone.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PeerEndpoint {
+    /// Its identifier.
+    pub id: String,
+    /// The offset of its last change.
+    pub offset: u64,
+    /// Its record.
+    pub record: Option<EndpointRecord>,
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/peers/peer_state.rs
@@ -0,0 +1,22 @@
+//! A box's answer to another one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::peer_endpoint::PeerEndpoint;
+use super::peer_reading::PeerReading;
+
+/// What a box knows and another one may lack.
+#[derive(Debug, Clone, Serialize, Deserialize, Default)]
+pub struct PeerState {
+    /// The configuration's document, unless the asker has this version or a newer one.
+    pub config: Option<String>,
+    /// Endpoints that changed since the offset that the asker named.
+    pub endpoints: Vec<PeerEndpoint>,
+    /// How far the records of endpoints were read, and how long ago.
+    pub reading: Option<PeerReading>,
+    /// Boxes by name.
+    pub boxes: BTreeMap<String, SocketAddr>,
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/peers/tell.rs
@@ -0,0 +1,61 @@
+//! Answers a box that asks.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+
+use super::peer_endpoint::PeerEndpoint;
+use super::peer_reading::PeerReading;
+use super::peer_state::PeerState;
+use super::question::Question;
+use crate::dialect::Dialect;
+use crate::entry::{Entry, State};
+
+/// The answer to a box that asks; what it says of itself is noted.
+pub fn state_for<D: Dialect>(entry: &Entry<D>, query: &str) -> Bytes {
+    let question = Question::read(query);
+    if let (Some(name), Some(addr)) = (&question.name, question.addr) {
+        entry.take_box(name, addr);
+    }
+    let state = told(entry, &question);
+    serde_json::to_vec(&state).map(Bytes::from).unwrap_or_else(|error| {
+        log::error!("event=state_unwritable error=\"{error}\"");
+        Bytes::new()
+    })
+}
+
+/// What this box knows and the asker may lack.
+fn told<D: Dialect>(entry: &Entry<D>, question: &Question) -> PeerState {
+    let state = entry.state.borrow();
+    PeerState {
+        config: newer_config(&state, question.version),
+        endpoints: question.from.map_or_else(Vec::new, |from| changed_since(&state, from)),
+        reading: question.from.and_then(|_| reading(&state, entry.clock.now_ms())),
+        boxes: boxes(entry, &state, question.wants_boxes),
+    }
+}
+
+/// The document of the configuration, unless it is no newer than `version`.
+fn newer_config(state: &State, version: Option<u64>) -> Option<String> {
+    let table = state.table.as_ref()?;
+    let is_newer = version.is_none_or(|version| version < table.version());
+    is_newer.then(|| String::from_utf8(state.config_document.to_vec()).ok())?
+}
+
+fn changed_since(state: &State, from: u64) -> Vec<PeerEndpoint> {
+    let changed = state.catalog.changed_since(from);
+    changed.map(|(id, offset, record)| PeerEndpoint { id: id.to_owned(), offset, record: record.cloned() }).collect()
+}
+
+fn reading(state: &State, now_ms: u64) -> Option<PeerReading> {
+    let next = state.reading.next()?;
+    Some(PeerReading { next: state.catalog.settled_until(next), age_ms: state.reading.age_ms(now_ms) })
+}
+
+/// This box, and all others where they are wanted.
+fn boxes<D>(entry: &Entry<D>, state: &State, wants_all: bool) -> BTreeMap<String, SocketAddr> {
+    let mut boxes = if wants_all { state.boxes.clone() } else { BTreeMap::new() };
+    boxes.insert(entry.identity.name.clone(), entry.identity.peer_addr);
+    boxes
+}
