--- a/crates/ochreyard-direct/src/answer.rs
+++ b/crates/ochreyard-direct/src/answer.rs
@@ -6,10 +6,10 @@
 
 use crate::answer_body::AnswerBody;
 use crate::caller_request::strip_hop_by_hop;
+use crate::connection::Connection;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::flight::Flight;
-use crate::link::Connection;
 
 /// An answer whose head has come.
 pub struct Answer<D: Dialect> {
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -3,16 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{HeaderMap, Response, StatusCode, response};
-use hyper::body::Incoming;
+use http::{HeaderMap, StatusCode, response};
 use ochreyard_core::direct::{Outcome, Pick};
 
 use crate::answer::Answer;
 use crate::caller_request::CallerRequest;
+use crate::connection::Connection;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
+use crate::exchange::{ExchangeError, Exchanged, exchange};
 use crate::flight::Flight;
-use crate::link::{Connection, SendFailure};
 
 /// Longest wait for a connection to an endpoint: several round trips between
 /// data centres, and short enough to leave time for another endpoint.
@@ -48,25 +48,13 @@
     deadline_ms: u64,
 ) -> Attempt<D> {
     let flight = Flight::start(entry, &pick.id);
-    let mut out = request.to_endpoint(entry.dialect.headers(), &pick.id, deadline_ms);
-    if let Some(mut connection) = free_connection(entry, pick).await {
-        match connection.send(out).await {
-            Ok(response) => return judge(entry, request, pick, flight, connection, response),
-            Err(SendFailure::Lost(error)) => return lost(&flight, &error),
-            Err(SendFailure::NotSent(unsent)) => out = *unsent,
-        }
-    }
-    let mut connection = match Connection::open(pick.addr, CONNECT_TIMEOUT).await {
-        Ok(connection) => connection,
-        Err(error) => return not_sent(&flight, pick, &error),
-    };
-    match connection.send(out).await {
-        Ok(response) => judge(entry, request, pick, flight, connection, response),
-        Err(SendFailure::Lost(error)) => lost(&flight, &error),
-        Err(SendFailure::NotSent(_)) => {
-            flight.set(Outcome::Unreachable);
-            Attempt::NotSent
-        }
+    let out = request.to_endpoint(entry.dialect.headers(), &pick.id, deadline_ms);
+    let kept = free_connection(entry, pick).await;
+    match exchange(kept, pick.addr, CONNECT_TIMEOUT, out).await {
+        Ok(exchanged) => judge(entry, request, pick, flight, exchanged),
+        Err(ExchangeError::Lost(error)) => lost(&flight, &error),
+        Err(ExchangeError::Unreachable(error)) => unreachable(&flight, pick, &error),
+        Err(ExchangeError::ClosedAtOnce) => not_sent(&flight),
     }
 }
 
@@ -80,8 +68,12 @@
     }
 }
 
-fn not_sent<D: Dialect>(flight: &Flight<D>, pick: &Pick, error: &std::io::Error) -> Attempt<D> {
+fn unreachable<D: Dialect>(flight: &Flight<D>, pick: &Pick, error: &std::io::Error) -> Attempt<D> {
     log::info!("event=endpoint_unreachable endpoint={} addr={} error=\"{error}\"", pick.id, pick.addr);
+    not_sent(flight)
+}
+
+fn not_sent<D: Dialect>(flight: &Flight<D>) -> Attempt<D> {
     flight.set(Outcome::Unreachable);
     Attempt::NotSent
 }
@@ -97,10 +89,10 @@
     request: &CallerRequest,
     pick: &Pick,
     flight: Flight<D>,
-    connection: Connection,
-    response: Response<Incoming>,
+    exchanged: Exchanged,
 ) -> Attempt<D> {
     let names = entry.dialect.headers();
+    let Exchanged { connection, response } = exchanged;
     let (head, body) = response.into_parts();
     flight.on_heard();
     note_load(entry, &pick.id, &head.headers);
--- /dev/null
+++ b/crates/ochreyard-direct/src/call_error.rs
@@ -0,0 +1,33 @@
+//! Why a call over a [`CallLink`](crate::CallLink) gave no answer.
+
+use crate::exchange::ExchangeError;
+
+/// Why a call gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// The connection did not come up.
+    #[error("cannot connect: {0}")]
+    Connect(String),
+    /// No whole answer came in time.
+    #[error("no answer in {0} ms")]
+    Late(u128),
+    /// The connection broke.
+    #[error("connection lost: {0}")]
+    Lost(String),
+}
+
+impl From<ExchangeError> for CallError {
+    fn from(error: ExchangeError) -> Self {
+        match error {
+            ExchangeError::Unreachable(error) => Self::Connect(error.to_string()),
+            ExchangeError::Lost(error) => error.into(),
+            ExchangeError::ClosedAtOnce => Self::Lost("closed at once".to_owned()),
+        }
+    }
+}
+
+impl From<hyper::Error> for CallError {
+    fn from(error: hyper::Error) -> Self {
+        Self::Lost(error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/connection.rs
@@ -0,0 +1,92 @@
+//! A connection that this process opens: it notices a silent peer within seconds.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use crate::send_failure::SendFailure;
+
+/// How long sent bytes may stay unacknowledged, and a silent peer unheard. Well
+/// over a few retransmissions (200 ms each and more) on a link that loses packets.
+const SILENT_PEER: Duration = Duration::from_millis(2_000);
+/// How long a connection rests before the peer is probed, and the pause between probes.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Sets what every connection of this process needs: small writes go out at
+/// once, and a peer that is cut off or without power is noticed.
+///
+/// # Errors
+///
+/// When the system refuses an option.
+pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(PROBE_EVERY).with_interval(PROBE_EVERY).with_retries(2))?;
+    socket.set_tcp_user_timeout(Some(SILENT_PEER))
+}
+
+/// An HTTP connection and the task that drives it. Dropped, it is closed at
+/// once, which ends the run at the endpoint.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// When it does not come up in `timeout`.
+    pub async fn open(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
+        tune(&stream)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        let task = tokio::task::spawn_local(async move {
+            // The error reaches whoever waits for the answer.
+            drop(connection.await);
+        });
+        Ok(Self { sender, driver: task.abort_handle() })
+    }
+
+    /// Whether the peer has not closed it, as far as known.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Waits until the answer before is wholly read.
+    pub async fn is_free(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether a byte may have been written.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendFailure> {
+        self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
+            Some(request) => SendFailure::NotSent(Box::new(request)),
+            None => SendFailure::Lost(error.into_error()),
+        })
+    }
+}
--- a/crates/ochreyard-direct/src/connection_pool.rs
+++ b/crates/ochreyard-direct/src/connection_pool.rs
@@ -6,7 +6,7 @@
 
 use http::HeaderMap;
 
-use crate::link::Connection;
+use crate::connection::Connection;
 
 /// How long an idle connection is kept where the endpoint states no time of its own.
 const UNSTATED_IDLE: Duration = Duration::from_secs(2);
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -15,7 +15,7 @@
 use crate::answer_body::AnswerBody;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
-use crate::{forward, link, peers};
+use crate::{connection, forward, peers};
 
 /// Least size of the buffer for a head; the library needs this much.
 const LEAST_HEAD_BYTES: usize = 8_192;
@@ -45,7 +45,7 @@
 }
 
 async fn serve_caller<D: Dialect>(entry: Rc<Entry<D>>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
-    if let Err(error) = link::tune(&stream) {
+    if let Err(error) = connection::tune(&stream) {
         log::debug!("event=tune_refused error=\"{error}\"");
     }
     let limits = entry.state.borrow().table.as_ref().map(|table| table.limits()).unwrap_or_default();
@@ -107,7 +107,7 @@
         };
         let (entry, metrics) = (Rc::clone(&entry), metrics.clone());
         tokio::task::spawn_local(async move {
-            if let Err(error) = link::tune(&stream) {
+            if let Err(error) = connection::tune(&stream) {
                 log::debug!("event=tune_refused error=\"{error}\"");
             }
             let service = service_fn(move |request| {
