--- a/crates/ochreyard-core/src/group_map/map_change.rs
+++ b/crates/ochreyard-core/src/group_map/map_change.rs
@@ -30,24 +30,13 @@
     /// the number of sets or ranks.
     #[must_use]
     pub fn between(base: u64, before: &Experts, after: &Experts) -> Option<Self> {
-        let is_alike = |(before, after): (&Vec<Vec<u16>>, &Vec<Vec<u16>>)| before.len() == after.len();
-        if before.len() != after.len() || !before.iter().zip(after).all(is_alike) {
+        if !have_same_shape(before, after) {
             return None;
         }
         let mut changes = String::new();
         for (set, (before, after)) in before.iter().zip(after).enumerate() {
             for (rank, (before, after)) in before.iter().zip(after).enumerate() {
-                let dropped: Vec<u16> = before.iter().copied().filter(|expert| !after.contains(expert)).collect();
-                let added: Vec<u16> = after.iter().copied().filter(|expert| !before.contains(expert)).collect();
-                if dropped.is_empty() && added.is_empty() {
-                    continue;
-                }
-                put(&mut changes, u16::try_from(set).ok()?);
-                put(&mut changes, u16::try_from(rank).ok()?);
-                dropped.iter().for_each(|expert| put(&mut changes, *expert));
-                changes.push(DROPPED_END);
-                added.iter().for_each(|expert| put(&mut changes, *expert));
-                changes.push(ADDED_END);
+                put_rank(&mut changes, RankAt { set, rank }, before, after)?;
             }
         }
         Some(Self { base, changes })
@@ -74,6 +63,38 @@
     }
 }
 
+fn have_same_shape(before: &Experts, after: &Experts) -> bool {
+    let is_alike = |(before, after): (&Vec<Vec<u16>>, &Vec<Vec<u16>>)| before.len() == after.len();
+    before.len() == after.len() && before.iter().zip(after).all(is_alike)
+}
+
+/// One rank of one set.
+struct RankAt {
+    set: usize,
+    rank: usize,
+}
+
+/// Writes what changes at one rank, if anything does; `None` where a number is too large.
+fn put_rank(changes: &mut String, at: RankAt, before: &[u16], after: &[u16]) -> Option<()> {
+    let dropped = not_among(before, after);
+    let added = not_among(after, before);
+    if dropped.is_empty() && added.is_empty() {
+        return Some(());
+    }
+    put(changes, u16::try_from(at.set).ok()?);
+    put(changes, u16::try_from(at.rank).ok()?);
+    dropped.iter().for_each(|expert| put(changes, *expert));
+    changes.push(DROPPED_END);
+    added.iter().for_each(|expert| put(changes, *expert));
+    changes.push(ADDED_END);
+    Some(())
+}
+
+/// Those of `experts` that are not among `others`.
+fn not_among(experts: &[u16], others: &[u16]) -> Vec<u16> {
+    experts.iter().copied().filter(|expert| !others.contains(expert)).collect()
+}
+
 /// Reads numbers up to `end`, and `end` itself.
 fn take_until(rest: &mut &str, end: char) -> Option<Vec<u16>> {
     let mut numbers = Vec::new();
