--- /dev/null
+++ b/crates/ochreyard-direct/src/follow/config.rs
@@ -0,0 +1,42 @@
+//! Follows the configuration in the platform's log.
+
+use std::rc::Rc;
+
+use super::{RETRY_PAUSE, after_last, noted};
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+use crate::keyed_log::{KeyedLog, KeyedLogError, KeyedRecord, Topic};
+
+/// How long one reading of the configuration waits for news. A reading whose
+/// answer is lost ends after this and the time-out; other boxes tell meanwhile.
+const CONFIG_WAIT_MS: u64 = 5_000;
+
+/// Follows the configuration; each reading waits for the next record.
+pub async fn follow_config<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
+    loop {
+        let start = log.newest(Topic::Config).await;
+        let Some(page) = noted(&entry, start) else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        take_configs(&entry, &page.records);
+        let mut from = after_last(&page);
+        loop {
+            match log.read(Topic::Config, from, CONFIG_WAIT_MS).await {
+                Err(KeyedLogError::Gone { first }) if first > from => from = first,
+                result => {
+                    let Some(page) = noted(&entry, result) else { break };
+                    take_configs(&entry, &page.records);
+                    from = page.next;
+                }
+            }
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+fn take_configs<D: Dialect>(entry: &Entry<D>, records: &[KeyedRecord]) {
+    for document in records.iter().filter_map(|record| record.value.as_ref()) {
+        entry.take_config(document, "log");
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/follow/endpoints.rs
@@ -0,0 +1,82 @@
+//! Follows the records of endpoints in the platform's log, for this box or for all others.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::{RETRY_PAUSE, after_last, noted};
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+use crate::keyed_log::{KeyedLog, KeyedRecord, Topic};
+
+/// How often, within a pause between readings, a box that is told by others looks
+/// whether what it knows has become too old.
+const LOOKS_A_PAUSE: u32 = 4;
+
+/// Reads the records of endpoints again and again, unless another box has told of them
+/// by then. Endpoints write several times a second in all, so a reading that waits
+/// for the next record would return at once.
+pub async fn follow_endpoints<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
+    loop {
+        if read_newest(&entry, &log).await {
+            while read_on(&entry, &log).await {}
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Reads the newest record of every endpoint; `false` if the log failed.
+async fn read_newest<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> bool {
+    let asked_ms = entry.clock.now_ms();
+    let Some(page) = noted(entry, log.newest(Topic::Endpoints).await) else { return false };
+    let listed: Vec<(String, u64)> = page.records.iter().map(|r| (r.key.clone(), r.offset)).collect();
+    let from = after_last(&page);
+    take_endpoints(entry, &page.records);
+    let now_ms = entry.clock.now_ms();
+    let missing = entry.state.borrow_mut().catalog.keep_only(&listed, from, now_ms);
+    entry.apply(missing);
+    entry.state.borrow_mut().reading.advance(from, asked_ms);
+    true
+}
+
+/// Keeps the records of endpoints fresh for one pause; `false` if the log failed.
+async fn read_on<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> bool {
+    if is_due_after_pause(entry).await && !read_changes(entry, log).await {
+        return false;
+    }
+    settle_overdue(entry);
+    true
+}
+
+/// Waits for one pause. Says whether this box has to read by then: others may have told it enough.
+async fn is_due_after_pause<D: Dialect>(entry: &Entry<D>) -> bool {
+    let pause = Duration::from_millis(entry.state.borrow().reading.pause_ms());
+    if entry.box_to_ask().is_none() {
+        tokio::time::sleep(pause).await;
+        return true;
+    }
+    tokio::time::sleep(pause / LOOKS_A_PAUSE).await;
+    let now_ms = entry.clock.now_ms();
+    !entry.state.borrow().reading.is_fresh(now_ms)
+}
+
+/// Reads the records since the last reading; `false` if the log failed.
+async fn read_changes<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> bool {
+    let asked_ms = entry.clock.now_ms();
+    let Some(from) = entry.state.borrow().reading.next() else { return false };
+    let Some(page) = noted(entry, log.read(Topic::Endpoints, from, 0).await) else { return false };
+    take_endpoints(entry, &page.records);
+    entry.state.borrow_mut().reading.advance(page.next, asked_ms);
+    true
+}
+
+fn settle_overdue<D: Dialect>(entry: &Entry<D>) {
+    let now_ms = entry.clock.now_ms();
+    let overdue = entry.state.borrow_mut().catalog.overdue(now_ms);
+    entry.apply(overdue);
+}
+
+fn take_endpoints<D: Dialect>(entry: &Entry<D>, records: &[KeyedRecord]) {
+    for record in records {
+        entry.take_endpoint(&record.key, record.offset, record.value.as_ref());
+    }
+}
