--- a/crates/ochreyard-rank/src/agent.rs
+++ b/crates/ochreyard-rank/src/agent.rs
@@ -6,12 +6,13 @@
 use std::rc::Rc;
 
 use ochreyard_core::group_map::{
-    ChosenCounts, Experts, Grant, LeaderId, Order, OrderOutcome, RankView, SentOrder, chosen_between,
+    ChosenCounts, Grant, LeaderId, Order, OrderOutcome, RankView, SentOrder, chosen_between,
 };
 use ochreyard_process::Clock;
 
 use crate::engine::{Counts, EngineError, RankEngine};
 use crate::message::{Ask, Told};
+use crate::numbered_map::NumberedMap;
 
 /// The running counts as they stood when a leader was last told.
 #[derive(Debug, Clone)]
@@ -35,7 +36,7 @@
     grant: RefCell<Grant>,
     view: RefCell<Option<RankView>>,
     told_counts: RefCell<Option<ToldCounts>>,
-    known_map: RefCell<Option<(u64, Experts)>>,
+    known_map: RefCell<Option<NumberedMap>>,
     is_reachable: Cell<bool>,
 }
 
@@ -92,7 +93,7 @@
         let view = self.look().await;
         let chosen = if ask.wants_counts { self.chosen_for(&ask.leader).await } else { None };
         let lists = if ask.wants_lists { self.noted(self.engine.lists().await) } else { None };
-        let knows_map = self.known_map.borrow().as_ref().map(|(version, _)| *version);
+        let knows_map = self.known_map.borrow().as_ref().map(|known| known.version);
         Told { granted, holder, view, knows_map, outcomes, chosen, lists }
     }
 
@@ -124,13 +125,14 @@
         let Order::Prepare { version, map } = &sent.order else { return Some(Cow::Borrowed(sent)) };
         let mut known = self.known_map.borrow_mut();
         let Some(change) = &ask.map_change else {
-            known.replace((*version, map.clone()));
+            known.replace(NumberedMap { version: *version, experts: map.clone() });
             return Some(Cow::Borrowed(sent));
         };
-        let base = known.as_ref().filter(|(number, _)| *number == change.base);
-        let map = change.apply(&base?.1)?;
-        known.replace((*version, map.clone()));
-        Some(Cow::Owned(SentOrder { order: Order::Prepare { version: *version, map }, ..sent.clone() }))
+        let base = known.as_ref().filter(|known| known.version == change.base)?;
+        let experts = change.apply(&base.experts)?;
+        known.replace(NumberedMap { version: *version, experts: experts.clone() });
+        let order = Order::Prepare { version: *version, map: experts };
+        Some(Cow::Owned(SentOrder { order, ..sent.clone() }))
     }
 
     fn noted<T>(&self, result: Result<T, EngineError>) -> Option<T> {
--- a/crates/ochreyard-rank/src/leader/sent_maps.rs
+++ b/crates/ochreyard-rank/src/leader/sent_maps.rs
@@ -1,20 +1,14 @@
 //! The maps that ranks were sent last: one that knows the map before is sent the change only.
 
-use ochreyard_core::group_map::{Experts, MapChange, Order, SentOrder};
+use ochreyard_core::group_map::{MapChange, Order, SentOrder};
 
 use crate::message::Ask;
-
-/// A map as it was sent.
-#[derive(Debug, Clone)]
-struct SentMap {
-    version: u64,
-    experts: Experts,
-}
+use crate::numbered_map::NumberedMap;
 
 /// The newest map that was sent, and how it differs from the one before.
 #[derive(Debug, Clone, Default)]
 pub struct SentMaps {
-    newest: Option<SentMap>,
+    newest: Option<NumberedMap>,
     change: Option<MapChange>,
 }
 
@@ -29,7 +23,7 @@
             if self.newest.as_ref().is_some_and(|newest| newest.version == version) {
                 continue;
             }
-            let before = self.newest.replace(SentMap { version, experts: map.clone() });
+            let before = self.newest.replace(NumberedMap { version, experts: map.clone() });
             self.change = before.and_then(|before| MapChange::between(before.version, &before.experts, map));
         }
     }
--- a/crates/ochreyard-rank/src/lib.rs
+++ b/crates/ochreyard-rank/src/lib.rs
@@ -13,6 +13,7 @@
 mod fields;
 mod leader;
 mod message;
+mod numbered_map;
 pub mod serve;
 mod server;
 mod step_progress;
