--- a/crates/ochreyard-rank/src/agent.rs
+++ b/crates/ochreyard-rank/src/agent.rs
@@ -2,7 +2,6 @@
 
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use ochreyard_core::group_map::{
@@ -11,7 +10,7 @@
 use ochreyard_process::Clock;
 
 use crate::engine::{Counts, EngineError, RankEngine};
-use crate::message::{Ask, Told};
+use crate::message::{Ask, RankRecord, Told};
 use crate::numbered_map::NumberedMap;
 
 /// The running counts as they stood when a leader was last told.
@@ -25,10 +24,8 @@
 pub struct Agent<E> {
     /// Its own engine.
     pub engine: E,
-    /// Where that engine listens.
-    pub engine_addr: SocketAddr,
-    /// Where this agent is asked.
-    pub peer_addr: SocketAddr,
+    /// Where that engine listens, and where this agent is asked.
+    pub record: RankRecord,
     /// A number that no other life of any agent has.
     pub life: u64,
     /// Time.
@@ -42,13 +39,11 @@
 
 impl<E: RankEngine> Agent<E> {
     /// An agent that starts now.
-    pub fn new(engine: E, addrs: (SocketAddr, SocketAddr), life: u64, lease_ms: u64, clock: Clock) -> Rc<Self> {
-        let (engine_addr, peer_addr) = addrs;
+    pub fn new(engine: E, record: RankRecord, life: u64, lease_ms: u64, clock: Clock) -> Rc<Self> {
         let grant = RefCell::new(Grant::new(lease_ms, clock.now_ms()));
         Rc::new(Self {
             engine,
-            engine_addr,
-            peer_addr,
+            record,
             life,
             clock,
             grant,
@@ -140,13 +135,13 @@
         match result {
             Ok(value) => {
                 if !was_reachable {
-                    log::info!("event=engine_regained addr={}", self.engine_addr);
+                    log::info!("event=engine_regained addr={}", self.record.engine_addr);
                 }
                 Some(value)
             }
             Err(error) => {
                 if was_reachable {
-                    log::warn!("event=engine_lost addr={} error=\"{error}\"", self.engine_addr);
+                    log::warn!("event=engine_lost addr={} error=\"{error}\"", self.record.engine_addr);
                 }
                 None
             }
--- a/crates/ochreyard-rank/src/leader/register.rs
+++ b/crates/ochreyard-rank/src/leader/register.rs
@@ -6,7 +6,7 @@
 
 use super::Leader;
 use crate::engine::Engines;
-use crate::message::{RankRecord, rank_key};
+use crate::message::rank_key;
 
 /// Pause between attempts to write the rank's record: the engine starts meanwhile,
 /// or the log answers again.
@@ -17,8 +17,7 @@
     pub(super) async fn register(&mut self) {
         loop {
             if let Some(view) = self.agent.look().await {
-                let record = RankRecord { agent_addr: self.agent.peer_addr, engine_addr: self.agent.engine_addr };
-                let text = serde_json::to_vec(&record).unwrap_or_default();
+                let text = serde_json::to_vec(&self.agent.record).unwrap_or_default();
                 match self.log.append(Topic::Ranks, &rank_key(&view.group, view.rank), &text).await {
                     Ok(()) => {
                         log::info!("event=rank_registered group={} rank={}", view.group, view.rank);
--- a/crates/ochreyard-rank/src/serve.rs
+++ b/crates/ochreyard-rank/src/serve.rs
@@ -11,6 +11,7 @@
 use crate::agent::Agent;
 use crate::engine::Engines;
 use crate::leader::{Leader, LeaderSettings};
+use crate::message::RankRecord;
 use crate::server;
 
 /// Runs the agent on one thread.
@@ -36,8 +37,8 @@
     };
     let life = new_life(settings.text("agent"));
     log::info!("event=agent_started agent={} life={life} engine={engine_addr}", settings.text("agent"));
-    let addrs = (engine_addr, peer_addr);
-    let agent = Agent::new(engines.at(engine_addr), addrs, life, leading.lease_ms, Clock::start());
+    let record = RankRecord { agent_addr: peer_addr, engine_addr };
+    let agent = Agent::new(engines.at(engine_addr), record, life, leading.lease_ms, Clock::start());
     let problem = || format!("field `peer_addr`: {peer_addr} cannot be bound; choose a free address");
     let listener = TcpListener::bind(peer_addr).await.into_diagnostic().wrap_err_with(problem)?;
     tokio::task::spawn_local(server::serve(Rc::clone(&agent), listener));
