--- /dev/null
+++ b/crates/ochreyard-stand-ins/src/relay/manner.rs
@@ -0,0 +1,16 @@
+//! What a relay does at present.
+
+use std::time::Duration;
+
+use super::cut::Cut;
+
+/// What a relay does at present.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Manner {
+    /// Which directions are cut.
+    pub cut: Cut,
+    /// How long each piece is held back.
+    pub delay: Duration,
+    /// How often all connections were reset.
+    pub resets: u64,
+}
