--- a/crates/ochreyard-rank/src/agent.rs
+++ b/crates/ochreyard-rank/src/agent.rs
@@ -10,8 +10,9 @@
 use ochreyard_process::Clock;
 
 use crate::engine::{Counts, EngineError, RankEngine};
-use crate::message::{Ask, RankRecord, Told};
+use crate::message::{Ask, Told};
 use crate::numbered_map::NumberedMap;
+use crate::rank_record::RankRecord;
 
 /// The running counts as they stood when a leader was last told.
 #[derive(Debug, Clone)]
--- a/crates/ochreyard-rank/src/leader/members.rs
+++ b/crates/ochreyard-rank/src/leader/members.rs
@@ -6,7 +6,7 @@
 use ochreyard_core::group_map::RankView;
 use ochreyard_direct::{CallLink, KeyedLog, Topic};
 
-use crate::message::{RankRecord, rank_key};
+use crate::rank_record::{RankRecord, rank_key};
 
 /// Least pause between readings of the list of ranks, in milliseconds: a rank seldom
 /// moves, and each reading is a call to the log.
--- a/crates/ochreyard-rank/src/leader/register.rs
+++ b/crates/ochreyard-rank/src/leader/register.rs
@@ -6,7 +6,7 @@
 
 use super::Leader;
 use crate::engine::Engines;
-use crate::message::rank_key;
+use crate::rank_record::rank_key;
 
 /// Pause between attempts to write the rank's record: the engine starts meanwhile,
 /// or the log answers again.
--- a/crates/ochreyard-rank/src/lib.rs
+++ b/crates/ochreyard-rank/src/lib.rs
@@ -14,6 +14,7 @@
 mod leader;
 mod message;
 mod numbered_map;
+mod rank_record;
 pub mod serve;
 mod server;
 mod step_progress;
--- a/crates/ochreyard-rank/src/message.rs
+++ b/crates/ochreyard-rank/src/message.rs
@@ -1,7 +1,5 @@
 //! What a leader asks an agent, and what it is told.
 
-use std::net::SocketAddr;
-
 use ochreyard_core::group_map::{ChosenCounts, LeaderId, MapChange, OrderOutcome, RankView, SentOrder};
 use serde::{Deserialize, Serialize};
 
@@ -49,19 +47,3 @@
     /// The held experts.
     pub lists: Option<Lists>,
 }
-
-/// An agent's record in the log: where it and its engine are.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RankRecord {
-    /// Where the agent is asked.
-    pub agent_addr: SocketAddr,
-    /// Where the engine listens. Nobody calls it from here: a change of it tells that
-    /// the rank has another engine, whose counts start anew.
-    pub engine_addr: SocketAddr,
-}
-
-/// The key of a rank's record.
-#[must_use]
-pub fn rank_key(group: &str, rank: usize) -> String {
-    format!("{group}.{rank}")
-}
--- a/crates/ochreyard-rank/src/serve.rs
+++ b/crates/ochreyard-rank/src/serve.rs
@@ -11,7 +11,7 @@
 use crate::agent::Agent;
 use crate::engine::Engines;
 use crate::leader::{Leader, LeaderSettings};
-use crate::message::RankRecord;
+use crate::rank_record::RankRecord;
 use crate::server;
 
 /// Runs the agent on one thread.
