--- a/crates/ochreyard-core/src/group_map/compact_map.rs
+++ b/crates/ochreyard-core/src/group_map/compact_map.rs
@@ -24,10 +24,10 @@
 
 /// Reads the number at the start of `rest`, and goes on behind it.
 pub(super) fn take(rest: &mut &str) -> Option<u16> {
-    let (pair, after) = rest.as_bytes().split_at_checked(2)?;
+    let pair = rest.as_bytes().get(..2)?;
     let number = sign_value(pair[0])? << 6 | sign_value(pair[1])?;
     // Both are signs of one byte, so what follows is text.
-    *rest = std::str::from_utf8(after).ok()?;
+    *rest = rest.get(2..)?;
     Some(number)
 }
 
