--- a/crates/ochreyard-rank/src/lib.rs
+++ b/crates/ochreyard-rank/src/lib.rs
@@ -13,6 +13,8 @@
 mod fields;
 mod leader;
 mod message;
+mod numbered_map;
+mod rank_record;
 pub mod serve;
 mod server;
 mod step_progress;
