--- a/crates/ochreyard-core/src/direct/catalog.rs
+++ b/crates/ochreyard-core/src/direct/catalog.rs
@@ -128,12 +128,11 @@
         changed.map(|(id, kept)| (id.as_str(), kept.changed, kept.record.as_ref()))
     }
 
-    /// How far another box that took over all changes has come, if the log was read up
-    /// to `next`: not beyond an entry that lapsed and is not settled.
+    /// Whether no entry has lapsed that may come back. Until then another box that took
+    /// over all changes would miss some, and must not rely on them.
     #[must_use]
-    pub fn settled_until(&self, next: u64) -> u64 {
-        let unsettled = self.unconfirmed.keys().filter_map(|id| self.kept.get(id));
-        unsettled.map(|kept| kept.changed).fold(next, u64::min)
+    pub fn is_settled(&self) -> bool {
+        self.unconfirmed.is_empty()
     }
 
     /// Endpoints that a whole reading of the log no longer lists are gone.
--- a/crates/ochreyard-direct/src/peers/ask.rs
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -92,8 +92,10 @@
     if let Some(document) = told.config {
         entry.take_config(&Bytes::from(document), &format!("peer-{from}"));
     }
-    if let Some(reading) = told.reading {
-        take_reading(entry, reading, asked_ms);
+    match told.reading {
+        Some(reading) => take_reading(entry, reading, asked_ms),
+        // It cannot be relied on now: another box is asked next time.
+        None => entry.state.borrow_mut().reading.pass_over(),
     }
     let now_ms = entry.clock.now_ms();
     for PeerEndpoint { id, offset, record } in told.endpoints {
--- a/crates/ochreyard-direct/src/peers/tell.rs
+++ b/crates/ochreyard-direct/src/peers/tell.rs
@@ -50,7 +50,9 @@
 
 fn reading(state: &State, now_ms: u64) -> Option<PeerReading> {
     let next = state.reading.next()?;
-    Some(PeerReading { next: state.catalog.settled_until(next), age_ms: state.reading.age_ms(now_ms) })
+    // A lapsed entry that may come back is not told yet: whoever asked must not take what
+    // is told for all there is.
+    state.catalog.is_settled().then(|| PeerReading { next, age_ms: state.reading.age_ms(now_ms) })
 }
 
 /// This box, and all others where they are wanted.
