Bound the copies of one change by the time of the change itself

Cause: the copies of a change come into use together. Where one copy takes 400 ms, a change of two copies a rank holds the first back by as much, while the hottest expert alone makes most of the skew. Change: a change takes as many copies a rank as fit the time of its other parts, one at least; the rest come with the next change. Ruled out: more copies side by side (each rank has one link).

--- a/crates/ochreyard-core/src/group_map/planner.rs
+++ b/crates/ochreyard-core/src/group_map/planner.rs
@@ -86,11 +86,14 @@
         true
     }
 
-    /// Copies to one rank beyond which a change can no longer save anything.
+    /// Copies to one rank beyond which the next change should take the rest: the copies
+    /// of a change come into use together, so more of them than the change itself takes
+    /// only hold back those that help most.
     fn most_copies(&self) -> usize {
         let settings = &self.settings;
+        let batch = (settings.switch_ms / settings.copy_ms.max(1.0)).round().max(1.0);
         let fitting = (settings.horizon_ms - settings.switch_ms) / settings.copy_ms.max(1.0);
-        (fitting.max(0.0) as usize).min(MAX_COPIES)
+        (fitting.min(batch).max(0.0) as usize).min(MAX_COPIES)
     }
 
     /// The one formula: what the new map saves once it is in use, less the longer
--- a/crates/ochreyard-core/tests/group_map.rs
+++ b/crates/ochreyard-core/tests/group_map.rs
@@ -108,6 +108,17 @@
     assert!(Planner::new(dear).plan(&present, &demand, &EVEN).is_none());
 }
 
+#[rstest]
+#[case::copies_that_take_as_long_as_the_change_go_one_by_one(200.0, 1)]
+#[case::copies_that_take_half_as_long_go_in_twos(100.0, 2)]
+#[case::copies_that_take_longer_still_go(500.0, 1)]
+fn a_change_copies_no_longer_than_the_rest_of_it_takes(#[case] copy_ms: f64, #[case] most: usize) {
+    let present = GroupPlacement::dealt(2, 16, 4);
+    let demand: Vec<f64> = (0..32).map(|expert| if expert % 4 == 3 { 20.0 } else { 1.0 }).collect();
+    let planned = Planner::new(PlanSettings { copy_ms, ..SETTINGS }).plan(&present, &demand, &EVEN);
+    assert_eq!(planned.expect("worth a change").copies_of_rank, most);
+}
+
 proptest! {
     #[test]
     fn a_plan_keeps_every_expert_and_every_bound(demand in proptest::collection::vec(0.0f64..50.0, 32)) {
