Detect a shift of demand, drop old counts, and let a change under way give way

Cause: counts were not asked for during a change, so that what came after it rested on a mixture of old and new demand, and a change planned for what was no longer in demand held back the one that helps by up to half a second.

--- a/crates/ochreyard-core/src/group_map/controller.rs
+++ b/crates/ochreyard-core/src/group_map/controller.rs
@@ -146,6 +146,20 @@
         self.present = Some((version, placement));
     }
 
+    /// Whether a change has been released, and the step that begins with it is about to come.
+    #[must_use]
+    pub fn is_about_to_switch(&self, views: &[Option<RankView>]) -> bool {
+        let is_due = |view: &RankView| view.armed.is_some() && view.running > 0;
+        self.phase == Phase::Idle && views.iter().flatten().any(is_due)
+    }
+
+    /// Whether the map of this number is known: it is in use, or armed and released.
+    #[must_use]
+    pub fn knows_map_of(&self, view: &RankView) -> bool {
+        let Some((version, _)) = self.present.as_ref() else { return false };
+        *version == view.map || view.armed.is_some_and(|armed| armed.version == *version)
+    }
+
     /// Whether a new map may be proposed, given these views.
     #[must_use]
     pub fn takes_proposal(&self, views: &[Option<RankView>], now_ms: u64) -> bool {
@@ -159,6 +173,14 @@
             && views.iter().all(|view| view.armed.is_none() && view.held.is_none())
     }
 
+    /// Whether a change that has only copied so far may give way to another one. Its map
+    /// is armed nowhere, and the next one gets a higher number.
+    #[must_use]
+    pub fn may_give_way(&self, views: &[Option<RankView>]) -> bool {
+        let is_untouched = |view: &&RankView| view.armed.is_none() && view.held.is_none() && view.is_open;
+        self.is_copying() && all_of_one_epoch(views).is_some_and(|views| views.iter().all(is_untouched))
+    }
+
     /// Starts a change; `copies_of_rank` is the most that one rank copies.
     pub fn propose(&mut self, placement: GroupPlacement, copies_of_rank: usize, now_ms: u64) {
         let version = self.next_version();
--- a/crates/ochreyard-core/src/group_map/controller/orders.rs
+++ b/crates/ochreyard-core/src/group_map/controller/orders.rs
@@ -34,7 +34,10 @@
             Phase::Idle => Vec::new(),
             Phase::Preparing { version } => {
                 let Some(target) = &self.target else { return Vec::new() };
-                let lacks = |rank: &usize| views[*rank].prepared != Some(version) && !views[*rank].is_busy;
+                // A rank that still copies for a change which gave way takes the new one at once.
+                let is_first = self.next_sent_ms == self.since_ms;
+                let lacks =
+                    |rank: &usize| views[*rank].prepared != Some(version) && (is_first || !views[*rank].is_busy);
                 let map = target.sets();
                 ranks.filter(lacks).map(|rank| (rank, Order::Prepare { version, map: map.to_vec() })).collect()
             }
--- a/crates/ochreyard-core/tests/group_map.rs
+++ b/crates/ochreyard-core/tests/group_map.rs
@@ -8,6 +8,7 @@
 use ochreyard_core::group_map::{
     ChosenCounts, Demand, Experts, GroupPlacement, MapChange, Order, PlanSettings, Planner, chosen_between,
 };
+use ochreyard_core::hash;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -147,6 +148,51 @@
     assert_eq!(chosen_between(&[5, 7], &[2, 8]), [2, 8]);
 }
 
+/// Choices of 16 experts of which `hot` gets half.
+fn reading(hot: usize) -> Vec<f64> {
+    (0..16).map(|expert| if expert == hot { 320.0 } else { 320.0 / 15.0 }).collect()
+}
+
+#[test]
+fn a_shift_drops_all_earlier_counts() {
+    let mut demand = Demand::new(16, 1_000.0);
+    for round in 0..5 {
+        assert!(!demand.add(&reading(3), round * 100));
+    }
+    // The shift came within this reading: half of it is old.
+    let half: Vec<f64> = reading(3).iter().zip(reading(7)).map(|(old, new)| (old + new) / 2.0).collect();
+    assert!(demand.add(&half, 500));
+    assert!(demand.is_mixed());
+    assert!(!demand.add(&reading(7), 600));
+    assert!(!demand.is_mixed());
+    assert_eq!(demand.rates(), reading(7));
+}
+
+proptest! {
+    /// 100 readings of 640 choices each, drawn by chance from one demand.
+    #[test]
+    fn chance_alone_is_seldom_taken_for_a_shift(seed in any::<u64>()) {
+        let mut demand = Demand::new(16, 150.0);
+        let alarms = (0..100u64).filter(|round| {
+            let mut chosen = vec![0.0; 16];
+            for draw in 0..640u64 {
+                let drawn = hash::mix(seed ^ (round * 640 + draw));
+                chosen[if drawn % 2 == 0 { 3 } else { (drawn / 2 % 16) as usize }] += 1.0;
+            }
+            demand.add(&chosen, round * 100)
+        });
+        prop_assert!(alarms.count() <= 1);
+    }
+}
+
+#[test]
+fn few_choices_are_no_shift() {
+    let mut demand = Demand::new(16, 150.0);
+    demand.add(&reading(3), 0);
+    let few: Vec<f64> = reading(7).iter().map(|count| count / 64.0).collect();
+    assert!(!demand.add(&few, 100));
+}
+
 proptest! {
     #[test]
     fn an_order_is_read_as_it_was_written(
--- a/crates/ochreyard-core/tests/group_map_model/mod.rs
+++ b/crates/ochreyard-core/tests/group_map_model/mod.rs
@@ -12,6 +12,10 @@
 const LEASE_MS: u64 = 300;
 const TICK_MS: u64 = 10;
 const STEP_MS: u64 = 50;
+/// Time to copy the experts of one change.
+const COPY_MS: u64 = 80;
+/// One round in so many in which a leader would rather change to another map.
+const GIVES_WAY_ONE_IN: u64 = 12;
 
 /// Even numbers from a seed.
 pub struct Draws(u64);
@@ -31,6 +35,8 @@
 struct Engine {
     map: (u64, u64),
     highest: u64,
+    /// The map whose experts are being copied, and when they are there.
+    copying: Option<(u64, u64, u64)>,
     prepared: Option<(u64, u64)>,
     armed: Option<(u64, u64, u64)>,
     held: Option<u64>,
@@ -149,6 +155,7 @@
                 self.inject();
             }
             self.carry_out_late();
+            self.end_copies();
             self.advance_steps()?;
             for at in 0..RANKS {
                 self.act(at);
@@ -199,6 +206,15 @@
         }
     }
 
+    fn end_copies(&mut self) {
+        let now_ms = self.now_ms;
+        for engine in &mut self.engines {
+            if let Some((version, content, _)) = engine.copying.take_if(|(.., until_ms)| *until_ms <= now_ms) {
+                engine.prepared = Some((version, content));
+            }
+        }
+    }
+
     fn advance_steps(&mut self) -> Result<(), String> {
         let next = self.step + 1;
         let is_held = self.engines.iter().any(|engine| engine.held == Some(next));
@@ -232,6 +248,7 @@
 
     fn carry_out(&mut self, rank: usize, sent: &SentOrder) -> OrderOutcome {
         let step = self.step;
+        let copied_ms = self.now_ms + COPY_MS;
         let engine = &mut self.engines[rank];
         let fits = sent.epoch == self.epoch;
         let taken = fits
@@ -240,7 +257,9 @@
                     let allowed = *version > engine.highest && engine.armed.is_none();
                     if allowed {
                         engine.highest = *version;
-                        engine.prepared = Some((*version, content_of(map)));
+                        // What was copied for the map before is dropped.
+                        engine.prepared = None;
+                        engine.copying = Some((*version, content_of(map), copied_ms));
                     }
                     allowed
                 }
@@ -296,6 +315,7 @@
             is_open: true,
             step: self.step,
             map: engine.map.0,
+            is_busy: engine.copying.is_some(),
             prepared: engine.prepared.map(|(version, _)| version),
             armed: engine.armed.map(|(version, _, step)| Armed { version, step: Some(step) }),
             held: engine.held,
@@ -353,6 +373,7 @@
         let epoch_map = self.engines[0].map;
         let freeze = self.has_faults && self.draws.one_in(60);
         let freeze_ms = 30 + self.draws.below(1_200);
+        let wants_another = self.has_faults && self.draws.one_in(GIVES_WAY_ONE_IN);
         let candidate = &mut self.candidates[at];
         let round = Round { views, outcomes: std::mem::take(&mut candidate.outcomes) };
         if !candidate.leadership.holds(RANKS, now_ms, 50) {
@@ -371,7 +392,8 @@
             }
         }
         candidate.pending = candidate.controller.on_round(&round, now_ms);
-        if candidate.controller.takes_proposal(&round.views, now_ms) {
+        let gives_way = wants_another && candidate.controller.may_give_way(&round.views);
+        if gives_way || candidate.controller.takes_proposal(&round.views, now_ms) {
             candidate.asked += 1;
             let number = hash::mix(candidate.life * 1000 + candidate.asked);
             candidate.controller.propose(variant(number % 24), 1, now_ms);
--- a/crates/ochreyard-rank/src/leader/decision.rs
+++ b/crates/ochreyard-rank/src/leader/decision.rs
@@ -36,7 +36,7 @@
         let round = std::mem::take(&mut self.last_round);
         self.pending = self.controller.on_round(&round, now_ms);
         self.last_round = round;
-        if self.controller.takes_proposal(&self.last_round.views, now_ms) && self.propose(now_ms) {
+        if self.takes_proposal(now_ms) && self.propose(now_ms) {
             // The first orders need not wait for another round.
             let views = self.last_round.views.clone();
             self.pending = self.controller.on_round(&Round { views, outcomes: Vec::new() }, now_ms);
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Whether a map may be proposed: while none changes, or in place of a change that was
+    /// planned for what is no longer in demand.
+    fn takes_proposal(&self, now_ms: u64) -> bool {
+        let views = &self.last_round.views;
+        self.controller.takes_proposal(views, now_ms) || (self.is_outdated && self.controller.may_give_way(views))
+    }
+
     /// Tells once a second what a change that does not end waits for.
     fn note_stuck(&mut self, now_ms: u64) {
         if !self.controller.is_busy() {
@@ -66,6 +73,7 @@
             return ORDER_PAUSE;
         }
         match self.controller.phase() {
+            Phase::Idle if self.controller.is_about_to_switch(&self.last_round.views) => BUSY_PAUSE,
             Phase::Idle => Duration::from_millis(self.settings.round_ms),
             Phase::Preparing { .. } => COPY_PAUSE,
             _ => BUSY_PAUSE,
--- a/crates/ochreyard-rank/src/leader/proposal.rs
+++ b/crates/ochreyard-rank/src/leader/proposal.rs
@@ -29,7 +29,11 @@
         }
         let now_ms = self.agent.clock.now_ms();
         let fade_ms = self.settings.fade_ms as f64;
-        self.demand.get_or_insert_with(|| Demand::new(chosen.len(), fade_ms)).add(chosen, now_ms);
+        let demand = self.demand.get_or_insert_with(|| Demand::new(chosen.len(), fade_ms));
+        if demand.add(chosen, now_ms) {
+            self.is_outdated = true;
+            log::info!("event=demand_shifted service={} phase={:?}", self.service, self.controller.phase());
+        }
     }
 
     /// Takes the map in use from what all ranks hold, if all told of the same map.
@@ -69,7 +73,7 @@
             return false;
         };
         let enough = demand.rates().len() as f64 * LEAST_CHOICES_PER_EXPERT;
-        if demand.rates().len() != figures.sets * figures.experts || demand.weight() < enough {
+        if demand.rates().len() != figures.sets * figures.experts || demand.weight() < enough || demand.is_mixed() {
             return false;
         }
         let paces = self.paces();
@@ -84,6 +88,7 @@
             planned.copies_of_rank,
             planned.saving_ms
         );
+        self.is_outdated = false;
         self.controller.propose(planned.placement, planned.copies_of_rank, now_ms);
         true
     }
--- a/crates/ochreyard-rank/src/leader/round.rs
+++ b/crates/ochreyard-rank/src/leader/round.rs
@@ -19,7 +19,11 @@
         let asked_ms = self.agent.clock.now_ms();
         let orders = std::mem::take(&mut self.pending);
         self.sent_maps.note(&orders);
+        let asks_counts = self.wants_counts();
         let told = self.ask_all(view, &orders, reaches_engines).await;
+        if asks_counts {
+            self.counts_asked_ms = asked_ms;
+        }
         self.take(told, &orders, asked_ms)
     }
 
@@ -70,17 +74,23 @@
             leader: self.me(view),
             group: view.group.clone(),
             orders: orders.iter().filter(|(to, _)| *to == rank).map(|(_, order)| order.clone()).collect(),
-            // During a change rounds should be short; what is chosen meanwhile is told after it.
-            wants_counts: !self.controller.is_busy(),
+            wants_counts: self.wants_counts(),
             wants_lists: !self.knows_present(),
             map_change: None,
             releases: false,
         }
     }
 
+    /// While experts are copied, rounds come faster than counts are worth asking for. While
+    /// a step is held, rounds should be short; what is chosen meanwhile is told after it.
+    fn wants_counts(&self) -> bool {
+        let are_due = self.agent.clock.now_ms() >= self.counts_asked_ms + self.settings.round_ms;
+        !self.controller.is_busy() || (self.controller.is_copying() && are_due)
+    }
+
     fn knows_present(&self) -> bool {
-        let map = self.last_round.views.iter().flatten().next().map(|view| view.map);
-        map.is_some() && self.controller.present().map(|(version, _)| *version) == map
+        let view = self.last_round.views.iter().flatten().next();
+        view.is_some_and(|view| self.controller.knows_map_of(view))
     }
 
     /// Takes the answers. Says who else is granted, if an answer names somebody.
