Place a hold that was lost anew, with the copies that are there

Change: once the step has begun the hold can no longer take effect, nothing is armed, and the next step ahead is held.

--- a/crates/ochreyard-core/src/group_map/controller.rs
+++ b/crates/ochreyard-core/src/group_map/controller.rs
@@ -330,21 +330,30 @@
     fn advance_preparing(&mut self, views: &[&RankView], version: u64, now_ms: u64) {
         if views.iter().all(|view| view.prepared == Some(version)) {
             self.refused_in_turn = 0;
-            let step = newest_step(views) + self.settings.lead_steps;
-            self.clear_from = Some(step);
-            let rank = self.own_rank.min(views.len() - 1);
-            self.enter(Phase::Holding { version, step, rank }, now_ms);
+            self.hold_ahead(views, version, now_ms);
         } else if self.waited_ms(now_ms) > self.timeout_ms {
             self.give_up(now_ms);
         }
     }
 
+    /// Holds a step that no hold was ever placed for.
+    fn hold_ahead(&mut self, views: &[&RankView], version: u64, now_ms: u64) {
+        let step = newest_step(views) + self.settings.lead_steps;
+        self.clear_from = Some(step);
+        let rank = self.own_rank.min(views.len() - 1);
+        self.enter(Phase::Holding { version, step, rank }, now_ms);
+    }
+
     fn advance_holding(&mut self, views: &[&RankView], hold: (u64, u64, usize), now_ms: u64) {
         let (version, step, rank) = hold;
         if views[rank].held == Some(step) {
             self.held_step = step;
             self.enter(Phase::Arming { version, step }, now_ms);
-        } else if self.waited_ms(now_ms) > self.settings.hold_timeout_ms || newest_step(views) >= step {
+        } else if newest_step(views) >= step {
+            // The hold was lost, and comes too late from now on. Nothing is armed, and the
+            // copies are there.
+            self.hold_ahead(views, version, now_ms);
+        } else if self.waited_ms(now_ms) > self.settings.hold_timeout_ms {
             self.undo(now_ms);
         }
     }
