Take the old choices out of the reading in which a shift came

Cause: of the reading in which a shift came nobody knew how much was old, and the next one was waited for: 0.13 s of the 0.75 s after a shift. Change: experts that are no longer liked tell the old part (the quarter of the liked choices that fell most); it is taken out, and the rest is planned on.

--- a/crates/ochreyard-core/src/group_map/demand.rs
+++ b/crates/ochreyard-core/src/group_map/demand.rs
@@ -13,6 +13,14 @@
 /// Least choices for each expert, on the mean, for which a distance says anything.
 const LEAST_CHOICES_PER_EXPERT: f64 = 4.0;
 
+/// Experts chosen at least this many times as often as the mean one tell how much of a
+/// reading is old.
+const LIKED_FACTOR: f64 = 2.0;
+/// Share of the choices of liked experts that a shift moves at the least.
+const MOVED_SHARE: f64 = 0.25;
+/// Largest part of a reading that may be old for the rest to say what is in demand now.
+const MOST_OLD: f64 = 0.6;
+
 /// Shares of the demand by set and expert, with old counts fading.
 #[derive(Debug, Clone)]
 pub struct Demand {
@@ -36,14 +44,44 @@
     pub fn add(&mut self, chosen: &[f64], now_ms: u64) -> bool {
         let age_ms = now_ms.saturating_sub(self.last_ms) as f64;
         self.last_ms = now_ms;
-        let has_shifted = !self.is_mixed && self.notes_shift(chosen);
-        // Of the reading in which the shift came, nobody knows how much is old.
-        let keep = if self.is_mixed || has_shifted { 0.0 } else { (-age_ms / self.fade_ms).exp() };
-        self.is_mixed = has_shifted;
+        if !self.is_mixed && self.notes_shift(chosen) {
+            self.keep_only_new(chosen);
+            return true;
+        }
+        let keep = if self.is_mixed { 0.0 } else { (-age_ms / self.fade_ms).exp() };
+        self.is_mixed = false;
         for (rate, more) in self.rates.iter_mut().zip(chosen) {
             *rate = *rate * keep + more;
         }
-        has_shifted
+        false
+    }
+
+    /// Takes the old choices out of the reading in which a shift came: waiting for the next
+    /// one takes a round, in which steps are long.
+    fn keep_only_new(&mut self, chosen: &[f64]) {
+        let old_part = self.old_part(chosen);
+        let scale = old_part * chosen.iter().sum::<f64>() / self.weight();
+        for (rate, more) in self.rates.iter_mut().zip(chosen) {
+            *rate = (more - *rate * scale).max(0.0);
+        }
+        self.is_mixed = old_part > MOST_OLD;
+    }
+
+    /// How much of a reading came before the shift: experts that are no longer liked were
+    /// chosen only then, as often as before.
+    fn old_part(&self, chosen: &[f64]) -> f64 {
+        let (known, newest) = (self.weight(), chosen.iter().sum::<f64>());
+        let liked = LIKED_FACTOR * known / self.rates.len() as f64;
+        let pairs = self.rates.iter().zip(chosen).filter(|(rate, _)| **rate >= liked);
+        let mut kept: Vec<(f64, f64)> = pairs.map(|(rate, more)| (more / newest * known / rate, *rate)).collect();
+        kept.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        let moved = MOVED_SHARE * kept.iter().map(|(_, rate)| rate).sum::<f64>();
+        let mut seen = 0.0;
+        let at_moved = kept.iter().find(|(_, rate)| {
+            seen += rate;
+            seen >= moved
+        });
+        at_moved.map_or(0.0, |(part, _)| part.min(1.0))
     }
 
     /// Whether the newest counts lie farther from the earlier ones than chance explains.
@@ -65,7 +103,7 @@
         (known >= least && newest >= least).then(|| apart.sum::<f64>() / 2.0)
     }
 
-    /// Whether the newest counts are those in which a shift came: a part of them is old.
+    /// Whether the newest counts are those in which a shift came, and most of them are old.
     #[must_use]
     pub const fn is_mixed(&self) -> bool {
         self.is_mixed
