Let callers of a service that is down come back as late as they wait

Cause: while a data centre is cut off, its groups stand for 4.5 to 6.5 s, and callers that were refused came back after 1.6 to 2.7 s, to be refused again. Change: where all groups of a service are known to be down, callers come back after 0.29 to 0.33 of the time that they have left; a third is the most that they wait.

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -118,6 +118,13 @@
         Ok(Pick { id: id.to_owned(), addr: member.record.addr, in_flight: member.in_flight })
     }
 
+    /// Whether all groups of a service are known to stand or to be broken.
+    #[must_use]
+    pub fn is_down(&self, service: &str, now_ms: u64) -> bool {
+        let mut members = self.of_service(service).filter(|(_, member)| !member.record.is_leaving).peekable();
+        members.peek().is_some() && members.all(|(_, member)| !self.is_serving(member, now_ms))
+    }
+
     fn group_of(&self, member: &Member) -> Option<&Group> {
         member.group.as_ref().and_then(|name| self.groups.get(name))
     }
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -328,3 +328,16 @@
     pool.on_news(&GroupNews { step_ms: 40, ..news(true, &[2], 1) }, 0);
     assert!((0..20).all(|draw| pool.pick("tiles", &[], draw, 1).unwrap().id == "e2"));
 }
+
+#[test]
+fn a_service_is_down_only_while_none_of_its_groups_goes_on() {
+    let mut pool = pool([1, 2]);
+    assert!(!pool.is_down("tiles", 0), "nobody told of a group yet");
+    pool.on_news(&news(false, &[1], 0), 0);
+    assert!(!pool.is_down("tiles", 1));
+    pool.on_news(&news(false, &[2], 0), 1);
+    assert!(pool.is_down("tiles", 2));
+    assert!(!pool.is_down("other", 2), "a service without endpoints is not known to be down");
+    pool.on_news(&news(true, &[2], 0), 3);
+    assert!(!pool.is_down("tiles", 4));
+}
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -22,7 +22,10 @@
 /// one part in this many of the time that it has left: late enough that what was in
 /// the way has likely passed, with most of its time still left then, and spread so
 /// that callers do not come all at once.
-const COME_BACK_PARTS: (u64, u64) = (5, 3);
+const COME_BACK_PARTS: (f64, f64) = (5.0, 3.0);
+/// The same where all groups of the service are down: a group that forms anew takes
+/// seconds, so nearly the longest time that callers wait for.
+const COME_BACK_PARTS_DOWN: (f64, f64) = (3.4, 3.0);
 /// A request waits for room for one part in this many of its aim, and is refused then.
 const WAIT_SHARE_OF_AIM: u64 = 5;
 /// How often a waiting request looks for room: well under the time of a step.
@@ -256,9 +259,16 @@
         meters::on_answer(&self.service, kind.as_str(), self.elapsed_ms());
         let refusal = Refusal::new(kind);
         let comes_back = refusal.kind.rule().status == StatusCode::SERVICE_UNAVAILABLE;
-        let (least_ms, most_ms) = (self.time_left_ms() / COME_BACK_PARTS.0, self.time_left_ms() / COME_BACK_PARTS.1);
-        let after_ms = least_ms + self.entry.draw() % (most_ms - least_ms).max(1);
-        refusal::response(&if comes_back { refusal.with_retry_after_ms(after_ms) } else { refusal })
+        refusal::response(&if comes_back { refusal.with_retry_after_ms(self.come_back_ms()) } else { refusal })
+    }
+
+    /// When a caller should come back, in milliseconds.
+    fn come_back_ms(&self) -> u64 {
+        let is_down = self.entry.state.borrow().pool.is_down(&self.service, self.entry.clock.now_ms());
+        let (least, most) = if is_down { COME_BACK_PARTS_DOWN } else { COME_BACK_PARTS };
+        let left_ms = self.time_left_ms() as f64;
+        let (least_ms, most_ms) = ((left_ms / least) as u64, (left_ms / most) as u64);
+        least_ms + self.entry.draw() % (most_ms - least_ms).max(1)
     }
 
     /// A stream was broken off for good.
