--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -16,6 +16,7 @@
 mod order;
 mod placement;
 mod planner;
+mod shift_times;
 
 pub use chosen_counts::ChosenCounts;
 pub use controller::{Controller, ControllerSettings, Phase, Round};
@@ -27,3 +28,4 @@
 pub use order::{Armed, Order, OrderOutcome, RankView, SentOrder};
 pub use placement::GroupPlacement;
 pub use planner::{PlanSettings, Planned, Planner};
+pub use shift_times::{ShiftAnswer, ShiftTimes};
--- a/crates/ochreyard-core/tests/group_map.rs
+++ b/crates/ochreyard-core/tests/group_map.rs
@@ -223,7 +223,7 @@
             let mut chosen = vec![0.0; 16];
             for draw in 0..640u64 {
                 let drawn = hash::mix(seed ^ (round * 640 + draw));
-                chosen[if drawn % 2 == 0 { 3 } else { (drawn / 2 % 16) as usize }] += 1.0;
+                chosen[if drawn.is_multiple_of(2) { 3 } else { (drawn / 2 % 16) as usize }] += 1.0;
             }
             demand.add(&chosen, round * 100)
         });
--- a/crates/ochreyard-core/tests/map_change.rs
+++ b/crates/ochreyard-core/tests/map_change.rs
@@ -1,7 +1,8 @@
 //! One change of a group's map, round by round, against views written by hand.
 
 use ochreyard_core::group_map::{
-    Armed, Controller, ControllerSettings, GroupPlacement, Order, Phase, RankView, Round, SentOrder,
+    Armed, Controller, ControllerSettings, GroupPlacement, Order, Phase, RankView, Round, SentOrder, ShiftAnswer,
+    ShiftTimes,
 };
 
 const RANKS: usize = 3;
@@ -96,3 +97,33 @@
         views(&armed).into_iter().flatten().map(|view| Some(RankView { running: 0, ..view })).collect::<Vec<_>>();
     assert!(!controller.is_about_to_switch(&idle));
 }
+
+#[test]
+fn the_time_to_answer_a_shift_is_told_by_part() {
+    let holding = Phase::Holding { version: 1, step: 9, rank: 0 };
+    let mut times = ShiftTimes::default();
+    times.on_shift(100);
+    times.on_proposed(230);
+    assert_eq!(times.on_phase(&Phase::Preparing { version: 1 }, 230), None);
+    assert_eq!(times.on_phase(&holding, 700), None);
+    let answer = ShiftAnswer { proposed_ms: 130, copied_ms: 470, switched_ms: 50 };
+    assert_eq!(times.on_phase(&Phase::Idle, 750), Some(answer));
+    assert_eq!(times.on_phase(&Phase::Idle, 800), None, "told once");
+}
+
+#[test]
+fn a_change_from_before_a_shift_does_not_answer_it() {
+    let holding = Phase::Holding { version: 1, step: 9, rank: 0 };
+    let mut times = ShiftTimes::default();
+    times.on_proposed(50);
+    times.on_shift(100);
+    assert_eq!(times.on_phase(&holding, 120), None);
+    assert_eq!(times.on_phase(&Phase::Idle, 150), None);
+    times.on_proposed(200);
+    times.on_phase(&Phase::Undoing, 300);
+    assert_eq!(times.on_phase(&Phase::Idle, 320), None, "it came to nothing");
+    times.on_proposed(400);
+    times.on_phase(&holding, 800);
+    let answer = ShiftAnswer { proposed_ms: 300, copied_ms: 400, switched_ms: 30 };
+    assert_eq!(times.on_phase(&Phase::Idle, 830), Some(answer));
+}
--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -18,7 +18,7 @@
 
 use ochreyard_core::direct::EngineFigures;
 use ochreyard_core::group_map::{
-    Controller, ControllerSettings, Demand, LeaderId, Leadership, RankView, Round, SentOrder,
+    Controller, ControllerSettings, Demand, LeaderId, Leadership, RankView, Round, SentOrder, ShiftTimes,
 };
 use ochreyard_direct::{Dialect, KeyedLog};
 
@@ -55,6 +55,7 @@
     demand: Option<Demand>,
     counts_asked_ms: u64,
     is_outdated: bool,
+    shift_times: ShiftTimes,
     leaderless_since_ms: Option<u64>,
     waits_until_ms: u64,
     pending: Vec<(usize, SentOrder)>,
@@ -92,6 +93,7 @@
             demand: None,
             counts_asked_ms: 0,
             is_outdated: false,
+            shift_times: ShiftTimes::default(),
             leaderless_since_ms: None,
             waits_until_ms: 0,
             pending: Vec::new(),
--- a/crates/ochreyard-rank/src/leader/decision.rs
+++ b/crates/ochreyard-rank/src/leader/decision.rs
@@ -44,6 +44,7 @@
         if *self.controller.phase() != before {
             let (switched, undone) = self.controller.counts();
             log::info!("event=map_phase phase={:?} switched={switched} undone={undone}", self.controller.phase());
+            self.note_answer(now_ms);
         }
     }
 
@@ -54,6 +55,18 @@
         self.controller.takes_proposal(views, now_ms) || (self.is_outdated && self.controller.may_give_way(views))
     }
 
+    /// Tells how long it took to answer a shift of demand, once that is done.
+    fn note_answer(&mut self, now_ms: u64) {
+        let Some(answer) = self.shift_times.on_phase(self.controller.phase(), now_ms) else { return };
+        log::info!(
+            "event=shift_answered service={} proposed_ms={} copied_ms={} switched_ms={}",
+            self.service,
+            answer.proposed_ms,
+            answer.copied_ms,
+            answer.switched_ms
+        );
+    }
+
     /// Tells once a second what a change that does not end waits for.
     fn note_stuck(&mut self, now_ms: u64) {
         if !self.controller.is_busy() {
--- a/crates/ochreyard-rank/src/leader/proposal.rs
+++ b/crates/ochreyard-rank/src/leader/proposal.rs
@@ -35,6 +35,7 @@
         let demand = self.demand.get_or_insert_with(|| Demand::new(chosen.len(), fade_ms));
         if demand.add(chosen, now_ms) {
             self.is_outdated = true;
+            self.shift_times.on_shift(now_ms);
             log::info!("event=demand_shifted service={} phase={:?}", self.service, self.controller.phase());
         }
     }
@@ -92,6 +93,7 @@
             planned.saving_ms
         );
         self.is_outdated = false;
+        self.shift_times.on_proposed(self.agent.clock.now_ms());
         self.controller.propose(planned.placement, planned.copies_of_rank, now_ms);
         true
     }
