--- /dev/null
+++ b/crates/ochreyard-core/src/group_map/controller/advance.rs
@@ -0,0 +1,111 @@
+//! When a phase of a change has come to its end, and what follows.
+
+use super::{Controller, Phase, newest_step};
+use crate::group_map::RankView;
+
+/// A step that is being held for a map, and the rank at which.
+#[derive(Debug, Clone, Copy)]
+struct Hold {
+    version: u64,
+    step: u64,
+    rank: usize,
+}
+
+impl Controller {
+    /// Goes on to the next phase, if the views say that this one has come to its end.
+    pub(super) fn advance(&mut self, views: &[&RankView], now_ms: u64) {
+        match self.phase.clone() {
+            Phase::Idle => self.look_for_left_holds(views, now_ms),
+            Phase::Preparing { version } => self.advance_preparing(views, version, now_ms),
+            Phase::Holding { version, step, rank } => self.advance_holding(views, Hold { version, step, rank }, now_ms),
+            Phase::Arming { version, step } => self.advance_arming(views, version, step, now_ms),
+            Phase::Backing { step, rank } => self.advance_backing(views, step, rank, now_ms),
+            Phase::Undoing if self.is_undone(views) => self.enter(Phase::Releasing, now_ms),
+            Phase::Releasing if views.iter().all(|view| view.held.is_none()) => self.enter(Phase::Idle, now_ms),
+            Phase::Undoing | Phase::Releasing => {}
+        }
+    }
+
+    /// Time since the phase began.
+    pub(super) const fn waited_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.since_ms)
+    }
+
+    fn advance_preparing(&mut self, views: &[&RankView], version: u64, now_ms: u64) {
+        if views.iter().all(|view| view.prepared == Some(version)) {
+            self.refused_in_turn = 0;
+            self.hold_ahead(views, version, now_ms);
+        } else if self.waited_ms(now_ms) > self.timeout_ms {
+            self.give_up(now_ms);
+        }
+    }
+
+    /// Holds a step that no hold was ever placed for.
+    fn hold_ahead(&mut self, views: &[&RankView], version: u64, now_ms: u64) {
+        let step = newest_step(views) + self.settings.lead_steps;
+        self.clear_from = Some(step);
+        let rank = self.own_rank.min(views.len() - 1);
+        self.enter(Phase::Holding { version, step, rank }, now_ms);
+    }
+
+    fn advance_holding(&mut self, views: &[&RankView], hold: Hold, now_ms: u64) {
+        let Hold { version, step, rank } = hold;
+        if views[rank].held == Some(step) {
+            self.held_step = step;
+            self.enter(Phase::Arming { version, step }, now_ms);
+        } else if newest_step(views) >= step {
+            // The hold was lost, and comes too late from now on. Nothing is armed, and the
+            // copies are there.
+            self.hold_ahead(views, version, now_ms);
+        } else if self.waited_ms(now_ms) > self.settings.hold_timeout_ms {
+            self.undo(now_ms);
+        }
+    }
+
+    fn advance_arming(&mut self, views: &[&RankView], version: u64, step: u64, now_ms: u64) {
+        let is_armed = |view: &&RankView| view.armed.is_some_and(|armed| armed.version == version);
+        if views.iter().all(is_armed) {
+            self.switched += 1;
+            self.present = self.target.take().map(|target| (version, target));
+            self.enter(Phase::Releasing, now_ms);
+        } else if self.waited_ms(now_ms) > self.settings.arm_timeout_ms || newest_step(views) >= step {
+            self.undo(now_ms);
+        }
+    }
+
+    fn advance_backing(&mut self, views: &[&RankView], step: u64, rank: usize, now_ms: u64) {
+        // Too late for this step: what is left is looked at again.
+        let is_late = newest_step(views) >= step;
+        // The former leader's release came through: all of its ranks were armed.
+        let is_released = views.iter().all(|view| view.held.is_none());
+        if views[rank].held == Some(step) {
+            self.held_step = step;
+            self.undo(now_ms);
+        } else if is_late || is_released {
+            self.enter(Phase::Idle, now_ms);
+        }
+    }
+
+    /// Whether no rank is armed, and no arm under way can still take effect.
+    pub(super) fn is_undone(&self, views: &[&RankView]) -> bool {
+        views.iter().all(|view| view.armed.is_none()) && self.unfenced.iter().all(Option::is_none)
+    }
+
+    /// A hold that nobody here placed was left by a former leader, whose arms may
+    /// be under way at any rank.
+    fn look_for_left_holds(&mut self, views: &[&RankView], now_ms: u64) {
+        let Some(held) = views.iter().find_map(|view| view.held) else { return };
+        // What is armed may be due before the step that is held.
+        let next = newest_step(views) + self.settings.lead_steps;
+        let armed = views.iter().filter_map(|view| view.armed).map(|armed| armed.step.unwrap_or(next));
+        let step = armed.chain([held]).min().unwrap_or(held);
+        self.clear_from = self.clear_from.max(Some(held));
+        let highest = self.highest_version;
+        self.unfenced = vec![Some(highest); views.len()];
+        let own = Some(self.own_rank).filter(|rank| views.get(*rank).is_some_and(|view| view.held.is_none()));
+        match own.or_else(|| views.iter().position(|view| view.held.is_none())) {
+            Some(rank) => self.enter(Phase::Backing { step, rank }, now_ms),
+            None => self.undo(now_ms),
+        }
+    }
+}
