--- a/crates/ochreyard-rank/src/leader.rs
+++ b/crates/ochreyard-rank/src/leader.rs
@@ -54,6 +54,7 @@
     figures: Option<EngineFigures>,
     demand: Option<Demand>,
     counts_asked_ms: u64,
+    /// Whether the demand has shifted since the change under way was planned.
     is_outdated: bool,
     shift_times: ShiftTimes,
     leaderless_since_ms: Option<u64>,
--- a/crates/ochreyard-rank/src/leader/proposal.rs
+++ b/crates/ochreyard-rank/src/leader/proposal.rs
@@ -1,7 +1,7 @@
 //! The map in use, the demand on it, and the proposal of a better map.
 
 use ochreyard_core::direct::EngineFigures;
-use ochreyard_core::group_map::{Demand, GroupPlacement, PlanSettings, Planner, RankView};
+use ochreyard_core::group_map::{Demand, GroupPlacement, PlanSettings, Planned, Planner, RankView};
 use ochreyard_direct::{Dialect, KeyedLog};
 
 use super::{Leader, LeaderSettings};
@@ -14,8 +14,8 @@
 const SWITCH_MS: f64 = 250.0;
 /// What a millisecond of copying costs, in milliseconds of the group's time. Steps take 15 %
 /// longer meanwhile, a shift that comes meanwhile is answered later, and copies are priced:
-/// with 0.15 in place of 1, three to five small changes follow each large one, and a
-/// twentieth less is served in time.
+/// with 0.15 in place of 1, three to five small changes follow each large one, and callers
+/// earn 0.49 in place of 0.54 of what their answers are worth.
 const COPY_COST: f64 = 1.0;
 /// Bits in a byte: engines state sizes in megabytes and links in megabits a second.
 const BITS_PER_BYTE: f64 = 8.0;
@@ -69,34 +69,38 @@
         self.last_round.views.iter().flatten().map(pace).collect()
     }
 
-    /// Proposes a new map, if the demand is known well enough and one is worth it. Says
-    /// whether it did.
+    /// Proposes a new map, if one is worth a change. Says whether it did.
     pub(super) fn propose(&mut self, now_ms: u64) -> bool {
-        let (Some(figures), Some((_, present)), Some(demand)) = (self.figures, self.controller.present(), &self.demand)
-        else {
-            return false;
-        };
-        let enough = demand.rates().len() as f64 * LEAST_CHOICES_PER_EXPERT;
-        if demand.rates().len() != figures.sets * figures.experts || demand.weight() < enough || demand.is_mixed() {
-            return false;
-        }
-        let paces = self.paces();
-        let planner = Planner::new(plan_settings(&figures, &self.settings));
-        let Some(planned) = planner.plan(present, demand.rates(), &paces) else { return false };
-        let planning_ms = self.agent.clock.now_ms() - now_ms;
+        let Some(planned) = self.plan() else { return false };
+        let planned_ms = self.agent.clock.now_ms();
         log::info!(
-            "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0} \
-             planning_ms={planning_ms}",
+            "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0} planning_ms={}",
             planned.skew.0,
             planned.skew.1,
             planned.copies_of_rank,
-            planned.saving_ms
+            planned.saving_ms,
+            planned_ms - now_ms
         );
         self.is_outdated = false;
-        self.shift_times.on_proposed(self.agent.clock.now_ms());
+        self.shift_times.on_proposed(planned_ms);
         self.controller.propose(planned.placement, planned.copies_of_rank, now_ms);
         true
     }
+
+    /// The map that is worth a change, if the demand is known well enough and there is one.
+    fn plan(&self) -> Option<Planned> {
+        let figures = self.figures?;
+        let (_, present) = self.controller.present()?;
+        let demand = self.demand.as_ref().filter(|demand| is_known(demand, &figures))?;
+        let planner = Planner::new(plan_settings(&figures, &self.settings));
+        planner.plan(present, demand.rates(), &self.paces())
+    }
+}
+
+/// Whether a demand rests on enough choices, all of them from after the last shift.
+fn is_known(demand: &Demand, figures: &EngineFigures) -> bool {
+    let enough = demand.rates().len() as f64 * LEAST_CHOICES_PER_EXPERT;
+    demand.rates().len() == figures.sets * figures.experts && demand.weight() >= enough && !demand.is_mixed()
 }
 
 /// How much longer work takes at a rank than usual; faster than usual counts as usual.
