Let only the longer steps count against copies where the skew is large

Cause: a change had to save as long as it copies. On a trial site with copies of 1.6 s in place of 0.4 no map changed any more: the bound fitted the sites. Change: from a skew of 2 on a change is no refinement, and 0.15 ms a ms of copying counts, as engines state it. Test: slow_copies_are_made_where_steps_take_twice_as_long failed before.

--- a/crates/ochreyard-core/src/group_map/planner.rs
+++ b/crates/ochreyard-core/src/group_map/planner.rs
@@ -19,6 +19,10 @@
 const MAX_STEPS: usize = 48;
 /// Copies to one rank that a change takes at the most; a bound for the search, too.
 const MAX_COPIES: usize = 14;
+/// From this skew on steps take about twice as long as they need. Then a change is no
+/// refinement, and only the longer steps count against its copies: else nothing would
+/// change where a copy takes longer than a map is expected to fit.
+const LARGE_SKEW: f64 = 2.0;
 /// Gains below this share of a rank's mean load in one set are noise.
 const LEAST_GAIN: f64 = 0.002;
 
@@ -105,7 +109,8 @@
         let copying_ms = copies_of_rank as f64 * settings.copy_ms;
         let in_use_ms = (settings.horizon_ms - copying_ms - settings.switch_ms).max(0.0);
         let gain = (skew.0 - skew.1) / skew.0.max(1.0);
-        gain * in_use_ms - settings.copy_cost * copying_ms - settings.copy_price_ms * copies as f64
+        let copy_cost = if skew.0 < LARGE_SKEW { settings.copy_cost } else { settings.copy_drag };
+        gain * in_use_ms - copy_cost * copying_ms - settings.copy_price_ms * copies as f64
     }
 }
 
--- a/crates/ochreyard-core/tests/group_map.rs
+++ b/crates/ochreyard-core/tests/group_map.rs
@@ -63,6 +63,7 @@
     spare: 4,
     copy_ms: 100.0,
     switch_ms: 200.0,
+    copy_drag: 0.15,
     copy_cost: 0.15,
     horizon_ms: 3_000.0,
     copy_price_ms: 0.2,
@@ -122,6 +123,16 @@
     }
 }
 
+#[rstest]
+#[case::a_large_skew_is_worth_slow_copies(30.0, true)]
+#[case::a_small_one_is_not(4.0, false)]
+fn slow_copies_are_made_where_steps_take_twice_as_long(#[case] hot: f64, #[case] changes: bool) {
+    let present = GroupPlacement::dealt(2, 16, 4);
+    let demand: Vec<f64> = (0..32).map(|expert| if expert % 16 == 3 { hot } else { 1.0 }).collect();
+    let slow = PlanSettings { copy_ms: 1_200.0, copy_cost: 1.0, ..SETTINGS };
+    assert_eq!(Planner::new(slow).plan(&present, &demand, &EVEN).is_some(), changes);
+}
+
 #[test]
 fn even_demand_changes_nothing() {
     let present = GroupPlacement::dealt(2, 16, 4);
--- a/crates/ochreyard-rank/src/leader/proposal.rs
+++ b/crates/ochreyard-rank/src/leader/proposal.rs
@@ -12,7 +12,9 @@
 const LEAST_CHOICES_PER_EXPERT: f64 = 4.0;
 /// Time of a change beside the copies, in milliseconds: two steps and a few round trips.
 const SWITCH_MS: f64 = 250.0;
-/// What a millisecond of copying costs, in milliseconds of the group's time. Steps take 15 %
+/// How much longer steps take while experts are copied, as engines state it.
+const COPY_DRAG: f64 = 0.15;
+/// What a millisecond of copying costs where a map is only refined, in milliseconds of the group's time. Steps take 15 %
 /// longer meanwhile, a shift that comes meanwhile is answered later, and copies are priced:
 /// with 0.15 in place of 1, three to five small changes follow each large one, and callers
 /// earn 0.49 in place of 0.54 of what their answers are worth.
@@ -114,6 +116,7 @@
         spare: figures.spare,
         copy_ms: figures.expert_mb * BITS_PER_BYTE / figures.link_mbps.max(1.0) * MS_PER_S,
         switch_ms: SWITCH_MS,
+        copy_drag: COPY_DRAG,
         copy_cost: COPY_COST,
         horizon_ms: settings.horizon_ms as f64,
         copy_price_ms: settings.copy_price_ms,
