Count the longer steps alone only where no change is worth its copies

Change: a change that saves what its copies cost goes first; only where there is none, and the skew is 2 or more, is the lower cost tried.

--- a/crates/ochreyard-core/src/group_map/planner.rs
+++ b/crates/ochreyard-core/src/group_map/planner.rs
@@ -19,8 +19,8 @@
 const MAX_STEPS: usize = 48;
 /// Copies to one rank that a change takes at the most; a bound for the search, too.
 const MAX_COPIES: usize = 14;
-/// From this skew on steps take about twice as long as they need. Then a change is no
-/// refinement, and only the longer steps count against its copies: else nothing would
+/// From this skew on steps take about twice as long as they need. Where no change saves
+/// what its copies cost, only the longer steps count against them then: else nothing would
 /// change where a copy takes longer than a map is expected to fit.
 const LARGE_SKEW: f64 = 2.0;
 /// Gains below this share of a rank's mean load in one set are noise.
@@ -41,11 +41,21 @@
 
     /// The change that saves most over the horizon, if one saves enough. `paces` holds
     /// how much longer work takes at each rank than usual.
+    #[must_use]
+    pub fn plan(&self, present: &GroupPlacement, demand: &[f64], paces: &[f64]) -> Option<Planned> {
+        let planned = self.best_change(present, demand, paces);
+        if planned.is_some() || present.skew(demand, paces) < LARGE_SKEW {
+            return planned;
+        }
+        let settings = PlanSettings { copy_cost: self.settings.copy_drag, ..self.settings };
+        Self::new(settings).best_change(present, demand, paces)
+    }
+
+    /// The change that saves most, by these figures alone.
     ///
     /// The search makes the step that gains most for each copy, again and again, and
     /// the map is taken as it was when the saving was largest.
-    #[must_use]
-    pub fn plan(&self, present: &GroupPlacement, demand: &[f64], paces: &[f64]) -> Option<Planned> {
+    fn best_change(&self, present: &GroupPlacement, demand: &[f64], paces: &[f64]) -> Option<Planned> {
         let total: f64 = demand.iter().sum();
         let ranks = present.sets().first().map_or(0, Vec::len);
         if total <= 0.0 || ranks == 0 {
@@ -109,8 +119,7 @@
         let copying_ms = copies_of_rank as f64 * settings.copy_ms;
         let in_use_ms = (settings.horizon_ms - copying_ms - settings.switch_ms).max(0.0);
         let gain = (skew.0 - skew.1) / skew.0.max(1.0);
-        let copy_cost = if skew.0 < LARGE_SKEW { settings.copy_cost } else { settings.copy_drag };
-        gain * in_use_ms - copy_cost * copying_ms - settings.copy_price_ms * copies as f64
+        gain * in_use_ms - settings.copy_cost * copying_ms - settings.copy_price_ms * copies as f64
     }
 }
 
--- a/crates/ochreyard-core/src/group_map/planner/plan_settings.rs
+++ b/crates/ochreyard-core/src/group_map/planner/plan_settings.rs
@@ -13,8 +13,7 @@
     pub switch_ms: f64,
     /// How much longer steps take while experts are copied, as a share.
     pub copy_drag: f64,
-    /// What a millisecond of copying costs where the skew is not large, in milliseconds of the
-    /// group's time.
+    /// What a millisecond of copying costs, in milliseconds of the group's time.
     pub copy_cost: f64,
     /// For how long a new map is expected to fit, in milliseconds.
     pub horizon_ms: f64,
