--- a/crates/ochreyard-rank/src/leader/proposal.rs
+++ b/crates/ochreyard-rank/src/leader/proposal.rs
@@ -14,7 +14,7 @@
 const SWITCH_MS: f64 = 250.0;
 /// How much longer steps take while experts are copied, as engines state it.
 const COPY_DRAG: f64 = 0.15;
-/// What a millisecond of copying costs where a map is only refined, in milliseconds of the group's time. Steps take 15 %
+/// What a millisecond of copying costs, in milliseconds of the group's time. Steps take 15 %
 /// longer meanwhile, a shift that comes meanwhile is answered later, and copies are priced:
 /// with 0.15 in place of 1, three to five small changes follow each large one, and callers
 /// earn 0.49 in place of 0.54 of what their answers are worth.
