--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -15,7 +15,7 @@
 pub use catalog::{Catalog, EndpointChange, EndpointRecord};
 pub use endpoint_pool::{EndpointPool, NoPick, Outcome, Pick, ReportedLoad};
 pub use event_splitter::{EventSplitter, WholeEvents};
-pub use group_news::{GroupNews, RankNews};
+pub use group_news::{GroupNews, RankNews, Teller};
 pub use reading::Reading;
 pub use repeat_budget::{RepeatBudget, RepeatLimits};
 pub use route_table::{
--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -9,6 +9,7 @@
 mod reported_load;
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use self::group::Group;
 use self::member::Member;
@@ -149,9 +150,13 @@
         self.group_of(member).is_none_or(|group| group.is_serving(now_ms))
     }
 
-    /// A leader told of its group.
+    /// A leader, or an observer, told of its group.
     pub fn on_news(&mut self, news: &GroupNews, now_ms: u64) {
-        let name = format!("{}/{}", news.service, news.group);
+        let name = group_name(&news.service, &news.group);
+        let group = self.groups.entry(name.clone()).or_insert_with(|| Group::new(now_ms));
+        if !group.on_news(news, now_ms) {
+            return;
+        }
         for rank in &news.ranks {
             let Some(member) = self.members.get_mut(&rank.endpoint) else { continue };
             if member.group.as_ref() != Some(&name) {
@@ -163,8 +168,38 @@
                 member.on_told_serving(now_ms);
             }
         }
-        let group = self.groups.entry(name).or_insert_with(|| Group::new(news.is_serving, now_ms));
-        group.on_news(news.is_serving, news.step_ms, now_ms);
+    }
+
+    /// Whether a group is led by nobody, as far as known.
+    #[must_use]
+    pub fn is_unled(&self, service: &str, group: &str, now_ms: u64) -> bool {
+        self.groups.get(&group_name(service, group)).is_none_or(|group| group.is_unled(now_ms))
+    }
+
+    /// Whether a known group of a service is led by nobody.
+    #[must_use]
+    pub fn has_unled_group(&self, service: &str, now_ms: u64) -> bool {
+        let mut groups = self.of_service(service).filter_map(|(_, member)| self.group_of(member));
+        groups.any(|group| group.is_unled(now_ms))
+    }
+
+    /// Whether an endpoint of a service belongs to no group that is known.
+    #[must_use]
+    pub fn has_endpoint_without_group(&self, service: &str) -> bool {
+        self.of_service(service).any(|(_, member)| !member.record.is_leaving && self.group_of(member).is_none())
+    }
+
+    /// Where the endpoints of a service listen that are not known to be in a group other than `group`.
+    #[must_use]
+    pub fn addrs_outside_other_groups(&self, service: &str, group: &str) -> Vec<SocketAddr> {
+        let name = group_name(service, group);
+        let fits = |member: &Member| member.group.as_ref().is_none_or(|other| *other == name);
+        self.of_service(service).filter(|(_, member)| fits(member)).map(|(_, member)| member.record.addr).collect()
+    }
+
+    /// The endpoints of a service, each with its record.
+    pub fn endpoints(&self, service: &str) -> impl Iterator<Item = (&str, &EndpointRecord)> {
+        self.of_service(service).map(|(id, member)| (id, &member.record))
     }
 
     /// An endpoint told that another rank of its group is at fault.
@@ -210,3 +245,8 @@
         }
     }
 }
+
+/// The name under which a group is kept: groups of two services may be called alike.
+fn group_name(service: &str, group: &str) -> String {
+    format!("{service}/{group}")
+}
--- a/crates/ochreyard-core/src/direct/group_news.rs
+++ b/crates/ochreyard-core/src/direct/group_news.rs
@@ -2,13 +2,27 @@
 
 use serde::{Deserialize, Serialize};
 
-/// One group, as its leader saw it a moment ago.
+/// What the entry that tells of a group does there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub enum Teller {
+    /// It leads: most agents have granted it.
+    #[default]
+    Leads,
+    /// It reaches too few agents to lead, and nobody else is heard of.
+    Observes,
+    /// It has given the lead back.
+    StoodDown,
+}
+
+/// One group, as an entry saw it a moment ago.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct GroupNews {
     /// Name of the service.
     pub service: String,
     /// Name of the group.
     pub group: String,
+    /// What the entry that tells does there.
+    pub teller: Teller,
     /// Whether its steps go on: it is whole, and does not stand.
     pub is_serving: bool,
     /// How long its steps take of late, in milliseconds; 0 where that is not known.
--- a/crates/ochreyard-core/src/direct/route_table.rs
+++ b/crates/ochreyard-core/src/direct/route_table.rs
@@ -101,6 +101,11 @@
         self.keys.get(key)
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
+        self.services.values()
+    }
+
     /// A service by its name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Arc<ServiceSpec>> {
--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -5,6 +5,7 @@
 //! A [`Grant`] in each agent makes sure that only one controller gives orders.
 //! [`Demand`] and [`Planner`] decide what map is worth a change.
 
+mod candidacy;
 mod chosen_counts;
 mod compact_map;
 mod controller;
@@ -18,6 +19,7 @@
 mod planner;
 mod shift_times;
 
+pub use candidacy::{Candidacy, candidate_place};
 pub use chosen_counts::ChosenCounts;
 pub use controller::{Controller, ControllerSettings, Phase, Round};
 pub use demand::{Demand, chosen_between};
--- /dev/null
+++ b/crates/ochreyard-core/src/group_map/candidacy.rs
@@ -0,0 +1,54 @@
+//! When an entry asks to lead the groups of a service that nobody leads.
+//!
+//! All entries may lead, and nobody has to agree on who does: they ask one after
+//! the other, in an order that each works out for itself, and the agents grant
+//! one of them. An entry that is down or cut off costs the next one a short wait.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::hash;
+
+/// How much longer each entry waits than the one before it in the order, in milliseconds:
+/// the one before has found the ranks and asked them by then (about 0.1 s for 200 ranks).
+const STAGGER_MS: u64 = 120;
+/// Pause after the first attempt that came to nothing, in milliseconds: the default lease.
+const RETRY_MS: u64 = 800;
+/// Most doublings of that pause, where no rank can be reached: each attempt asks all of them.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// Whether and when one entry asks to lead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Candidacy {
+    unled_since_ms: Option<u64>,
+    waits_until_ms: u64,
+    failed_in_turn: u32,
+}
+
+impl Candidacy {
+    /// Whether it is this entry's turn, at `place` in the order of all entries.
+    pub fn is_due(&mut self, is_unled: bool, place: usize, now_ms: u64) -> bool {
+        if !is_unled {
+            *self = Self::default();
+            return false;
+        }
+        let since_ms = *self.unled_since_ms.get_or_insert(now_ms);
+        now_ms >= self.waits_until_ms && now_ms >= since_ms + place as u64 * STAGGER_MS
+    }
+
+    /// An attempt has ended, and this entry leads nothing more than before.
+    pub const fn on_failed(&mut self, now_ms: u64) {
+        self.waits_until_ms = now_ms + (RETRY_MS << self.failed_in_turn);
+        if self.failed_in_turn < MAX_DOUBLINGS {
+            self.failed_in_turn += 1;
+        }
+    }
+}
+
+/// The place of box `own` in the order in which entries ask to lead a service. The order
+/// differs from service to service, so that one box does not lead all of them.
+#[must_use]
+pub fn candidate_place(service: &str, own: &str, others: &BTreeMap<String, SocketAddr>) -> usize {
+    let key = |name: &str| hash::mix(hash::fnv1a(service.as_bytes()) ^ hash::fnv1a(name.as_bytes()));
+    others.keys().filter(|name| key(name) < key(own)).count()
+}
--- a/crates/ochreyard-core/src/group_map/controller.rs
+++ b/crates/ochreyard-core/src/group_map/controller.rs
@@ -48,7 +48,7 @@
     target: Option<GroupPlacement>,
     present: Option<(u64, GroupPlacement)>,
     epoch: Option<u64>,
-    own_rank: usize,
+    hold_rank: usize,
     version_mark: u64,
     highest_version: u64,
     refused_in_turn: u32,
@@ -65,13 +65,12 @@
 
 impl Controller {
     /// A controller that knows nothing of the group yet. Its holds are placed at
-    /// `own_rank`, whose agent it shares the box with: then one box less can
-    /// delay a release. `life` marks its numbers of maps.
+    /// `hold_rank`. `life` marks its numbers of maps.
     #[must_use]
-    pub const fn new(settings: ControllerSettings, own_rank: usize, life: u64) -> Self {
+    pub const fn new(settings: ControllerSettings, hold_rank: usize, life: u64) -> Self {
         Self {
             settings,
-            own_rank,
+            hold_rank,
             version_mark: life % VERSION_MARKS,
             phase: Phase::Idle,
             since_ms: 0,
@@ -94,8 +93,8 @@
     /// Begins to lead, or to lead again: everything is forgotten but the numbers of
     /// maps, since orders of an earlier time may still be carried out.
     #[must_use]
-    pub const fn renewed(&self, own_rank: usize) -> Self {
-        let mut renewed = Self::new(self.settings, own_rank, self.version_mark);
+    pub const fn renewed(&self, hold_rank: usize) -> Self {
+        let mut renewed = Self::new(self.settings, hold_rank, self.version_mark);
         renewed.highest_version = self.highest_version;
         renewed
     }
@@ -118,10 +117,16 @@
         matches!(self.phase, Phase::Preparing { .. })
     }
 
-    /// Whether a hold at `rank` is to be placed and confirmed next.
+    /// The rank at which holds are placed.
     #[must_use]
-    pub const fn is_holding_at(&self, rank: usize) -> bool {
-        matches!(self.phase, Phase::Holding { rank: at, .. } if at == rank)
+    pub const fn hold_rank(&self) -> usize {
+        self.hold_rank
+    }
+
+    /// Whether a hold is to be placed and confirmed next.
+    #[must_use]
+    pub const fn is_holding(&self) -> bool {
+        matches!(self.phase, Phase::Holding { .. })
     }
 
     /// Whether ranks must be reached even where their agents are down.
--- a/crates/ochreyard-core/src/group_map/controller/advance.rs
+++ b/crates/ochreyard-core/src/group_map/controller/advance.rs
@@ -44,7 +44,7 @@
     fn hold_ahead(&mut self, views: &[&RankView], version: u64, now_ms: u64) {
         let step = newest_step(views) + self.settings.lead_steps;
         self.clear_from = Some(step);
-        let rank = self.own_rank.min(views.len() - 1);
+        let rank = self.hold_rank.min(views.len() - 1);
         self.enter(Phase::Holding { version, step, rank }, now_ms);
     }
 
@@ -102,7 +102,7 @@
         self.clear_from = self.clear_from.max(Some(held));
         let highest = self.highest_version;
         self.unfenced = vec![Some(highest); views.len()];
-        let own = Some(self.own_rank).filter(|rank| views.get(*rank).is_some_and(|view| view.held.is_none()));
+        let own = Some(self.hold_rank).filter(|rank| views.get(*rank).is_some_and(|view| view.held.is_none()));
         match own.or_else(|| views.iter().position(|view| view.held.is_none())) {
             Some(rank) => self.enter(Phase::Backing { step, rank }, now_ms),
             None => self.undo(now_ms),
--- a/crates/ochreyard-core/src/group_map/grant.rs
+++ b/crates/ochreyard-core/src/group_map/grant.rs
@@ -22,13 +22,15 @@
         Self { lease_ms, quiet_until_ms: now_ms + lease_ms, holder: None, until_ms: 0 }
     }
 
-    /// Grants or renews, unless another one holds it.
-    pub fn ask(&mut self, leader: &LeaderId, now_ms: u64) -> bool {
-        if now_ms < self.quiet_until_ms || self.holder(now_ms).is_some_and(|holder| holder != leader) {
+    /// Grants or renews for `lease_ms`, unless another one holds it, or that is longer than
+    /// this agent keeps quiet after its start.
+    pub fn ask(&mut self, leader: &LeaderId, lease_ms: u64, now_ms: u64) -> bool {
+        let is_led_by_other = self.holder(now_ms).is_some_and(|holder| holder != leader);
+        if self.is_quiet(now_ms) || is_led_by_other || lease_ms > self.lease_ms {
             return false;
         }
-        self.holder = Some(leader.clone());
-        self.until_ms = now_ms + self.lease_ms;
+        self.holder = Some(*leader);
+        self.until_ms = now_ms + lease_ms;
         true
     }
 
--- a/crates/ochreyard-core/src/group_map/leader_id.rs
+++ b/crates/ochreyard-core/src/group_map/leader_id.rs
@@ -2,11 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-/// One life of one agent, as a leader.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, PartialOrd, Ord)]
+/// One life of one entry, as a leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct LeaderId {
-    /// Its rank: of two that ask at once, the lower one goes on.
-    pub rank: usize,
-    /// A number that no other life has.
+    /// A number that no other life of any box has.
     pub life: u64,
 }
--- a/crates/ochreyard-core/src/group_map/order.rs
+++ b/crates/ochreyard-core/src/group_map/order.rs
@@ -37,6 +37,22 @@
     },
 }
 
+impl Order {
+    /// About how many bytes it takes as a message.
+    #[must_use]
+    pub fn size_hint(&self) -> usize {
+        const HEAD_BYTES: usize = 100;
+        const EXPERT_BYTES: usize = 2;
+        match self {
+            Self::Prepare { map, .. } => {
+                let held: usize = map.iter().flatten().map(|held| held.len() * EXPERT_BYTES + 1).sum();
+                HEAD_BYTES + held
+            }
+            _ => HEAD_BYTES,
+        }
+    }
+}
+
 /// An order as it is sent: it fits one state of one epoch of the group only.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SentOrder {
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -5,7 +5,7 @@
 
 use ochreyard_core::direct::{
     Catalog, EndpointChange, EndpointPool, EndpointRecord, EventSplitter, GroupNews, NoPick, Outcome, RankNews,
-    Reading, RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, WeightedService, Workspace,
+    Reading, RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, Teller, WeightedService, Workspace,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -161,7 +161,14 @@
         .iter()
         .map(|port| RankNews { endpoint: format!("e{port}"), running, waiting: 0, pace_permille: 1_000 })
         .collect();
-    GroupNews { service: "tiles".into(), group: format!("g{}", ports[0]), is_serving, step_ms: 0, ranks }
+    GroupNews {
+        service: "tiles".into(),
+        group: format!("g{}", ports[0]),
+        teller: Teller::Leads,
+        is_serving,
+        step_ms: 0,
+        ranks,
+    }
 }
 
 #[test]
--- a/crates/ochreyard-core/tests/group_map_model/mod.rs
+++ b/crates/ochreyard-core/tests/group_map_model/mod.rs
@@ -329,7 +329,7 @@
         if now_ms < self.candidates[at].frozen_until_ms {
             return;
         }
-        let me = LeaderId { rank: at, life: self.candidates[at].life };
+        let me = LeaderId { life: self.candidates[at].life };
         let has_lapsed = self.candidates[at].leads && !self.candidates[at].leadership.holds(RANKS, now_ms, 0);
         if has_lapsed {
             self.stand_down(at);
@@ -351,7 +351,7 @@
         let mut views = Vec::new();
         for rank in 0..RANKS {
             let is_up = now_ms >= self.agents[rank].down_until_ms;
-            let granted = is_up && self.agents[rank].grant.ask(&me, now_ms);
+            let granted = is_up && self.agents[rank].grant.ask(&me, LEASE_MS, now_ms);
             self.candidates[at].leadership.on_answer(rank, granted, now_ms);
             views.push((is_up || reach).then(|| self.view(rank)));
         }
@@ -414,7 +414,7 @@
         candidate.pending.clear();
         candidate.outcomes.clear();
         candidate.waits_until_ms = self.now_ms + LEASE_MS;
-        let me = LeaderId { rank: at, life: candidate.life };
+        let me = LeaderId { life: candidate.life };
         self.agents.iter_mut().for_each(|agent| agent.grant.release(&me));
     }
 }
--- a/crates/ochreyard-direct/src/call_error.rs
+++ b/crates/ochreyard-direct/src/call_error.rs
@@ -11,6 +11,9 @@
     /// No whole answer came in time.
     #[error("no answer in {0} ms")]
     Late(u128),
+    /// What was to be sent cannot be written as a request.
+    #[error("cannot be sent: {0}")]
+    Unsendable(String),
     /// The connection broke.
     #[error("connection lost: {0}")]
     Lost(String),
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -3,15 +3,19 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use ochreyard_core::direct::{Catalog, EndpointChange, EndpointPool, Reading, RepeatBudget, RepeatLimits, RouteTable};
+use ochreyard_core::direct::{
+    Catalog, EndpointChange, EndpointPool, EngineFigures, GroupNews, Reading, RepeatBudget, RepeatLimits, RouteTable,
+};
 use ochreyard_core::hash;
 use ochreyard_process::Clock;
 
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::Dialect;
+use crate::link::CallLink;
 
 /// Boxes that are assumed to share the budget of repeats until others are known.
 const ASSUMED_BOXES: u64 = 16;
@@ -66,6 +70,7 @@
     /// Whether new requests are refused, because they might not end before the process.
     pub is_refusing: Cell<bool>,
     draws: Cell<u64>,
+    links: RefCell<BTreeMap<SocketAddr, Rc<CallLink>>>,
 }
 
 impl<D: Dialect> Entry<D> {
@@ -93,6 +98,7 @@
             is_stopping: Cell::new(false),
             is_refusing: Cell::new(false),
             draws,
+            links: RefCell::default(),
         }
     }
 
@@ -102,6 +108,32 @@
         hash::mix(self.draws.get())
     }
 
+    /// The kept connection to another box.
+    pub fn link(&self, addr: SocketAddr) -> Rc<CallLink> {
+        let mut links = self.links.borrow_mut();
+        Rc::clone(links.entry(addr).or_insert_with(|| Rc::new(CallLink::new(addr))))
+    }
+
+    /// Names of the services whose engines form groups.
+    pub fn grouped_services(&self) -> Vec<String> {
+        let state = self.state.borrow();
+        let services = state.table.iter().flat_map(|table| table.services());
+        let is_grouped = |figures: EngineFigures| figures.sets > 0;
+        services.filter(|service| service.engine.is_some_and(is_grouped)).map(|service| service.name.clone()).collect()
+    }
+
+    /// What the configuration says of the engines of a service.
+    pub fn engine_figures(&self, service: &str) -> Option<EngineFigures> {
+        self.state.borrow().table.as_ref()?.service(service)?.engine
+    }
+
+    /// Takes what the leader of a group, or an observer, told of it.
+    pub fn take_group_news(&self, news: &GroupNews) {
+        let now_ms = self.clock.now_ms();
+        self.state.borrow_mut().pool.on_news(news, now_ms);
+        log::debug!("event=group_told group={} teller={:?} serving={}", news.group, news.teller, news.is_serving);
+    }
+
     /// The box to ask for records of endpoints; `None` where this one reads for the others.
     pub fn box_to_ask(&self) -> Option<SocketAddr> {
         let state = self.state.borrow();
--- a/crates/ochreyard-direct/src/fields.rs
+++ b/crates/ochreyard-direct/src/fields.rs
@@ -29,7 +29,7 @@
     },
     FieldSpec {
         name: "leaving_known_ms",
-        kind: FieldKind::Number(250, 60_000),
+        kind: FieldKind::Fraction(250.0, 60_000.0),
         default: Some("2000"),
         about: "an endpoint that leaves gets no more work after this time; its records are read five times within it",
     },
@@ -41,19 +41,19 @@
     },
     FieldSpec {
         name: "repeat_fixed",
-        kind: FieldKind::Number(0, 100_000),
+        kind: FieldKind::Fraction(0.0, 100_000.0),
         default: Some("20"),
         about: "repeats that all boxes together may send in a window beyond that",
     },
     FieldSpec {
         name: "repeat_window_s",
-        kind: FieldKind::Number(1, 3_600),
+        kind: FieldKind::Fraction(1.0, 3_600.0),
         default: Some("10"),
         about: "length of the window of the two fields before",
     },
     FieldSpec {
         name: "drain_grace_s",
-        kind: FieldKind::Number(0, 600),
+        kind: FieldKind::Fraction(0.0, 600.0),
         default: Some("8"),
         about: "time between SIGTERM and the end of the process",
     },
--- a/crates/ochreyard-direct/src/keyed_log.rs
+++ b/crates/ochreyard-direct/src/keyed_log.rs
@@ -14,8 +14,6 @@
     Endpoints,
     /// The records that our own boxes write of themselves.
     Boxes,
-    /// The records that our own agents write of the ranks beside them.
-    Ranks,
 }
 
 /// One record. A key without a value has been dropped.
--- a/crates/ochreyard-direct/src/link.rs
+++ b/crates/ochreyard-direct/src/link.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
+use serde::Serialize;
 
 use crate::call_error::CallError;
 use crate::connection::Connection;
@@ -31,6 +32,41 @@
         self.addr
     }
 
+    /// Asks for `path`.
+    ///
+    /// # Errors
+    ///
+    /// When no whole answer comes in `timeout`.
+    pub async fn get(&self, path: &str, timeout: Duration) -> Result<Response<Bytes>, CallError> {
+        self.send(Request::get(path), Bytes::new(), timeout).await
+    }
+
+    /// Posts a message as JSON.
+    ///
+    /// # Errors
+    ///
+    /// When no whole answer comes in `timeout`.
+    pub async fn post<T: Serialize>(
+        &self,
+        path: &str,
+        message: &T,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let body = serde_json::to_vec(message).map_err(|error| CallError::Unsendable(error.to_string()))?;
+        self.send(Request::post(path), Bytes::from(body), timeout).await
+    }
+
+    async fn send(
+        &self,
+        head: http::request::Builder,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let head = head.header(http::header::HOST, self.addr.to_string());
+        let request = head.body(Full::from(body)).map_err(|error| CallError::Unsendable(error.to_string()))?;
+        self.call(request, timeout).await
+    }
+
     /// Sends a request and reads the whole answer. A connection whose answer
     /// stays away is dropped: what came later on it could not be told apart.
     ///
--- a/crates/ochreyard-direct/src/peers/ask.rs
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -6,8 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
-use http_body_util::Full;
 
 use super::peer_endpoint::PeerEndpoint;
 use super::peer_reading::PeerReading;
@@ -61,9 +59,7 @@
 async fn ask<D: Dialect>(entry: Rc<Entry<D>>, link: Rc<CallLink>) {
     let asked_ms = entry.clock.now_ms();
     let path = question(&entry).path();
-    let request = Request::get(path).header(http::header::HOST, link.addr().to_string()).body(Full::default());
-    let Ok(request) = request else { return };
-    let told = match link.call(request, ASK_TIMEOUT).await {
+    let told = match link.get(&path, ASK_TIMEOUT).await {
         Ok(response) => serde_json::from_slice::<PeerState>(response.body()),
         Err(error) => {
             log::debug!("event=peer_silent addr={} error=\"{error}\"", link.addr());
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -29,21 +29,32 @@
 /// [`END_RESERVE_MS`], so that the last look comes in time.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 /// Milliseconds in a second.
-const MS_PER_S: u64 = 1_000;
+const MS_PER_S: f64 = 1_000.0;
 
 /// Runs the entry on one thread: with the whole box a quarter of a core, more
-/// threads would only take turns.
+/// threads would only take turns. `companion` starts what else belongs to the process, on
+/// the same thread.
 ///
 /// # Errors
 ///
 /// When an address cannot be bound.
-pub fn run<D: Dialect, L: KeyedLog>(settings: &Settings, dialect: D, log: L) -> Result<()> {
+pub fn run<D: Dialect, L: KeyedLog>(
+    settings: &Settings,
+    dialect: D,
+    log: L,
+    companion: impl FnOnce(&Rc<Entry<D>>),
+) -> Result<()> {
     start_logging(settings).into_diagnostic()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(settings, dialect, log))
+    tokio::task::LocalSet::new().block_on(&runtime, serve(settings, dialect, log, companion))
 }
 
-async fn serve<D: Dialect, L: KeyedLog>(settings: &Settings, dialect: D, log: L) -> Result<()> {
+async fn serve<D: Dialect, L: KeyedLog>(
+    settings: &Settings,
+    dialect: D,
+    log: L,
+    companion: impl FnOnce(&Rc<Entry<D>>),
+) -> Result<()> {
     let clock = Clock::start();
     let metrics = start_metrics().map_err(|error| miette::miette!("{error}"))?;
     let identity = identity(settings);
@@ -54,8 +65,13 @@
         identity.life,
         std::process::id()
     );
-    let entry =
-        Rc::new(Entry::new(dialect, identity, repeat_limits(settings), settings.number("leaving_known_ms"), clock));
+    let entry = Rc::new(Entry::new(
+        dialect,
+        identity,
+        repeat_limits(settings),
+        settings.fraction("leaving_known_ms") as u64,
+        clock,
+    ));
 
     let callers = bind(settings, "callers_addr").await?;
     let ready = bind(settings, "ready_addr").await?;
@@ -69,9 +85,10 @@
     }
     tokio::task::spawn_local(keep_metrics_up(metrics));
     start_followers(settings, &entry, log);
+    companion(&entry);
 
     wait_for_stop().await?;
-    drain(&entry, &phase, settings.number("drain_grace_s") * MS_PER_S).await;
+    drain(&entry, &phase, (settings.fraction("drain_grace_s") * MS_PER_S) as u64).await;
     log::info!("event=entry_stopped");
     Ok(())
 }
@@ -88,8 +105,8 @@
 fn repeat_limits(settings: &Settings) -> RepeatLimits {
     RepeatLimits {
         ratio: settings.fraction("repeat_ratio"),
-        fixed: settings.number("repeat_fixed"),
-        window_ms: settings.number("repeat_window_s") * MS_PER_S,
+        fixed: settings.fraction("repeat_fixed") as u64,
+        window_ms: (settings.fraction("repeat_window_s") * MS_PER_S) as u64,
     }
 }
 
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -125,7 +125,7 @@
 }
 
 async fn answer_side<D: Dialect>(
-    entry: &Entry<D>,
+    entry: &Rc<Entry<D>>,
     side: Side,
     request: Request<Incoming>,
     metrics: &metrics_exporter_prometheus::PrometheusHandle,
--- a/crates/ochreyard-entry/src/main.rs
+++ b/crates/ochreyard-entry/src/main.rs
@@ -37,15 +37,16 @@
 fn run(flags: Ochreyard) -> miette::Result<()> {
     match flags.subcommand {
         OchreyardCmd::Serve(args) => serve::run(read(&args.settings)?),
-        OchreyardCmd::Direct(args) => direct::run(&Settings::read(&args.settings, ochreyard_direct::FIELDS)?),
+        OchreyardCmd::Direct(args) => direct::run(&Settings::read(&args.settings, &direct::fields())?),
         OchreyardCmd::Check(args) => {
-            Settings::read(&args.settings, if args.direct { ochreyard_direct::FIELDS } else { FIELDS })?;
+            let fields = if args.direct { direct::fields() } else { FIELDS.to_vec() };
+            Settings::read(&args.settings, &fields)?;
             println!("{}: ok", args.settings.display());
             Ok(())
         }
         OchreyardCmd::Fields(args) => {
-            let fields = if args.direct { ochreyard_direct::FIELDS } else { FIELDS };
-            print!("{}", ochreyard_process::reference(fields));
+            let fields = if args.direct { direct::fields() } else { FIELDS.to_vec() };
+            print!("{}", ochreyard_process::reference(&fields));
             Ok(())
         }
         OchreyardCmd::Plan(args) => operate::plan(&args),
--- /dev/null
+++ b/crates/ochreyard-lead/src/found_rank.rs
@@ -0,0 +1,49 @@
+//! Which agent stands beside which rank: each is asked once.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use ochreyard_core::group_map::{LeaderId, RankView};
+use ochreyard_direct::{CallLink, Dialect, Entry};
+use ochreyard_rank::{Looked, RANK_PATH};
+
+/// Longest wait for an agent's view: its engine's answer and a round trip, with hundreds
+/// of agents asked at once.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// One rank as its agent showed it just now.
+pub struct FoundRank {
+    /// Where its engine listens.
+    pub engine_addr: SocketAddr,
+    /// The connection to its agent.
+    pub link: Rc<CallLink>,
+    /// Its view.
+    pub view: RankView,
+    /// Who leads the group, as far as its agent knows.
+    pub holder: Option<LeaderId>,
+}
+
+/// Asks the agents beside these engines. An agent listens on the box of its engine, at the
+/// port at which entries are asked by other boxes.
+pub async fn look_at<D: Dialect>(entry: &Entry<D>, engines: impl IntoIterator<Item = SocketAddr>) -> Vec<FoundRank> {
+    let port = entry.identity.peer_addr.port();
+    let asked = engines.into_iter().map(|engine_addr| async move {
+        let link = Rc::new(CallLink::new(SocketAddr::new(engine_addr.ip(), port)));
+        let looked = look(&link).await?;
+        Some(FoundRank { engine_addr, link, view: looked.view?, holder: looked.holder })
+    });
+    join_all(asked).await.into_iter().flatten().collect()
+}
+
+/// Asks one agent what it sees; `None` where no readable answer comes in time.
+pub async fn look(link: &CallLink) -> Option<Looked> {
+    match link.get(RANK_PATH, LOOK_TIMEOUT).await {
+        Ok(response) => serde_json::from_slice(response.body()).ok(),
+        Err(error) => {
+            log::debug!("event=agent_silent addr={} error=\"{error}\"", link.addr());
+            None
+        }
+    }
+}
--- a/crates/ochreyard-rank/src/leader/decision.rs
+++ b/crates/ochreyard-lead/src/leader/decision.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use ochreyard_core::group_map::{Phase, Round};
-use ochreyard_direct::{Dialect, KeyedLog};
+use ochreyard_direct::Dialect;
+use ochreyard_rank::Engines;
 
 use super::Leader;
-use super::questions::brief;
-use crate::engine::Engines;
+use crate::questions::brief;
 
 /// Pause between rounds while a change is under way: well under a step, which takes 50 ms and more.
 const BUSY_PAUSE: Duration = Duration::from_millis(10);
@@ -23,10 +23,10 @@
 /// than the longest waits of the controller's settings for a hold and for arms together.
 const STUCK_NOTE_MS: u64 = 1_000;
 
-impl<D: Dialect, L: KeyedLog, S: Engines> Leader<D, L, S> {
+impl<D: Dialect, S: Engines> Leader<D, S> {
     /// Lets the controller take the round, and proposes a map where one is worth it.
-    pub(super) fn decide(&mut self) {
-        let now_ms = self.agent.clock.now_ms();
+    pub(super) async fn decide(&mut self) {
+        let now_ms = self.now_ms();
         let size = self.last_round.views.len();
         if !self.leadership.holds(size, now_ms, ORDER_MARGIN_MS) {
             return;
@@ -36,7 +36,7 @@
         let round = std::mem::take(&mut self.last_round);
         self.pending = self.controller.on_round(&round, now_ms);
         self.last_round = round;
-        if self.takes_proposal(now_ms) && self.propose(now_ms) {
+        if self.takes_proposal(now_ms) && self.propose(now_ms).await {
             // The first orders need not wait for another round.
             let views = self.last_round.views.clone();
             self.pending = self.controller.on_round(&Round { views, outcomes: Vec::new() }, now_ms);
@@ -81,13 +81,18 @@
         log::warn!("event=map_change_waits phase={:?} ranks=\"{}\"", self.controller.phase(), views.join(" "));
     }
 
-    pub(super) fn pause(&self) -> Duration {
+    /// Pause until the next round, where the last one began at `asked_ms`.
+    pub(super) fn pause(&self, asked_ms: u64) -> Duration {
         if !self.pending.is_empty() {
             return ORDER_PAUSE;
         }
         match self.controller.phase() {
             Phase::Idle if self.controller.is_about_to_switch(&self.last_round.views) => BUSY_PAUSE,
-            Phase::Idle => Duration::from_millis(self.settings.round_ms),
+            Phase::Idle => {
+                // Where rounds take long, no more than half of the time goes to them.
+                let took_ms = self.now_ms().saturating_sub(asked_ms);
+                Duration::from_millis(self.settings.round_ms.max(took_ms.min(self.settings.lease_ms / 4)))
+            }
             Phase::Preparing { .. } => COPY_PAUSE,
             _ => BUSY_PAUSE,
         }
--- a/crates/ochreyard-rank/src/leader/proposal.rs
+++ b/crates/ochreyard-lead/src/leader/proposal.rs
@@ -2,10 +2,10 @@
 
 use ochreyard_core::direct::EngineFigures;
 use ochreyard_core::group_map::{Demand, GroupPlacement, PlanSettings, Planned, Planner, RankView};
-use ochreyard_direct::{Dialect, KeyedLog};
+use ochreyard_direct::Dialect;
+use ochreyard_rank::{Engines, Lists};
 
 use super::{Leader, LeaderSettings};
-use crate::engine::{Engines, Lists};
 
 /// Choices that a plan must rest on, for each expert and set: with fewer, chance
 /// decides which expert looks busy.
@@ -26,13 +26,13 @@
 /// The pace that ranks state when they are as fast as usual, in thousandths.
 const USUAL_PACE_PERMILLE: f64 = 1000.0;
 
-impl<D: Dialect, L: KeyedLog, S: Engines> Leader<D, L, S> {
+impl<D: Dialect, S: Engines> Leader<D, S> {
     /// Adds the choices of one round, summed over the ranks, to the demand.
     pub(super) fn add_demand(&mut self, chosen: &[f64]) {
         if chosen.is_empty() {
             return;
         }
-        let now_ms = self.agent.clock.now_ms();
+        let now_ms = self.now_ms();
         let fade_ms = self.settings.fade_ms as f64;
         let demand = self.demand.get_or_insert_with(|| Demand::new(chosen.len(), fade_ms));
         if demand.add(chosen, now_ms) {
@@ -44,7 +44,7 @@
 
     /// Takes the map in use from what all ranks hold, if all told of the same map.
     pub(super) fn take_lists(&mut self, lists: &[Option<Lists>]) {
-        let Some(figures) = self.figures else { return };
+        let Some(figures) = self.entry.engine_figures(&self.service) else { return };
         let all: Option<Vec<&Lists>> = lists.iter().map(Option::as_ref).collect();
         let Some(all) = all else { return };
         let Some(first) = all.first() else { return };
@@ -72,9 +72,9 @@
     }
 
     /// Proposes a new map, if one is worth a change. Says whether it did.
-    pub(super) fn propose(&mut self, now_ms: u64) -> bool {
-        let Some(planned) = self.plan() else { return false };
-        let planned_ms = self.agent.clock.now_ms();
+    pub(super) async fn propose(&mut self, now_ms: u64) -> bool {
+        let Some(planned) = self.plan().await else { return false };
+        let planned_ms = self.now_ms();
         log::info!(
             "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0} planning_ms={}",
             planned.skew.0,
@@ -90,12 +90,19 @@
     }
 
     /// The map that is worth a change, if the demand is known well enough and there is one.
-    fn plan(&self) -> Option<Planned> {
-        let figures = self.figures?;
+    ///
+    /// The search takes a thread of its own: callers are answered meanwhile.
+    async fn plan(&self) -> Option<Planned> {
+        let figures = self.entry.engine_figures(&self.service)?;
         let (_, present) = self.controller.present()?;
         let demand = self.demand.as_ref().filter(|demand| is_known(demand, &figures))?;
         let planner = Planner::new(plan_settings(&figures, &self.settings));
-        planner.plan(present, demand.rates(), &self.paces())
+        let (present, rates, paces) = (present.clone(), demand.rates().to_vec(), self.paces());
+        let search = tokio::task::spawn_blocking(move || planner.plan(&present, &rates, &paces));
+        search.await.unwrap_or_else(|error| {
+            log::error!("event=planning_failed service={} error=\"{error}\"", self.service);
+            None
+        })
     }
 }
 
--- a/crates/ochreyard-rank/src/leader/round.rs
+++ b/crates/ochreyard-lead/src/leader/round.rs
@@ -1,26 +1,27 @@
 //! One round: all ranks are asked at once, and their answers taken.
 
+use std::rc::Rc;
+
 use futures::future::join_all;
-use ochreyard_core::group_map::{LeaderId, RankView, Round, SentOrder};
-use ochreyard_direct::{Dialect, KeyedLog};
+use ochreyard_core::group_map::{LeaderId, Round, SentOrder};
+use ochreyard_direct::Dialect;
+use ochreyard_rank::{Ask, Engines, Lists, Told};
 
 use super::Leader;
-use super::questions::ask_member;
-use crate::engine::{Engines, Lists};
-use crate::message::{Ask, Told};
+use crate::questions::{Question, ask_member};
+
+/// Most ranks whose counts are asked for. Requests are spread evenly, so the counts of
+/// some ranks tell the demand on all, and each set of counts takes kilobytes and time.
+const COUNTED_RANKS: usize = 24;
 
-impl<D: Dialect, L: KeyedLog, S: Engines> Leader<D, L, S> {
+impl<D: Dialect, S: Engines> Leader<D, S> {
     /// Asks all ranks at once, with the orders that are due. Says who else is granted, if somebody is.
-    pub(super) async fn round(&mut self, view: &RankView) -> Option<LeaderId> {
-        let reaches_engines = self.reaches_engines();
-        if reaches_engines {
-            self.find_endpoints(view).await;
-        }
-        let asked_ms = self.agent.clock.now_ms();
+    pub(super) async fn round(&mut self) -> Option<LeaderId> {
+        let asked_ms = self.now_ms();
         let orders = std::mem::take(&mut self.pending);
         self.sent_maps.note(&orders);
-        let asks_counts = self.wants_counts();
-        let told = self.ask_all(view, &orders, reaches_engines).await;
+        let asks_counts = self.asks_counts();
+        let told = self.ask_all(&orders).await;
         if asks_counts {
             self.counts_asked_ms = asked_ms;
         }
@@ -34,34 +35,18 @@
         is_needed && self.last_round.views.iter().any(Option::is_none)
     }
 
-    /// Looks which endpoint is which rank, unless that is known for this epoch.
-    pub(super) async fn find_endpoints(&mut self, view: &RankView) {
-        let (epoch, now_ms) = (self.epoch(), self.agent.clock.now_ms());
-        self.endpoints.find(&self.log, &self.dialect, &self.service, view, epoch, now_ms).await;
-    }
-
-    fn epoch(&self) -> u64 {
-        self.last_round.views.iter().flatten().map(|view| view.epoch).max().unwrap_or(0)
-    }
-
     /// The answers by rank, where they came.
-    async fn ask_all(
-        &self,
-        view: &RankView,
-        orders: &[(usize, SentOrder)],
-        reaches_engines: bool,
-    ) -> Vec<Option<Told>> {
-        let own_ask = self.ask_for(view.rank, view, orders);
-        let own = self.agent.answer(&own_ask);
-        let others = self.members.iter().map(|(rank, member)| {
-            let ask = self.ask_for(rank, view, orders);
-            let engine = self.endpoints.engine(rank).filter(|_| reaches_engines);
+    async fn ask_all(&self, orders: &[(usize, SentOrder)]) -> Vec<Option<Told>> {
+        let reaches_engines = self.reaches_engines();
+        let asked = self.members.iter().map(|(rank, member)| {
+            let ask = self.ask_for(rank, orders);
             let short = self.sent_maps.shortened(&ask, member.knows_map);
-            async move { (rank, ask_member(member, short, &ask.orders, engine, view.size).await) }
+            let question = Question { ask: short, orders: ask.orders, asked_at_once: self.members.size };
+            let engine = reaches_engines.then(|| self.engines.at(member.engine_addr));
+            async move { (rank, ask_member(Rc::clone(&member.link), question, engine).await) }
         });
-        let (own, others) = futures::join!(own, join_all(others));
-        let mut told: Vec<Option<Told>> = (0..view.size).map(|_| None).collect();
-        for (rank, answer) in [(view.rank, Some(own))].into_iter().chain(others) {
+        let mut told: Vec<Option<Told>> = (0..self.members.size).map(|_| None).collect();
+        for (rank, answer) in join_all(asked).await {
             if let Some(place) = told.get_mut(rank) {
                 *place = answer;
             }
@@ -69,22 +54,32 @@
         told
     }
 
-    pub(super) fn ask_for(&self, rank: usize, view: &RankView, orders: &[(usize, SentOrder)]) -> Ask {
+    /// A question that only renews the grant.
+    pub(super) const fn plain_ask(&self) -> Ask {
         Ask {
-            leader: self.me(view),
-            group: view.group.clone(),
-            orders: orders.iter().filter(|(to, _)| *to == rank).map(|(_, order)| order.clone()).collect(),
-            wants_counts: self.wants_counts(),
-            wants_lists: !self.knows_present(),
+            leader: self.me,
+            lease_ms: self.settings.lease_ms,
+            orders: Vec::new(),
             map_change: None,
+            wants_counts: false,
+            wants_lists: false,
             releases: false,
         }
     }
 
+    pub(super) fn ask_for(&self, rank: usize, orders: &[(usize, SentOrder)]) -> Ask {
+        Ask {
+            orders: orders.iter().filter(|(to, _)| *to == rank).map(|(_, order)| order.clone()).collect(),
+            wants_counts: self.asks_counts() && is_counted(rank, self.members.size),
+            wants_lists: !self.knows_present(),
+            ..self.plain_ask()
+        }
+    }
+
     /// While experts are copied, rounds come faster than counts are worth asking for. While
     /// a step is held, rounds should be short; what is chosen meanwhile is told after it.
-    fn wants_counts(&self) -> bool {
-        let are_due = self.agent.clock.now_ms() >= self.counts_asked_ms + self.settings.round_ms;
+    fn asks_counts(&self) -> bool {
+        let are_due = self.now_ms() >= self.counts_asked_ms + self.settings.round_ms;
         !self.controller.is_busy() || (self.controller.is_copying() && are_due)
     }
 
@@ -104,12 +99,12 @@
             self.leadership.on_answer(rank, told.granted, asked_ms);
             holder = holder.or(told.holder);
             self.members.note_map(rank, told.knows_map);
-            round.views[rank] = told.view.filter(|view| view.rank == rank && view.size == round.views.len());
+            round.views[rank] = told.view.filter(|view| self.members.fits(rank, view));
             let sent = orders.iter().filter(|(to, _)| *to == rank);
             round.outcomes.extend(sent.zip(told.outcomes).map(|((to, order), outcome)| (*to, order.clone(), outcome)));
             lists[rank] = told.lists;
             if told.chosen.is_some_and(|counts| !counts.add_to(&mut chosen)) {
-                log::warn!("event=counts_unreadable group={} rank={rank}", self.service);
+                log::warn!("event=counts_unreadable group={} rank={rank}", self.members.group);
             }
         }
         self.take_lists(&lists);
@@ -118,3 +113,8 @@
         holder
     }
 }
+
+/// Whether a rank is one of those whose counts are asked for, spread over the group.
+const fn is_counted(rank: usize, size: usize) -> bool {
+    rank.is_multiple_of(size.div_ceil(COUNTED_RANKS))
+}
--- a/crates/ochreyard-rank/src/leader/sent_maps.rs
+++ b/crates/ochreyard-lead/src/sent_maps.rs
@@ -2,8 +2,7 @@
 
 use ochreyard_core::group_map::{MapChange, Order, SentOrder};
 
-use crate::message::Ask;
-use crate::numbered_map::NumberedMap;
+use ochreyard_rank::{Ask, NumberedMap};
 
 /// The newest map that was sent, and how it differs from the one before.
 #[derive(Debug, Clone, Default)]
--- /dev/null
+++ b/crates/ochreyard-lead/src/service_watch.rs
@@ -0,0 +1,129 @@
+//! Looks whether the groups of a service are led, and leads those that are not.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ochreyard_core::group_map::{Candidacy, candidate_place};
+use ochreyard_direct::{Dialect, Entry};
+use ochreyard_rank::Engines;
+
+use crate::found_rank::{FoundRank, look_at};
+use crate::leader::Leader;
+use crate::members::Members;
+use crate::settings::LeaderSettings;
+
+/// Pause between looks: a fifth of the time after which a leader counts as silent.
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+/// How long an endpoint may be in no known group before its agent is asked, in
+/// milliseconds: a leader finds a new endpoint well before.
+const GROUPLESS_MS: u64 = 2_000;
+
+/// Names of the groups that this entry leads, or tries to lead.
+type LedGroups = Rc<RefCell<BTreeSet<String>>>;
+
+/// Watches every service whose engines form groups.
+pub async fn watch_services<D: Dialect, S: Engines>(entry: Rc<Entry<D>>, engines: S, settings: LeaderSettings) {
+    let mut watches: BTreeMap<String, ServiceWatch<D, S>> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(LOOK_EVERY).await;
+        if entry.is_stopping.get() {
+            continue;
+        }
+        for service in entry.grouped_services() {
+            let new_watch = || ServiceWatch::new(Rc::clone(&entry), engines.clone(), service.clone(), settings);
+            watches.entry(service.clone()).or_insert_with(new_watch).look().await;
+        }
+    }
+}
+
+/// Watches one service.
+struct ServiceWatch<D, S> {
+    entry: Rc<Entry<D>>,
+    engines: S,
+    service: String,
+    settings: LeaderSettings,
+    candidacy: Candidacy,
+    groupless_since_ms: Option<u64>,
+    led: LedGroups,
+}
+
+impl<D: Dialect, S: Engines> ServiceWatch<D, S> {
+    fn new(entry: Rc<Entry<D>>, engines: S, service: String, settings: LeaderSettings) -> Self {
+        let (candidacy, led) = (Candidacy::default(), LedGroups::default());
+        Self { entry, engines, service, settings, candidacy, groupless_since_ms: None, led }
+    }
+
+    /// Leads a group that nobody leads, if there is one and it is this entry's turn.
+    async fn look(&mut self) {
+        let now_ms = self.entry.clock.now_ms();
+        let is_unled = self.has_unled(now_ms);
+        let place = candidate_place(&self.service, &self.entry.identity.name, &self.entry.state.borrow().boxes);
+        // A box that leads one group already leaves the next one to others first.
+        let place = place + self.led.borrow().len() * self.entry.state.borrow().boxes.len();
+        if !self.candidacy.is_due(is_unled, place, now_ms) {
+            return;
+        }
+        let found = look_at(&self.entry, self.engine_addrs()).await;
+        let found_count = found.len();
+        let group = self.unled_group(found, place);
+        log::info!(
+            "event=unled_seen service={} place={place} ranks_found={found_count} group={}",
+            self.service,
+            group.as_ref().map_or("-", |members| members.group.as_str())
+        );
+        self.candidacy.on_failed(self.entry.clock.now_ms());
+        if let Some(members) = group {
+            self.start_leading(members);
+        }
+    }
+
+    fn has_unled(&mut self, now_ms: u64) -> bool {
+        let state = self.entry.state.borrow();
+        let is_groupless = state.pool.has_endpoint_without_group(&self.service);
+        let since_ms = *self.groupless_since_ms.get_or_insert(now_ms);
+        if !is_groupless {
+            self.groupless_since_ms = None;
+        }
+        state.pool.has_unled_group(&self.service, now_ms) || (is_groupless && now_ms >= since_ms + GROUPLESS_MS)
+    }
+
+    fn engine_addrs(&self) -> Vec<SocketAddr> {
+        self.entry.state.borrow().pool.endpoints(&self.service).map(|(_, record)| record.addr).collect()
+    }
+
+    /// One of the groups among the found ranks that nobody leads. Entries at different
+    /// places try different ones.
+    fn unled_group(&self, found: Vec<FoundRank>, place: usize) -> Option<Members> {
+        let now_ms = self.entry.clock.now_ms();
+        let mut groups: BTreeMap<String, Vec<FoundRank>> = BTreeMap::new();
+        for rank in found {
+            groups.entry(rank.view.group.clone()).or_default().push(rank);
+        }
+        let state = self.entry.state.borrow();
+        groups.retain(|group, ranks| {
+            let is_granted = ranks.iter().any(|rank| rank.holder.is_some());
+            let is_tried = self.led.borrow().contains(group);
+            !is_granted && !is_tried && state.pool.is_unled(&self.service, group, now_ms)
+        });
+        let at = place.checked_rem(groups.len())?;
+        let (group, ranks) = groups.into_iter().nth(at)?;
+        let size = ranks.first()?.view.size;
+        let mut members = Members::new(group, size);
+        ranks.into_iter().for_each(|rank| members.note(rank));
+        Some(members)
+    }
+
+    fn start_leading(&self, members: Members) {
+        let (led, group) = (Rc::clone(&self.led), members.group.clone());
+        led.borrow_mut().insert(group.clone());
+        let entry = Rc::clone(&self.entry);
+        let leader = Leader::new(entry, self.engines.clone(), &self.service, members, self.settings);
+        tokio::task::spawn_local(async move {
+            leader.run().await;
+            led.borrow_mut().remove(&group);
+        });
+    }
+}
--- a/crates/ochreyard-rank/src/leader/settings.rs
+++ b/crates/ochreyard-lead/src/settings.rs
@@ -1,5 +1,7 @@
 //! What an operator sets for a leader.
 
+use ochreyard_process::Settings;
+
 /// What a leader weighs, from the settings.
 #[derive(Debug, Clone, Copy)]
 pub struct LeaderSettings {
@@ -16,3 +18,17 @@
     /// Saving over the horizon below which nothing is changed, in milliseconds.
     pub least_saving_ms: u64,
 }
+
+impl LeaderSettings {
+    /// Takes them from the settings of an entry.
+    pub fn read(settings: &Settings) -> Self {
+        Self {
+            lease_ms: settings.number("lease_ms"),
+            round_ms: settings.number("round_ms"),
+            fade_ms: settings.number("demand_fade_ms"),
+            horizon_ms: settings.number("map_horizon_ms"),
+            copy_price_ms: settings.fraction("copy_price_ms"),
+            least_saving_ms: settings.number("least_saving_ms"),
+        }
+    }
+}
--- a/crates/ochreyard-process/src/logging.rs
+++ b/crates/ochreyard-process/src/logging.rs
@@ -45,8 +45,8 @@
     let level = settings.text("log_level").parse().unwrap_or(log::LevelFilter::Info);
     let dispatch = fern::Dispatch::new().level(log::LevelFilter::Warn).level_for("ochreyard", level);
     let packages = [
-        "agent", "caller", "core", "direct", "endpoint", "entry", "hosted", "operator", "peer", "platform", "process",
-        "rank",
+        "agent", "caller", "core", "direct", "endpoint", "entry", "hosted", "lead", "operator", "peer", "platform",
+        "process", "rank",
     ];
     let dispatch = packages.iter().fold(dispatch, |d, name| d.level_for(format!("ochreyard_{name}"), level));
     let dispatch = dispatch.format(|out, message, record| {
--- a/crates/ochreyard-rank/src/agent.rs
+++ b/crates/ochreyard-rank/src/agent.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use ochreyard_core::group_map::{
@@ -10,9 +11,8 @@
 use ochreyard_process::Clock;
 
 use crate::engine::{Counts, EngineError, RankEngine};
-use crate::message::{Ask, Told};
+use crate::message::{Ask, Looked, Told};
 use crate::numbered_map::NumberedMap;
-use crate::rank_record::RankRecord;
 
 /// The running counts as they stood when a leader was last told.
 #[derive(Debug, Clone)]
@@ -23,57 +23,39 @@
 
 /// The agent of one rank.
 pub struct Agent<E> {
-    /// Its own engine.
-    pub engine: E,
-    /// Where that engine listens, and where this agent is asked.
-    pub record: RankRecord,
-    /// A number that no other life of any agent has.
-    pub life: u64,
-    /// Time.
-    pub clock: Clock,
+    engine: E,
+    engine_addr: SocketAddr,
+    clock: Clock,
     grant: RefCell<Grant>,
-    view: RefCell<Option<RankView>>,
     told_counts: RefCell<Option<ToldCounts>>,
     known_map: RefCell<Option<NumberedMap>>,
     is_reachable: Cell<bool>,
 }
 
 impl<E: RankEngine> Agent<E> {
-    /// An agent that starts now.
-    pub fn new(engine: E, record: RankRecord, life: u64, lease_ms: u64, clock: Clock) -> Rc<Self> {
+    /// An agent that starts now. It grants nothing for longer than `lease_ms`.
+    pub fn new(engine: E, engine_addr: SocketAddr, lease_ms: u64, clock: Clock) -> Rc<Self> {
         let grant = RefCell::new(Grant::new(lease_ms, clock.now_ms()));
         Rc::new(Self {
             engine,
-            record,
-            life,
+            engine_addr,
             clock,
             grant,
-            view: RefCell::new(None),
             told_counts: RefCell::new(None),
             known_map: RefCell::new(None),
             is_reachable: Cell::new(true),
         })
     }
 
-    /// The last view of its own rank.
-    pub fn last_view(&self) -> Option<RankView> {
-        self.view.borrow().clone()
-    }
-
-    /// Reads its own engine.
-    pub async fn look(&self) -> Option<RankView> {
-        let view = self.noted(self.engine.view().await);
-        if view.is_some() {
-            self.view.replace(view.clone());
-        }
-        view
+    /// What it sees, for anybody who asks.
+    pub async fn looked(&self) -> Looked {
+        let view = self.look().await;
+        let holder = self.grant.borrow().holder(self.clock.now_ms()).copied();
+        Looked { view, holder }
     }
 
-    /// Whether another leader is granted, or this agent has started too recently to say.
-    pub fn is_led_by_other(&self, me: &LeaderId) -> bool {
-        let now_ms = self.clock.now_ms();
-        let grant = self.grant.borrow();
-        grant.is_quiet(now_ms) || grant.holder(now_ms).is_some_and(|holder| holder != me)
+    async fn look(&self) -> Option<RankView> {
+        self.noted(self.engine.view().await)
     }
 
     /// Answers a leader: grants or refuses, carries out its orders, and tells of the rank.
@@ -83,8 +65,8 @@
             return Told::default();
         }
         let now_ms = self.clock.now_ms();
-        let granted = self.grant.borrow_mut().ask(&ask.leader, now_ms);
-        let holder = self.grant.borrow().holder(now_ms).filter(|_| !granted).cloned();
+        let granted = self.grant.borrow_mut().ask(&ask.leader, ask.lease_ms, now_ms);
+        let holder = self.grant.borrow().holder(now_ms).filter(|_| !granted).copied();
         let outcomes = if granted { self.carry_out(ask).await } else { Vec::new() };
         let view = self.look().await;
         let chosen = if ask.wants_counts { self.chosen_for(&ask.leader).await } else { None };
@@ -96,7 +78,7 @@
     /// What the rank has chosen since `leader` was last told.
     async fn chosen_for(&self, leader: &LeaderId) -> Option<ChosenCounts> {
         let counts = self.noted(self.engine.counts().await)?;
-        let told = ToldCounts { leader: leader.clone(), counts };
+        let told = ToldCounts { leader: *leader, counts };
         let before = self.told_counts.replace(Some(told.clone())).filter(|before| before.leader == *leader)?;
         Some(ChosenCounts::new(&chosen_between(&before.counts.counts, &told.counts.counts)))
     }
@@ -136,13 +118,13 @@
         match result {
             Ok(value) => {
                 if !was_reachable {
-                    log::info!("event=engine_regained addr={}", self.record.engine_addr);
+                    log::info!("event=engine_regained addr={}", self.engine_addr);
                 }
                 Some(value)
             }
             Err(error) => {
                 if was_reachable {
-                    log::warn!("event=engine_lost addr={} error=\"{error}\"", self.record.engine_addr);
+                    log::warn!("event=engine_lost addr={} error=\"{error}\"", self.engine_addr);
                 }
                 None
             }
--- a/crates/ochreyard-rank/src/message.rs
+++ b/crates/ochreyard-rank/src/message.rs
@@ -5,17 +5,27 @@
 
 use crate::engine::Lists;
 
-/// Where an agent is asked.
-pub const ASK_PATH: &str = "/rank";
+/// Where an agent is asked: GET for what it sees, POST for a leader's question.
+pub const RANK_PATH: &str = "/rank";
+
+/// What an agent tells anybody who asks.
+#[derive(Debug, Clone, Serialize, Deserialize, Default)]
+pub struct Looked {
+    /// The rank's view.
+    pub view: Option<RankView>,
+    /// Who leads, as far as this agent knows.
+    pub holder: Option<LeaderId>,
+}
 
 /// A leader's question to one agent. It renews the leader's grant.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Ask {
     /// Who asks.
     pub leader: LeaderId,
-    /// The group that is meant.
-    pub group: String,
+    /// For how long the leader takes itself to be granted, in milliseconds.
+    pub lease_ms: u64,
     /// Orders for the rank, carried out only if the leader is granted.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub orders: Vec<SentOrder>,
     /// The map of an order to prepare that holds none, as a change of one that the agent knows.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -34,6 +44,7 @@
     /// Whether the leader is granted.
     pub granted: bool,
     /// Who is granted, if not the leader.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub holder: Option<LeaderId>,
     /// The rank's view, after the orders.
     pub view: Option<RankView>,
@@ -41,9 +52,12 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub knows_map: Option<u64>,
     /// What became of the orders, in their order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub outcomes: Vec<OrderOutcome>,
     /// What the rank has chosen since it last told this leader; nothing the first time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub chosen: Option<ChosenCounts>,
     /// The held experts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lists: Option<Lists>,
 }
--- a/crates/ochreyard-rank/src/serve.rs
+++ b/crates/ochreyard-rank/src/serve.rs
@@ -3,15 +3,12 @@
 use std::rc::Rc;
 
 use miette::{Context, IntoDiagnostic, Result};
-use ochreyard_direct::{Dialect, KeyedLog};
 use ochreyard_process::{Clock, Settings, new_life, start_logging, stop_signal};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::agent::Agent;
 use crate::engine::Engines;
-use crate::leader::{Leader, LeaderSettings};
-use crate::rank_record::RankRecord;
 use crate::server;
 
 /// Runs the agent on one thread.
@@ -19,31 +16,20 @@
 /// # Errors
 ///
 /// When the address cannot be bound.
-pub fn run<D: Dialect, L: KeyedLog, S: Engines>(settings: &Settings, dialect: D, log: L, engines: S) -> Result<()> {
+pub fn run<S: Engines>(settings: &Settings, engines: &S) -> Result<()> {
     start_logging(settings).into_diagnostic()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(settings, dialect, log, engines))
+    tokio::task::LocalSet::new().block_on(&runtime, serve(settings, engines))
 }
 
-async fn serve<D: Dialect, L: KeyedLog, S: Engines>(settings: &Settings, dialect: D, log: L, engines: S) -> Result<()> {
+async fn serve<S: Engines>(settings: &Settings, engines: &S) -> Result<()> {
     let (engine_addr, peer_addr) = (settings.addr("engine_addr"), settings.addr("peer_addr"));
-    let leading = LeaderSettings {
-        lease_ms: settings.number("lease_ms"),
-        round_ms: settings.number("round_ms"),
-        fade_ms: settings.number("demand_fade_ms"),
-        horizon_ms: settings.number("map_horizon_ms"),
-        copy_price_ms: settings.fraction("copy_price_ms"),
-        least_saving_ms: settings.number("least_saving_ms"),
-    };
     let life = new_life(settings.text("agent"));
     log::info!("event=agent_started agent={} life={life} engine={engine_addr}", settings.text("agent"));
-    let record = RankRecord { agent_addr: peer_addr, engine_addr };
-    let agent = Agent::new(engines.at(engine_addr), record, life, leading.lease_ms, Clock::start());
+    let agent = Agent::new(engines.at(engine_addr), engine_addr, settings.number("lease_ms"), Clock::start());
     let problem = || format!("field `peer_addr`: {peer_addr} cannot be bound; choose a free address");
     let listener = TcpListener::bind(peer_addr).await.into_diagnostic().wrap_err_with(problem)?;
     tokio::task::spawn_local(server::serve(Rc::clone(&agent), listener));
-    let leader = Leader::new(agent, dialect, log, engines, settings.text("service"), leading);
-    tokio::task::spawn_local(leader.run());
     let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
     tokio::select! {
         stopped = stop_signal() => stopped.into_diagnostic()?,
--- a/crates/ochreyard-rank/src/server.rs
+++ b/crates/ochreyard-rank/src/server.rs
@@ -12,11 +12,12 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use ochreyard_direct::tune;
+use serde::Serialize;
 use tokio::net::TcpListener;
 
 use crate::agent::Agent;
 use crate::engine::RankEngine;
-use crate::message::{ASK_PATH, Ask};
+use crate::message::{Ask, RANK_PATH};
 
 /// Largest question: a map of a large group, in JSON.
 const MAX_ASK_BYTES: usize = 1 << 20;
@@ -47,9 +48,17 @@
 }
 
 async fn answer<E: RankEngine>(agent: &Agent<E>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    if request.method() != Method::POST || request.uri().path() != ASK_PATH {
+    if request.uri().path() != RANK_PATH {
         return status_only(StatusCode::NOT_FOUND);
     }
+    match *request.method() {
+        Method::GET => json(&agent.looked().await),
+        Method::POST => answer_leader(agent, request).await,
+        _ => status_only(StatusCode::METHOD_NOT_ALLOWED),
+    }
+}
+
+async fn answer_leader<E: RankEngine>(agent: &Agent<E>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let Ok(body) = Limited::new(request.into_body(), MAX_ASK_BYTES).collect().await else {
         return status_only(StatusCode::BAD_REQUEST);
     };
@@ -60,8 +69,11 @@
             return status_only(StatusCode::BAD_REQUEST);
         }
     };
-    let told = agent.answer(&ask).await;
-    match serde_json::to_vec(&told) {
+    json(&agent.answer(&ask).await)
+}
+
+fn json<T: Serialize>(answer: &T) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(answer) {
         Ok(bytes) => Response::new(Full::from(bytes)),
         Err(error) => {
             log::error!("event=answer_unwritable error=\"{error}\"");
