Tell boxes of each other, and let strong ones lead first

Cause: entries read the list of boxes every 8 s, so a leader knew half of the entries in the first seconds: the others heard no news, and asked all agents again and again. Change: a box that is asked tells which boxes it learned of since; records of boxes hold cores and link, and the strong ask to lead first. Boxes that are told read the list once a minute and wait 25 s for a configuration: calls to the store. Ruled out: waits by strength alone (sites with weak boxes only would wait for nothing).

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -4,6 +4,7 @@
 //! identity, so the attempt needs no home elsewhere: its whole story is in the
 //! entry that took it from the caller.
 
+mod box_list;
 mod catalog;
 mod endpoint_pool;
 mod event_splitter;
@@ -12,6 +13,7 @@
 mod repeat_budget;
 mod route_table;
 
+pub use box_list::{BoxList, BoxRecord};
 pub use catalog::{Catalog, EndpointChange, EndpointRecord};
 pub use endpoint_pool::{EndpointPool, NoPick, Outcome, Pick, ReportedLoad};
 pub use event_splitter::{EventSplitter, WholeEvents};
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/box_list.rs
@@ -0,0 +1,73 @@
+//! The other boxes that a box knows, in the order in which it learned of them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// What a box says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BoxRecord {
+    /// Where other boxes reach it.
+    pub addr: SocketAddr,
+    /// Its share of processor cores, in thousandths.
+    pub cores_permille: u64,
+    /// What its link carries, in megabits a second.
+    pub link_mbps: u64,
+}
+
+/// Other boxes by name.
+///
+/// Another box that asked before is told only what was learned since.
+#[derive(Debug, Clone, Default)]
+pub struct BoxList {
+    records: BTreeMap<String, BoxRecord>,
+    /// Their names as they were learned; a box that moved is named once more.
+    learned: Vec<String>,
+}
+
+impl BoxList {
+    /// Takes a record. Says whether that is news.
+    pub fn take(&mut self, name: &str, record: BoxRecord) -> bool {
+        if self.records.get(name) == Some(&record) {
+            return false;
+        }
+        self.records.insert(name.to_owned(), record);
+        self.learned.push(name.to_owned());
+        true
+    }
+
+    /// How many boxes are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no other box is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// All boxes by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &BoxRecord)> {
+        self.records.iter().map(|(name, record)| (name.as_str(), record))
+    }
+
+    /// Where all boxes are reached.
+    pub fn addrs(&self) -> impl Iterator<Item = SocketAddr> {
+        self.records.values().map(|record| record.addr)
+    }
+
+    /// How many records have been learned so far.
+    #[must_use]
+    pub fn learned(&self) -> usize {
+        self.learned.len()
+    }
+
+    /// The boxes learned after the first `count` records.
+    pub fn learned_since(&self, count: usize) -> impl Iterator<Item = (&str, &BoxRecord)> {
+        let names = self.learned.get(count..).unwrap_or_default();
+        names.iter().filter_map(|name| Some((name.as_str(), self.records.get(name)?)))
+    }
+}
--- a/crates/ochreyard-core/src/direct/reading.rs
+++ b/crates/ochreyard-core/src/direct/reading.rs
@@ -5,9 +5,9 @@
 //! themselves only where what they know has become too old: because that box
 //! is down, cut off from them or from the log. Nobody has to agree on anything.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use super::box_list::{BoxList, BoxRecord};
 use crate::hash;
 
 /// Boxes of the common order that read for the others: one may be lost or slow
@@ -90,15 +90,15 @@
     /// The box to ask for records of endpoints, of all `others`; `None` where the box
     /// `own` reads for the others.
     #[must_use]
-    pub fn box_to_ask(&self, own: &str, others: &BTreeMap<String, SocketAddr>) -> Option<SocketAddr> {
+    pub fn box_to_ask(&self, own: &str, others: &BoxList) -> Option<SocketAddr> {
         let place = |name: &str| hash::mix(hash::fnv1a(name.as_bytes()));
-        let before_own = others.keys().filter(|name| place(name) < place(own)).count();
+        let before_own = others.iter().filter(|(name, _)| place(name) < place(own)).count();
         if before_own < READERS {
             return None;
         }
-        let mut ordered: Vec<(&String, &SocketAddr)> = others.iter().collect();
+        let mut ordered: Vec<(&str, &BoxRecord)> = others.iter().collect();
         ordered.sort_by_cached_key(|(name, _)| place(name));
         let at = self.passed_over.checked_rem(ordered.len())?;
-        Some(*ordered[at].1)
+        Some(ordered[at].1.addr)
     }
 }
--- a/crates/ochreyard-core/src/group_map/candidacy.rs
+++ b/crates/ochreyard-core/src/group_map/candidacy.rs
@@ -4,9 +4,9 @@
 //! the other, in an order that each works out for itself, and the agents grant
 //! one of them. An entry that is down or cut off costs the next one a short wait.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::cmp::Reverse;
 
+use crate::direct::{BoxList, BoxRecord};
 use crate::hash;
 
 /// How much longer each entry waits than the one before it in the order, in milliseconds:
@@ -45,10 +45,17 @@
     }
 }
 
-/// The place of box `own` in the order in which entries ask to lead a service. The order
-/// differs from service to service, so that one box does not lead all of them.
+/// The place of a box in the order in which entries ask to lead a service.
+///
+/// Strong boxes come first: the search for a map and the questions to hundreds of ranks
+/// take a box of half a core and 200 megabits a second a third of the time that one of a
+/// quarter core and 40 megabits a second needs. Among boxes alike, the order differs
+/// from service to service, so that one box does not lead all of them.
 #[must_use]
-pub fn candidate_place(service: &str, own: &str, others: &BTreeMap<String, SocketAddr>) -> usize {
-    let key = |name: &str| hash::mix(hash::fnv1a(service.as_bytes()) ^ hash::fnv1a(name.as_bytes()));
-    others.keys().filter(|name| key(name) < key(own)).count()
+pub fn candidate_place(service: &str, own: (&str, &BoxRecord), others: &BoxList) -> usize {
+    let key = |(name, record): (&str, &BoxRecord)| {
+        let drawn = hash::mix(hash::fnv1a(service.as_bytes()) ^ hash::fnv1a(name.as_bytes()));
+        (Reverse(record.cores_permille), Reverse(record.link_mbps), drawn)
+    };
+    others.iter().filter(|other| key(*other) < key(own)).count()
 }
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -1,11 +1,11 @@
 //! What an entry decides that calls endpoints itself.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use ochreyard_core::direct::{
-    Catalog, EndpointChange, EndpointPool, EndpointRecord, EventSplitter, GroupNews, NoPick, Outcome, RankNews,
-    Reading, RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, Teller, WeightedService, Workspace,
+    BoxList, BoxRecord, Catalog, EndpointChange, EndpointPool, EndpointRecord, EventSplitter, GroupNews, NoPick,
+    Outcome, RankNews, Reading, RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, Teller, WeightedService,
+    Workspace,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -270,8 +270,12 @@
     assert_eq!(at("e9"), 0, "the most loaded of a draw is never picked");
 }
 
-fn boxes(names: &[&str]) -> BTreeMap<String, SocketAddr> {
-    names.iter().enumerate().map(|(at, name)| ((*name).to_owned(), addr(at as u16 + 1))).collect()
+fn boxes(names: &[&str]) -> BoxList {
+    let mut boxes = BoxList::default();
+    for (at, name) in names.iter().enumerate() {
+        boxes.take(name, BoxRecord { addr: addr(at as u16 + 1), cores_permille: 250, link_mbps: 100 });
+    }
+    boxes
 }
 
 #[test]
@@ -285,7 +289,7 @@
         names.iter().map(|own| Reading::new(2_000).box_to_ask(own, &others(own))).collect();
     assert_eq!(asked.iter().filter(|asked| asked.is_none()).count(), 2, "{asked:?}");
     let reader = names.iter().zip(&asked).find(|(_, asked)| asked.is_none()).map(|(name, _)| name).unwrap();
-    assert!(Reading::new(2_000).box_to_ask("alone", &BTreeMap::new()).is_none(), "a box alone reads for itself");
+    assert!(Reading::new(2_000).box_to_ask("alone", &BoxList::default()).is_none(), "a box alone reads for itself");
     assert!(!reader.is_empty());
 }
 
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -8,10 +8,12 @@
 
 use bytes::Bytes;
 use ochreyard_core::direct::{
-    Catalog, EndpointChange, EndpointPool, EngineFigures, GroupNews, Reading, RepeatBudget, RepeatLimits, RouteTable,
+    BoxList, BoxRecord, Catalog, EndpointChange, EndpointPool, EngineFigures, GroupNews, Reading, RepeatBudget,
+    RepeatLimits, RouteTable,
 };
 use ochreyard_core::hash;
 use ochreyard_process::Clock;
+use serde::{Deserialize, Serialize};
 
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::Dialect;
@@ -29,8 +31,17 @@
     pub data_centre: String,
     /// A number that no other life of any box has.
     pub life: u64,
-    /// Where other boxes reach it.
-    pub peer_addr: SocketAddr,
+    /// What it says of itself to other boxes.
+    pub record: BoxRecord,
+}
+
+/// How much of another box's list of boxes is known here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct BoxesHeard {
+    /// The life of the other box.
+    pub life: u64,
+    /// Records of its list, in the order in which it learned them.
+    pub count: usize,
 }
 
 /// Everything that changes while the process runs.
@@ -49,8 +60,8 @@
     pub connections: ConnectionPool,
     /// How often a request may be sent again.
     pub budget: RepeatBudget,
-    /// Other boxes, by name.
-    pub boxes: BTreeMap<String, SocketAddr>,
+    /// Other boxes.
+    pub boxes: BoxList,
     /// Whether the platform's log answered the last call.
     pub log_answers: bool,
 }
@@ -71,6 +82,7 @@
     pub is_refusing: Cell<bool>,
     draws: Cell<u64>,
     links: RefCell<BTreeMap<SocketAddr, Rc<CallLink>>>,
+    boxes_heard: RefCell<BTreeMap<SocketAddr, BoxesHeard>>,
 }
 
 impl<D: Dialect> Entry<D> {
@@ -86,7 +98,7 @@
             pool: EndpointPool::new(),
             connections: ConnectionPool::default(),
             budget: RepeatBudget::new(limits, ASSUMED_BOXES),
-            boxes: BTreeMap::new(),
+            boxes: BoxList::default(),
             log_answers: false,
         };
         let draws = Cell::new(identity.life);
@@ -99,6 +111,7 @@
             is_refusing: Cell::new(false),
             draws,
             links: RefCell::default(),
+            boxes_heard: RefCell::default(),
         }
     }
 
@@ -192,18 +205,28 @@
     }
 
     /// Notes another box.
-    pub fn take_box(&self, name: &str, addr: SocketAddr) {
+    pub fn take_box(&self, name: &str, record: BoxRecord) {
         if name == self.identity.name {
             return;
         }
         let mut state = self.state.borrow_mut();
-        if state.boxes.insert(name.to_owned(), addr).is_none() {
+        if state.boxes.take(name, record) {
             let boxes = state.boxes.len() as u64 + 1;
             state.budget.set_boxes(boxes);
-            log::info!("event=box_known box={name} addr={addr} boxes={boxes}");
+            log::info!("event=box_known box={name} addr={} boxes={boxes}", record.addr);
         }
     }
 
+    /// How much of another box's list of boxes is known here; nothing of that of another life.
+    pub fn boxes_heard(&self, addr: SocketAddr) -> BoxesHeard {
+        self.boxes_heard.borrow().get(&addr).copied().unwrap_or_default()
+    }
+
+    /// Notes how much of another box's list of boxes is known here.
+    pub fn note_boxes_heard(&self, addr: SocketAddr, heard: BoxesHeard) {
+        self.boxes_heard.borrow_mut().insert(addr, heard);
+    }
+
     /// Notes whether the platform's log answers.
     pub fn note_log(&self, answers: bool, problem: &str) {
         let mut state = self.state.borrow_mut();
--- a/crates/ochreyard-direct/src/fields.rs
+++ b/crates/ochreyard-direct/src/fields.rs
@@ -57,6 +57,18 @@
         default: Some("8"),
         about: "time between SIGTERM and the end of the process",
     },
+    FieldSpec {
+        name: "cores",
+        kind: FieldKind::Fraction(0.001, 1_024.0),
+        default: Some("1"),
+        about: "processor cores of this box; boxes with more lead groups before others",
+    },
+    FieldSpec {
+        name: "link_mbps",
+        kind: FieldKind::Fraction(0.001, 1_000_000.0),
+        default: Some("1000"),
+        about: "what the link of this box carries, in megabits a second; among boxes of as many cores, those with more lead first",
+    },
     FieldSpec {
         name: "metrics_addr",
         kind: FieldKind::Addr,
--- a/crates/ochreyard-direct/src/follow/boxes.rs
+++ b/crates/ochreyard-direct/src/follow/boxes.rs
@@ -8,25 +8,33 @@
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, Topic};
 
-/// How often the list of our own boxes is read: they change rarely.
+/// How often the list of our own boxes is read by those boxes that read for others.
 const BOXES_EVERY: Duration = Duration::from_secs(8);
+/// How often the others read it: they are told of new boxes by those that read.
+const TOLD_BOXES_EVERY: Duration = Duration::from_secs(60);
 
 /// Writes this box into the list of our own boxes, and reads who else is there.
 pub async fn follow_boxes<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
     let mut is_written = false;
     loop {
         if !is_written {
-            let addr = entry.identity.peer_addr.to_string();
-            let written = log.append(Topic::Boxes, &entry.identity.name, addr.as_bytes()).await;
+            let record = serde_json::to_vec(&entry.identity.record).unwrap_or_default();
+            let written = log.append(Topic::Boxes, &entry.identity.name, &record).await;
             is_written = noted(&entry, written).is_some();
         }
         let page = noted(&entry, log.newest(Topic::Boxes).await);
         for record in page.iter().flat_map(|page| &page.records) {
-            let addr = record.value.as_ref().and_then(|value| std::str::from_utf8(value).ok()?.parse().ok());
-            if let Some(addr) = addr {
-                entry.take_box(&record.key, addr);
+            let Some(value) = &record.value else { continue };
+            match serde_json::from_slice(value) {
+                Ok(told) => entry.take_box(&record.key, told),
+                Err(error) => log::warn!("event=box_unreadable box={} error=\"{error}\"", record.key),
             }
         }
-        tokio::time::sleep(if page.is_some() && is_written { BOXES_EVERY } else { RETRY_PAUSE }).await;
+        let pause = match page {
+            Some(_) if is_written && entry.box_to_ask().is_none() => BOXES_EVERY,
+            Some(_) if is_written => TOLD_BOXES_EVERY,
+            _ => RETRY_PAUSE,
+        };
+        tokio::time::sleep(pause).await;
     }
 }
--- a/crates/ochreyard-direct/src/follow/config.rs
+++ b/crates/ochreyard-direct/src/follow/config.rs
@@ -7,9 +7,12 @@
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedLogError, KeyedRecord, Topic};
 
-/// How long one reading of the configuration waits for news. A reading whose
-/// answer is lost ends after this and the time-out; other boxes tell meanwhile.
-const CONFIG_WAIT_MS: u64 = 5_000;
+/// How long a reading of the configuration waits for news in a box that reads for others. A
+/// reading whose answer is lost ends after this and the time-out.
+const READER_WAIT_MS: u64 = 5_000;
+/// How long it waits in the other boxes: each reading is a call to the log, and those that
+/// read tell of a newer configuration meanwhile, several times a second.
+const TOLD_WAIT_MS: u64 = 25_000;
 
 /// Follows the configuration; each reading waits for the next record.
 pub async fn follow_config<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
@@ -22,7 +25,8 @@
         take_configs(&entry, &page.records);
         let mut from = after_last(&page);
         loop {
-            match log.read(Topic::Config, from, CONFIG_WAIT_MS).await {
+            let wait_ms = if entry.box_to_ask().is_none() { READER_WAIT_MS } else { TOLD_WAIT_MS };
+            match log.read(Topic::Config, from, wait_ms).await {
                 Err(KeyedLogError::Gone { first }) if first > from => from = first,
                 result => {
                     let Some(page) = noted(&entry, result) else { break };
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -37,7 +37,7 @@
 pub use call_error::CallError;
 pub use connection::tune;
 pub use dialect::{Dialect, HeaderNames, Unreadable};
-pub use entry::{Entry, Identity, State};
+pub use entry::{BoxesHeard, Entry, Identity, State};
 pub use fields::FIELDS;
 pub use keyed_log::{KeyedLog, KeyedLogError, KeyedPage, KeyedRecord, Topic};
 pub use link::CallLink;
--- a/crates/ochreyard-direct/src/peers/ask.rs
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -39,8 +39,9 @@
 fn to_ask<D: Dialect>(entry: &Entry<D>, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
     let state = entry.state.borrow();
     let is_well = state.log_answers && state.table.is_some();
-    let own = entry.identity.peer_addr;
-    let mut addrs: Vec<SocketAddr> = state.boxes.values().chain(seeds).copied().filter(|addr| *addr != own).collect();
+    let own = entry.identity.record.addr;
+    let mut addrs: Vec<SocketAddr> =
+        state.boxes.addrs().chain(seeds.iter().copied()).filter(|addr| *addr != own).collect();
     addrs.sort_unstable();
     addrs.dedup();
     if addrs.is_empty() {
@@ -58,7 +59,7 @@
 
 async fn ask<D: Dialect>(entry: Rc<Entry<D>>, link: Rc<CallLink>) {
     let asked_ms = entry.clock.now_ms();
-    let path = question(&entry).path();
+    let path = question(&entry, link.addr()).path();
     let told = match link.get(&path, ASK_TIMEOUT).await {
         Ok(response) => serde_json::from_slice::<PeerState>(response.body()),
         Err(error) => {
@@ -73,14 +74,14 @@
     }
 }
 
-fn question<D: Dialect>(entry: &Entry<D>) -> Question {
+fn question<D: Dialect>(entry: &Entry<D>, to: SocketAddr) -> Question {
     let state = entry.state.borrow();
     Question {
         version: state.table.as_ref().map(|table| table.version()),
         name: Some(entry.identity.name.clone()),
-        addr: Some(entry.identity.peer_addr),
+        record: Some(entry.identity.record),
         from: Some(state.reading.next().unwrap_or(0)),
-        wants_boxes: !state.log_answers,
+        boxes_heard: entry.boxes_heard(to),
     }
 }
 
@@ -98,9 +99,10 @@
         let change = entry.state.borrow_mut().catalog.take(&id, offset, record, now_ms);
         entry.apply(change);
     }
-    for (name, addr) in told.boxes {
-        entry.take_box(&name, addr);
+    for (name, record) in told.boxes {
+        entry.take_box(&name, record);
     }
+    entry.note_boxes_heard(from, told.boxes_told);
 }
 
 /// Takes over how far another box has read. Where the log was away, its reader says
--- a/crates/ochreyard-direct/src/peers/peer_state.rs
+++ b/crates/ochreyard-direct/src/peers/peer_state.rs
@@ -1,12 +1,13 @@
 //! A box's answer to another one.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
+use ochreyard_core::direct::BoxRecord;
 use serde::{Deserialize, Serialize};
 
 use super::peer_endpoint::PeerEndpoint;
 use super::peer_reading::PeerReading;
+use crate::entry::BoxesHeard;
 
 /// What a box knows and another one may lack.
 #[derive(Debug, Clone, Serialize, Deserialize, Default)]
@@ -17,6 +18,9 @@
     pub endpoints: Vec<PeerEndpoint>,
     /// How far the records of endpoints were read, and how long ago.
     pub reading: Option<PeerReading>,
-    /// Boxes by name.
-    pub boxes: BTreeMap<String, SocketAddr>,
+    /// This box, and others that it learned of since it was asked last.
+    pub boxes: BTreeMap<String, BoxRecord>,
+    /// How much of its list of boxes that completes.
+    #[serde(default)]
+    pub boxes_told: BoxesHeard,
 }
--- a/crates/ochreyard-direct/src/peers/question.rs
+++ b/crates/ochreyard-direct/src/peers/question.rs
@@ -1,7 +1,10 @@
 //! A box's question to another one, as the path that it asks for.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+
+use ochreyard_core::direct::BoxRecord;
+
+use crate::entry::BoxesHeard;
 
 /// Where a box tells what it knows.
 pub const STATE_PATH: &str = "/state";
@@ -13,12 +16,12 @@
     pub version: Option<u64>,
     /// Its name.
     pub name: Option<String>,
-    /// Where it is asked itself.
-    pub addr: Option<SocketAddr>,
+    /// What it says of itself.
+    pub record: Option<BoxRecord>,
     /// Where it reads on among the records of endpoints.
     pub from: Option<u64>,
-    /// Whether it wants to know all other boxes.
-    pub wants_boxes: bool,
+    /// How much of the list of boxes it knows already.
+    pub boxes_heard: BoxesHeard,
 }
 
 impl Question {
@@ -29,9 +32,12 @@
         Self {
             version: number("version"),
             name: pairs.get("box").map(|name| (*name).to_owned()),
-            addr: pairs.get("addr").and_then(|addr| addr.parse().ok()),
+            record: record(&pairs),
             from: number("from"),
-            wants_boxes: pairs.contains_key("boxes"),
+            boxes_heard: BoxesHeard {
+                life: number("life").unwrap_or(0),
+                count: number("boxes").and_then(|count| usize::try_from(count).ok()).unwrap_or(0),
+            },
         }
     }
 
@@ -40,9 +46,22 @@
         let mut pairs = Vec::new();
         pairs.extend(self.version.map(|version| format!("version={version}")));
         pairs.extend(self.name.as_ref().map(|name| format!("box={name}")));
-        pairs.extend(self.addr.map(|addr| format!("addr={addr}")));
+        pairs.extend(self.record.map(|record| {
+            let BoxRecord { addr, cores_permille, link_mbps } = record;
+            format!("addr={addr}&cores={cores_permille}&link={link_mbps}")
+        }));
         pairs.extend(self.from.map(|from| format!("from={from}")));
-        pairs.extend(self.wants_boxes.then(|| "boxes=1".to_owned()));
+        let BoxesHeard { life, count } = self.boxes_heard;
+        pairs.extend((count > 0).then(|| format!("life={life}&boxes={count}")));
         format!("{STATE_PATH}?{}", pairs.join("&"))
     }
 }
+
+/// What the asker says of itself, if it says all of it.
+fn record(pairs: &BTreeMap<&str, &str>) -> Option<BoxRecord> {
+    Some(BoxRecord {
+        addr: pairs.get("addr")?.parse().ok()?,
+        cores_permille: pairs.get("cores")?.parse().ok()?,
+        link_mbps: pairs.get("link")?.parse().ok()?,
+    })
+}
--- a/crates/ochreyard-direct/src/peers/tell.rs
+++ b/crates/ochreyard-direct/src/peers/tell.rs
@@ -1,22 +1,22 @@
 //! Answers a box that asks.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use bytes::Bytes;
+use ochreyard_core::direct::BoxRecord;
 
 use super::peer_endpoint::PeerEndpoint;
 use super::peer_reading::PeerReading;
 use super::peer_state::PeerState;
 use super::question::Question;
 use crate::dialect::Dialect;
-use crate::entry::{Entry, State};
+use crate::entry::{BoxesHeard, Entry, State};
 
 /// The answer to a box that asks; what it says of itself is noted.
 pub fn state_for<D: Dialect>(entry: &Entry<D>, query: &str) -> Bytes {
     let question = Question::read(query);
-    if let (Some(name), Some(addr)) = (&question.name, question.addr) {
-        entry.take_box(name, addr);
+    if let (Some(name), Some(record)) = (&question.name, question.record) {
+        entry.take_box(name, record);
     }
     let state = told(entry, &question);
     serde_json::to_vec(&state).map(Bytes::from).unwrap_or_else(|error| {
@@ -32,7 +32,8 @@
         config: newer_config(&state, question.version),
         endpoints: question.from.map_or_else(Vec::new, |from| changed_since(&state, from)),
         reading: question.from.and_then(|_| reading(&state, entry.clock.now_ms())),
-        boxes: boxes(entry, &state, question.wants_boxes),
+        boxes: boxes(entry, &state, question.boxes_heard),
+        boxes_told: BoxesHeard { life: entry.identity.life, count: state.boxes.learned() },
     }
 }
 
@@ -55,9 +56,9 @@
     state.catalog.is_settled().then(|| PeerReading { next, age_ms: state.reading.age_ms(now_ms) })
 }
 
-/// This box, and all others where they are wanted.
-fn boxes<D>(entry: &Entry<D>, state: &State, wants_all: bool) -> BTreeMap<String, SocketAddr> {
-    let mut boxes = if wants_all { state.boxes.clone() } else { BTreeMap::new() };
-    boxes.insert(entry.identity.name.clone(), entry.identity.peer_addr);
-    boxes
+/// This box, and those of its list that the asker has not been told of.
+fn boxes<D>(entry: &Entry<D>, state: &State, heard: BoxesHeard) -> BTreeMap<String, BoxRecord> {
+    let known = if heard.life == entry.identity.life { heard.count } else { 0 };
+    let news = state.boxes.learned_since(known).map(|(name, record)| (name.to_owned(), *record));
+    news.chain([(entry.identity.name.clone(), entry.identity.record)]).collect()
 }
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use miette::{Context, IntoDiagnostic, Result};
-use ochreyard_core::direct::RepeatLimits;
+use ochreyard_core::direct::{BoxRecord, RepeatLimits};
 use ochreyard_process::{Clock, Settings, keep_metrics_up, new_life, start_logging, start_metrics};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -28,6 +28,8 @@
 /// How often a stopping box looks whether all connections have ended: a third of
 /// [`END_RESERVE_MS`], so that the last look comes in time.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Thousandths of a whole.
+const PERMILLE: f64 = 1_000.0;
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1_000.0;
 
@@ -98,7 +100,11 @@
         name: settings.text("entry").to_owned(),
         data_centre: settings.text("data_centre").to_owned(),
         life: new_life(settings.text("entry")),
-        peer_addr: settings.addr("peer_addr"),
+        record: BoxRecord {
+            addr: settings.addr("peer_addr"),
+            cores_permille: (settings.fraction("cores") * PERMILLE) as u64,
+            link_mbps: settings.fraction("link_mbps") as u64,
+        },
     }
 }
 
--- a/crates/ochreyard-lead/src/found_rank.rs
+++ b/crates/ochreyard-lead/src/found_rank.rs
@@ -28,7 +28,7 @@
 /// Asks the agents beside these engines. An agent listens on the box of its engine, at the
 /// port at which entries are asked by other boxes.
 pub async fn look_at<D: Dialect>(entry: &Entry<D>, engines: impl IntoIterator<Item = SocketAddr>) -> Vec<FoundRank> {
-    let port = entry.identity.peer_addr.port();
+    let port = entry.identity.record.addr.port();
     let asked = engines.into_iter().map(|engine_addr| async move {
         let link = Rc::new(CallLink::new(SocketAddr::new(engine_addr.ip(), port)));
         let looked = look(&link).await?;
--- a/crates/ochreyard-lead/src/service_watch.rs
+++ b/crates/ochreyard-lead/src/service_watch.rs
@@ -60,9 +60,7 @@
     async fn look(&mut self) {
         let now_ms = self.entry.clock.now_ms();
         let is_unled = self.has_unled(now_ms);
-        let place = candidate_place(&self.service, &self.entry.identity.name, &self.entry.state.borrow().boxes);
-        // A box that leads one group already leaves the next one to others first.
-        let place = place + self.led.borrow().len() * self.entry.state.borrow().boxes.len();
+        let place = self.place();
         if !self.candidacy.is_due(is_unled, place, now_ms) {
             return;
         }
@@ -90,6 +88,14 @@
         state.pool.has_unled_group(&self.service, now_ms) || (is_groupless && now_ms >= since_ms + GROUPLESS_MS)
     }
 
+    /// The place of this entry in the order of those that ask. One that leads a group
+    /// already leaves the next one to others first.
+    fn place(&self) -> usize {
+        let state = self.entry.state.borrow();
+        let own = (self.entry.identity.name.as_str(), &self.entry.identity.record);
+        candidate_place(&self.service, own, &state.boxes) + self.led.borrow().len() * state.boxes.len()
+    }
+
     fn engine_addrs(&self) -> Vec<SocketAddr> {
         self.entry.state.borrow().pool.endpoints(&self.service).map(|(_, record)| record.addr).collect()
     }
--- a/crates/ochreyard-lead/src/teller.rs
+++ b/crates/ochreyard-lead/src/teller.rs
@@ -49,7 +49,7 @@
         self.told_ms = now_ms;
         let is_change = self.told_serving.replace(news.is_serving) != Some(news.is_serving);
         self.entry.take_group_news(news);
-        let mut boxes: Vec<SocketAddr> = self.entry.state.borrow().boxes.values().copied().collect();
+        let mut boxes: Vec<SocketAddr> = self.entry.state.borrow().boxes.addrs().collect();
         // Boxes of one data centre have addresses alike, so most news are passed on within it.
         boxes.sort_unstable();
         boxes.dedup();
