Ask near ranks for counts, at most twelve, and leave out what is empty

Change: counts of at most 12 ranks, those of the leader's data centre first; empty fields of views and questions are not sent.

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -9,7 +9,6 @@
 mod reported_load;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 
 use self::group::Group;
 use self::member::Member;
@@ -189,12 +188,12 @@
         self.of_service(service).any(|(_, member)| !member.record.is_leaving && self.group_of(member).is_none())
     }
 
-    /// Where the endpoints of a service listen that are not known to be in a group other than `group`.
-    #[must_use]
-    pub fn addrs_outside_other_groups(&self, service: &str, group: &str) -> Vec<SocketAddr> {
+    /// The records of the endpoints of a service that are not known to be in a group other
+    /// than `group`.
+    pub fn outside_other_groups(&self, service: &str, group: &str) -> impl Iterator<Item = &EndpointRecord> {
         let name = group_name(service, group);
-        let fits = |member: &Member| member.group.as_ref().is_none_or(|other| *other == name);
-        self.of_service(service).filter(|(_, member)| fits(member)).map(|(_, member)| member.record.addr).collect()
+        let fits = move |member: &Member| member.group.as_ref().is_none_or(|other| *other == name);
+        self.of_service(service).filter(move |(_, member)| fits(member)).map(|(_, member)| &member.record)
     }
 
     /// The endpoints of a service, each with its record.
--- a/crates/ochreyard-core/src/group_map/order.rs
+++ b/crates/ochreyard-core/src/group_map/order.rs
@@ -84,7 +84,8 @@
     pub step: Option<u64>,
 }
 
-/// A rank's fresh report.
+/// A rank's fresh report. Fields that mostly hold nothing are left out where it is sent:
+/// leaders read about a thousand of them a second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct RankView {
     /// Name of the group.
@@ -100,21 +101,33 @@
     /// The last step begun.
     pub step: u64,
     /// Orders taken.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub sequence: u64,
     /// Whether an order is under way.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub is_busy: bool,
     /// The map in use.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub map: u64,
     /// The map whose experts have been copied.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub prepared: Option<u64>,
     /// The map that is armed.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub armed: Option<Armed>,
     /// The step that is held.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub held: Option<u64>,
     /// How much longer its work takes than usual, in thousandths of the usual time.
     pub pace_permille: u64,
     /// Requests that run.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub running: u64,
     /// Requests that wait.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub waiting: u64,
 }
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -352,3 +352,36 @@
     pool.on_news(&news(true, &[2], 0), 3);
     assert!(!pool.is_down("tiles", 4));
 }
+
+#[test]
+fn a_group_is_unled_once_its_leader_is_silent_or_has_stood_down() {
+    let mut pool = pool([1, 2]);
+    assert!(pool.has_endpoint_without_group("tiles"));
+    pool.on_news(&news(true, &[1, 2], 0), 0);
+    assert!(!pool.has_endpoint_without_group("tiles"));
+    assert!(!pool.has_unled_group("tiles", 899));
+    assert!(pool.has_unled_group("tiles", 900), "well after a lease without a word");
+    pool.on_news(&news(true, &[1, 2], 0), 1_000);
+    pool.on_news(&GroupNews { teller: Teller::StoodDown, ..news(true, &[1], 0) }, 1_001);
+    assert!(pool.is_unled("tiles", "g1", 1_001));
+}
+
+#[test]
+fn an_observer_counts_only_where_nobody_leads() {
+    let mut pool = pool([1]);
+    let observed = GroupNews { teller: Teller::Observes, ..news(false, &[1], 0) };
+    pool.on_news(&news(true, &[1], 0), 0);
+    pool.on_news(&observed, 500);
+    assert!(!pool.is_down("tiles", 500), "the leader sees more of the group");
+    pool.on_news(&observed, 1_000);
+    assert!(pool.is_down("tiles", 1_000));
+    assert!(!pool.has_unled_group("tiles", 1_500), "one entry watches whether it can be led");
+    assert!(pool.has_unled_group("tiles", 1_900));
+}
+
+#[test]
+fn a_group_that_nobody_tells_of_is_served() {
+    let pool = pool([1, 2]);
+    assert!(!pool.is_down("tiles", 60_000));
+    assert!(pool.pick("tiles", &[], 1, 60_000).is_ok());
+}
--- a/crates/ochreyard-lead/src/found_rank.rs
+++ b/crates/ochreyard-lead/src/found_rank.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use ochreyard_core::direct::EndpointRecord;
 use ochreyard_core::group_map::{LeaderId, RankView};
 use ochreyard_direct::{CallLink, Dialect, Entry};
 use ochreyard_rank::{Looked, RANK_PATH};
@@ -13,10 +14,26 @@
 /// of agents asked at once.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Where an engine is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineAt {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Whether it stands in the data centre of this entry.
+    pub is_near: bool,
+}
+
+impl EngineAt {
+    /// As the engine's record says, seen from an entry in `data_centre`.
+    pub fn new(record: &EndpointRecord, data_centre: &str) -> Self {
+        Self { addr: record.addr, is_near: record.data_centre == data_centre }
+    }
+}
+
 /// One rank as its agent showed it just now.
 pub struct FoundRank {
-    /// Where its engine listens.
-    pub engine_addr: SocketAddr,
+    /// Where its engine is.
+    pub engine: EngineAt,
     /// The connection to its agent.
     pub link: Rc<CallLink>,
     /// Its view.
@@ -27,12 +44,12 @@
 
 /// Asks the agents beside these engines. An agent listens on the box of its engine, at the
 /// port at which entries are asked by other boxes.
-pub async fn look_at<D: Dialect>(entry: &Entry<D>, engines: impl IntoIterator<Item = SocketAddr>) -> Vec<FoundRank> {
+pub async fn look_at<D: Dialect>(entry: &Entry<D>, engines: Vec<EngineAt>) -> Vec<FoundRank> {
     let port = entry.identity.record.addr.port();
-    let asked = engines.into_iter().map(|engine_addr| async move {
-        let link = Rc::new(CallLink::new(SocketAddr::new(engine_addr.ip(), port)));
+    let asked = engines.into_iter().map(|engine| async move {
+        let link = Rc::new(CallLink::new(SocketAddr::new(engine.addr.ip(), port)));
         let looked = look(&link).await?;
-        Some(FoundRank { engine_addr, link, view: looked.view?, holder: looked.holder })
+        Some(FoundRank { engine, link, view: looked.view?, holder: looked.holder })
     });
     join_all(asked).await.into_iter().flatten().collect()
 }
--- a/crates/ochreyard-lead/src/leader/entry_news.rs
+++ b/crates/ochreyard-lead/src/leader/entry_news.rs
@@ -33,7 +33,7 @@
         let endpoints = self.endpoints_by_addr();
         let rank_news = |(rank, view): (usize, &Option<RankView>)| {
             let view = view.as_ref()?;
-            let endpoint = endpoints.get(&self.members.get(rank)?.engine_addr)?.clone();
+            let endpoint = endpoints.get(&self.members.get(rank)?.engine.addr)?.clone();
             let (running, waiting, pace_permille) = (view.running, view.waiting, view.pace_permille);
             Some(RankNews { endpoint, running, waiting, pace_permille })
         };
--- a/crates/ochreyard-lead/src/leader/finding.rs
+++ b/crates/ochreyard-lead/src/leader/finding.rs
@@ -7,7 +7,7 @@
 use ochreyard_rank::Engines;
 
 use super::Leader;
-use crate::found_rank::{FoundRank, look_at};
+use crate::found_rank::{EngineAt, FoundRank, look_at};
 
 /// Least pause between searches, in milliseconds: each asks every agent that may be the one.
 const FIND_EVERY_MS: u64 = 2_000;
@@ -30,9 +30,7 @@
             return;
         }
         self.finding.begun_ms = now_ms;
-        let name = &self.members.group;
-        let addrs = self.entry.state.borrow().pool.addrs_outside_other_groups(&self.service, name);
-        let unknown: Vec<_> = addrs.into_iter().filter(|addr| !self.members.has_engine(*addr)).collect();
+        let unknown = self.unknown_engines();
         if unknown.is_empty() {
             return;
         }
@@ -42,4 +40,12 @@
             found.borrow_mut().extend(looked);
         });
     }
+
+    /// Engines that may be ranks of this group, and are not known as such.
+    fn unknown_engines(&self) -> Vec<EngineAt> {
+        let state = self.entry.state.borrow();
+        let records = state.pool.outside_other_groups(&self.service, &self.members.group);
+        let engines = records.map(|record| EngineAt::new(record, &self.entry.identity.data_centre));
+        engines.filter(|engine| !self.members.has_engine(engine.addr)).collect()
+    }
 }
--- a/crates/ochreyard-lead/src/leader/round.rs
+++ b/crates/ochreyard-lead/src/leader/round.rs
@@ -1,5 +1,6 @@
 //! One round: all ranks are asked at once, and their answers taken.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use futures::future::join_all;
@@ -12,7 +13,7 @@
 
 /// Most ranks whose counts are asked for. Requests are spread evenly, so the counts of
 /// some ranks tell the demand on all, and each set of counts takes kilobytes and time.
-const COUNTED_RANKS: usize = 24;
+const COUNTED_RANKS: usize = 12;
 
 impl<D: Dialect, S: Engines> Leader<D, S> {
     /// Asks all ranks at once, with the orders that are due. Says who else is granted, if somebody is.
@@ -38,11 +39,12 @@
     /// The answers by rank, where they came.
     async fn ask_all(&self, orders: &[(usize, SentOrder)]) -> Vec<Option<Told>> {
         let reaches_engines = self.reaches_engines();
+        let counted = if self.asks_counts() { self.members.counted(COUNTED_RANKS) } else { BTreeSet::new() };
         let asked = self.members.iter().map(|(rank, member)| {
-            let ask = self.ask_for(rank, orders);
+            let ask = Ask { wants_counts: counted.contains(&rank), ..self.ask_for(rank, orders) };
             let short = self.sent_maps.shortened(&ask, member.knows_map);
             let question = Question { ask: short, orders: ask.orders, asked_at_once: self.members.size };
-            let engine = reaches_engines.then(|| self.engines.at(member.engine_addr));
+            let engine = reaches_engines.then(|| self.engines.at(member.engine.addr));
             async move { (rank, ask_member(Rc::clone(&member.link), question, engine).await) }
         });
         let mut told: Vec<Option<Told>> = (0..self.members.size).map(|_| None).collect();
@@ -70,7 +72,6 @@
     pub(super) fn ask_for(&self, rank: usize, orders: &[(usize, SentOrder)]) -> Ask {
         Ask {
             orders: orders.iter().filter(|(to, _)| *to == rank).map(|(_, order)| order.clone()).collect(),
-            wants_counts: self.asks_counts() && is_counted(rank, self.members.size),
             wants_lists: !self.knows_present(),
             ..self.plain_ask()
         }
@@ -113,8 +114,3 @@
         holder
     }
 }
-
-/// Whether a rank is one of those whose counts are asked for, spread over the group.
-const fn is_counted(rank: usize, size: usize) -> bool {
-    rank.is_multiple_of(size.div_ceil(COUNTED_RANKS))
-}
--- a/crates/ochreyard-lead/src/members.rs
+++ b/crates/ochreyard-lead/src/members.rs
@@ -1,18 +1,18 @@
 //! The ranks of a group: where their agents and engines are.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use ochreyard_core::group_map::RankView;
 use ochreyard_direct::CallLink;
 
-use crate::found_rank::FoundRank;
+use crate::found_rank::{EngineAt, FoundRank};
 
 /// One rank: its agent and its engine.
 pub struct Member {
-    /// Where its engine listens.
-    pub engine_addr: SocketAddr,
+    /// Where its engine is.
+    pub engine: EngineAt,
     /// The connection to its agent.
     pub link: Rc<CallLink>,
     /// Number of the map that its agent knows.
@@ -49,9 +49,16 @@
         self.by_rank.len()
     }
 
+    /// The ranks whose counts are asked for: `count` of them, near ones first, since counts
+    /// take kilobytes, which are dear between data centres.
+    pub fn counted(&self, count: usize) -> BTreeSet<usize> {
+        let (near, far): (Vec<_>, Vec<_>) = self.iter().partition(|(_, member)| member.engine.is_near);
+        near.into_iter().chain(far).map(|(rank, _)| rank).take(count).collect()
+    }
+
     /// Whether an engine at this address is one of the ranks.
     pub fn has_engine(&self, addr: SocketAddr) -> bool {
-        self.by_rank.values().any(|member| member.engine_addr == addr)
+        self.by_rank.values().any(|member| member.engine.addr == addr)
     }
 
     /// Whether a view is that of a rank of this group.
@@ -69,10 +76,10 @@
     /// Notes a rank that was found; one that has moved to another engine is known anew.
     pub fn note(&mut self, found: FoundRank) {
         let rank = found.view.rank;
-        let is_known = self.by_rank.get(&rank).is_some_and(|member| member.engine_addr == found.engine_addr);
+        let is_known = self.by_rank.get(&rank).is_some_and(|member| member.engine == found.engine);
         if is_known || !self.fits(rank, &found.view) {
             return;
         }
-        self.by_rank.insert(rank, Member { engine_addr: found.engine_addr, link: found.link, knows_map: None });
+        self.by_rank.insert(rank, Member { engine: found.engine, link: found.link, knows_map: None });
     }
 }
--- a/crates/ochreyard-lead/src/service_watch.rs
+++ b/crates/ochreyard-lead/src/service_watch.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use ochreyard_direct::{Dialect, Entry};
 use ochreyard_rank::Engines;
 
-use crate::found_rank::{FoundRank, look_at};
+use crate::found_rank::{EngineAt, FoundRank, look_at};
 use crate::leader::Leader;
 use crate::members::Members;
 use crate::settings::LeaderSettings;
@@ -64,7 +63,8 @@
         if !self.candidacy.is_due(is_unled, place, now_ms) {
             return;
         }
-        let found = look_at(&self.entry, self.engine_addrs()).await;
+        metrics::counter!("ochreyard_direct_unled_groups_seen_total", "service" => self.service.clone()).increment(1);
+        let found = look_at(&self.entry, self.engines_known()).await;
         let found_count = found.len();
         let group = self.unled_group(found, place);
         log::info!(
@@ -96,8 +96,10 @@
         candidate_place(&self.service, own, &state.boxes) + self.led.borrow().len() * state.boxes.len()
     }
 
-    fn engine_addrs(&self) -> Vec<SocketAddr> {
-        self.entry.state.borrow().pool.endpoints(&self.service).map(|(_, record)| record.addr).collect()
+    fn engines_known(&self) -> Vec<EngineAt> {
+        let state = self.entry.state.borrow();
+        let data_centre = &self.entry.identity.data_centre;
+        state.pool.endpoints(&self.service).map(|(_, record)| EngineAt::new(record, data_centre)).collect()
     }
 
     /// One of the groups among the found ranks that nobody leads. Entries at different
--- a/crates/ochreyard-rank/src/message.rs
+++ b/crates/ochreyard-rank/src/message.rs
@@ -31,10 +31,13 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub map_change: Option<MapChange>,
     /// Whether it is wanted what the rank has chosen since it last told this leader.
+    #[serde(default, skip_serializing_if = "is_false")]
     pub wants_counts: bool,
     /// Whether the held experts are wanted.
+    #[serde(default, skip_serializing_if = "is_false")]
     pub wants_lists: bool,
     /// Whether the leader gives its grant back.
+    #[serde(default, skip_serializing_if = "is_false")]
     pub releases: bool,
 }
 
@@ -61,3 +64,8 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lists: Option<Lists>,
 }
+
+#[allow(clippy::trivially_copy_pass_by_ref)] // The library that writes messages asks for a reference.
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
