Place holds and releases at the engine itself; a slow leader stands down

Change: holds and releases go from the leader to the engine; the box that gave the last order is then the leader's, whom another entry follows. A leader whose search took longer than a lease stands down, and lets all others ask first for 10 s. Ruled out: a hold at two ranks (two releases, both of which may be lost).

--- a/crates/ochreyard-lead/src/leader.rs
+++ b/crates/ochreyard-lead/src/leader.rs
@@ -59,6 +59,8 @@
     pending: Vec<(usize, SentOrder)>,
     last_round: Round,
     busy_noted_ms: u64,
+    /// How long the last search for a map took.
+    search_ms: u64,
 }
 
 impl<D: Dialect, S: Engines> Leader<D, S> {
@@ -89,23 +91,32 @@
             pending: Vec::new(),
             last_round: Round::default(),
             busy_noted_ms: 0,
+            search_ms: 0,
         }
     }
 
     /// Leads until most agents no longer grant it. Where too few are reached, tells the
-    /// entries that are what they show, and waits for more.
-    pub async fn run(mut self) {
+    /// entries that are what they show, and waits for more. Says whether this box has
+    /// turned out too slow to lead.
+    pub async fn run(mut self) -> bool {
         let mut reached = self.members.len();
         for _ in 0..OBSERVED_ROUNDS {
             if reached * 2 > self.members.size {
                 self.lead().await;
                 self.stand_down().await;
-                return;
+                return self.is_too_slow();
             }
-            let Some(seen) = self.observe().await else { return };
+            let Some(seen) = self.observe().await else { break };
             reached = seen;
             tokio::time::sleep(OBSERVE_PAUSE).await;
         }
+        false
+    }
+
+    /// Whether the last search took longer than the agents wait for a word of their leader:
+    /// boxes turn slow for seconds, and another one searches while this one would be missed.
+    const fn is_too_slow(&self) -> bool {
+        self.search_ms > self.settings.lease_ms
     }
 
     fn now_ms(&self) -> u64 {
@@ -135,6 +146,10 @@
                 log::info!("event=leading group={group} hold_rank={}", self.controller.hold_rank());
             }
             self.act_on_round().await;
+            if self.is_too_slow() {
+                log::info!("event=leading_too_slow group={group} search_ms={}", self.search_ms);
+                return;
+            }
             tokio::time::sleep(self.pause(asked_ms)).await;
         }
         log::info!("event=leading_stopped group={group}");
--- a/crates/ochreyard-lead/src/leader/proposal.rs
+++ b/crates/ochreyard-lead/src/leader/proposal.rs
@@ -73,15 +73,17 @@
 
     /// Proposes a new map, if one is worth a change. Says whether it did.
     pub(super) async fn propose(&mut self, now_ms: u64) -> bool {
-        let Some(planned) = self.plan().await else { return false };
+        let planned = self.plan().await;
         let planned_ms = self.now_ms();
+        self.search_ms = planned_ms - now_ms;
+        let Some(planned) = planned else { return false };
         log::info!(
             "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0} planning_ms={}",
             planned.skew.0,
             planned.skew.1,
             planned.copies_of_rank,
             planned.saving_ms,
-            planned_ms - now_ms
+            self.search_ms
         );
         self.is_outdated = false;
         self.shift_times.on_proposed(planned_ms);
--- a/crates/ochreyard-lead/src/leader/round.rs
+++ b/crates/ochreyard-lead/src/leader/round.rs
@@ -9,6 +9,7 @@
 use ochreyard_rank::{Ask, Engines, Lists, Told};
 
 use super::Leader;
+use super::hold_rank::split_direct;
 use crate::questions::{Question, ask_member};
 
 /// Most ranks whose counts are asked for. Requests are spread evenly, so the counts of
@@ -19,14 +20,17 @@
     /// Asks all ranks at once, with the orders that are due. Says who else is granted, if somebody is.
     pub(super) async fn round(&mut self) -> Option<LeaderId> {
         let asked_ms = self.now_ms();
-        let orders = std::mem::take(&mut self.pending);
+        let (direct, orders) = split_direct(std::mem::take(&mut self.pending));
+        let direct_outcomes = self.order_directly(direct).await;
         self.sent_maps.note(&orders);
         let asks_counts = self.asks_counts();
         let told = self.ask_all(&orders).await;
         if asks_counts {
             self.counts_asked_ms = asked_ms;
         }
-        self.take(told, &orders, asked_ms)
+        let holder = self.take(told, &orders, asked_ms);
+        self.last_round.outcomes.extend(direct_outcomes);
+        holder
     }
 
     /// Whether ranks whose agents are down are reached through their engines: a
--- a/crates/ochreyard-lead/src/service_watch.rs
+++ b/crates/ochreyard-lead/src/service_watch.rs
@@ -1,6 +1,6 @@
 //! Looks whether the groups of a service are led, and leads those that are not.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +20,9 @@
 /// milliseconds: a leader finds a new endpoint well before.
 const GROUPLESS_MS: u64 = 2_000;
 
+/// How long a box that was too slow to lead lets all others ask before it, in milliseconds.
+const SLOW_MS: u64 = 10_000;
+
 /// Names of the groups that this entry leads, or tries to lead.
 type LedGroups = Rc<RefCell<BTreeSet<String>>>;
 
@@ -47,12 +50,22 @@
     candidacy: Candidacy,
     groupless_since_ms: Option<u64>,
     led: LedGroups,
+    slow_until_ms: Rc<Cell<u64>>,
 }
 
 impl<D: Dialect, S: Engines> ServiceWatch<D, S> {
     fn new(entry: Rc<Entry<D>>, engines: S, service: String, settings: LeaderSettings) -> Self {
         let (candidacy, led) = (Candidacy::default(), LedGroups::default());
-        Self { entry, engines, service, settings, candidacy, groupless_since_ms: None, led }
+        Self {
+            entry,
+            engines,
+            service,
+            settings,
+            candidacy,
+            groupless_since_ms: None,
+            led,
+            slow_until_ms: Rc::default(),
+        }
     }
 
     /// Leads a group that nobody leads, if there is one and it is this entry's turn.
@@ -89,11 +102,13 @@
     }
 
     /// The place of this entry in the order of those that ask. One that leads a group
-    /// already leaves the next one to others first.
+    /// already, or was too slow, leaves the next one to others first.
     fn place(&self) -> usize {
         let state = self.entry.state.borrow();
         let own = (self.entry.identity.name.as_str(), &self.entry.identity.record);
-        candidate_place(&self.service, own, &state.boxes) + self.led.borrow().len() * state.boxes.len()
+        let is_slow = self.entry.clock.now_ms() < self.slow_until_ms.get();
+        let passes = self.led.borrow().len() + usize::from(is_slow);
+        candidate_place(&self.service, own, &state.boxes) + passes * state.boxes.len()
     }
 
     fn engines_known(&self) -> Vec<EngineAt> {
@@ -128,9 +143,12 @@
         let (led, group) = (Rc::clone(&self.led), members.group.clone());
         led.borrow_mut().insert(group.clone());
         let entry = Rc::clone(&self.entry);
-        let leader = Leader::new(entry, self.engines.clone(), &self.service, members, self.settings);
+        let slow_until_ms = Rc::clone(&self.slow_until_ms);
+        let leader = Leader::new(Rc::clone(&entry), self.engines.clone(), &self.service, members, self.settings);
         tokio::task::spawn_local(async move {
-            leader.run().await;
+            if leader.run().await {
+                slow_until_ms.set(entry.clock.now_ms() + SLOW_MS);
+            }
             led.borrow_mut().remove(&group);
         });
     }
