Leave small changes where ranks arm slowly

Change: the least saving of a change is twice what ranks took to arm of late, where that is more than the setting.

--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -5,6 +5,7 @@
 //! A [`Grant`] in each agent makes sure that only one controller gives orders.
 //! [`Demand`] and [`Planner`] decide what map is worth a change.
 
+mod arming_times;
 mod candidacy;
 mod chosen_counts;
 mod compact_map;
@@ -19,6 +20,7 @@
 mod planner;
 mod shift_times;
 
+pub use arming_times::ArmingTimes;
 pub use candidacy::{Candidacy, candidate_place};
 pub use chosen_counts::ChosenCounts;
 pub use controller::{Controller, ControllerSettings, Phase, Round};
--- /dev/null
+++ b/crates/ochreyard-core/tests/arming_times.rs
@@ -0,0 +1,31 @@
+//! How long ranks take to arm a map, of late.
+
+use ochreyard_core::group_map::{ArmingTimes, Phase};
+
+const ARMING: Phase = Phase::Arming { version: 1, step: 2 };
+
+fn arm(times: &mut ArmingTimes, from_ms: u64, took_ms: u64) {
+    times.on_phase(&ARMING, from_ms);
+    times.on_phase(&Phase::Releasing, from_ms + took_ms);
+}
+
+#[test]
+fn slow_arms_are_soon_forgotten_and_one_of_them_counts() {
+    let mut times = ArmingTimes::default();
+    assert!(times.mean_ms().abs() < f64::EPSILON);
+    arm(&mut times, 1_000, 30);
+    assert!((times.mean_ms() - 30.0).abs() < f64::EPSILON);
+    arm(&mut times, 2_000, 210);
+    assert!((times.mean_ms() - 120.0).abs() < f64::EPSILON);
+    (3..6).for_each(|second| arm(&mut times, second * 1_000, 30));
+    assert!(times.mean_ms() < 45.0, "{}", times.mean_ms());
+}
+
+#[test]
+fn a_change_that_is_undone_while_it_arms_counts_as_well() {
+    let mut times = ArmingTimes::default();
+    times.on_phase(&ARMING, 0);
+    times.on_phase(&Phase::Undoing, 400);
+    times.on_phase(&Phase::Idle, 900);
+    assert!((times.mean_ms() - 400.0).abs() < f64::EPSILON);
+}
--- a/crates/ochreyard-lead/src/leader.rs
+++ b/crates/ochreyard-lead/src/leader.rs
@@ -14,7 +14,7 @@
 use futures::future::join_all;
 use ochreyard_core::direct::Teller as TellerRole;
 use ochreyard_core::group_map::{
-    Controller, ControllerSettings, Demand, LeaderId, Leadership, Round, SentOrder, ShiftTimes,
+    ArmingTimes, Controller, ControllerSettings, Demand, LeaderId, Leadership, Round, SentOrder, ShiftTimes,
 };
 use ochreyard_direct::{Dialect, Entry};
 use ochreyard_rank::{Ask, Engines};
@@ -56,6 +56,7 @@
     /// Whether the demand has shifted since the change under way was planned.
     is_outdated: bool,
     shift_times: ShiftTimes,
+    arming_times: ArmingTimes,
     pending: Vec<(usize, SentOrder)>,
     last_round: Round,
     busy_noted_ms: u64,
@@ -88,6 +89,7 @@
             counts_asked_ms: 0,
             is_outdated: false,
             shift_times: ShiftTimes::default(),
+            arming_times: ArmingTimes::default(),
             pending: Vec::new(),
             last_round: Round::default(),
             busy_noted_ms: 0,
--- a/crates/ochreyard-lead/src/leader/decision.rs
+++ b/crates/ochreyard-lead/src/leader/decision.rs
@@ -45,6 +45,7 @@
             let (switched, undone) = self.controller.counts();
             log::info!("event=map_phase phase={:?} switched={switched} undone={undone}", self.controller.phase());
             self.note_answer(now_ms);
+            self.arming_times.on_phase(self.controller.phase(), now_ms);
         }
     }
 
--- a/crates/ochreyard-lead/src/leader/proposal.rs
+++ b/crates/ochreyard-lead/src/leader/proposal.rs
@@ -19,6 +19,10 @@
 /// with 0.15 in place of 1, three to five small changes follow each large one, and callers
 /// earn 0.49 in place of 0.54 of what their answers are worth.
 const COPY_COST: f64 = 1.0;
+/// Least saving of a change, in milliseconds, for each millisecond for which ranks take to arm
+/// a map of late. Where orders get lost, each change holds the group for 150 to 200 ms, and
+/// every stream that runs is late: then only changes after a shift are worth it.
+const ARMING_COST: f64 = 2.0;
 /// Bits in a byte: engines state sizes in megabytes and links in megabits a second.
 const BITS_PER_BYTE: f64 = 8.0;
 /// Milliseconds in a second.
@@ -98,7 +102,8 @@
         let figures = self.entry.engine_figures(&self.service)?;
         let (_, present) = self.controller.present()?;
         let demand = self.demand.as_ref().filter(|demand| is_known(demand, &figures))?;
-        let planner = Planner::new(plan_settings(&figures, &self.settings));
+        let arming_ms = self.arming_times.mean_ms();
+        let planner = Planner::new(plan_settings(&figures, &self.settings, arming_ms));
         let (present, rates, paces) = (present.clone(), demand.rates().to_vec(), self.paces());
         let search = tokio::task::spawn_blocking(move || planner.plan(&present, &rates, &paces));
         search.await.unwrap_or_else(|error| {
@@ -119,7 +124,7 @@
     (view.pace_permille as f64 / USUAL_PACE_PERMILLE).max(1.0)
 }
 
-fn plan_settings(figures: &EngineFigures, settings: &LeaderSettings) -> PlanSettings {
+fn plan_settings(figures: &EngineFigures, settings: &LeaderSettings, arming_ms: f64) -> PlanSettings {
     PlanSettings {
         places: figures.places,
         spare: figures.spare,
@@ -129,6 +134,6 @@
         copy_cost: COPY_COST,
         horizon_ms: settings.horizon_ms as f64,
         copy_price_ms: settings.copy_price_ms,
-        least_saving_ms: settings.least_saving_ms as f64,
+        least_saving_ms: (settings.least_saving_ms as f64).max(ARMING_COST * arming_ms),
     }
 }
