Tidy: one public type to a file, and one meaning of teller

No change of behaviour: BoxRecord, BoxesHeard and EngineAt have files of their own; what an entry tells as is a TellerRole; a candidacy notes that it tried, not that it failed.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -5,6 +5,7 @@
 //! entry that took it from the caller.
 
 mod box_list;
+mod box_record;
 mod catalog;
 mod endpoint_pool;
 mod event_splitter;
@@ -13,11 +14,12 @@
 mod repeat_budget;
 mod route_table;
 
-pub use box_list::{BoxList, BoxRecord};
+pub use box_list::BoxList;
+pub use box_record::BoxRecord;
 pub use catalog::{Catalog, EndpointChange, EndpointRecord};
 pub use endpoint_pool::{EndpointPool, NoPick, Outcome, Pick, ReportedLoad};
 pub use event_splitter::{EventSplitter, WholeEvents};
-pub use group_news::{GroupNews, RankNews, Teller};
+pub use group_news::{GroupNews, RankNews, TellerRole};
 pub use reading::Reading;
 pub use repeat_budget::{RepeatBudget, RepeatLimits};
 pub use route_table::{
--- a/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
@@ -1,7 +1,7 @@
 //! What this box knows of a group of endpoints whose ranks run every step together.
 
 use super::NEWS_LIFE_MS;
-use crate::direct::group_news::{GroupNews, Teller};
+use crate::direct::group_news::{GroupNews, TellerRole};
 
 /// How long a group is passed over after one of its ranks told that another one
 /// is at fault, in milliseconds; its leader knows more by then.
@@ -31,10 +31,10 @@
     /// Takes what was told of it. Says whether that counts: an observer knows less than a leader.
     pub fn on_news(&mut self, news: &GroupNews, now_ms: u64) -> bool {
         match news.teller {
-            Teller::Leads => self.led_ms = Some(now_ms),
-            Teller::Observes if self.is_led(now_ms) => return false,
-            Teller::Observes => self.observed_ms = Some(now_ms),
-            Teller::StoodDown => {
+            TellerRole::Leads => self.led_ms = Some(now_ms),
+            TellerRole::Observes if self.is_led(now_ms) => return false,
+            TellerRole::Observes => self.observed_ms = Some(now_ms),
+            TellerRole::StoodDown => {
                 self.led_ms = None;
                 return false;
             }
--- a/crates/ochreyard-core/src/direct/group_news.rs
+++ b/crates/ochreyard-core/src/direct/group_news.rs
@@ -4,7 +4,7 @@
 
 /// What the entry that tells of a group does there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
-pub enum Teller {
+pub enum TellerRole {
     /// It leads: most agents have granted it.
     #[default]
     Leads,
@@ -22,7 +22,7 @@
     /// Name of the group.
     pub group: String,
     /// What the entry that tells does there.
-    pub teller: Teller,
+    pub teller: TellerRole,
     /// Whether its steps go on: it is whole, and does not stand.
     pub is_serving: bool,
     /// How long its steps take of late, in milliseconds; 0 where that is not known.
--- a/crates/ochreyard-core/src/direct/reading.rs
+++ b/crates/ochreyard-core/src/direct/reading.rs
@@ -7,7 +7,8 @@
 
 use std::net::SocketAddr;
 
-use super::box_list::{BoxList, BoxRecord};
+use super::box_list::BoxList;
+use super::box_record::BoxRecord;
 use crate::hash;
 
 /// Boxes of the common order that read for the others: one may be lost or slow
--- a/crates/ochreyard-core/src/group_map/candidacy.rs
+++ b/crates/ochreyard-core/src/group_map/candidacy.rs
@@ -12,7 +12,7 @@
 /// How much longer each entry waits than the one before it in the order, in milliseconds:
 /// the one before has found the ranks and asked them by then (about 0.1 s for 200 ranks).
 const STAGGER_MS: u64 = 120;
-/// Pause after the first attempt that came to nothing, in milliseconds: the default lease.
+/// Pause after the first attempt, in milliseconds: the default lease.
 const RETRY_MS: u64 = 800;
 /// Most doublings of that pause, where no rank can be reached: each attempt asks all of them.
 const MAX_DOUBLINGS: u32 = 3;
@@ -22,7 +22,7 @@
 pub struct Candidacy {
     unled_since_ms: Option<u64>,
     waits_until_ms: u64,
-    failed_in_turn: u32,
+    tried_in_turn: u32,
 }
 
 impl Candidacy {
@@ -36,11 +36,12 @@
         now_ms >= self.waits_until_ms && now_ms >= since_ms + place as u64 * STAGGER_MS
     }
 
-    /// An attempt has ended, and this entry leads nothing more than before.
-    pub const fn on_failed(&mut self, now_ms: u64) {
-        self.waits_until_ms = now_ms + (RETRY_MS << self.failed_in_turn);
-        if self.failed_in_turn < MAX_DOUBLINGS {
-            self.failed_in_turn += 1;
+    /// This entry has asked. Unless somebody leads by then, it asks again later, each time
+    /// after a longer pause.
+    pub const fn on_tried(&mut self, now_ms: u64) {
+        self.waits_until_ms = now_ms + (RETRY_MS << self.tried_in_turn);
+        if self.tried_in_turn < MAX_DOUBLINGS {
+            self.tried_in_turn += 1;
         }
     }
 }
--- a/crates/ochreyard-core/tests/candidacy.rs
+++ b/crates/ochreyard-core/tests/candidacy.rs
@@ -64,7 +64,7 @@
     let mut now_ms = 0;
     for wait_ms in [800, 1_600, 3_200, 6_400, 6_400] {
         assert!(candidacy.is_due(true, 0, now_ms));
-        candidacy.on_failed(now_ms);
+        candidacy.on_tried(now_ms);
         assert!(!candidacy.is_due(true, 0, now_ms + wait_ms - 1));
         now_ms += wait_ms;
     }
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -4,7 +4,7 @@
 
 use ochreyard_core::direct::{
     BoxList, BoxRecord, Catalog, EndpointChange, EndpointPool, EndpointRecord, EventSplitter, GroupNews, NoPick,
-    Outcome, RankNews, Reading, RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, Teller, WeightedService,
+    Outcome, RankNews, Reading, RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, TellerRole, WeightedService,
     Workspace,
 };
 use proptest::prelude::*;
@@ -164,7 +164,7 @@
     GroupNews {
         service: "tiles".into(),
         group: format!("g{}", ports[0]),
-        teller: Teller::Leads,
+        teller: TellerRole::Leads,
         is_serving,
         step_ms: 0,
         ranks,
@@ -362,14 +362,14 @@
     assert!(!pool.has_unled_group("tiles", 899));
     assert!(pool.has_unled_group("tiles", 900), "well after a lease without a word");
     pool.on_news(&news(true, &[1, 2], 0), 1_000);
-    pool.on_news(&GroupNews { teller: Teller::StoodDown, ..news(true, &[1], 0) }, 1_001);
+    pool.on_news(&GroupNews { teller: TellerRole::StoodDown, ..news(true, &[1], 0) }, 1_001);
     assert!(pool.is_unled("tiles", "g1", 1_001));
 }
 
 #[test]
 fn an_observer_counts_only_where_nobody_leads() {
     let mut pool = pool([1]);
-    let observed = GroupNews { teller: Teller::Observes, ..news(false, &[1], 0) };
+    let observed = GroupNews { teller: TellerRole::Observes, ..news(false, &[1], 0) };
     pool.on_news(&news(true, &[1], 0), 0);
     pool.on_news(&observed, 500);
     assert!(!pool.is_down("tiles", 500), "the leader sees more of the group");
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -13,8 +13,8 @@
 };
 use ochreyard_core::hash;
 use ochreyard_process::Clock;
-use serde::{Deserialize, Serialize};
 
+use crate::boxes_heard::BoxesHeard;
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::Dialect;
 use crate::link::CallLink;
@@ -35,15 +35,6 @@
     pub record: BoxRecord,
 }
 
-/// How much of another box's list of boxes is known here.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct BoxesHeard {
-    /// The life of the other box.
-    pub life: u64,
-    /// Records of its list, in the order in which it learned them.
-    pub count: usize,
-}
-
 /// Everything that changes while the process runs.
 pub struct State {
     /// The configuration in force, if one is known.
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod answer;
 mod answer_body;
 mod attempt;
+mod boxes_heard;
 mod call_error;
 mod caller_request;
 mod connection;
@@ -34,10 +35,11 @@
 pub mod serve;
 mod server;
 
+pub use boxes_heard::BoxesHeard;
 pub use call_error::CallError;
 pub use connection::tune;
 pub use dialect::{Dialect, HeaderNames, Unreadable};
-pub use entry::{BoxesHeard, Entry, Identity, State};
+pub use entry::{Entry, Identity, State};
 pub use fields::FIELDS;
 pub use keyed_log::{KeyedLog, KeyedLogError, KeyedPage, KeyedRecord, Topic};
 pub use link::CallLink;
--- a/crates/ochreyard-direct/src/peers/peer_state.rs
+++ b/crates/ochreyard-direct/src/peers/peer_state.rs
@@ -7,7 +7,7 @@
 
 use super::peer_endpoint::PeerEndpoint;
 use super::peer_reading::PeerReading;
-use crate::entry::BoxesHeard;
+use crate::boxes_heard::BoxesHeard;
 
 /// What a box knows and another one may lack.
 #[derive(Debug, Clone, Serialize, Deserialize, Default)]
--- a/crates/ochreyard-direct/src/peers/question.rs
+++ b/crates/ochreyard-direct/src/peers/question.rs
@@ -4,7 +4,7 @@
 
 use ochreyard_core::direct::BoxRecord;
 
-use crate::entry::BoxesHeard;
+use crate::boxes_heard::BoxesHeard;
 
 /// Where a box tells what it knows.
 pub const STATE_PATH: &str = "/state";
--- a/crates/ochreyard-direct/src/peers/tell.rs
+++ b/crates/ochreyard-direct/src/peers/tell.rs
@@ -9,8 +9,9 @@
 use super::peer_reading::PeerReading;
 use super::peer_state::PeerState;
 use super::question::Question;
+use crate::boxes_heard::BoxesHeard;
 use crate::dialect::Dialect;
-use crate::entry::{BoxesHeard, Entry, State};
+use crate::entry::{Entry, State};
 
 /// The answer to a box that asks; what it says of itself is noted.
 pub fn state_for<D: Dialect>(entry: &Entry<D>, query: &str) -> Bytes {
--- a/crates/ochreyard-lead/src/found_rank.rs
+++ b/crates/ochreyard-lead/src/found_rank.rs
@@ -5,31 +5,16 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use ochreyard_core::direct::EndpointRecord;
 use ochreyard_core::group_map::{LeaderId, RankView};
 use ochreyard_direct::{CallLink, Dialect, Entry};
 use ochreyard_rank::{Looked, RANK_PATH};
 
+use crate::engine_at::EngineAt;
+
 /// Longest wait for an agent's view: its engine's answer and a round trip, with hundreds
 /// of agents asked at once.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Where an engine is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EngineAt {
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// Whether it stands in the data centre of this entry.
-    pub is_near: bool,
-}
-
-impl EngineAt {
-    /// As the engine's record says, seen from an entry in `data_centre`.
-    pub fn new(record: &EndpointRecord, data_centre: &str) -> Self {
-        Self { addr: record.addr, is_near: record.data_centre == data_centre }
-    }
-}
-
 /// One rank as its agent showed it just now.
 pub struct FoundRank {
     /// Where its engine is.
--- a/crates/ochreyard-lead/src/leader.rs
+++ b/crates/ochreyard-lead/src/leader.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use ochreyard_core::direct::Teller as TellerRole;
+use ochreyard_core::direct::TellerRole;
 use ochreyard_core::group_map::{
     ArmingTimes, Controller, ControllerSettings, Demand, LeaderId, Leadership, Round, SentOrder, ShiftTimes,
 };
--- a/crates/ochreyard-lead/src/leader/entry_news.rs
+++ b/crates/ochreyard-lead/src/leader/entry_news.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use ochreyard_core::direct::{GroupNews, RankNews, Teller as TellerRole};
+use ochreyard_core::direct::{GroupNews, RankNews, TellerRole};
 use ochreyard_core::group_map::RankView;
 use ochreyard_direct::Dialect;
 use ochreyard_rank::Engines;
--- a/crates/ochreyard-lead/src/leader/finding.rs
+++ b/crates/ochreyard-lead/src/leader/finding.rs
@@ -7,7 +7,8 @@
 use ochreyard_rank::Engines;
 
 use super::Leader;
-use crate::found_rank::{EngineAt, FoundRank, look_at};
+use crate::engine_at::EngineAt;
+use crate::found_rank::{FoundRank, look_at};
 
 /// Least pause between searches, in milliseconds: each asks every agent that may be the one.
 const FIND_EVERY_MS: u64 = 2_000;
--- a/crates/ochreyard-lead/src/leader/observation.rs
+++ b/crates/ochreyard-lead/src/leader/observation.rs
@@ -1,7 +1,7 @@
 //! Watches a group that cannot be led from here, without any grant.
 
 use futures::future::join_all;
-use ochreyard_core::direct::Teller as TellerRole;
+use ochreyard_core::direct::TellerRole;
 use ochreyard_core::group_map::Round;
 use ochreyard_direct::Dialect;
 use ochreyard_rank::Engines;
--- a/crates/ochreyard-lead/src/lib.rs
+++ b/crates/ochreyard-lead/src/lib.rs
@@ -5,6 +5,7 @@
 //! maps, gives orders through the agents, and tells all entries of the group. What
 //! is decided is in [`ochreyard_core::group_map`]; this package is the input and output.
 
+mod engine_at;
 mod fields;
 mod found_rank;
 mod leader;
--- a/crates/ochreyard-lead/src/members.rs
+++ b/crates/ochreyard-lead/src/members.rs
@@ -7,7 +7,8 @@
 use ochreyard_core::group_map::RankView;
 use ochreyard_direct::CallLink;
 
-use crate::found_rank::{EngineAt, FoundRank};
+use crate::engine_at::EngineAt;
+use crate::found_rank::FoundRank;
 
 /// One rank: its agent and its engine.
 pub struct Member {
--- a/crates/ochreyard-lead/src/service_watch.rs
+++ b/crates/ochreyard-lead/src/service_watch.rs
@@ -9,7 +9,8 @@
 use ochreyard_direct::{Dialect, Entry};
 use ochreyard_rank::Engines;
 
-use crate::found_rank::{EngineAt, FoundRank, look_at};
+use crate::engine_at::EngineAt;
+use crate::found_rank::{FoundRank, look_at};
 use crate::leader::Leader;
 use crate::members::Members;
 use crate::settings::LeaderSettings;
@@ -85,7 +86,7 @@
             self.service,
             group.as_ref().map_or("-", |members| members.group.as_str())
         );
-        self.candidacy.on_failed(self.entry.clock.now_ms());
+        self.candidacy.on_tried(self.entry.clock.now_ms());
         if let Some(members) = group {
             self.start_leading(members);
         }
