--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -13,6 +13,7 @@
 mod reading;
 mod repeat_budget;
 mod route_table;
+mod waiting;
 
 pub use box_list::BoxList;
 pub use box_record::BoxRecord;
@@ -25,3 +26,4 @@
 pub use route_table::{
     CallerLimits, EngineFigures, Route, RouteKind, RouteTable, ServiceSpec, WeightedService, Workspace,
 };
+pub use waiting::{Choice, Seeker, ServiceQueue, ServiceTime, Stands, Ticket, Urgency, WaitFacts, WaitingLine};
--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -18,6 +18,7 @@
 pub use self::reported_load::ReportedLoad;
 use super::catalog::{EndpointChange, EndpointRecord};
 use super::group_news::GroupNews;
+use super::waiting::Urgency;
 use crate::hash;
 
 /// After this time, what a leader told of its group says nothing more, in milliseconds.
@@ -28,6 +29,9 @@
 /// Requests that may wait at a rank of a group: the next place is free within the
 /// aim of a first event, a second one hardly.
 const GROUP_WAITING: f64 = 1.0;
+/// Share of an endpoint's slots up to which it gets requests that can only be late: the
+/// rest is for those that come next and can still be in their aim.
+const LATE_DEPTH: f64 = 0.75;
 /// Endpoints that are drawn for one request, of which the least loaded gets it. What is
 /// known of load is some hundred milliseconds old and alike at all boxes: were the
 /// least loaded of all picked, all boxes would send there at once.
@@ -95,8 +99,18 @@
     ///
     /// # Errors
     ///
-    /// When nobody takes work, or all have as much as they can serve in time.
-    pub fn pick(&self, service: &str, tried: &[String], draw: u64, now_ms: u64) -> Result<Pick, NoPick> {
+    /// When nobody takes work, all have as much as they can serve in time, or all groups stand.
+    pub fn pick(
+        &self,
+        service: &str,
+        tried: &[String],
+        urgency: Urgency,
+        draw: u64,
+        now_ms: u64,
+    ) -> Result<Pick, NoPick> {
+        if self.is_down(service, now_ms) {
+            return Err(NoPick::Stands);
+        }
         let open: Vec<(&str, &Member)> = self
             .of_service(service)
             .filter(|(id, member)| !member.record.is_leaving && !tried.iter().any(|other| other == id))
@@ -108,14 +122,14 @@
         if usable.is_empty() {
             return Err(NoPick::Nobody);
         }
-        let with_room = usable.into_iter().filter(|(_, member)| self.has_room(member, now_ms));
+        let with_room = usable.into_iter().filter(|(_, member)| self.has_room(member, urgency, now_ms));
         let shuffled = with_room.enumerate().map(|(at, found)| (hash::mix(draw ^ at as u64), found));
         let mut shuffled: Vec<(u64, (&str, &Member))> = shuffled.collect();
         shuffled.sort_unstable_by_key(|(key, _)| *key);
         let compared = shuffled.into_iter().take(COMPARED).map(|(_, found)| found);
         let best = compared.min_by(|a, b| self.pressure(a.1, now_ms).total_cmp(&self.pressure(b.1, now_ms)));
         let (id, member) = best.ok_or(NoPick::Full)?;
-        Ok(Pick { id: id.to_owned(), addr: member.record.addr, in_flight: member.in_flight })
+        Ok(Pick { id: id.to_owned(), addr: member.record.addr, in_flight: member.in_flight, urgency })
     }
 
     /// Whether all groups of a service are known to stand or to be broken.
@@ -129,10 +143,29 @@
         member.group.as_ref().and_then(|name| self.groups.get(name))
     }
 
+    /// Slots of all endpoints of a service that take work.
+    #[must_use]
+    pub fn slots(&self, service: &str) -> u64 {
+        self.of_service(service)
+            .filter(|(_, member)| !member.record.is_leaving)
+            .map(|(_, member)| member.record.slots)
+            .sum()
+    }
+
+    /// Requests of this box at a service's endpoints that were late when they were sent.
+    #[must_use]
+    pub fn late_in_flight(&self, service: &str) -> u64 {
+        self.of_service(service).map(|(_, member)| member.late_in_flight).sum()
+    }
+
     /// Whether an endpoint can serve one more request in time.
-    fn has_room(&self, member: &Member, now_ms: u64) -> bool {
+    fn has_room(&self, member: &Member, urgency: Urgency, now_ms: u64) -> bool {
         let slots = member.record.slots.max(1) as f64;
-        let limit = if self.group_of(member).is_some() { slots + GROUP_WAITING } else { slots * PLAIN_DEPTH };
+        let most = if self.group_of(member).is_some() { slots + GROUP_WAITING } else { slots * PLAIN_DEPTH };
+        let limit = match urgency {
+            Urgency::Late => most * LATE_DEPTH,
+            Urgency::InAim => most,
+        };
         member.requests(now_ms).round() < limit
     }
 
@@ -182,6 +215,12 @@
         groups.any(|group| group.is_unled(now_ms))
     }
 
+    /// Whether a group of a service is known.
+    #[must_use]
+    pub fn knows_group(&self, service: &str) -> bool {
+        self.of_service(service).any(|(_, member)| self.group_of(member).is_some())
+    }
+
     /// Whether an endpoint of a service belongs to no group that is known.
     #[must_use]
     pub fn has_endpoint_without_group(&self, service: &str) -> bool {
@@ -210,16 +249,16 @@
     }
 
     /// An attempt is on its way.
-    pub fn on_start(&mut self, id: &str) {
+    pub fn on_start(&mut self, id: &str, urgency: Urgency) {
         if let Some(member) = self.members.get_mut(id) {
-            member.in_flight += 1;
+            member.on_start(urgency);
         }
     }
 
     /// An attempt has ended.
-    pub fn on_end(&mut self, id: &str, outcome: Outcome, now_ms: u64) {
+    pub fn on_end(&mut self, id: &str, urgency: Urgency, outcome: Outcome, now_ms: u64) {
         if let Some(member) = self.members.get_mut(id) {
-            member.on_end(outcome, now_ms);
+            member.on_end(urgency, outcome, now_ms);
         }
     }
 
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -4,6 +4,7 @@
 use super::outcome::Outcome;
 use super::reported_load::ReportedLoad;
 use crate::direct::EndpointRecord;
+use crate::direct::waiting::Urgency;
 
 /// Weight of one more outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
@@ -32,6 +33,8 @@
     pub record: EndpointRecord,
     /// Requests that this box has there.
     pub in_flight: u64,
+    /// Those of them that were late when they were sent.
+    pub late_in_flight: u64,
     /// The name of its group, once a leader has told of it.
     pub group: Option<String>,
     /// How much longer its work takes than usual, in thousandths.
@@ -53,6 +56,7 @@
         Self {
             record,
             in_flight: 0,
+            late_in_flight: 0,
             load: ReportedLoad { running: 0, waiting: 0 },
             own_at_load: 0,
             load_at_ms: 0,
@@ -115,9 +119,16 @@
         self.load_at_ms = now_ms;
     }
 
+    /// An attempt there begins.
+    pub const fn on_start(&mut self, urgency: Urgency) {
+        self.in_flight += 1;
+        self.late_in_flight += matches!(urgency, Urgency::Late) as u64;
+    }
+
     /// An attempt there has ended.
-    pub fn on_end(&mut self, outcome: Outcome, now_ms: u64) {
+    pub fn on_end(&mut self, urgency: Urgency, outcome: Outcome, now_ms: u64) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.late_in_flight = self.late_in_flight.saturating_sub(u64::from(urgency == Urgency::Late));
         let failed = match outcome {
             Outcome::Good => 0.0,
             Outcome::Failed | Outcome::Unreachable => 1.0,
--- a/crates/ochreyard-core/src/direct/endpoint_pool/no_pick.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/no_pick.rs
@@ -7,4 +7,6 @@
     Nobody,
     /// Those that take work have as much as they can serve in time.
     Full,
+    /// All of their groups are known to stand or to be broken.
+    Stands,
 }
--- a/crates/ochreyard-core/src/direct/endpoint_pool/pick.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/pick.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::direct::waiting::Urgency;
+
 /// The endpoint for an attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Pick {
@@ -11,4 +13,6 @@
     pub addr: SocketAddr,
     /// Requests that this box already has there.
     pub in_flight: u64,
+    /// How soon the request had to go.
+    pub urgency: Urgency,
 }
--- a/crates/ochreyard-core/src/direct/route_table.rs
+++ b/crates/ochreyard-core/src/direct/route_table.rs
@@ -25,6 +25,8 @@
     version: u64,
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
     services: HashMap<String, Arc<ServiceSpec>>,
+    /// The shortest pause between events that a route of each service allows, in milliseconds.
+    pause_aims_ms: HashMap<String, u64>,
     keys: HashMap<String, Arc<Workspace>>,
     needs_key: bool,
     limits: CallerLimits,
@@ -40,6 +42,11 @@
     /// Adds a route.
     #[must_use]
     pub fn with_route(mut self, route: Route) -> Self {
+        for weighted in &route.services {
+            let Some(pause_aim_ms) = route.gap_aim_ms else { continue };
+            let shortest_ms = self.pause_aims_ms.entry(weighted.service.clone()).or_insert(pause_aim_ms);
+            *shortest_ms = pause_aim_ms.min(*shortest_ms);
+        }
         let of_host = self.routes.entry(route.host.to_ascii_lowercase()).or_default();
         of_host.insert(route.path_prefix.clone(), Arc::new(route));
         self
@@ -101,6 +108,12 @@
         self.keys.get(key)
     }
 
+    /// The shortest pause between events that a route of a service allows, in milliseconds.
+    #[must_use]
+    pub fn pause_aim_ms(&self, service: &str) -> Option<u64> {
+        self.pause_aims_ms.get(service).copied()
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
         self.services.values()
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/waiting.rs
@@ -0,0 +1,54 @@
+//! Requests that wait at an entry for an endpoint, and which of them may go next.
+//!
+//! The load that this answers: a group that stands for seconds (a data centre is cut off,
+//! a box is frozen) and then serves again, or a group with more work than places, while
+//! callers go on asking at their usual rate. A second of callers takes a group about as
+//! long to serve as it took them to ask, so a backlog is never made up for while they ask:
+//! whoever goes first takes a place from somebody else. A request that can still be in its
+//! aim is worth several times one that is only late, so those go first. The late ones get
+//! a bounded part of the places, in which they do not hold up those who come next.
+
+mod choice;
+mod line;
+mod service_queue;
+mod service_time;
+mod stand;
+
+pub use choice::{Choice, Seeker};
+pub use line::{Ticket, WaitingLine};
+pub use service_queue::ServiceQueue;
+pub use service_time::ServiceTime;
+pub use stand::Stands;
+
+use super::endpoint_pool::NoPick;
+
+/// How soon a request has to go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgency {
+    /// It can still be answered in its aim.
+    InAim,
+    /// It can only be answered late.
+    Late,
+}
+
+/// What is known of a request that found no endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitFacts {
+    /// Why it found none.
+    pub no_pick: NoPick,
+    /// Time that it has left, in milliseconds.
+    pub left_ms: u64,
+    /// Time that serving it takes, in milliseconds.
+    pub needed_ms: u64,
+    /// How much longer its service is expected to stand, in milliseconds; 0 where it goes on.
+    pub stands_for_ms: u64,
+}
+
+impl WaitFacts {
+    /// Whether waiting makes sense: an endpoint is expected while the request can still be
+    /// served.
+    #[must_use]
+    pub fn may_wait(&self) -> bool {
+        self.no_pick != NoPick::Nobody && self.left_ms >= self.needed_ms + self.stands_for_ms
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/waiting/choice.rs
@@ -0,0 +1,82 @@
+//! Whether a request goes to an endpoint now, waits for one, or is given up.
+
+use super::{ServiceQueue, Ticket, Urgency, WaitFacts};
+use crate::direct::endpoint_pool::{EndpointPool, NoPick, Pick};
+
+/// A request that looks for an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Seeker<'a> {
+    /// Its service.
+    pub service: &'a str,
+    /// Endpoints that were tried.
+    pub tried: &'a [String],
+    /// Until when it can be sent and still be answered in its aim.
+    pub in_aim_until_ms: u64,
+    /// When its time ends.
+    pub deadline_ms: u64,
+    /// How long serving takes where nothing is known of it, in milliseconds.
+    pub aim_ms: u64,
+    /// Its place among those that wait, if it has one.
+    pub ticket: Option<Ticket>,
+}
+
+impl Seeker<'_> {
+    /// How soon it has to go.
+    #[must_use]
+    pub const fn urgency(&self, now_ms: u64) -> Urgency {
+        if now_ms < self.in_aim_until_ms { Urgency::InAim } else { Urgency::Late }
+    }
+}
+
+/// What a request that looks for an endpoint does.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Choice {
+    /// It goes to this endpoint.
+    Go(Pick),
+    /// It waits.
+    Wait(WaitFacts),
+    /// It is given up.
+    GiveUp(WaitFacts),
+}
+
+impl ServiceQueue {
+    /// What a request does now, where `boxes` boxes share the endpoints; `draw` is any evenly
+    /// spread number.
+    pub fn choose(&mut self, pool: &EndpointPool, boxes: u64, seeker: &Seeker, draw: u64, now_ms: u64) -> Choice {
+        let no_pick = match self.pick_in_turn(pool, boxes, seeker, draw, now_ms) {
+            Ok(pick) => {
+                self.stands.note(false, now_ms);
+                return Choice::Go(pick);
+            }
+            Err(no_pick) => no_pick,
+        };
+        self.stands.note(pool.is_down(seeker.service, now_ms), now_ms);
+        let facts = WaitFacts {
+            no_pick,
+            left_ms: seeker.deadline_ms.saturating_sub(now_ms),
+            needed_ms: self.time.after_wait_ms().unwrap_or(seeker.aim_ms),
+            // Who waits already was let in by what was expected then.
+            stands_for_ms: if seeker.ticket.is_none() { self.stands.rest_ms(now_ms) } else { 0 },
+        };
+        if facts.may_wait() { Choice::Wait(facts) } else { Choice::GiveUp(facts) }
+    }
+
+    /// An endpoint, if no other request goes first and this box has a place left for it.
+    fn pick_in_turn(
+        &self,
+        pool: &EndpointPool,
+        boxes: u64,
+        seeker: &Seeker,
+        draw: u64,
+        now_ms: u64,
+    ) -> Result<Pick, NoPick> {
+        let urgency = seeker.urgency(now_ms);
+        if !self.is_turn_of(seeker.ticket, urgency, now_ms) {
+            return Err(NoPick::Full);
+        }
+        let pick = pool.pick(seeker.service, seeker.tried, urgency, draw, now_ms)?;
+        let is_over = urgency == Urgency::Late
+            && pool.late_in_flight(seeker.service) >= Self::most_late(pool.slots(seeker.service), boxes);
+        if is_over { Err(NoPick::Full) } else { Ok(pick) }
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/waiting/line.rs
@@ -0,0 +1,76 @@
+//! The requests of one service that wait here, in the order in which they may go.
+
+use super::Urgency;
+
+/// The place of one request in a line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket(u64);
+
+#[derive(Debug, Clone, Copy)]
+struct Waiter {
+    ticket: Ticket,
+    in_aim_until_ms: u64,
+    deadline_ms: u64,
+}
+
+impl Waiter {
+    const fn urgency(&self, now_ms: u64) -> Urgency {
+        if now_ms < self.in_aim_until_ms { Urgency::InAim } else { Urgency::Late }
+    }
+
+    /// Smaller goes first: those in their aim, then those with the least time left.
+    const fn order(&self, now_ms: u64) -> (bool, u64, u64) {
+        (matches!(self.urgency(now_ms), Urgency::Late), self.deadline_ms, self.ticket.0)
+    }
+}
+
+/// The requests of one service that wait here.
+#[derive(Debug, Clone, Default)]
+pub struct WaitingLine {
+    waiters: Vec<Waiter>,
+    joined: u64,
+}
+
+impl WaitingLine {
+    /// A request waits from now on; it can be in its aim if it goes before `in_aim_until_ms`.
+    pub fn join(&mut self, in_aim_until_ms: u64, deadline_ms: u64) -> Ticket {
+        let ticket = Ticket(self.joined);
+        self.joined += 1;
+        self.waiters.push(Waiter { ticket, in_aim_until_ms, deadline_ms });
+        ticket
+    }
+
+    /// A request no longer waits.
+    pub fn leave(&mut self, ticket: Ticket) {
+        self.waiters.retain(|waiter| waiter.ticket != ticket);
+    }
+
+    /// How many wait.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Whether nobody waits.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// Whether a request that does not wait yet may go before all that do.
+    #[must_use]
+    pub fn may_overtake(&self, urgency: Urgency, now_ms: u64) -> bool {
+        let is_in_aim = |waiter: &Waiter| waiter.urgency(now_ms) == Urgency::InAim;
+        match urgency {
+            Urgency::InAim => !self.waiters.iter().any(is_in_aim),
+            Urgency::Late => self.waiters.is_empty(),
+        }
+    }
+
+    /// Whether no other waiting request goes before this one.
+    #[must_use]
+    pub fn is_next(&self, ticket: Ticket, now_ms: u64) -> bool {
+        let first = self.waiters.iter().min_by_key(|waiter| waiter.order(now_ms));
+        first.is_none_or(|first| first.ticket == ticket)
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/waiting/service_queue.rs
@@ -0,0 +1,58 @@
+//! What an entry knows of the requests for one service: who waits, how long serving takes,
+//! whether the service stands.
+
+use std::collections::HashMap;
+
+use super::{ServiceTime, Stands, Ticket, Urgency, WaitingLine};
+
+/// A caller with less of its usual time than this share has asked before.
+const RETURNED_SHARE: f64 = 0.8;
+/// Share of its aim within which a request must be sent to be answered in its aim: the first
+/// event takes nearly half of it.
+const IN_AIM_SHARE: f64 = 0.5;
+/// Share of this box's part of all slots that requests may hold which were late when they
+/// were sent.
+const LATE_SHARE: f64 = 0.8;
+/// Late requests that a box may have there in any case: where boxes outnumber slots.
+const LEAST_LATE: u64 = 2;
+
+/// The requests of one service at this entry.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceQueue {
+    /// Those that wait.
+    pub line: WaitingLine,
+    /// How long serving takes.
+    pub time: ServiceTime,
+    /// Whether the service stands.
+    pub stands: Stands,
+    /// The longest time that callers of each route have given it.
+    usual_ms: HashMap<String, u64>,
+}
+
+impl ServiceQueue {
+    /// Until when a request can be sent and still be in its aim, which counts from its
+    /// caller's first try: one that comes back has less time left than is usual.
+    pub fn in_aim_until_ms(&mut self, route: &str, aim_ms: u64, given_ms: u64, now_ms: u64) -> u64 {
+        if !self.usual_ms.contains_key(route) {
+            self.usual_ms.insert(route.to_owned(), 0);
+        }
+        let usual_ms = self.usual_ms.get_mut(route).expect("inserted above");
+        *usual_ms = (*usual_ms).max(given_ms);
+        let has_come_back = (given_ms as f64) < *usual_ms as f64 * RETURNED_SHARE;
+        if has_come_back { now_ms } else { now_ms + (aim_ms as f64 * IN_AIM_SHARE) as u64 }
+    }
+
+    /// Whether a request may go now, as far as others that wait here are concerned.
+    pub(super) fn is_turn_of(&self, ticket: Option<Ticket>, urgency: Urgency, now_ms: u64) -> bool {
+        match ticket {
+            Some(ticket) => self.line.is_next(ticket, now_ms),
+            None => self.line.may_overtake(urgency, now_ms),
+        }
+    }
+
+    /// Late requests that this box may have at the endpoints, of `slots` that `boxes` share.
+    #[must_use]
+    pub fn most_late(slots: u64, boxes: u64) -> u64 {
+        ((slots as f64 * LATE_SHARE / boxes.max(1) as f64).ceil() as u64).max(LEAST_LATE)
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/waiting/service_time.rs
@@ -0,0 +1,26 @@
+//! How long serving a request takes of late.
+
+/// Share of one more answer in the mean: some dozen answers, a second or two of one entry.
+const NEWEST_SHARE: f64 = 0.05;
+/// How much longer than usual serving takes where requests had to wait: the group is full then.
+const AFTER_WAIT: f64 = 1.5;
+
+/// The mean time from the start of an attempt to the end of its answer.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServiceTime {
+    mean_ms: Option<f64>,
+}
+
+impl ServiceTime {
+    /// An answer has come to its end.
+    pub fn note(&mut self, took_ms: u64) {
+        let took_ms = took_ms as f64;
+        self.mean_ms = Some(self.mean_ms.map_or(took_ms, |mean| mean + NEWEST_SHARE * (took_ms - mean)));
+    }
+
+    /// How long it takes for a request that waited, in milliseconds; `None` before the first answer.
+    #[must_use]
+    pub fn after_wait_ms(&self) -> Option<u64> {
+        self.mean_ms.map(|mean| (mean * AFTER_WAIT).round() as u64)
+    }
+}
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -4,8 +4,8 @@
 
 use ochreyard_core::direct::{
     BoxList, BoxRecord, Catalog, EndpointChange, EndpointPool, EndpointRecord, EventSplitter, GroupNews, NoPick,
-    Outcome, RankNews, Reading, RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, TellerRole, WeightedService,
-    Workspace,
+    Outcome, RankNews, Reading, RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, TellerRole, Urgency,
+    WeightedService, Workspace,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -174,36 +174,36 @@
 #[test]
 fn the_endpoint_with_least_of_our_own_requests_is_picked() {
     let mut pool = pool([1, 2]);
-    pool.on_start("e1");
-    assert_eq!(pool.pick("tiles", &[], 0, 0).unwrap().id, "e2");
-    assert_eq!(pool.pick("tiles", &["e2".into()], 0, 0).unwrap().id, "e1");
-    assert_eq!(pool.pick("other", &[], 0, 0), Err(NoPick::Nobody));
+    pool.on_start("e1", Urgency::InAim);
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 0).unwrap().id, "e2");
+    assert_eq!(pool.pick("tiles", &["e2".into()], Urgency::InAim, 0, 0).unwrap().id, "e1");
+    assert_eq!(pool.pick("other", &[], Urgency::InAim, 0, 0), Err(NoPick::Nobody));
 }
 
 #[test]
 fn an_endpoint_that_leaves_gets_nothing_more() {
     let mut pool = pool([1]);
     pool.apply(EndpointChange::Known("e1".into(), EndpointRecord { is_leaving: true, ..endpoint(1) }));
-    assert_eq!(pool.pick("tiles", &[], 0, 0), Err(NoPick::Nobody));
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 0), Err(NoPick::Nobody));
 }
 
 #[test]
 fn an_address_that_passed_to_another_endpoint_keeps_no_history() {
     let mut pool = pool([1]);
-    pool.on_start("e1");
-    pool.on_end("e1", Outcome::Unreachable, 0);
+    pool.on_start("e1", Urgency::InAim);
+    pool.on_end("e1", Urgency::InAim, Outcome::Unreachable, 0);
     pool.apply(EndpointChange::Gone("e1".into()));
     pool.apply(EndpointChange::Known("new".into(), endpoint(1)));
-    assert_eq!(pool.pick("tiles", &[], 0, 1).unwrap().id, "new");
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 1).unwrap().id, "new");
 }
 
 #[test]
 fn one_that_cannot_be_reached_is_set_aside_but_used_where_no_other_is_left() {
     let mut pool = pool([1, 2]);
-    pool.on_start("e1");
-    pool.on_end("e1", Outcome::Unreachable, 0);
-    assert!((0..20).all(|draw| pool.pick("tiles", &[], draw, 100).unwrap().id == "e2"));
-    assert_eq!(pool.pick("tiles", &["e2".into()], 0, 100).unwrap().id, "e1");
+    pool.on_start("e1", Urgency::InAim);
+    pool.on_end("e1", Urgency::InAim, Outcome::Unreachable, 0);
+    assert!((0..20).all(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 100).unwrap().id == "e2"));
+    assert_eq!(pool.pick("tiles", &["e2".into()], Urgency::InAim, 0, 100).unwrap().id, "e1");
 }
 
 #[test]
@@ -211,8 +211,8 @@
     let mut pool = pool([1, 2]);
     pool.on_news(&news(false, &[1], 0), 0);
     pool.on_news(&news(true, &[2], 1), 0);
-    assert!((0..20).all(|draw| pool.pick("tiles", &[], draw, 100).unwrap().id == "e2"));
-    assert!((0..20).any(|draw| pool.pick("tiles", &[], draw, 5_000).unwrap().id == "e1"));
+    assert!((0..20).all(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 100).unwrap().id == "e2"));
+    assert!((0..20).any(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 5_000).unwrap().id == "e1"));
 }
 
 #[test]
@@ -221,17 +221,17 @@
     pool.on_news(&news(true, &[1], 0), 0);
     pool.on_news(&news(true, &[2], 1), 0);
     pool.on_group_fault("e1", 10);
-    assert_eq!(pool.pick("tiles", &[], 0, 100).unwrap().id, "e2");
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 100).unwrap().id, "e2");
     pool.on_news(&news(true, &[1], 0), 700);
     pool.on_news(&news(true, &[2], 1), 700);
-    assert_eq!(pool.pick("tiles", &[], 0, 800).unwrap().id, "e1");
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 800).unwrap().id, "e1");
 }
 
 #[test]
 fn a_full_group_is_said_to_be_full() {
     let mut pool = pool([1]);
     pool.on_news(&news(true, &[1], 3), 0);
-    assert_eq!(pool.pick("tiles", &[], 0, 1), Err(NoPick::Full));
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 1), Err(NoPick::Full));
 }
 
 #[test]
@@ -240,10 +240,10 @@
     let mut slow = news(true, &[1, 2], 0);
     slow.ranks[0].pace_permille = 4_000;
     pool.on_news(&slow, 0);
-    pool.on_start("e2");
-    assert_eq!(pool.pick("tiles", &[], 0, 1).unwrap().id, "e2");
-    assert_eq!(pool.pick("tiles", &["e2".into()], 0, 1).unwrap().id, "e1");
-    assert_eq!(pool.pick("tiles", &[], 0, 5_000).unwrap().id, "e1");
+    pool.on_start("e2", Urgency::InAim);
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 1).unwrap().id, "e2");
+    assert_eq!(pool.pick("tiles", &["e2".into()], Urgency::InAim, 0, 1).unwrap().id, "e1");
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 5_000).unwrap().id, "e1");
 }
 
 #[test]
@@ -264,7 +264,8 @@
     told.ranks[7].running = 0;
     told.ranks[8].running = 3;
     pool.on_news(&told, 0);
-    let picks: Vec<String> = (0..400).map(|draw| pool.pick("tiles", &[], draw, 10).unwrap().id).collect();
+    let picks: Vec<String> =
+        (0..400).map(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 10).unwrap().id).collect();
     let at = |id: &str| picks.iter().filter(|pick| *pick == id).count();
     assert!((40..160).contains(&at("e8")), "the least loaded is preferred, not flooded: {}", at("e8"));
     assert_eq!(at("e9"), 0, "the most loaded of a draw is never picked");
@@ -337,7 +338,7 @@
     let mut pool = pool([1, 2]);
     pool.on_news(&GroupNews { step_ms: 100, ..news(true, &[1], 0) }, 0);
     pool.on_news(&GroupNews { step_ms: 40, ..news(true, &[2], 1) }, 0);
-    assert!((0..20).all(|draw| pool.pick("tiles", &[], draw, 1).unwrap().id == "e2"));
+    assert!((0..20).all(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 1).unwrap().id == "e2"));
 }
 
 #[test]
@@ -383,5 +384,5 @@
 fn a_group_that_nobody_tells_of_is_served() {
     let pool = pool([1, 2]);
     assert!(!pool.is_down("tiles", 60_000));
-    assert!(pool.pick("tiles", &[], 1, 60_000).is_ok());
+    assert!(pool.pick("tiles", &[], Urgency::InAim, 1, 60_000).is_ok());
 }
--- /dev/null
+++ b/crates/ochreyard-core/tests/stand_load.rs
@@ -0,0 +1,44 @@
+//! The load of a group that stands for seconds and then serves again, played with the real
+//! decisions of entries on virtual time: callers go on asking at their usual rate, come back
+//! once when they are told to, and the group serves everybody in the same time.
+
+mod stand_load_model;
+
+use rstest::rstest;
+use stand_load_model::{Callers, Group, play};
+
+/// Six entries before twelve endpoints of ten places: callers take three quarters of them.
+const CALLERS: Callers = Callers { per_s: 50, given_ms: 8_000, aim_ms: 400, asks_for_ms: 24_000 };
+
+#[test]
+fn while_nothing_stands_all_are_sent_in_their_aim() {
+    let played = play(CALLERS, Group { stands_ms: 10_000..10_000, ..Group::default() });
+    assert_eq!(played.sent_in_aim, played.asked);
+}
+
+/// A stand of up to a half of what callers give a request: whoever is not sent waits for less
+/// than it would be worth, and hardly anybody is refused twice.
+#[rstest]
+#[case::short(2_000)]
+#[case::of_a_cut_data_centre(6_000)]
+fn callers_of_a_group_that_stood_are_served_late_rather_than_refused(#[case] length_ms: u64) {
+    let played = play(CALLERS, Group { stands_ms: 10_000..10_000 + length_ms, ..Group::default() });
+    let hit = CALLERS.per_s * length_ms / 1_000;
+    assert!(played.sent_late >= hit * 4 / 10, "{played:?}");
+    assert!(played.refused <= hit * 6 / 10, "{played:?}");
+}
+
+/// Late ones have a bounded part of the places: those that come next are in their aim.
+#[test]
+fn soon_after_a_stand_callers_are_sent_in_their_aim_again() {
+    let played = play(CALLERS, Group { stands_ms: 10_000..16_000, ..Group::default() });
+    let soon = played.fresh_in_aim_share(18_000..22_000);
+    assert!(soon >= 0.97, "{soon} of those who came soon after were in their aim");
+}
+
+#[test]
+fn a_stand_that_does_not_end_holds_nobody_for_ever() {
+    let played = play(CALLERS, Group { stands_ms: 10_000..60_000, ..Group::default() });
+    // They give 8 s, 2.55 s are kept for serving, and a stand is expected to last half as long again.
+    assert_eq!(played.held_after(21_500), 0, "those who come late into a long stand are told at once");
+}
--- /dev/null
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -0,0 +1,82 @@
+//! Who waits at an entry for an endpoint, and who goes next.
+
+use ochreyard_core::direct::{NoPick, ServiceQueue, ServiceTime, Stands, Urgency, WaitFacts, WaitingLine};
+use rstest::rstest;
+
+/// A request with 5 s left that takes 2 s, at a group that has stood for 2 s.
+fn facts() -> WaitFacts {
+    WaitFacts { no_pick: NoPick::Stands, left_ms: 5_000, needed_ms: 2_000, stands_for_ms: 2_000 }
+}
+
+#[rstest]
+#[case::served_in_time(facts(), true)]
+#[case::stands_for_too_long(WaitFacts { stands_for_ms: 3_001, ..facts() }, false)]
+#[case::too_little_time_left(WaitFacts { left_ms: 3_999, ..facts() }, false)]
+#[case::no_endpoint_at_all(WaitFacts { no_pick: NoPick::Nobody, ..facts() }, false)]
+fn a_request_waits_only_where_that_may_help(#[case] facts: WaitFacts, #[case] waits: bool) {
+    assert_eq!(facts.may_wait(), waits);
+}
+
+#[test]
+fn those_in_their_aim_go_first_then_those_with_the_least_time_left() {
+    let mut line = WaitingLine::default();
+    let late = line.join(100, 9_000);
+    let later = line.join(100, 8_000);
+    let fresh = line.join(1_200, 9_500);
+    let order = [fresh, later, late];
+    for ticket in order {
+        assert!(order.iter().all(|other| line.is_next(*other, 1_000) == (*other == ticket)));
+        line.leave(ticket);
+    }
+    assert!(line.is_empty());
+}
+
+#[test]
+fn only_a_request_in_its_aim_overtakes_late_ones() {
+    let mut line = WaitingLine::default();
+    line.join(100, 9_000);
+    assert!(line.may_overtake(Urgency::InAim, 1_000));
+    assert!(!line.may_overtake(Urgency::Late, 1_000));
+    line.join(1_200, 9_500);
+    assert!(!line.may_overtake(Urgency::InAim, 1_000), "another one in its aim came before");
+    assert!(line.may_overtake(Urgency::InAim, 1_300), "its aim has passed since");
+}
+
+#[test]
+fn a_stand_is_expected_to_last_half_as_long_again_and_is_forgotten_once_it_is_over() {
+    let mut stands = Stands::default();
+    stands.note(true, 1_000);
+    stands.note(true, 2_500);
+    assert_eq!(stands.rest_ms(3_000), 1_000);
+    stands.note(false, 3_000);
+    assert_eq!(stands.rest_ms(9_000), 0);
+    stands.note(true, 10_000);
+    assert_eq!(stands.rest_ms(10_500), 250);
+}
+
+#[test]
+fn a_caller_that_comes_back_with_less_time_is_late() {
+    let mut queue = ServiceQueue::default();
+    assert_eq!(queue.in_aim_until_ms("brief", 400, 8_000, 0), 200);
+    assert_eq!(queue.in_aim_until_ms("brief", 400, 5_300, 10_000), 10_000);
+    assert_eq!(queue.in_aim_until_ms("brief", 400, 7_900, 20_000), 20_200, "a little less is no second try");
+    assert_eq!(queue.in_aim_until_ms("notice", 400, 5_300, 30_000), 30_200, "each route has callers of its own");
+}
+
+#[rstest]
+#[case::many_slots(630, 38, 14)]
+#[case::more_boxes_than_slots(18, 38, 2)]
+#[case::no_box_known(100, 0, 80)]
+fn each_box_has_its_share_of_the_late_ones(#[case] slots: u64, #[case] boxes: u64, #[case] running: u64) {
+    assert_eq!(ServiceQueue::most_late(slots, boxes), running);
+}
+
+#[test]
+fn the_time_of_serving_follows_what_it_took_of_late() {
+    let mut time = ServiceTime::default();
+    assert_eq!(time.after_wait_ms(), None);
+    time.note(1_000);
+    assert_eq!(time.after_wait_ms(), Some(1_500));
+    (0..100).for_each(|_| time.note(2_000));
+    assert!(time.after_wait_ms().is_some_and(|needed_ms| needed_ms > 2_950));
+}
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -47,7 +47,7 @@
     pick: &Pick,
     deadline_ms: u64,
 ) -> Attempt<D> {
-    let flight = Flight::start(entry, &pick.id);
+    let flight = Flight::start(entry, pick);
     let out = request.to_endpoint(entry.dialect.headers(), &pick.id, deadline_ms);
     let kept = free_connection(entry, pick).await;
     match exchange(kept, pick.addr, CONNECT_TIMEOUT, out).await {
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -1,7 +1,7 @@
 //! What one entry process knows and owns.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use ochreyard_core::direct::{
     BoxList, BoxRecord, Catalog, EndpointChange, EndpointPool, EngineFigures, GroupNews, Reading, RepeatBudget,
-    RepeatLimits, RouteTable,
+    RepeatLimits, RouteTable, ServiceQueue,
 };
 use ochreyard_core::hash;
 use ochreyard_process::Clock;
@@ -51,12 +51,29 @@
     pub connections: ConnectionPool,
     /// How often a request may be sent again.
     pub budget: RepeatBudget,
+    /// Requests that wait, by service.
+    pub queues: HashMap<String, ServiceQueue>,
     /// Other boxes.
     pub boxes: BoxList,
     /// Whether the platform's log answered the last call.
     pub log_answers: bool,
 }
 
+impl State {
+    /// The requests of a service.
+    pub fn queue(&mut self, service: &str) -> &mut ServiceQueue {
+        queue_of(&mut self.queues, service)
+    }
+}
+
+/// The requests of a service, of all by service.
+pub fn queue_of<'a>(queues: &'a mut HashMap<String, ServiceQueue>, service: &str) -> &'a mut ServiceQueue {
+    if !queues.contains_key(service) {
+        queues.insert(service.to_owned(), ServiceQueue::default());
+    }
+    queues.get_mut(service).expect("inserted above")
+}
+
 /// One entry process.
 pub struct Entry<D> {
     /// The dialect of its surroundings.
@@ -89,6 +106,7 @@
             pool: EndpointPool::new(),
             connections: ConnectionPool::default(),
             budget: RepeatBudget::new(limits, ASSUMED_BOXES),
+            queues: HashMap::new(),
             boxes: BoxList::default(),
             log_answers: false,
         };
--- a/crates/ochreyard-direct/src/flight.rs
+++ b/crates/ochreyard-direct/src/flight.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use ochreyard_core::direct::Outcome;
+use ochreyard_core::direct::{Outcome, Pick, Urgency};
 
 use crate::dialect::Dialect;
 use crate::entry::Entry;
@@ -12,14 +12,16 @@
 pub struct Flight<D: Dialect> {
     entry: Rc<Entry<D>>,
     id: String,
+    urgency: Urgency,
     outcome: Cell<Outcome>,
 }
 
 impl<D: Dialect> Flight<D> {
-    /// An attempt at the endpoint `id` begins.
-    pub fn start(entry: &Rc<Entry<D>>, id: &str) -> Self {
-        entry.state.borrow_mut().pool.on_start(id);
-        Self { entry: Rc::clone(entry), id: id.to_owned(), outcome: Cell::new(Outcome::Unknown) }
+    /// An attempt at the picked endpoint begins.
+    pub fn start(entry: &Rc<Entry<D>>, pick: &Pick) -> Self {
+        entry.state.borrow_mut().pool.on_start(&pick.id, pick.urgency);
+        let outcome = Cell::new(Outcome::Unknown);
+        Self { entry: Rc::clone(entry), id: pick.id.clone(), urgency: pick.urgency, outcome }
     }
 
     /// Sets how the attempt ended.
@@ -43,6 +45,6 @@
 impl<D: Dialect> Drop for Flight<D> {
     fn drop(&mut self) {
         let now_ms = self.entry.clock.now_ms();
-        self.entry.state.borrow_mut().pool.on_end(&self.id, self.outcome.get(), now_ms);
+        self.entry.state.borrow_mut().pool.on_end(&self.id, self.urgency, self.outcome.get(), now_ms);
     }
 }
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -22,7 +22,7 @@
 
 /// When a caller should come back whose box is leaving, in milliseconds: at once,
 /// since its next connection leads to another box.
-const LEAVING_COME_BACK_MS: u64 = 50;
+pub const LEAVING_COME_BACK_MS: u64 = 50;
 
 /// Answers a caller's request.
 pub async fn answer<D: Dialect>(entry: Rc<Entry<D>>, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -85,13 +85,20 @@
     if let Some(name) = workspace.and_then(|workspace| workspace.name.parse().ok()) {
         request.headers.insert(names.workspace.clone(), name);
     }
-    entry.state.borrow_mut().budget.on_request(&service, started_ms);
+    let mut state = entry.state.borrow_mut();
+    state.budget.on_request(&service, started_ms);
+    let in_aim_until_ms = state.queue(&service).in_aim_until_ms(&route.name, route.aim_ms, held_ms, started_ms);
+    drop(state);
     Ok(Job {
         entry: Rc::clone(entry),
         route: Arc::clone(route),
         service,
         request,
         deadline_ms: started_ms + held_ms,
+        in_aim_until_ms,
+        attempt_started_ms: started_ms,
+        has_arrived: false,
+        last_facts: None,
         sent: 0,
         tried: Vec::new(),
         may_have_run: false,
--- a/crates/ochreyard-direct/src/given_up.rs
+++ b/crates/ochreyard-direct/src/given_up.rs
@@ -7,6 +7,10 @@
     NoEndpoint,
     /// The endpoints that were asked have no room.
     Full,
+    /// All groups of the service stand.
+    Stands,
+    /// The box is leaving.
+    Leaving,
     /// The budget of repeats is used up.
     Budget,
     /// An attempt failed and no other is allowed.
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -1,13 +1,15 @@
 //! One caller's request and its attempts, until an endpoint answers or it is given up.
 
+mod choosing;
+mod ending;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Response, StatusCode};
+use http::Response;
 use http_body_util::BodyExt;
-use ochreyard_core::direct::{NoPick, Outcome, Pick, Route};
-use ochreyard_core::error_kind::{ErrorKind, Refusal};
+use ochreyard_core::direct::{Outcome, Pick, Route, WaitFacts};
 
 use crate::answer::{Answer, pass_on};
 use crate::answer_body::AnswerBody;
@@ -16,26 +18,8 @@
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::given_up::GivenUp;
-use crate::{meters, refusal};
+use crate::meters;
 
-/// Least and most time after which a caller should come back that found no room, as
-/// one part in this many of the time that it has left: late enough that what was in
-/// the way has likely passed, with most of its time still left then, and spread so
-/// that callers do not come all at once.
-const COME_BACK_PARTS: (f64, f64) = (5.0, 3.0);
-/// The same where all groups of the service are down: a group that forms anew takes
-/// seconds, so nearly the longest time that callers wait for.
-const COME_BACK_PARTS_DOWN: (f64, f64) = (3.4, 3.0);
-/// A request waits for room for one part in this many of its aim, and is refused then.
-const WAIT_SHARE_OF_AIM: u64 = 5;
-/// How often a waiting request looks for room: well under the time of a step.
-const ROOM_LOOK: Duration = Duration::from_millis(10);
-/// Endpoints that are tried in vain for one request before it is given up, where
-/// none of them got it.
-const MAX_UNREACHED: usize = 4;
-/// Least time left for which another attempt is worth its cost, in milliseconds: an
-/// engine's step alone takes longer.
-const LEAST_USEFUL_MS: u64 = 30;
 /// Aims after which an endpoint that is silent to everybody loses the request.
 const PATIENCE_AIMS: f64 = 2.5;
 /// How often a waiting request looks whether its endpoint is still heard.
@@ -53,6 +37,14 @@
     pub request: CallerRequest,
     /// When its time ends.
     pub deadline_ms: u64,
+    /// Until when it can be sent and still be answered in its aim.
+    pub in_aim_until_ms: u64,
+    /// When its last attempt began.
+    pub attempt_started_ms: u64,
+    /// Whether it has arrived at an endpoint: the next attempt is a repeat.
+    pub has_arrived: bool,
+    /// What was known when it last found no endpoint.
+    pub last_facts: Option<WaitFacts>,
     /// Attempts that an endpoint got.
     pub sent: u64,
     /// Endpoints that were tried.
@@ -82,9 +74,7 @@
         loop {
             let pick = self.wait_for_pick(last).await?;
             let attempt = self.attempt_at(&pick).await;
-            self.tried.push(pick.id.clone());
-            // An endpoint that was not reached never had the request.
-            self.sent += u64::from(!matches!(attempt, Some(Attempt::NotSent)));
+            self.count(&pick, attempt.as_ref());
             match attempt {
                 Some(Attempt::Answered(answer)) => return Ok(*answer),
                 Some(Attempt::NotSent) => last = GivenUp::NoEndpoint,
@@ -105,8 +95,9 @@
     }
 
     /// Sends the request to one endpoint. `None` when its time ends first.
-    async fn attempt_at(&self, pick: &Pick) -> Option<Attempt<D>> {
+    async fn attempt_at(&mut self, pick: &Pick) -> Option<Attempt<D>> {
         let left_ms = self.time_left_ms();
+        self.attempt_started_ms = self.entry.clock.now_ms();
         let attempt = attempt::send(&self.entry, &self.request, pick, left_ms);
         tokio::time::timeout(Duration::from_millis(left_ms), self.unless_silent(pick, attempt)).await.ok()
     }
@@ -132,46 +123,20 @@
         }
     }
 
-    /// Picks an endpoint; where all are full, waits a little for room.
-    async fn wait_for_pick(&mut self, last: GivenUp) -> Result<Pick, GivenUp> {
-        let until_ms = self.entry.clock.now_ms() + self.route.aim_ms / WAIT_SHARE_OF_AIM;
-        loop {
-            match self.pick_next(last) {
-                Err(GivenUp::Full) if self.entry.clock.now_ms() < until_ms && !self.is_spent() => {
-                    tokio::time::sleep(ROOM_LOOK).await;
-                }
-                result => return result,
-            }
+    /// Counts an attempt. An endpoint that was not reached never had the request. Where the
+    /// whole group stands, its rank is not at fault, and may be asked again once it goes on.
+    fn count(&mut self, pick: &Pick, attempt: Option<&Attempt<D>>) {
+        let was_reached = !matches!(attempt, Some(Attempt::NotSent));
+        self.has_arrived |= was_reached;
+        if matches!(attempt, Some(Attempt::NotRun { .. })) && self.stands() {
+            return;
         }
+        self.sent += u64::from(was_reached);
+        self.tried.push(pick.id.clone());
     }
 
-    /// Whether no further attempt is allowed.
-    fn is_spent(&self) -> bool {
-        self.sent >= self.route.max_attempts || self.tried.len() >= MAX_UNREACHED
-    }
-
-    fn pick_next(&mut self, last: GivenUp) -> Result<Pick, GivenUp> {
-        let now_ms = self.entry.clock.now_ms();
-        let is_repeat = self.sent > 0;
-        if self.may_have_run && !self.route.kind.may_run_again() {
-            return Err(GivenUp::Failed);
-        }
-        if self.is_spent() {
-            return Err(last);
-        }
-        if self.time_left_ms() < LEAST_USEFUL_MS {
-            return Err(GivenUp::TimeUp);
-        }
-        let mut state = self.entry.state.borrow_mut();
-        let pick = state.pool.pick(&self.service, &self.tried, self.entry.draw(), now_ms);
-        let pick = pick.map_err(|none| if none == NoPick::Full { GivenUp::Full } else { last })?;
-        if is_repeat && !state.budget.try_take(&self.service, now_ms) {
-            return Err(GivenUp::Budget);
-        }
-        if is_repeat {
-            meters::on_repeat(&self.service);
-        }
-        Ok(pick)
+    fn stands(&self) -> bool {
+        self.entry.state.borrow().pool.is_down(&self.service, self.entry.clock.now_ms())
     }
 
     /// Reads an answer whole. `None` if it broke off, or is a failure that another
@@ -192,6 +157,9 @@
         };
         let failed = answer.head.status.is_server_error();
         answer.flight.set(if failed { Outcome::Failed } else { Outcome::Good });
+        if !failed {
+            self.note_served();
+        }
         let head = answer.head.clone();
         let pick = answer.pick.clone();
         let entry = Rc::clone(&self.entry);
@@ -204,19 +172,10 @@
         Some(pass_on(head.status, head.headers, AnswerBody::whole(body)))
     }
 
-    /// Whether a whole answer that is a failure may be made good by another endpoint.
-    fn may_try_again(&self) -> bool {
-        let now_ms = self.entry.clock.now_ms();
-        let state = self.entry.state.borrow();
-        self.route.kind.may_run_again()
-            && self.sent < self.route.max_attempts
-            && self.time_left_ms() >= LEAST_USEFUL_MS
-            && state.budget.has_one(&self.service, now_ms)
-            && state.pool.pick(&self.service, &self.tried, 0, now_ms).is_ok()
-    }
-
-    fn id(&self) -> &str {
-        self.request.attempt_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
+    /// Notes how long serving it took.
+    pub fn note_served(&self) {
+        let took_ms = self.entry.clock.now_ms().saturating_sub(self.attempt_started_ms);
+        self.entry.state.borrow_mut().queue(&self.service).time.note(took_ms);
     }
 
     /// Milliseconds since the request's head came.
@@ -225,66 +184,6 @@
         self.entry.clock.now_ms() - self.started_ms
     }
 
-    fn note_failure(&self, pick: &Pick, cause: &str) {
-        meters::on_failed_attempt(&self.service);
-        log::info!(
-            "event=attempt_failed request={} service={} endpoint={} attempt={} left_ms={} cause=\"{cause}\"",
-            self.id(),
-            self.service,
-            pick.id,
-            self.sent,
-            self.time_left_ms()
-        );
-    }
-
-    /// The final answer of a request that is not tried again.
-    pub fn give_up(&self, why: GivenUp) -> Response<AnswerBody> {
-        let kind = match why {
-            GivenUp::TimeUp if self.sent > 0 => ErrorKind::DeadlineExceeded,
-            _ if self.may_have_run => ErrorKind::EndpointFailed,
-            GivenUp::Full => ErrorKind::Overloaded,
-            GivenUp::Budget => ErrorKind::RetryBudgetSpent,
-            GivenUp::NoEndpoint | GivenUp::Failed | GivenUp::TimeUp => ErrorKind::NoEndpoint,
-        };
-        log::info!(
-            "event=request_failed request={} route={} service={} kind={kind} why={why:?} sent={} config_version={} \
-             elapsed_ms={}",
-            self.id(),
-            self.route.name,
-            self.service,
-            self.sent,
-            self.config_version,
-            self.elapsed_ms()
-        );
-        meters::on_answer(&self.service, kind.as_str(), self.elapsed_ms());
-        let refusal = Refusal::new(kind);
-        let comes_back = refusal.kind.rule().status == StatusCode::SERVICE_UNAVAILABLE;
-        refusal::response(&if comes_back { refusal.with_retry_after_ms(self.come_back_ms()) } else { refusal })
-    }
-
-    /// When a caller should come back, in milliseconds.
-    fn come_back_ms(&self) -> u64 {
-        let is_down = self.entry.state.borrow().pool.is_down(&self.service, self.entry.clock.now_ms());
-        let (least, most) = if is_down { COME_BACK_PARTS_DOWN } else { COME_BACK_PARTS };
-        let left_ms = self.time_left_ms() as f64;
-        let (least_ms, most_ms) = ((left_ms / least) as u64, (left_ms / most) as u64);
-        least_ms + self.entry.draw() % (most_ms - least_ms).max(1)
-    }
-
-    /// A stream was broken off for good.
-    pub fn note_broken_stream(&self, pick: &Pick, cause: &str) {
-        meters::on_answer(&self.service, "broken_off", self.elapsed_ms());
-        log::info!(
-            "event=stream_broken request={} route={} service={} endpoint={} sent={} elapsed_ms={} cause=\"{cause}\"",
-            self.id(),
-            self.route.name,
-            self.service,
-            pick.id,
-            self.sent,
-            self.elapsed_ms()
-        );
-    }
-
     /// An attempt failed that may have run.
     pub fn note_failed_attempt(&mut self, pick: &Pick, cause: &str) {
         self.may_have_run = true;
--- /dev/null
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -0,0 +1,131 @@
+//! Which endpoint a request goes to next, or whether it waits for one.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ochreyard_core::direct::{Choice, NoPick, Pick, Seeker};
+
+use super::Job;
+use crate::dialect::Dialect;
+use crate::entry::{State, queue_of};
+use crate::given_up::GivenUp;
+use crate::meters;
+use crate::waiting_place::WaitingPlace;
+
+/// How often a waiting request looks for room: well under the time of a step.
+const ROOM_LOOK: Duration = Duration::from_millis(10);
+/// Endpoints that are tried in vain for one request before it is given up, where
+/// none of them got it.
+const MAX_UNREACHED: usize = 4;
+/// Least time left for which another attempt is worth its cost, in milliseconds: an
+/// engine's step alone takes longer.
+const LEAST_USEFUL_MS: u64 = 30;
+
+/// Why a request has no endpoint now.
+enum NotPicked {
+    /// It waits for one.
+    Wait,
+    /// It is given up.
+    GivenUp(GivenUp),
+}
+
+impl From<GivenUp> for NotPicked {
+    fn from(why: GivenUp) -> Self {
+        Self::GivenUp(why)
+    }
+}
+
+impl<D: Dialect> Job<D> {
+    /// Picks an endpoint; where there is none now, waits for one as long as that may help.
+    pub(super) async fn wait_for_pick(&mut self, last: GivenUp) -> Result<Pick, GivenUp> {
+        let mut place = None;
+        loop {
+            match self.pick_next(last, place.as_ref()) {
+                Ok(pick) => return Ok(pick),
+                Err(NotPicked::GivenUp(why)) => return Err(why),
+                Err(NotPicked::Wait) => {}
+            }
+            place.get_or_insert_with(|| {
+                WaitingPlace::join(&self.entry, &self.service, self.in_aim_until_ms, self.deadline_ms)
+            });
+            tokio::time::sleep(ROOM_LOOK).await;
+        }
+    }
+
+    /// Whether no further attempt is allowed.
+    fn is_spent(&self) -> bool {
+        self.sent >= self.route.max_attempts || self.tried.len() >= MAX_UNREACHED
+    }
+
+    fn pick_next(&mut self, last: GivenUp, place: Option<&WaitingPlace<D>>) -> Result<Pick, NotPicked> {
+        let now_ms = self.entry.clock.now_ms();
+        if self.may_have_run && !self.route.kind.may_run_again() {
+            return Err(GivenUp::Failed.into());
+        }
+        if self.is_spent() {
+            return Err(last.into());
+        }
+        if self.time_left_ms() < LEAST_USEFUL_MS {
+            return Err(GivenUp::TimeUp.into());
+        }
+        if place.is_some() && self.entry.is_refusing.get() {
+            return Err(GivenUp::Leaving.into());
+        }
+        let entry = Rc::clone(&self.entry);
+        let mut state = entry.state.borrow_mut();
+        if self.has_arrived && !state.budget.has_one(&self.service, now_ms) {
+            return Err(GivenUp::Budget.into());
+        }
+        let boxes = state.boxes.len() as u64 + 1;
+        let seeker = Seeker { ticket: place.map(WaitingPlace::ticket), ..self.seeker() };
+        let State { queues, pool, .. } = &mut *state;
+        let queue = queue_of(queues, &self.service);
+        match queue.choose(pool, boxes, &seeker, entry.draw(), now_ms) {
+            Choice::Go(pick) => {
+                if self.has_arrived && state.budget.try_take(&self.service, now_ms) {
+                    meters::on_repeat(&self.service);
+                }
+                Ok(pick)
+            }
+            Choice::Wait(facts) => {
+                self.last_facts = Some(facts);
+                Err(NotPicked::Wait)
+            }
+            Choice::GiveUp(facts) => {
+                self.last_facts = Some(facts);
+                Err(given_up(facts.no_pick, last).into())
+            }
+        }
+    }
+
+    fn seeker(&self) -> Seeker<'_> {
+        Seeker {
+            service: &self.service,
+            tried: &self.tried,
+            in_aim_until_ms: self.in_aim_until_ms,
+            deadline_ms: self.deadline_ms,
+            aim_ms: self.route.aim_ms,
+            ticket: None,
+        }
+    }
+
+    /// Whether a whole answer that is a failure may be made good by another endpoint.
+    pub(super) fn may_try_again(&self) -> bool {
+        let now_ms = self.entry.clock.now_ms();
+        let state = self.entry.state.borrow();
+        self.route.kind.may_run_again()
+            && self.sent < self.route.max_attempts
+            && self.time_left_ms() >= LEAST_USEFUL_MS
+            && state.budget.has_one(&self.service, now_ms)
+            && state.pool.pick(&self.service, &self.tried, self.seeker().urgency(now_ms), 0, now_ms).is_ok()
+    }
+}
+
+/// Why a request is given up that found no endpoint; `last` says how its last attempt went.
+const fn given_up(no_pick: NoPick, last: GivenUp) -> GivenUp {
+    match no_pick {
+        NoPick::Nobody => last,
+        NoPick::Full => GivenUp::Full,
+        NoPick::Stands => GivenUp::Stands,
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/job/ending.rs
@@ -0,0 +1,92 @@
+//! How a request ends that no endpoint answered, and what is written of its failures.
+
+use http::{Response, StatusCode};
+use ochreyard_core::direct::Pick;
+use ochreyard_core::error_kind::{ErrorKind, Refusal};
+
+use super::Job;
+use crate::answer_body::AnswerBody;
+use crate::dialect::Dialect;
+use crate::forward::LEAVING_COME_BACK_MS;
+use crate::given_up::GivenUp;
+use crate::{meters, refusal};
+
+/// Least and most time after which a caller should come back that found no room, as
+/// one part in this many of the time that it has left: late enough that what was in
+/// the way has likely passed, with most of its time still left then, and spread so
+/// that callers do not come all at once.
+const COME_BACK_PARTS: (f64, f64) = (5.0, 3.0);
+/// The same where all groups of the service are down: a group that forms anew takes
+/// seconds, so nearly the longest time that callers wait for.
+const COME_BACK_PARTS_DOWN: (f64, f64) = (3.4, 3.0);
+
+impl<D: Dialect> Job<D> {
+    fn id(&self) -> &str {
+        self.request.attempt_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
+    pub(super) fn note_failure(&self, pick: &Pick, cause: &str) {
+        meters::on_failed_attempt(&self.service);
+        log::info!(
+            "event=attempt_failed request={} service={} endpoint={} attempt={} left_ms={} cause=\"{cause}\"",
+            self.id(),
+            self.service,
+            pick.id,
+            self.sent,
+            self.time_left_ms()
+        );
+    }
+
+    /// The final answer of a request that is not tried again.
+    pub fn give_up(&self, why: GivenUp) -> Response<AnswerBody> {
+        let kind = match why {
+            GivenUp::TimeUp if self.sent > 0 => ErrorKind::DeadlineExceeded,
+            _ if self.may_have_run => ErrorKind::EndpointFailed,
+            GivenUp::Full => ErrorKind::Overloaded,
+            GivenUp::Budget => ErrorKind::RetryBudgetSpent,
+            GivenUp::Leaving => ErrorKind::Leaving,
+            GivenUp::NoEndpoint | GivenUp::Stands | GivenUp::Failed | GivenUp::TimeUp => ErrorKind::NoEndpoint,
+        };
+        log::info!(
+            "event=request_failed request={} route={} service={} kind={kind} why={why:?} sent={} config_version={} \
+             elapsed_ms={} facts=\"{:?}\"",
+            self.id(),
+            self.route.name,
+            self.service,
+            self.sent,
+            self.config_version,
+            self.elapsed_ms(),
+            self.last_facts
+        );
+        meters::on_answer(&self.service, kind.as_str(), self.elapsed_ms());
+        let refusal = Refusal::new(kind);
+        let comes_back = refusal.kind.rule().status == StatusCode::SERVICE_UNAVAILABLE;
+        refusal::response(&if comes_back { refusal.with_retry_after_ms(self.come_back_ms(why)) } else { refusal })
+    }
+
+    /// When a caller should come back, in milliseconds.
+    fn come_back_ms(&self, why: GivenUp) -> u64 {
+        if why == GivenUp::Leaving {
+            return LEAVING_COME_BACK_MS;
+        }
+        let is_down = self.entry.state.borrow().pool.is_down(&self.service, self.entry.clock.now_ms());
+        let (least, most) = if is_down { COME_BACK_PARTS_DOWN } else { COME_BACK_PARTS };
+        let left_ms = self.time_left_ms() as f64;
+        let (least_ms, most_ms) = ((left_ms / least) as u64, (left_ms / most) as u64);
+        least_ms + self.entry.draw() % (most_ms - least_ms).max(1)
+    }
+
+    /// A stream was broken off for good.
+    pub fn note_broken_stream(&self, pick: &Pick, cause: &str) {
+        meters::on_answer(&self.service, "broken_off", self.elapsed_ms());
+        log::info!(
+            "event=stream_broken request={} route={} service={} endpoint={} sent={} elapsed_ms={} cause=\"{cause}\"",
+            self.id(),
+            self.route.name,
+            self.service,
+            pick.id,
+            self.sent,
+            self.elapsed_ms()
+        );
+    }
+}
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -34,6 +34,7 @@
 mod send_failure;
 pub mod serve;
 mod server;
+mod waiting_place;
 
 pub use boxes_heard::BoxesHeard;
 pub use call_error::CallError;
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -86,6 +86,7 @@
             Ok(None) if self.splitter.has_part() => Step::Broken("ended within an event".to_owned()),
             Ok(None) => {
                 answer.flight.set(Outcome::Good);
+                self.job.note_served();
                 meters::on_answer(&self.job.service, "whole", self.job.elapsed_ms());
                 if let Some(answer) = self.answer.take() {
                     let entry = std::rc::Rc::clone(&self.job.entry);
