Change maps only near the pause aim, or by much

While orders stay unanswered each of them holds the group for 150 to 200 ms, and every running stream is late (8 to 14 s: 700 of 1,550). Change: a change is proposed where the mean step is over 0.6 of the shortest pause aim of the service's routes, or where it betters the skew by a quarter (what a shift leaves behind).

--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod planner;
 mod shift_times;
+mod step_times;
 
 pub use arming_times::ArmingTimes;
 pub use candidacy::{Candidacy, candidate_place};
@@ -33,3 +34,4 @@
 pub use placement::GroupPlacement;
 pub use planner::{PlanSettings, Planned, Planner};
 pub use shift_times::{ShiftAnswer, ShiftTimes};
+pub use step_times::StepTimes;
--- a/crates/ochreyard-lead/src/leader/proposal.rs
+++ b/crates/ochreyard-lead/src/leader/proposal.rs
@@ -1,7 +1,7 @@
 //! The map in use, the demand on it, and the proposal of a better map.
 
 use ochreyard_core::direct::EngineFigures;
-use ochreyard_core::group_map::{Demand, GroupPlacement, PlanSettings, Planned, Planner, RankView};
+use ochreyard_core::group_map::{Demand, GroupPlacement, PlanSettings, Planned, Planner, RankView, StepTimes};
 use ochreyard_direct::Dialect;
 use ochreyard_rank::{Engines, Lists};
 
@@ -70,6 +70,12 @@
         (demand.rates().len() == wanted).then(|| present.skew(demand.rates(), &paces))
     }
 
+    fn step_times(&self) -> StepTimes {
+        let state = self.entry.state.borrow();
+        let pause_aim_ms = state.table.as_ref().and_then(|table| table.pause_aim_ms(&self.service));
+        StepTimes { step_ms: self.progress.step_ms(), pause_aim_ms }
+    }
+
     /// How much longer work takes at each rank than usual.
     fn paces(&self) -> Vec<f64> {
         self.last_round.views.iter().flatten().map(pace).collect()
@@ -80,7 +86,7 @@
         let planned = self.plan().await;
         let planned_ms = self.now_ms();
         self.search_ms = planned_ms - now_ms;
-        let Some(planned) = planned else { return false };
+        let Some(planned) = planned.filter(|planned| self.step_times().gain_from(planned.skew)) else { return false };
         log::info!(
             "event=map_proposed skew_before={:.3} skew_after={:.3} copies_of_rank={} saving_ms={:.0} planning_ms={}",
             planned.skew.0,
