--- a/crates/ochreyard-core/src/direct/waiting/service_time.rs
+++ b/crates/ochreyard-core/src/direct/waiting/service_time.rs
@@ -1,9 +1,11 @@
 //! How long serving a request takes of late.
 
-/// Share of one more answer in the mean: some dozen answers, a second or two of one entry.
-const NEWEST_SHARE: f64 = 0.05;
+/// Share of one more answer in the mean: a hundred answers count, some fifteen seconds of one
+/// entry. A slow spell before a stand says little of what serving takes after it: with a mean of
+/// two seconds, callers with 5 s left were told that nothing could be done for them.
+const NEWEST_SHARE: f64 = 0.01;
 /// How much longer than usual serving takes where requests had to wait: the group is full then.
-const AFTER_WAIT: f64 = 1.5;
+const AFTER_WAIT: f64 = 1.25;
 
 /// The mean time from the start of an attempt to the end of its answer.
 #[derive(Debug, Clone, Copy, Default)]
