--- /dev/null
+++ b/crates/ochreyard-core/tests/stand_load_model/entry_model.rs
@@ -0,0 +1,81 @@
+//! One entry: its view of the endpoints, those that wait, and what it has running.
+
+use std::net::SocketAddr;
+
+use ochreyard_core::direct::{
+    Choice, EndpointChange, EndpointPool, EndpointRecord, Outcome, Pick, Seeker, ServiceQueue, Ticket,
+};
+
+use super::{ENDPOINTS, ENTRIES, SERVICE, SLOTS};
+
+/// One try of a caller.
+#[derive(Debug, Clone)]
+pub struct Try {
+    pub caller: usize,
+    pub came_ms: u64,
+    pub deadline_ms: u64,
+    pub in_aim_until_ms: u64,
+    pub ticket: Option<Ticket>,
+    pub is_first: bool,
+}
+
+pub struct EntryModel {
+    pub pool: EndpointPool,
+    pub queue: ServiceQueue,
+    pub waiting: Vec<Try>,
+    /// When each request ends, and where it runs.
+    running: Vec<(u64, Pick)>,
+}
+
+impl EntryModel {
+    /// An entry that has served for a while, `serves_ms` a request.
+    pub fn new(serves_ms: u64) -> Self {
+        let mut pool = EndpointPool::new();
+        (0..ENDPOINTS).for_each(|at| pool.apply(EndpointChange::Known(endpoint_id(at), record(at))));
+        let mut queue = ServiceQueue::default();
+        queue.time.note(serves_ms);
+        Self { pool, queue, waiting: Vec::new(), running: Vec::new() }
+    }
+
+    pub fn running_at(&self, endpoint: &str) -> u64 {
+        self.running.iter().filter(|(_, pick)| pick.id == endpoint).count() as u64
+    }
+
+    pub fn run(&mut self, pick: Pick, until_ms: u64) {
+        self.pool.on_start(&pick.id, pick.urgency);
+        self.running.push((until_ms, pick));
+    }
+
+    pub fn end_runs(&mut self, now_ms: u64) {
+        for (_, pick) in self.running.extract_if(.., |(until_ms, _)| *until_ms <= now_ms) {
+            self.pool.on_end(&pick.id, pick.urgency, Outcome::Good, now_ms);
+        }
+    }
+
+    pub fn choose(&mut self, of: &Try, draw: u64, now_ms: u64) -> Choice {
+        let seeker = Seeker {
+            service: SERVICE,
+            tried: &[],
+            in_aim_until_ms: of.in_aim_until_ms,
+            deadline_ms: of.deadline_ms,
+            aim_ms: 0,
+            ticket: of.ticket,
+        };
+        self.queue.choose(&self.pool, ENTRIES as u64, &seeker, draw, now_ms)
+    }
+}
+
+pub fn endpoint_id(at: usize) -> String {
+    format!("e{at}")
+}
+
+fn record(at: usize) -> EndpointRecord {
+    EndpointRecord {
+        service: SERVICE.to_owned(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 9_000 + at as u16)),
+        data_centre: "a".to_owned(),
+        slots: SLOTS,
+        is_leaving: false,
+        cold_ms: 0,
+    }
+}
