--- a/crates/ochreyard-core/src/group_map/candidacy.rs
+++ b/crates/ochreyard-core/src/group_map/candidacy.rs
@@ -17,6 +17,20 @@
 /// Most doublings of that pause, where no rank can be reached: each attempt asks all of them.
 const MAX_DOUBLINGS: u32 = 3;
 
+/// How long an endpoint may be in no known group before its agent is asked, in
+/// milliseconds: a leader finds a new endpoint well before.
+const GROUPLESS_MS: u64 = 2_000;
+/// The same where no group of the service is known, in milliseconds: three times the pause
+/// between a leader's words to all boxes. After a start of all boxes at once nobody leads, and
+/// each second until somebody does makes every stream of that second late.
+const UNHEARD_MS: u64 = 900;
+
+/// How long an endpoint may be in no known group before its agent is asked, in milliseconds.
+#[must_use]
+pub const fn groupless_wait_ms(knows_group_of_service: bool) -> u64 {
+    if knows_group_of_service { GROUPLESS_MS } else { UNHEARD_MS }
+}
+
 /// Whether and when one entry asks to lead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Candidacy {
--- a/crates/ochreyard-core/tests/candidacy.rs
+++ b/crates/ochreyard-core/tests/candidacy.rs
@@ -1,7 +1,7 @@
 //! Which entry leads a group, and when it asks to.
 
 use ochreyard_core::direct::{BoxList, BoxRecord};
-use ochreyard_core::group_map::{Candidacy, Grant, LeaderId, candidate_place};
+use ochreyard_core::group_map::{Candidacy, Grant, LeaderId, candidate_place, groupless_wait_ms};
 
 fn record(number: u16, cores_permille: u64, link_mbps: u64) -> BoxRecord {
     BoxRecord { addr: format!("10.0.0.1:{}", 7000 + number).parse().unwrap(), cores_permille, link_mbps }
@@ -95,3 +95,13 @@
     assert_eq!(told, [("a", record(3, 250, 100))]);
     assert_eq!(list.learned_since(99).count(), 0);
 }
+
+/// Where all boxes have started anew nobody tells of a group, and a leader is wanted soon; a new
+/// endpoint beside a group that is led is found by its leader.
+#[test]
+fn boxes_that_hear_of_no_group_at_all_ask_sooner() {
+    let lease_ms = 800;
+    assert!(groupless_wait_ms(false) > lease_ms, "agents that have just started grant nobody for as long");
+    assert!(groupless_wait_ms(false) < 1_000);
+    assert!(groupless_wait_ms(true) >= 2_000);
+}
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -354,6 +354,38 @@
     assert!(!pool.is_down("tiles", 4));
 }
 
+#[test]
+fn nothing_is_sent_to_a_service_whose_groups_all_stand() {
+    let mut pool = pool([1, 2]);
+    assert!(!pool.knows_group("tiles"));
+    pool.on_news(&news(false, &[1, 2], 0), 0);
+    assert!(pool.knows_group("tiles"));
+    for urgency in [Urgency::InAim, Urgency::Late] {
+        assert_eq!(pool.pick("tiles", &[], urgency, 0, 1), Err(NoPick::Stands));
+    }
+    assert!(pool.pick("tiles", &[], Urgency::InAim, 0, 2_000).is_ok(), "old news say nothing: somebody has to try");
+    pool.on_news(&news(true, &[1, 2], 0), 2_001);
+    assert!(pool.pick("tiles", &[], Urgency::InAim, 0, 2_002).is_ok());
+}
+
+#[test]
+fn requests_that_are_late_leave_places_to_those_in_their_aim() {
+    let mut pool = pool([1]);
+    let slots = pool.slots("tiles");
+    let most = (0..).find(|_| {
+        let is_full = pool.pick("tiles", &[], Urgency::Late, 0, 1) == Err(NoPick::Full);
+        if !is_full {
+            pool.on_start("e1", Urgency::Late);
+        }
+        is_full
+    });
+    assert_eq!(most, Some(pool.late_in_flight("tiles")));
+    assert!(pool.late_in_flight("tiles") >= slots / 2);
+    assert!(pool.pick("tiles", &[], Urgency::InAim, 0, 1).is_ok());
+    pool.on_end("e1", Urgency::Late, Outcome::Good, 2);
+    assert!(pool.pick("tiles", &[], Urgency::Late, 0, 2).is_ok());
+}
+
 #[test]
 fn a_group_is_unled_once_its_leader_is_silent_or_has_stood_down() {
     let mut pool = pool([1, 2]);
--- a/crates/ochreyard-lead/src/service_watch.rs
+++ b/crates/ochreyard-lead/src/service_watch.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ochreyard_core::group_map::{Candidacy, candidate_place};
+use ochreyard_core::group_map::{Candidacy, candidate_place, groupless_wait_ms};
 use ochreyard_direct::{Dialect, Entry};
 use ochreyard_rank::Engines;
 
@@ -17,14 +17,6 @@
 
 /// Pause between looks: a fifth of the time after which a leader counts as silent.
 const LOOK_EVERY: Duration = Duration::from_millis(150);
-/// How long an endpoint may be in no known group before its agent is asked, in
-/// milliseconds: a leader finds a new endpoint well before.
-const GROUPLESS_MS: u64 = 2_000;
-/// The same where no group of the service is known, in milliseconds: three times the pause
-/// between a leader's words to all boxes. After a start of all boxes at once nobody leads, and
-/// each second until somebody does makes every stream of that second late.
-const UNHEARD_MS: u64 = 900;
-
 /// How long a box that was too slow to lead lets all others ask before it, in milliseconds.
 const SLOW_MS: u64 = 10_000;
 
@@ -103,7 +95,7 @@
         if !is_groupless {
             self.groupless_since_ms = None;
         }
-        let wait_ms = if state.pool.knows_group(&self.service) { GROUPLESS_MS } else { UNHEARD_MS };
+        let wait_ms = groupless_wait_ms(state.pool.knows_group(&self.service));
         state.pool.has_unled_group(&self.service, now_ms) || (is_groupless && now_ms >= since_ms + wait_ms)
     }
 
