--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -40,15 +40,21 @@
     pub(super) async fn wait_for_pick(&mut self, last: GivenUp) -> Result<Pick, GivenUp> {
         let mut place = None;
         loop {
-            match self.pick_next(last, place.as_ref()) {
-                Ok(pick) => return Ok(pick),
-                Err(NotPicked::GivenUp(why)) => return Err(why),
-                Err(NotPicked::Wait) => {}
+            let picked = match self.pick_next(last, place.as_ref()) {
+                Ok(pick) => Ok(pick),
+                Err(NotPicked::GivenUp(why)) => Err(why),
+                Err(NotPicked::Wait) => {
+                    place.get_or_insert_with(|| {
+                        WaitingPlace::join(&self.entry, &self.service, self.in_aim_until_ms, self.deadline_ms)
+                    });
+                    tokio::time::sleep(ROOM_LOOK).await;
+                    continue;
+                }
+            };
+            if let Some(place) = &place {
+                self.note_waited(place.waited_ms(), picked.is_ok());
             }
-            place.get_or_insert_with(|| {
-                WaitingPlace::join(&self.entry, &self.service, self.in_aim_until_ms, self.deadline_ms)
-            });
-            tokio::time::sleep(ROOM_LOOK).await;
+            return picked;
         }
     }
 
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -26,6 +26,13 @@
         .record(elapsed_ms as f64 / MS_PER_S);
 }
 
+/// A request that waited for an endpoint got one, or was given up.
+pub fn on_waited(service: &str, outcome: &'static str, waited_ms: u64) {
+    let service = service.to_owned();
+    metrics::histogram!("ochreyard_direct_waited_seconds", "service" => service, "outcome" => outcome)
+        .record(waited_ms as f64 / MS_PER_S);
+}
+
 /// An attempt at an endpoint failed.
 pub fn on_failed_attempt(service: &str) {
     metrics::counter!("ochreyard_direct_failed_attempts_total", "service" => service.to_owned()).increment(1);
@@ -46,6 +53,9 @@
         .set(state.reading.age_ms(now_ms) as f64 / MS_PER_S);
     metrics::gauge!("ochreyard_direct_log_answers").set(f64::from(u8::from(state.log_answers)));
     metrics::gauge!("ochreyard_direct_known_boxes").set(state.boxes.len() as f64);
+    for (service, queue) in &state.queues {
+        metrics::gauge!("ochreyard_direct_waiting", "service" => service.clone()).set(queue.line.len() as f64);
+    }
     handle.render()
 }
 
--- a/crates/ochreyard-direct/src/waiting_place.rs
+++ b/crates/ochreyard-direct/src/waiting_place.rs
@@ -12,13 +12,19 @@
     entry: Rc<Entry<D>>,
     service: String,
     ticket: Ticket,
+    since_ms: u64,
 }
 
 impl<D: Dialect> WaitingPlace<D> {
     /// Joins the line.
     pub fn join(entry: &Rc<Entry<D>>, service: &str, in_aim_until_ms: u64, deadline_ms: u64) -> Self {
         let ticket = entry.state.borrow_mut().queue(service).line.join(in_aim_until_ms, deadline_ms);
-        Self { entry: Rc::clone(entry), service: service.to_owned(), ticket }
+        Self { entry: Rc::clone(entry), service: service.to_owned(), ticket, since_ms: entry.clock.now_ms() }
+    }
+
+    /// How long it has been kept, in milliseconds.
+    pub fn waited_ms(&self) -> u64 {
+        self.entry.clock.now_ms().saturating_sub(self.since_ms)
     }
 
     /// Its ticket.
