--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -10,7 +10,7 @@
 use crate::entry::{State, queue_of};
 use crate::given_up::GivenUp;
 use crate::meters;
-use crate::waiting_place::WaitingPlace;
+use crate::waiting_place::{WaitEnd, WaitingPlace};
 
 /// How often a waiting request looks for room: well under the time of a step.
 const ROOM_LOOK: Duration = Duration::from_millis(10);
@@ -52,7 +52,7 @@
                 }
             };
             if let Some(place) = &place {
-                self.note_waited(place.waited_ms(), picked.is_ok());
+                place.end(if picked.is_ok() { WaitEnd::Sent } else { WaitEnd::GivenUp });
             }
             return picked;
         }
--- a/crates/ochreyard-direct/src/job/ending.rs
+++ b/crates/ochreyard-direct/src/job/ending.rs
@@ -20,9 +20,6 @@
 /// seconds, so nearly the longest time that callers wait for.
 const COME_BACK_PARTS_DOWN: (f64, f64) = (3.4, 3.0);
 
-/// From this wait on a line is written, in milliseconds: most callers' aims are about as long.
-const LONG_WAIT_MS: u64 = 300;
-
 impl<D: Dialect> Job<D> {
     fn id(&self) -> &str {
         self.request.attempt_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
@@ -40,20 +37,6 @@
         );
     }
 
-    /// A request that waited for an endpoint got one, or is given up.
-    pub(super) fn note_waited(&self, waited_ms: u64, is_sent: bool) {
-        let outcome = if is_sent { "sent" } else { "given_up" };
-        meters::on_waited(&self.service, outcome, waited_ms);
-        if waited_ms >= LONG_WAIT_MS {
-            log::info!(
-                "event=request_waited request={} service={} outcome={outcome} waited_ms={waited_ms} left_ms={}",
-                self.id(),
-                self.service,
-                self.time_left_ms()
-            );
-        }
-    }
-
     /// The final answer of a request that is not tried again.
     pub fn give_up(&self, why: GivenUp) -> Response<AnswerBody> {
         let kind = match why {
--- a/crates/ochreyard-direct/src/waiting_place.rs
+++ b/crates/ochreyard-direct/src/waiting_place.rs
@@ -1,11 +1,37 @@
 //! The place of one request among those that wait.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use ochreyard_core::direct::Ticket;
 
 use crate::dialect::Dialect;
 use crate::entry::Entry;
+use crate::meters;
+
+/// From this wait on a line is written, in milliseconds: most callers' aims are about as long.
+const LONG_WAIT_MS: u64 = 300;
+
+/// How a wait ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitEnd {
+    /// The request was sent to an endpoint.
+    Sent,
+    /// It was given up.
+    GivenUp,
+    /// Its caller went away.
+    CallerLeft,
+}
+
+impl WaitEnd {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::GivenUp => "given_up",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+}
 
 /// Keeps a place in the line of a service for as long as it lives.
 pub struct WaitingPlace<D: Dialect> {
@@ -13,28 +39,42 @@
     service: String,
     ticket: Ticket,
     since_ms: u64,
+    deadline_ms: u64,
+    end: Cell<WaitEnd>,
 }
 
 impl<D: Dialect> WaitingPlace<D> {
     /// Joins the line.
     pub fn join(entry: &Rc<Entry<D>>, service: &str, in_aim_until_ms: u64, deadline_ms: u64) -> Self {
         let ticket = entry.state.borrow_mut().queue(service).line.join(in_aim_until_ms, deadline_ms);
-        Self { entry: Rc::clone(entry), service: service.to_owned(), ticket, since_ms: entry.clock.now_ms() }
-    }
-
-    /// How long it has been kept, in milliseconds.
-    pub fn waited_ms(&self) -> u64 {
-        self.entry.clock.now_ms().saturating_sub(self.since_ms)
+        let since_ms = entry.clock.now_ms();
+        let end = Cell::new(WaitEnd::CallerLeft);
+        Self { entry: Rc::clone(entry), service: service.to_owned(), ticket, since_ms, deadline_ms, end }
     }
 
     /// Its ticket.
     pub const fn ticket(&self) -> Ticket {
         self.ticket
     }
+
+    /// Sets how the wait ends, where the caller does not go away before.
+    pub fn end(&self, end: WaitEnd) {
+        self.end.set(end);
+    }
 }
 
 impl<D: Dialect> Drop for WaitingPlace<D> {
     fn drop(&mut self) {
         self.entry.state.borrow_mut().queue(&self.service).line.leave(self.ticket);
+        let now_ms = self.entry.clock.now_ms();
+        let (waited_ms, left_ms) = (now_ms.saturating_sub(self.since_ms), self.deadline_ms.saturating_sub(now_ms));
+        let outcome = self.end.get().as_str();
+        meters::on_waited(&self.service, outcome, waited_ms);
+        if waited_ms >= LONG_WAIT_MS {
+            log::info!(
+                "event=request_waited service={} outcome={outcome} waited_ms={waited_ms} left_ms={left_ms}",
+                self.service
+            );
+        }
     }
 }
