--- /dev/null
+++ b/crates/ochreyard-core/tests/endpoint_pool.rs
@@ -0,0 +1,215 @@
+//! Which endpoint an entry picks, by what it knows of them and of their groups.
+
+mod direct_fixture;
+
+use direct_fixture::endpoint;
+use ochreyard_core::direct::{
+    EndpointChange, EndpointPool, EndpointRecord, GroupNews, NoPick, Outcome, RankNews, TellerRole, Urgency,
+};
+
+fn pool(ports: impl IntoIterator<Item = u16>) -> EndpointPool {
+    let mut pool = EndpointPool::new();
+    ports.into_iter().for_each(|port| pool.apply(EndpointChange::Known(format!("e{port}"), endpoint(port))));
+    pool
+}
+
+fn news(is_serving: bool, ports: &[u16], running: u64) -> GroupNews {
+    let ranks = ports
+        .iter()
+        .map(|port| RankNews { endpoint: format!("e{port}"), running, waiting: 0, pace_permille: 1_000 })
+        .collect();
+    GroupNews {
+        service: "tiles".into(),
+        group: format!("g{}", ports[0]),
+        teller: TellerRole::Leads,
+        is_serving,
+        step_ms: 0,
+        ranks,
+    }
+}
+
+#[test]
+fn the_endpoint_with_least_of_our_own_requests_is_picked() {
+    let mut pool = pool([1, 2]);
+    pool.on_start("e1", Urgency::InAim);
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 0).unwrap().id, "e2");
+    assert_eq!(pool.pick("tiles", &["e2".into()], Urgency::InAim, 0, 0).unwrap().id, "e1");
+    assert_eq!(pool.pick("other", &[], Urgency::InAim, 0, 0), Err(NoPick::Nobody));
+}
+
+#[test]
+fn an_endpoint_that_leaves_gets_nothing_more() {
+    let mut pool = pool([1]);
+    pool.apply(EndpointChange::Known("e1".into(), EndpointRecord { is_leaving: true, ..endpoint(1) }));
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 0), Err(NoPick::Nobody));
+}
+
+#[test]
+fn an_address_that_passed_to_another_endpoint_keeps_no_history() {
+    let mut pool = pool([1]);
+    pool.on_start("e1", Urgency::InAim);
+    pool.on_end("e1", Urgency::InAim, Outcome::Unreachable, 0);
+    pool.apply(EndpointChange::Gone("e1".into()));
+    pool.apply(EndpointChange::Known("new".into(), endpoint(1)));
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 1).unwrap().id, "new");
+}
+
+#[test]
+fn one_that_cannot_be_reached_is_set_aside_but_used_where_no_other_is_left() {
+    let mut pool = pool([1, 2]);
+    pool.on_start("e1", Urgency::InAim);
+    pool.on_end("e1", Urgency::InAim, Outcome::Unreachable, 0);
+    assert!((0..20).all(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 100).unwrap().id == "e2"));
+    assert_eq!(pool.pick("tiles", &["e2".into()], Urgency::InAim, 0, 100).unwrap().id, "e1");
+}
+
+#[test]
+fn a_group_that_stands_is_passed_over_until_its_leader_falls_silent() {
+    let mut pool = pool([1, 2]);
+    pool.on_news(&news(false, &[1], 0), 0);
+    pool.on_news(&news(true, &[2], 1), 0);
+    assert!((0..20).all(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 100).unwrap().id == "e2"));
+    assert!((0..20).any(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 5_000).unwrap().id == "e1"));
+}
+
+#[test]
+fn a_rank_at_fault_takes_its_group_out_for_a_while() {
+    let mut pool = pool([1, 2]);
+    pool.on_news(&news(true, &[1], 0), 0);
+    pool.on_news(&news(true, &[2], 1), 0);
+    pool.on_group_fault("e1", 10);
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 100).unwrap().id, "e2");
+    pool.on_news(&news(true, &[1], 0), 700);
+    pool.on_news(&news(true, &[2], 1), 700);
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 800).unwrap().id, "e1");
+}
+
+#[test]
+fn a_full_group_is_said_to_be_full() {
+    let mut pool = pool([1]);
+    pool.on_news(&news(true, &[1], 3), 0);
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 1), Err(NoPick::Full));
+}
+
+#[test]
+fn a_slow_rank_gets_requests_only_where_no_other_is_left() {
+    let mut pool = pool([1, 2]);
+    let mut slow = news(true, &[1, 2], 0);
+    slow.ranks[0].pace_permille = 4_000;
+    pool.on_news(&slow, 0);
+    pool.on_start("e2", Urgency::InAim);
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 1).unwrap().id, "e2");
+    assert_eq!(pool.pick("tiles", &["e2".into()], Urgency::InAim, 0, 1).unwrap().id, "e1");
+    assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 5_000).unwrap().id, "e1");
+}
+
+#[test]
+fn an_endpoint_whose_leader_told_that_it_goes_on_is_not_silent() {
+    let mut pool = pool([1, 2]);
+    pool.on_news(&news(true, &[1], 3), 5_000);
+    pool.on_news(&news(false, &[2], 3), 5_000);
+    assert!(!pool.is_silent("e1", 1_000, 5_500), "its leader saw its step go on just now");
+    assert!(pool.is_silent("e2", 1_000, 5_500), "its group stands");
+    assert!(pool.is_silent("e1", 1_000, 6_500), "its leader has fallen silent");
+}
+
+#[test]
+fn boxes_that_know_the_same_old_load_do_not_all_pick_the_same_endpoint() {
+    let ports: Vec<u16> = (1..=16).collect();
+    let mut pool = pool(ports.iter().copied());
+    let mut told = news(true, &ports, 2);
+    told.ranks[7].running = 0;
+    told.ranks[8].running = 3;
+    pool.on_news(&told, 0);
+    let picks: Vec<String> =
+        (0..400).map(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 10).unwrap().id).collect();
+    let at = |id: &str| picks.iter().filter(|pick| *pick == id).count();
+    assert!((40..160).contains(&at("e8")), "the least loaded is preferred, not flooded: {}", at("e8"));
+    assert_eq!(at("e9"), 0, "the most loaded of a draw is never picked");
+}
+
+#[test]
+fn of_two_groups_the_one_with_shorter_steps_gets_more() {
+    let mut pool = pool([1, 2]);
+    pool.on_news(&GroupNews { step_ms: 100, ..news(true, &[1], 0) }, 0);
+    pool.on_news(&GroupNews { step_ms: 40, ..news(true, &[2], 1) }, 0);
+    assert!((0..20).all(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 1).unwrap().id == "e2"));
+}
+
+#[test]
+fn a_service_is_down_only_while_none_of_its_groups_goes_on() {
+    let mut pool = pool([1, 2]);
+    assert!(!pool.is_down("tiles", 0), "nobody told of a group yet");
+    pool.on_news(&news(false, &[1], 0), 0);
+    assert!(!pool.is_down("tiles", 1));
+    pool.on_news(&news(false, &[2], 0), 1);
+    assert!(pool.is_down("tiles", 2));
+    assert!(!pool.is_down("other", 2), "a service without endpoints is not known to be down");
+    pool.on_news(&news(true, &[2], 0), 3);
+    assert!(!pool.is_down("tiles", 4));
+}
+
+#[test]
+fn nothing_is_sent_to_a_service_whose_groups_all_stand() {
+    let mut pool = pool([1, 2]);
+    assert!(!pool.knows_group("tiles"));
+    pool.on_news(&news(false, &[1, 2], 0), 0);
+    assert!(pool.knows_group("tiles"));
+    for urgency in [Urgency::InAim, Urgency::Late] {
+        assert_eq!(pool.pick("tiles", &[], urgency, 0, 1), Err(NoPick::Stands));
+    }
+    assert!(pool.pick("tiles", &[], Urgency::InAim, 0, 2_000).is_ok(), "old news say nothing: somebody has to try");
+    pool.on_news(&news(true, &[1, 2], 0), 2_001);
+    assert!(pool.pick("tiles", &[], Urgency::InAim, 0, 2_002).is_ok());
+}
+
+#[test]
+fn requests_that_are_late_leave_places_to_those_in_their_aim() {
+    let mut pool = pool([1]);
+    let slots = pool.slots("tiles");
+    let most = (0..).find(|_| {
+        let is_full = pool.pick("tiles", &[], Urgency::Late, 0, 1) == Err(NoPick::Full);
+        if !is_full {
+            pool.on_start("e1", Urgency::Late);
+        }
+        is_full
+    });
+    assert_eq!(most, Some(pool.late_in_flight("tiles")));
+    assert!(pool.late_in_flight("tiles") >= slots / 2);
+    assert!(pool.pick("tiles", &[], Urgency::InAim, 0, 1).is_ok());
+    pool.on_end("e1", Urgency::Late, Outcome::Good, 2);
+    assert!(pool.pick("tiles", &[], Urgency::Late, 0, 2).is_ok());
+}
+
+#[test]
+fn a_group_is_unled_once_its_leader_is_silent_or_has_stood_down() {
+    let mut pool = pool([1, 2]);
+    assert!(pool.has_endpoint_without_group("tiles"));
+    pool.on_news(&news(true, &[1, 2], 0), 0);
+    assert!(!pool.has_endpoint_without_group("tiles"));
+    assert!(!pool.has_unled_group("tiles", 899));
+    assert!(pool.has_unled_group("tiles", 900), "well after a lease without a word");
+    pool.on_news(&news(true, &[1, 2], 0), 1_000);
+    pool.on_news(&GroupNews { teller: TellerRole::StoodDown, ..news(true, &[1], 0) }, 1_001);
+    assert!(pool.is_unled("tiles", "g1", 1_001));
+}
+
+#[test]
+fn an_observer_counts_only_where_nobody_leads() {
+    let mut pool = pool([1]);
+    let observed = GroupNews { teller: TellerRole::Observes, ..news(false, &[1], 0) };
+    pool.on_news(&news(true, &[1], 0), 0);
+    pool.on_news(&observed, 500);
+    assert!(!pool.is_down("tiles", 500), "the leader sees more of the group");
+    pool.on_news(&observed, 1_000);
+    assert!(pool.is_down("tiles", 1_000));
+    assert!(!pool.has_unled_group("tiles", 1_500), "one entry watches whether it can be led");
+    assert!(pool.has_unled_group("tiles", 1_900));
+}
+
+#[test]
+fn a_group_that_nobody_tells_of_is_served() {
+    let pool = pool([1, 2]);
+    assert!(!pool.is_down("tiles", 60_000));
+    assert!(pool.pick("tiles", &[], Urgency::InAim, 1, 60_000).is_ok());
+}
