Hold nobody for a service that has never served; hold returned callers as long as they can be served

And callers that have come back were told early as well, though they come back once. Change: where nobody was ever served here, a service that stands is hopeless and refused at once. Only first tries are told before their callers would leave.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -27,5 +27,5 @@
     CallerLimits, EngineFigures, Route, RouteKind, RouteTable, ServiceSpec, WeightedService, Workspace,
 };
 pub use waiting::{
-    Choice, Patience, Seeker, ServiceQueue, ServiceTime, Stands, Ticket, Urgency, WaitFacts, WaitingLine,
+    Arrival, Choice, Patience, Seeker, ServiceQueue, ServiceTime, Stands, Ticket, Urgency, WaitFacts, WaitingLine,
 };
--- a/crates/ochreyard-core/src/direct/waiting.rs
+++ b/crates/ochreyard-core/src/direct/waiting.rs
@@ -8,6 +8,7 @@
 //! aim is worth several times one that is only late, so those go first. The late ones get
 //! a bounded part of the places, in which they do not hold up those who come next.
 
+mod arrival;
 mod choice;
 mod line;
 mod patience;
@@ -15,6 +16,7 @@
 mod service_time;
 mod stand;
 
+pub use arrival::Arrival;
 pub use choice::{Choice, Seeker};
 pub use line::{Ticket, WaitingLine};
 pub use patience::Patience;
@@ -42,11 +44,14 @@
     pub left_ms: u64,
     /// Time that serving it takes, in milliseconds.
     pub needed_ms: u64,
+    /// Whether its service has served anybody here: one that never has may stand for good.
+    pub has_served: bool,
     /// How much longer its service is expected to stand, in milliseconds; 0 where it goes on.
     pub stands_for_ms: u64,
     /// How long it has waited, in milliseconds.
     pub waited_ms: u64,
-    /// How long its caller is likely to wait, in milliseconds, where that is known.
+    /// How long its caller is likely to wait, in milliseconds, where that is known and where it
+    /// would come back if it were told before.
     pub patience_ms: Option<u64>,
 }
 
@@ -57,6 +62,11 @@
     pub fn may_wait(&self) -> bool {
         let is_in_time = self.left_ms >= self.needed_ms + self.stands_for_ms;
         let is_there = self.patience_ms.is_none_or(|patience_ms| self.waited_ms < patience_ms);
-        self.no_pick != NoPick::Nobody && is_in_time && is_there
+        let is_hopeful = match self.no_pick {
+            NoPick::Nobody => false,
+            NoPick::Full => true,
+            NoPick::Stands => self.has_served,
+        };
+        is_hopeful && is_in_time && is_there
     }
 }
--- a/crates/ochreyard-core/src/direct/waiting/choice.rs
+++ b/crates/ochreyard-core/src/direct/waiting/choice.rs
@@ -1,6 +1,6 @@
 //! Whether a request goes to an endpoint now, waits for one, or is given up.
 
-use super::{ServiceQueue, Ticket, Urgency, WaitFacts};
+use super::{Arrival, ServiceQueue, Ticket, Urgency, WaitFacts};
 use crate::direct::endpoint_pool::{EndpointPool, NoPick, Pick};
 
 /// A request that looks for an endpoint.
@@ -10,8 +10,8 @@
     pub service: &'a str,
     /// Endpoints that were tried.
     pub tried: &'a [String],
-    /// Until when it can be sent and still be answered in its aim.
-    pub in_aim_until_ms: u64,
+    /// How it arrived.
+    pub arrival: Arrival,
     /// When its time ends.
     pub deadline_ms: u64,
     /// How long serving takes where nothing is known of it, in milliseconds.
@@ -24,7 +24,7 @@
     /// How soon it has to go.
     #[must_use]
     pub const fn urgency(&self, now_ms: u64) -> Urgency {
-        if now_ms < self.in_aim_until_ms { Urgency::InAim } else { Urgency::Late }
+        if now_ms < self.arrival.in_aim_until_ms { Urgency::InAim } else { Urgency::Late }
     }
 }
 
@@ -55,10 +55,12 @@
             no_pick,
             left_ms: seeker.deadline_ms.saturating_sub(now_ms),
             needed_ms: self.time.after_wait_ms().unwrap_or(seeker.aim_ms),
+            has_served: self.time.after_wait_ms().is_some(),
             // Who waits already was let in by what was expected then.
             stands_for_ms: if seeker.ticket.is_none() { self.stands.rest_ms(now_ms) } else { 0 },
             waited_ms: self.line.waited_ms(seeker.ticket, now_ms),
-            patience_ms: self.patience.limit_ms(),
+            // Callers come back once: told early, the second time, they gain nothing.
+            patience_ms: self.patience.limit_ms().filter(|_| !seeker.arrival.has_come_back),
         };
         if facts.may_wait() { Choice::Wait(facts) } else { Choice::GiveUp(facts) }
     }
--- a/crates/ochreyard-core/src/direct/waiting/service_queue.rs
+++ b/crates/ochreyard-core/src/direct/waiting/service_queue.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 
-use super::{Patience, ServiceTime, Stands, Ticket, Urgency, WaitingLine};
+use super::{Arrival, Patience, ServiceTime, Stands, Ticket, Urgency, WaitingLine};
 
 /// A caller with less of its usual time than this share has asked before: who is sent back
 /// returns with two thirds of what was left, and budgets of first tries differ by less.
@@ -34,16 +34,17 @@
 }
 
 impl ServiceQueue {
-    /// Until when a request can be sent and still be in its aim, which counts from its
-    /// caller's first try: one that comes back has less time left than is usual.
-    pub fn in_aim_until_ms(&mut self, route: &str, aim_ms: u64, given_ms: u64, now_ms: u64) -> u64 {
+    /// A request arrives, with the time that its caller gives it. Its aim counts from its
+    /// caller's first try; one that comes back has less time left than is usual.
+    pub fn on_arrival(&mut self, route: &str, aim_ms: u64, given_ms: u64, now_ms: u64) -> Arrival {
         if !self.usual_ms.contains_key(route) {
             self.usual_ms.insert(route.to_owned(), 0);
         }
         let usual_ms = self.usual_ms.get_mut(route).expect("inserted above");
         *usual_ms = (*usual_ms).max(given_ms);
         let has_come_back = (given_ms as f64) < *usual_ms as f64 * RETURNED_SHARE;
-        if has_come_back { now_ms } else { now_ms + (aim_ms as f64 * IN_AIM_SHARE) as u64 }
+        let in_aim_ms = if has_come_back { 0.0 } else { aim_ms as f64 * IN_AIM_SHARE };
+        Arrival { in_aim_until_ms: now_ms + in_aim_ms as u64, has_come_back }
     }
 
     /// Whether a request may go now, as far as others that wait here are concerned.
--- a/crates/ochreyard-core/tests/stand_load_model/entry_model.rs
+++ b/crates/ochreyard-core/tests/stand_load_model/entry_model.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use ochreyard_core::direct::{
-    Choice, EndpointChange, EndpointPool, EndpointRecord, Outcome, Pick, Seeker, ServiceQueue, Ticket,
+    Arrival, Choice, EndpointChange, EndpointPool, EndpointRecord, Outcome, Pick, Seeker, ServiceQueue, Ticket,
 };
 
 use super::{ENDPOINTS, ENTRIES, SERVICE, SLOTS};
@@ -14,7 +14,7 @@
     pub caller: usize,
     pub came_ms: u64,
     pub deadline_ms: u64,
-    pub in_aim_until_ms: u64,
+    pub arrival: Arrival,
     pub ticket: Option<Ticket>,
     pub is_first: bool,
 }
@@ -56,7 +56,7 @@
         let seeker = Seeker {
             service: SERVICE,
             tried: &[],
-            in_aim_until_ms: of.in_aim_until_ms,
+            arrival: of.arrival,
             deadline_ms: of.deadline_ms,
             aim_ms: 0,
             ticket: of.ticket,
--- a/crates/ochreyard-core/tests/stand_load_model/mod.rs
+++ b/crates/ochreyard-core/tests/stand_load_model/mod.rs
@@ -120,9 +120,9 @@
     fn ask(&mut self, caller: usize, given_ms: u64, is_first: bool, now_ms: u64) {
         let draw = hash::mix((caller * 2 + usize::from(is_first)) as u64);
         let entry = &mut self.entries[(draw % ENTRIES as u64) as usize];
-        let in_aim_until_ms = entry.queue.in_aim_until_ms("route", self.callers.aim_ms, given_ms, now_ms);
+        let arrival = entry.queue.on_arrival("route", self.callers.aim_ms, given_ms, now_ms);
         let deadline_ms = now_ms + given_ms;
-        entry.waiting.push(Try { caller, came_ms: now_ms, deadline_ms, in_aim_until_ms, ticket: None, is_first });
+        entry.waiting.push(Try { caller, came_ms: now_ms, deadline_ms, arrival, ticket: None, is_first });
     }
 
     /// An entry looks at all tries that have no endpoint yet.
@@ -133,7 +133,7 @@
                 Choice::Wait(_) if now_ms >= of.came_ms + self.callers.patience_ms => self.leave(entry, &of, now_ms),
                 Choice::Wait(_) => {
                     let line = &mut self.entries[entry].queue.line;
-                    of.ticket.get_or_insert_with(|| line.join(of.in_aim_until_ms, of.deadline_ms, now_ms));
+                    of.ticket.get_or_insert_with(|| line.join(of.arrival.in_aim_until_ms, of.deadline_ms, now_ms));
                     self.entries[entry].waiting.push(of);
                     continue;
                 }
@@ -151,7 +151,7 @@
     }
 
     fn note_sent(&mut self, of: &Try, now_ms: u64) {
-        let is_in_aim = of.is_first && now_ms < of.in_aim_until_ms;
+        let is_in_aim = of.is_first && now_ms < of.arrival.in_aim_until_ms;
         self.played.sent_in_aim += u64::from(is_in_aim);
         self.played.sent_late += u64::from(!is_in_aim);
         self.played.firsts[of.caller].1 |= is_in_aim;
--- a/crates/ochreyard-core/tests/waiting.rs
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -1,6 +1,12 @@
 //! Who waits at an entry for an endpoint, and who goes next.
 
-use ochreyard_core::direct::{NoPick, Patience, ServiceQueue, ServiceTime, Stands, Urgency, WaitFacts, WaitingLine};
+mod direct_fixture;
+
+use direct_fixture::endpoint;
+use ochreyard_core::direct::{
+    Arrival, Choice, EndpointChange, EndpointPool, GroupNews, NoPick, Patience, RankNews, Seeker, ServiceQueue,
+    ServiceTime, Stands, Urgency, WaitFacts, WaitingLine,
+};
 use rstest::rstest;
 
 /// A request with 5 s left that takes 2 s, at a group that has stood for 2 s.
@@ -9,6 +15,7 @@
         no_pick: NoPick::Stands,
         left_ms: 5_000,
         needed_ms: 2_000,
+        has_served: true,
         stands_for_ms: 2_000,
         waited_ms: 1_800,
         patience_ms: Some(1_900),
@@ -19,6 +26,8 @@
 #[case::served_in_time(facts(), true)]
 #[case::stands_for_too_long(WaitFacts { stands_for_ms: 3_001, ..facts() }, false)]
 #[case::too_little_time_left(WaitFacts { left_ms: 3_999, ..facts() }, false)]
+#[case::its_group_has_never_served(WaitFacts { has_served: false, ..facts() }, false)]
+#[case::a_full_group_that_has_yet_to_answer(WaitFacts { has_served: false, no_pick: NoPick::Full, ..facts() }, true)]
 #[case::its_caller_is_about_to_leave(WaitFacts { waited_ms: 1_900, ..facts() }, false)]
 #[case::nobody_knows_when_callers_leave(WaitFacts { waited_ms: 1_900, patience_ms: None, ..facts() }, true)]
 #[case::no_endpoint_at_all(WaitFacts { no_pick: NoPick::Nobody, ..facts() }, false)]
@@ -66,10 +75,12 @@
 #[test]
 fn a_caller_that_comes_back_with_less_time_is_late() {
     let mut queue = ServiceQueue::default();
-    assert_eq!(queue.in_aim_until_ms("brief", 400, 8_000, 0), 200);
-    assert_eq!(queue.in_aim_until_ms("brief", 400, 5_300, 10_000), 10_000);
-    assert_eq!(queue.in_aim_until_ms("brief", 400, 7_900, 20_000), 20_200, "a little less is no second try");
-    assert_eq!(queue.in_aim_until_ms("notice", 400, 5_300, 30_000), 30_200, "each route has callers of its own");
+    let first = |in_aim_until_ms| Arrival { in_aim_until_ms, has_come_back: false };
+    assert_eq!(queue.on_arrival("brief", 400, 8_000, 0), first(200));
+    let second = Arrival { in_aim_until_ms: 10_000, has_come_back: true };
+    assert_eq!(queue.on_arrival("brief", 400, 5_300, 10_000), second);
+    assert_eq!(queue.on_arrival("brief", 400, 7_900, 20_000), first(20_200), "a little less is no second try");
+    assert_eq!(queue.on_arrival("notice", 400, 5_300, 30_000), first(30_200), "each route has callers of its own");
 }
 
 #[rstest]
@@ -112,3 +123,28 @@
     assert_eq!(line.waited_ms(Some(ticket), 2_500), 1_500);
     assert_eq!(line.waited_ms(None, 2_500), 0);
 }
+
+#[test]
+fn only_a_caller_that_would_come_back_is_told_early() {
+    let mut queue = ServiceQueue::default();
+    (0..10).for_each(|_| queue.patience.note(2_000));
+    queue.time.note(1_000);
+    let pool = standing_pool();
+    for has_come_back in [false, true] {
+        let arrival = Arrival { in_aim_until_ms: 0, has_come_back };
+        let ticket = Some(queue.line.join(0, 8_000, 0));
+        let seeker = Seeker { service: "tiles", tried: &[], arrival, deadline_ms: 8_000, aim_ms: 400, ticket };
+        let choice = queue.choose(&pool, 1, &seeker, 0, 1_900);
+        assert_eq!(matches!(choice, Choice::Wait(_)), has_come_back, "{choice:?}");
+    }
+}
+
+/// One endpoint, whose group stands.
+fn standing_pool() -> EndpointPool {
+    let mut pool = EndpointPool::new();
+    pool.apply(EndpointChange::Known("e1".into(), endpoint(1)));
+    let rank = RankNews { endpoint: "e1".into(), running: 0, waiting: 0, pace_permille: 1_000 };
+    let news = GroupNews { service: "tiles".into(), group: "g".into(), ranks: vec![rank], ..GroupNews::default() };
+    pool.on_news(&news, 1_000);
+    pool
+}
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -87,7 +87,7 @@
     }
     let mut state = entry.state.borrow_mut();
     state.budget.on_request(&service, started_ms);
-    let in_aim_until_ms = state.queue(&service).in_aim_until_ms(&route.name, route.aim_ms, held_ms, started_ms);
+    let arrival = state.queue(&service).on_arrival(&route.name, route.aim_ms, held_ms, started_ms);
     drop(state);
     Ok(Job {
         entry: Rc::clone(entry),
@@ -95,7 +95,7 @@
         service,
         request,
         deadline_ms: started_ms + held_ms,
-        in_aim_until_ms,
+        arrival,
         attempt_started_ms: started_ms,
         has_arrived: false,
         last_facts: None,
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -9,7 +9,7 @@
 
 use http::Response;
 use http_body_util::BodyExt;
-use ochreyard_core::direct::{Outcome, Pick, Route, WaitFacts};
+use ochreyard_core::direct::{Arrival, Outcome, Pick, Route, WaitFacts};
 
 use crate::answer::{Answer, pass_on};
 use crate::answer_body::AnswerBody;
@@ -37,8 +37,8 @@
     pub request: CallerRequest,
     /// When its time ends.
     pub deadline_ms: u64,
-    /// Until when it can be sent and still be answered in its aim.
-    pub in_aim_until_ms: u64,
+    /// How it arrived.
+    pub arrival: Arrival,
     /// When its last attempt began.
     pub attempt_started_ms: u64,
     /// Whether it has arrived at an endpoint: the next attempt is a repeat.
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -45,7 +45,7 @@
                 Err(NotPicked::GivenUp(why)) => Err(why),
                 Err(NotPicked::Wait) => {
                     place.get_or_insert_with(|| {
-                        WaitingPlace::join(&self.entry, &self.service, self.in_aim_until_ms, self.deadline_ms)
+                        WaitingPlace::join(&self.entry, &self.service, self.arrival.in_aim_until_ms, self.deadline_ms)
                     });
                     tokio::time::sleep(ROOM_LOOK).await;
                     continue;
@@ -108,7 +108,7 @@
         Seeker {
             service: &self.service,
             tried: &self.tried,
-            in_aim_until_ms: self.in_aim_until_ms,
+            arrival: self.arrival,
             deadline_ms: self.deadline_ms,
             aim_ms: self.route.aim_ms,
             ticket: None,
