Requests leave a slow rank

Cause: a slow rank makes every step of its group as long as its own requests need. Change: a request whose endpoint is told to be slow goes on at another one that is not and has room, as after a broken connection: streams from the event after the last, within the attempts of the route and the budget of repeats.

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -270,6 +270,20 @@
         }
     }
 
+    /// Whether a request should leave an endpoint for another one: its leader said of late that
+    /// it is slow, and one that is not has room.
+    ///
+    /// Every step of a group takes as long as its slowest rank needs for its own requests. Left
+    /// to end there, ten requests at a rank five times as slow as usual make the steps of 600
+    /// others take 200 ms in place of 65 for three to six seconds; once they are gone, steps
+    /// are short again although the rank is as slow as before.
+    #[must_use]
+    pub fn should_leave(&self, id: &str, service: &str, tried: &[String], now_ms: u64) -> bool {
+        let is_slow = |id: &str| self.members.get(id).is_some_and(|member| member.is_slow(now_ms));
+        let other = || self.pick(service, tried, Urgency::InAim, 0, now_ms).ok();
+        is_slow(id) && other().is_some_and(|pick| pick.id != id && !is_slow(&pick.id))
+    }
+
     /// Whether an endpoint has said nothing for so long, neither to this box nor to its
     /// leader, or is gone.
     #[must_use]
--- a/crates/ochreyard-core/tests/endpoint_pool.rs
+++ b/crates/ochreyard-core/tests/endpoint_pool.rs
@@ -103,6 +103,27 @@
     assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 5_000).unwrap().id, "e1");
 }
 
+/// The requests that run at a slow rank make every step of its group longer: they leave it, as
+/// long as there is a better place for them.
+#[test]
+fn requests_leave_a_slow_rank_where_another_one_has_room() {
+    let mut pool = pool([1, 2]);
+    let with_paces = |paces: [u64; 2]| {
+        let mut news = news(true, &[1, 2], 0);
+        news.ranks.iter_mut().zip(paces).for_each(|(rank, pace)| rank.pace_permille = pace);
+        news
+    };
+    pool.on_news(&with_paces([1_000, 1_000]), 0);
+    assert!(!pool.should_leave("e1", "tiles", &[], 1), "it is not slow");
+    pool.on_news(&with_paces([4_000, 1_000]), 100);
+    assert!(pool.should_leave("e1", "tiles", &[], 101));
+    assert!(!pool.should_leave("e2", "tiles", &[], 101));
+    assert!(!pool.should_leave("e1", "tiles", &["e2".into()], 101), "the other one was tried");
+    assert!(!pool.should_leave("e1", "tiles", &[], 5_000), "what was told is old");
+    pool.on_news(&with_paces([4_000, 4_000]), 5_000);
+    assert!(!pool.should_leave("e1", "tiles", &[], 5_001), "the other one is as slow");
+}
+
 #[test]
 fn an_endpoint_whose_leader_told_that_it_goes_on_is_not_silent() {
     let mut pool = pool([1, 2]);
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -22,6 +22,8 @@
 
 /// Aims after which an endpoint that is silent to everybody loses the request.
 const PATIENCE_AIMS: f64 = 2.5;
+/// Why a request left an endpoint that goes on, but makes its whole group slow.
+pub const SLOW_ENDPOINT: &str = "its endpoint is slow";
 /// How often a waiting request looks whether its endpoint is still heard.
 const SILENCE_LOOK: Duration = Duration::from_millis(100);
 
@@ -103,7 +105,7 @@
     }
 
     /// Waits for an attempt, but not for an endpoint that is silent to everybody
-    /// while another one may run the request.
+    /// while another one may run the request, nor for one that has turned slow.
     async fn unless_silent(&self, pick: &Pick, attempt: impl Future<Output = Attempt<D>>) -> Attempt<D> {
         let patience_ms = (self.route.aim_ms as f64 * PATIENCE_AIMS) as u64;
         let may_go_on = self.route.kind.may_run_again() && self.sent + 1 < self.route.max_attempts;
@@ -117,12 +119,23 @@
             let now_ms = self.entry.clock.now_ms();
             let waited_ms = now_ms - started_ms;
             let is_silent = self.entry.state.borrow().pool.is_silent(&pick.id, patience_ms, now_ms);
+            if may_go_on && self.should_leave(pick) {
+                return Attempt::MayHaveRun { cause: SLOW_ENDPOINT.to_owned() };
+            }
             if may_go_on && waited_ms >= patience_ms && is_silent {
                 return Attempt::MayHaveRun { cause: format!("silent for {waited_ms} ms") };
             }
         }
     }
 
+    /// Whether it should leave a slow endpoint, and a repeat elsewhere is left.
+    pub fn should_leave(&self, pick: &Pick) -> bool {
+        let now_ms = self.entry.clock.now_ms();
+        let state = self.entry.state.borrow();
+        state.pool.should_leave(&pick.id, &self.service, &self.tried, now_ms)
+            && state.budget.has_one(&self.service, now_ms)
+    }
+
     /// Counts an attempt. An endpoint that was not reached never had the request. Where the
     /// whole group stands, its rank is not at fault, and may be asked again once it goes on.
     fn count(&mut self, pick: &Pick, attempt: Option<&Attempt<D>>) {
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -12,7 +12,7 @@
 use crate::answer::{Answer, pass_on};
 use crate::answer_body::{AnswerBody, BrokenOff};
 use crate::dialect::Dialect;
-use crate::job::Job;
+use crate::job::{Job, SLOW_ENDPOINT};
 use crate::meters;
 
 /// Longest pause, in pauses that are still in time, before an endpoint that is
@@ -68,6 +68,10 @@
     }
 
     async fn step(&mut self) -> Step {
+        let is_slow = self.answer.as_ref().is_some_and(|answer| self.job.should_leave(&answer.pick));
+        if is_slow && self.may_go_on() {
+            return Step::Broken(SLOW_ENDPOINT.to_owned());
+        }
         let Some(answer) = self.answer.as_mut() else { return Step::End };
         let left_ms = self.job.deadline_ms.saturating_sub(self.job.entry.clock.now_ms());
         if left_ms == 0 {
