Sight: which request is lost with which endpoint, and whether that crashed

Cause: logs name attempts, which are new each time, so they cannot tell one request that ends endpoints from bystanders. Nothing is decided by them yet. A stream that is broken off for good is logged again (the line was lost where no other endpoint took it). Ruled out: reading the agents' engine_lost instead (one hop and a round of news later).

--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -38,6 +38,11 @@
         /// What went wrong.
         cause: String,
     },
+    /// Its connection broke; it may have run.
+    Lost {
+        /// What went wrong.
+        cause: String,
+    },
 }
 
 /// Sends a request to one endpoint and waits for the head of its answer.
@@ -80,7 +85,7 @@
 
 fn lost<D: Dialect>(flight: &Flight<D>, error: &hyper::Error) -> Attempt<D> {
     flight.set(Outcome::Failed);
-    Attempt::MayHaveRun { cause: format!("connection lost: {error}") }
+    Attempt::Lost { cause: format!("connection lost: {error}") }
 }
 
 /// Says what an answer is worth, by its head.
--- a/crates/ochreyard-direct/src/caller_request.rs
+++ b/crates/ochreyard-direct/src/caller_request.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, request};
 use http_body_util::Full;
+use ochreyard_core::direct::Fingerprint;
 
 use crate::dialect::{Dialect, HeaderNames};
 
@@ -69,6 +70,15 @@
         Self { method: head.method, path, headers, body, attempt_id }
     }
 
+    /// What tells that this request comes again, whichever attempt it is: workspace, path and body.
+    #[must_use]
+    pub fn fingerprint(&self, names: &HeaderNames) -> Fingerprint {
+        let header = |name: &HeaderName| self.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
+        let path = self.path.path_and_query().map_or("/", |path| path.as_str());
+        let (workspace, host) = (header(&names.workspace), header(&http::header::HOST));
+        Fingerprint::of(&[workspace, host, self.method.as_str().as_bytes(), path.as_bytes(), &self.body])
+    }
+
     /// The request as it is sent to the endpoint `target`.
     pub fn to_endpoint(&self, names: &HeaderNames, target: &str, deadline_ms: u64) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -16,6 +16,7 @@
 
 use crate::boxes_heard::BoxesHeard;
 use crate::connection_pool::ConnectionPool;
+use crate::crash_check::CrashChecks;
 use crate::dialect::Dialect;
 use crate::link::CallLink;
 
@@ -88,6 +89,8 @@
     pub is_stopping: Cell<bool>,
     /// Whether new requests are refused, because they might not end before the process.
     pub is_refusing: Cell<bool>,
+    /// Endpoints that were looked at after they broke a connection.
+    pub crash_checks: CrashChecks,
     draws: Cell<u64>,
     links: RefCell<BTreeMap<SocketAddr, Rc<CallLink>>>,
     boxes_heard: RefCell<BTreeMap<SocketAddr, BoxesHeard>>,
@@ -118,6 +121,7 @@
             state: RefCell::new(state),
             is_stopping: Cell::new(false),
             is_refusing: Cell::new(false),
+            crash_checks: CrashChecks::default(),
             draws,
             links: RefCell::default(),
             boxes_heard: RefCell::default(),
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -9,12 +9,13 @@
 
 use http::Response;
 use http_body_util::BodyExt;
-use ochreyard_core::direct::{Arrival, Outcome, Pick, Route, WaitFacts};
+use ochreyard_core::direct::{Arrival, Fingerprint, Outcome, Pick, Route, WaitFacts};
 
 use crate::answer::{Answer, pass_on};
 use crate::answer_body::AnswerBody;
 use crate::attempt::{self, Attempt};
 use crate::caller_request::CallerRequest;
+use crate::crash_check;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::given_up::GivenUp;
@@ -24,6 +25,9 @@
 const PATIENCE_AIMS: f64 = 2.5;
 /// Why a request left an endpoint that goes on, but makes its whole group slow.
 pub const SLOW_ENDPOINT: &str = "its endpoint is slow";
+/// Longest wait until it is known whether a broken endpoint crashed, before the request goes on
+/// elsewhere: several round trips between data centres, and less than half of a pause that is in time.
+const LOOK_WAIT: Duration = Duration::from_millis(50);
 /// How often a waiting request looks whether its endpoint is still heard.
 const SILENCE_LOOK: Duration = Duration::from_millis(100);
 
@@ -88,6 +92,10 @@
                     self.note_failed_attempt(&pick, &cause);
                     last = GivenUp::Failed;
                 }
+                Some(Attempt::Lost { cause }) => {
+                    self.note_lost_attempt(&pick, &cause).await;
+                    last = GivenUp::Failed;
+                }
                 None => {
                     self.may_have_run = true;
                     return Err(GivenUp::TimeUp);
@@ -160,7 +168,7 @@
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) => {
                 answer.flight.set(Outcome::Failed);
-                self.note_failed_attempt(&answer.pick, &format!("answer broke off: {error}"));
+                self.note_lost_attempt(&answer.pick, &format!("answer broke off: {error}")).await;
                 return None;
             }
             Err(_) => {
@@ -197,6 +205,29 @@
         self.entry.clock.now_ms() - self.started_ms
     }
 
+    /// An attempt broke off with its connection. Looks whether its endpoint crashed.
+    pub async fn note_lost_attempt(&mut self, pick: &Pick, cause: &str) {
+        self.note_failed_attempt(pick, cause);
+        let fingerprint = self.fingerprint();
+        let ran_ms = self.entry.clock.now_ms().saturating_sub(self.attempt_started_ms);
+        let (entry, pick) = (Rc::clone(&self.entry), pick.clone());
+        let look = tokio::task::spawn_local(async move {
+            let found = crash_check::check(&entry, &pick).await;
+            log::info!(
+                "event=request_lost fingerprint={fingerprint} endpoint={} found={found:?} after_ms={ran_ms}",
+                pick.id
+            );
+        });
+        // A connection to an endpoint that is cut off comes up late or never; the look goes on without us.
+        drop(tokio::time::timeout(LOOK_WAIT, look).await);
+    }
+
+    /// What tells that this request comes again.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.request.fingerprint(self.entry.dialect.headers())
+    }
+
     /// An attempt failed that may have run.
     pub fn note_failed_attempt(&mut self, pick: &Pick, cause: &str) {
         self.may_have_run = true;
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -16,6 +16,7 @@
 mod caller_request;
 mod connection;
 mod connection_pool;
+mod crash_check;
 mod dialect;
 mod entry;
 mod exchange;
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -7,7 +7,7 @@
 use futures::StreamExt;
 use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
-use ochreyard_core::direct::{EventSplitter, Outcome, RouteKind};
+use ochreyard_core::direct::{EventSplitter, Outcome, Pick, RouteKind};
 
 use crate::answer::{Answer, pass_on};
 use crate::answer_body::{AnswerBody, BrokenOff};
@@ -45,7 +45,7 @@
     Events(Bytes),
     Part,
     End,
-    Broken(String),
+    Broken { cause: String, is_lost: bool },
     TimeUp,
 }
 
@@ -57,10 +57,19 @@
                 Step::Events(bytes) => return Some(Ok(bytes)),
                 Step::Part => {}
                 Step::End => return None,
-                Step::TimeUp => return self.break_off("time is up"),
-                Step::Broken(cause) => {
-                    if !self.go_on_elsewhere(&cause).await {
-                        return self.break_off(&cause);
+                Step::TimeUp => {
+                    let pick = self.answer.take()?.pick.clone();
+                    return self.break_off(&pick, "time is up");
+                }
+                Step::Broken { cause, is_lost } => {
+                    let pick = self.drop_answer()?;
+                    if is_lost {
+                        self.job.note_lost_attempt(&pick, &cause).await;
+                    } else {
+                        self.job.note_failed_attempt(&pick, &cause);
+                    }
+                    if !self.go_on_elsewhere().await {
+                        return self.break_off(&pick, &cause);
                     }
                 }
             }
@@ -70,7 +79,7 @@
     async fn step(&mut self) -> Step {
         let is_slow = self.answer.as_ref().is_some_and(|answer| self.job.should_leave(&answer.pick));
         if is_slow && self.may_go_on() {
-            return Step::Broken(SLOW_ENDPOINT.to_owned());
+            return Step::Broken { cause: SLOW_ENDPOINT.to_owned(), is_lost: false };
         }
         let Some(answer) = self.answer.as_mut() else { return Step::End };
         let left_ms = self.job.deadline_ms.saturating_sub(self.job.entry.clock.now_ms());
@@ -86,8 +95,10 @@
                 let whole = self.splitter.push(&data);
                 if whole.count == 0 { Step::Part } else { Step::Events(whole.bytes) }
             }
-            Ok(Some(Err(error))) => Step::Broken(error.to_string()),
-            Ok(None) if self.splitter.has_part() => Step::Broken("ended within an event".to_owned()),
+            Ok(Some(Err(error))) => Step::Broken { cause: error.to_string(), is_lost: true },
+            Ok(None) if self.splitter.has_part() => {
+                Step::Broken { cause: "ended within an event".to_owned(), is_lost: true }
+            }
             Ok(None) => {
                 answer.flight.set(Outcome::Good);
                 self.job.note_served();
@@ -100,7 +111,7 @@
             }
             Err(_) if self.job.time_left_ms() == 0 => Step::TimeUp,
             Err(_) if answer.flight.is_silent(patience_ms) && self.may_go_on() => {
-                Step::Broken(format!("silent for {patience_ms} ms"))
+                Step::Broken { cause: format!("silent for {patience_ms} ms"), is_lost: false }
             }
             Err(_) => Step::Part,
         }
@@ -111,15 +122,17 @@
         resumable && self.job.sent < self.job.route.max_attempts
     }
 
+    /// Gives the present answer up: its connection closes.
+    fn drop_answer(&mut self) -> Option<Pick> {
+        let answer = self.answer.take()?;
+        answer.flight.set(Outcome::Failed);
+        self.splitter.drop_part();
+        Some(answer.pick.clone())
+    }
+
     /// Lets another endpoint go on after the last whole event. The answer keeps
     /// the head of the endpoint that began it.
-    async fn go_on_elsewhere(&mut self, cause: &str) -> bool {
-        let Some(former) = self.answer.take() else { return false };
-        former.flight.set(Outcome::Failed);
-        let pick = former.pick.clone();
-        drop(former);
-        self.job.note_failed_attempt(&pick, cause);
-        self.splitter.drop_part();
+    async fn go_on_elsewhere(&mut self) -> bool {
         if !self.may_go_on() {
             return false;
         }
@@ -136,11 +149,8 @@
         }
     }
 
-    fn break_off(&mut self, cause: &str) -> Option<Result<Bytes, BrokenOff>> {
-        let pick = self.answer.take().map(|answer| answer.pick.clone());
-        if let Some(pick) = pick {
-            self.job.note_broken_stream(&pick, cause);
-        }
+    fn break_off(&self, pick: &Pick, cause: &str) -> Option<Result<Bytes, BrokenOff>> {
+        self.job.note_broken_stream(pick, cause);
         Some(Err(BrokenOff))
     }
 }
