--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -11,6 +11,7 @@
 mod event_splitter;
 mod fingerprint;
 mod group_news;
+mod quarantine;
 mod reading;
 mod repeat_budget;
 mod route_table;
@@ -23,6 +24,7 @@
 pub use event_splitter::{EventSplitter, WholeEvents};
 pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use group_news::{GroupNews, RankNews, TellerRole};
+pub use quarantine::{Clearance, ClearedNews, CrashNews, Judged, Quarantine, QuarantineNews, TrialNews, VerdictNews};
 pub use reading::Reading;
 pub use repeat_budget::{RepeatBudget, RepeatLimits};
 pub use route_table::{
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -0,0 +1,351 @@
+//! Requests that crash the endpoints which run them: found out, tried one at a time, and refused.
+//!
+//! A request is known by its [`Fingerprint`], whichever attempt it is and at whichever entry it arrives. Entries tell
+//! each other of crashes, and each judges all that it knows by the same rule, so none has to decide for the others and
+//! an entry that is cut off goes on by what it sees.
+//!
+//! One crash leaves a request free: most of those that an endpoint had are bystanders. After two it runs on trial:
+//! one copy at a time over all entries, and no repeat of ours. After three it is refused for a time. A run that ends
+//! well clears it.
+
+mod crash;
+mod crash_list;
+mod evidence;
+mod news;
+mod verdict;
+
+use std::collections::{HashMap, HashSet};
+
+use self::crash_list::CrashList;
+use self::evidence::{Evidence, TRIAL_WEIGHT};
+pub use self::news::{ClearedNews, CrashNews, QuarantineNews, TrialNews, VerdictNews};
+use self::verdict::Verdict;
+use super::fingerprint::Fingerprint;
+
+/// How long copies of a suspect are kept back while one is tried, in milliseconds. Endpoints that were crashed by a
+/// request ended 40 to 110 ms after they began to run it; before that it may wait for a place for a second or two.
+const TRIAL_MS: u64 = 3_000;
+/// Verdicts that are kept: each takes 64 bytes. The one that ends first is forgotten first.
+const MAX_VERDICTS: usize = 1_024;
+/// Trials that are kept.
+const MAX_TRIALS: usize = 1_024;
+
+/// What may be done with a request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Clearance {
+    /// Nothing stands against it.
+    Free,
+    /// It may be tried, once, at one endpoint.
+    Trial,
+    /// A copy of it is being tried.
+    OnTrial {
+        /// How much longer, in milliseconds.
+        left_ms: u64,
+    },
+    /// It is refused.
+    Quarantined {
+        /// How much longer, in milliseconds.
+        left_ms: u64,
+    },
+}
+
+/// A request that was found to crash endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Judged {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How often it has been judged.
+    pub times: u32,
+    /// For how long it is refused, in milliseconds.
+    pub for_ms: u64,
+    /// The endpoints that crashed with it, and how long ago, in milliseconds.
+    pub crashes: Vec<(String, u64)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Cleared {
+    at_ms: u64,
+    change: u64,
+}
+
+/// What is known of requests that crash endpoints.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    crashes: CrashList,
+    cleared: HashMap<Fingerprint, Cleared>,
+    verdicts: HashMap<Fingerprint, Verdict>,
+    /// Until when copies of a suspect are kept back.
+    trials: HashMap<Fingerprint, u64>,
+    weights: HashMap<Fingerprint, u32>,
+    changes: u64,
+}
+
+impl Quarantine {
+    /// Whether nothing is suspected. Then no request needs its fingerprint.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.crashes.all().is_empty() && self.verdicts.is_empty()
+    }
+
+    /// Requests that are refused now.
+    #[must_use]
+    pub fn quarantined(&self, now_ms: u64) -> usize {
+        self.verdicts.values().filter(|verdict| verdict.left_ms(now_ms).is_some()).count()
+    }
+
+    /// The verdict on a request that is refused now.
+    #[must_use]
+    pub fn verdict(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<VerdictNews> {
+        let verdict = self.verdicts.get(&fingerprint).filter(|verdict| verdict.left_ms(now_ms).is_some())?;
+        Some(verdict_news(fingerprint, verdict, now_ms))
+    }
+
+    /// What may be done with a request.
+    #[must_use]
+    pub fn clearance(&self, fingerprint: Fingerprint, now_ms: u64) -> Clearance {
+        let verdict = self.verdicts.get(&fingerprint);
+        if let Some(left_ms) = verdict.and_then(|verdict| verdict.left_ms(now_ms)) {
+            return Clearance::Quarantined { left_ms };
+        }
+        let weight = self.weights.get(&fingerprint).copied().unwrap_or(0);
+        if verdict.is_none() && weight < TRIAL_WEIGHT {
+            return Clearance::Free;
+        }
+        match self.trials.get(&fingerprint) {
+            Some(until_ms) if *until_ms > now_ms => Clearance::OnTrial { left_ms: until_ms - now_ms },
+            _ => Clearance::Trial,
+        }
+    }
+
+    /// A suspect is sent to an endpoint. Gives what others are told, so that they keep copies back.
+    pub fn begin_trial(&mut self, fingerprint: Fingerprint, now_ms: u64) -> QuarantineNews {
+        self.keep_back(fingerprint, now_ms + TRIAL_MS);
+        QuarantineNews { trials: vec![TrialNews { fingerprint, left_ms: TRIAL_MS }], ..QuarantineNews::default() }
+    }
+
+    fn keep_back(&mut self, fingerprint: Fingerprint, until_ms: u64) {
+        let known = self.trials.entry(fingerprint).or_insert(until_ms);
+        *known = (*known).max(until_ms);
+        if self.trials.len() > MAX_TRIALS
+            && let Some(first) = self.trials.iter().min_by_key(|(_, until_ms)| **until_ms).map(|(one, _)| *one)
+        {
+            self.trials.remove(&first);
+        }
+    }
+
+    /// A trial ended without a verdict, and without the request having run.
+    pub fn end_trial(&mut self, fingerprint: Fingerprint) {
+        self.trials.remove(&fingerprint);
+    }
+
+    /// An endpoint crashed that had a request. Gives the requests that are judged by that.
+    pub fn on_crash(
+        &mut self,
+        endpoint: &str,
+        service: &str,
+        fingerprint: Fingerprint,
+        at_ms: u64,
+        now_ms: u64,
+    ) -> Vec<Judged> {
+        let change = self.changes + 1;
+        if !self.crashes.take(endpoint, service, [fingerprint], at_ms, change) {
+            return Vec::new();
+        }
+        self.changes = change;
+        self.judge(now_ms)
+    }
+
+    /// A request ended well. Says whether it had been suspected.
+    pub fn on_good_end(&mut self, fingerprint: Fingerprint, now_ms: u64) -> bool {
+        if !self.verdicts.contains_key(&fingerprint) && !self.weights.contains_key(&fingerprint) {
+            return false;
+        }
+        self.clear(fingerprint, now_ms);
+        self.judge(now_ms);
+        true
+    }
+
+    fn clear(&mut self, fingerprint: Fingerprint, at_ms: u64) -> bool {
+        if !self.is_news_that_cleared(fingerprint, at_ms) {
+            return false;
+        }
+        self.changes += 1;
+        self.cleared.insert(fingerprint, Cleared { at_ms, change: self.changes });
+        if self.verdicts.get(&fingerprint).is_some_and(|verdict| verdict.made_ms <= at_ms) {
+            self.verdicts.remove(&fingerprint);
+        }
+        self.trials.remove(&fingerprint);
+        true
+    }
+
+    /// Whether a clearance is the first one, or clears something that the last one did not. What is passed on grows
+    /// older by the time that it travels, so it would look later each time that it comes round.
+    fn is_news_that_cleared(&self, fingerprint: Fingerprint, at_ms: u64) -> bool {
+        let Some(known) = self.cleared.get(&fingerprint) else { return true };
+        let verdict = self.verdicts.get(&fingerprint);
+        let clears = |made_ms: u64| made_ms > known.at_ms && made_ms <= at_ms;
+        verdict.is_some_and(|verdict| clears(verdict.made_ms)) || self.crash_times(fingerprint).any(clears)
+    }
+
+    fn crash_times(&self, fingerprint: Fingerprint) -> impl Iterator<Item = u64> {
+        let crashes = self.crashes.all().iter().filter(move |crash| crash.present.contains(&fingerprint));
+        crashes.map(|crash| crash.at_ms)
+    }
+
+    /// Weighs all that is known. Gives the requests that are judged anew.
+    fn judge(&mut self, now_ms: u64) -> Vec<Judged> {
+        let good_end_ms = |one: Fingerprint| self.cleared.get(&one).map(|cleared| cleared.at_ms);
+        let evidence = Evidence::weigh(self.crashes.all(), good_end_ms);
+        self.weights = evidence.weights;
+        self.release_bystanders(&evidence.guilty, now_ms);
+        let mut judged = Vec::new();
+        for fingerprint in evidence.guilty.iter().copied().chain(self.failed_trials(now_ms)) {
+            let former = self.verdicts.get(&fingerprint);
+            if former.is_some_and(|verdict| verdict.left_ms(now_ms).is_some()) || self.was_judged(fingerprint) {
+                continue;
+            }
+            self.changes += 1;
+            let verdict = Verdict::after(former, now_ms, self.changes);
+            self.verdicts.insert(fingerprint, verdict);
+            judged.push(self.judged(fingerprint, &verdict, now_ms));
+        }
+        self.bound_verdicts();
+        judged
+    }
+
+    /// Whether the last crash of a request lies before its last verdict, so that it brings no new one.
+    fn was_judged(&self, fingerprint: Fingerprint) -> bool {
+        let Some(verdict) = self.verdicts.get(&fingerprint) else { return false };
+        self.last_crash_ms(fingerprint).is_none_or(|at_ms| at_ms <= verdict.made_ms)
+    }
+
+    fn last_crash_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
+        self.crash_times(fingerprint).max()
+    }
+
+    /// Requests whose verdict is over, and which have crashed an endpoint since.
+    fn failed_trials(&self, now_ms: u64) -> Vec<Fingerprint> {
+        let over = self.verdicts.iter().filter(|(_, verdict)| verdict.left_ms(now_ms).is_none());
+        let crashed = |one: Fingerprint, since_ms: u64| self.last_crash_ms(one).is_some_and(|at_ms| at_ms > since_ms);
+        over.filter(|(one, verdict)| crashed(**one, verdict.until_ms)).map(|(one, _)| *one).collect()
+    }
+
+    /// Releases those that were judged for crashes which another request has turned out to cause.
+    fn release_bystanders(&mut self, guilty: &HashSet<Fingerprint>, now_ms: u64) {
+        let is_explained = |one: &Fingerprint| {
+            let weight = self.weights.get(one).copied().unwrap_or(0);
+            weight >= evidence::VERDICT_WEIGHT && !guilty.contains(one)
+        };
+        let released: Vec<Fingerprint> = self.verdicts.keys().copied().filter(is_explained).collect();
+        for fingerprint in released {
+            self.clear(fingerprint, now_ms);
+        }
+    }
+
+    fn judged(&self, fingerprint: Fingerprint, verdict: &Verdict, now_ms: u64) -> Judged {
+        let crashes = self.crashes.all().iter().filter(|crash| crash.present.contains(&fingerprint));
+        Judged {
+            fingerprint,
+            times: verdict.times,
+            for_ms: verdict.until_ms - now_ms,
+            crashes: crashes.map(|crash| (crash.endpoint.clone(), now_ms.saturating_sub(crash.at_ms))).collect(),
+        }
+    }
+
+    fn bound_verdicts(&mut self) {
+        while self.verdicts.len() > MAX_VERDICTS {
+            let first = self.verdicts.iter().min_by_key(|(_, verdict)| verdict.until_ms).map(|(one, _)| *one);
+            first.map(|one| self.verdicts.remove(&one));
+        }
+    }
+
+    /// Forgets what is too old to say anything. Called now and then.
+    pub fn forget_old(&mut self, now_ms: u64) {
+        self.trials.retain(|_, until_ms| *until_ms > now_ms);
+        self.verdicts.retain(|_, verdict| !verdict.is_forgotten(now_ms));
+        if self.crashes.forget_old(now_ms) {
+            self.judge(now_ms);
+        }
+        let (crashes, verdicts) = (&self.crashes, &self.verdicts);
+        self.cleared.retain(|one, _| crashes.count(*one) > 0 || verdicts.contains_key(one));
+    }
+
+    /// How many changes there have been: what another entry names to be told only what came since.
+    #[must_use]
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// What changed after the first `known` changes.
+    #[must_use]
+    pub fn news_since(&self, known: u64, now_ms: u64) -> QuarantineNews {
+        let age_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
+        let crashes = self.crashes.all().iter().filter(|crash| crash.change > known).map(|crash| CrashNews {
+            endpoint: crash.endpoint.clone(),
+            service: crash.service.clone(),
+            age_ms: age_ms(crash.at_ms),
+            present: crash.present.iter().copied().collect(),
+        });
+        let cleared = self.cleared.iter().filter(|(_, cleared)| cleared.change > known);
+        let verdicts = self.verdicts.iter().filter(|(_, verdict)| verdict.change > known);
+        QuarantineNews {
+            crashes: crashes.collect(),
+            cleared: cleared
+                .map(|(one, cleared)| ClearedNews { fingerprint: *one, age_ms: age_ms(cleared.at_ms) })
+                .collect(),
+            verdicts: verdicts.map(|(one, verdict)| verdict_news(*one, verdict, now_ms)).collect(),
+            trials: Vec::new(),
+        }
+    }
+
+    /// Takes what another entry tells. Gives the requests that are judged by that.
+    pub fn take(&mut self, news: &QuarantineNews, now_ms: u64) -> Vec<Judged> {
+        for crash in &news.crashes {
+            let at_ms = now_ms.saturating_sub(crash.age_ms);
+            let present = crash.present.iter().copied();
+            let change = self.changes + 1;
+            if self.crashes.take(&crash.endpoint, &crash.service, present, at_ms, change) {
+                self.changes = change;
+            }
+        }
+        for verdict in &news.verdicts {
+            self.take_verdict(verdict, now_ms);
+        }
+        for cleared in &news.cleared {
+            self.clear(cleared.fingerprint, now_ms.saturating_sub(cleared.age_ms));
+        }
+        for trial in &news.trials {
+            self.keep_back(trial.fingerprint, now_ms + trial.left_ms.min(TRIAL_MS));
+        }
+        self.judge(now_ms)
+    }
+
+    /// Takes another entry's verdict, unless a later one, or a clearance since, is known.
+    fn take_verdict(&mut self, told: &VerdictNews, now_ms: u64) {
+        let made_ms = now_ms.saturating_sub(told.age_ms);
+        let is_cleared = self.cleared.get(&told.fingerprint).is_some_and(|cleared| cleared.at_ms >= made_ms);
+        let knows_later = self.verdicts.get(&told.fingerprint).is_some_and(|known| {
+            (known.times, known.until_ms) >= (told.times, now_ms + told.left_ms) || known.times > told.times
+        });
+        if is_cleared || knows_later || told.times == 0 {
+            return;
+        }
+        // Two entries that judge by themselves differ by milliseconds: that is no news to pass on.
+        let is_same = self.verdicts.get(&told.fingerprint).is_some_and(|known| known.times == told.times);
+        if is_same {
+            return;
+        }
+        self.changes += 1;
+        let verdict = Verdict { made_ms, until_ms: now_ms + told.left_ms, times: told.times, change: self.changes };
+        self.verdicts.insert(told.fingerprint, verdict);
+    }
+}
+
+const fn verdict_news(fingerprint: Fingerprint, verdict: &Verdict, now_ms: u64) -> VerdictNews {
+    VerdictNews {
+        fingerprint,
+        age_ms: now_ms.saturating_sub(verdict.made_ms),
+        left_ms: verdict.until_ms.saturating_sub(now_ms),
+        times: verdict.times,
+    }
+}
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/quarantine/news.rs
@@ -0,0 +1,76 @@
+//! What entries tell each other of requests that crash endpoints.
+//!
+//! Times are ages: the clocks of two boxes may differ.
+
+use serde::{Deserialize, Serialize};
+
+use crate::direct::Fingerprint;
+
+/// A crash, as an entry saw it or was told.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNews {
+    /// The endpoint.
+    pub endpoint: String,
+    /// Its service.
+    pub service: String,
+    /// How long ago its connections broke, in milliseconds.
+    pub age_ms: u64,
+    /// Requests that it had.
+    pub present: Vec<Fingerprint>,
+}
+
+/// A request that ended well after crashes, or was released by an operator.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClearedNews {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How long ago, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A request that is quarantined.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VerdictNews {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How long ago it was judged, in milliseconds.
+    pub age_ms: u64,
+    /// How much longer it is refused, in milliseconds.
+    pub left_ms: u64,
+    /// How often it has been judged.
+    pub times: u32,
+}
+
+/// A suspect that is being tried by one entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialNews {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How long others keep copies of it back, in milliseconds.
+    pub left_ms: u64,
+}
+
+/// News of any of these. What is empty is left out on the wire.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineNews {
+    /// Crashes.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashNews>,
+    /// Requests that are no longer suspected.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cleared: Vec<ClearedNews>,
+    /// Requests that are quarantined.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub verdicts: Vec<VerdictNews>,
+    /// Suspects that are being tried.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub trials: Vec<TrialNews>,
+}
+
+impl QuarantineNews {
+    /// Whether it tells nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.cleared.is_empty() && self.verdicts.is_empty() && self.trials.is_empty()
+    }
+}
--- a/crates/ochreyard-core/src/error_kind.rs
+++ b/crates/ochreyard-core/src/error_kind.rs
@@ -154,6 +154,8 @@
     CallerGone = "caller_gone", 499, MayHaveRun, Never, 0, "the caller went away";
     /// The retry budget is used up.
     RetryBudgetSpent = "retry_budget_spent", 503, NotRun, Never, 2000, "too many requests fail at present; come back later";
+    /// The request crashed the endpoints that ran it, or a copy of it is being tried.
+    Quarantined = "quarantined", 503, NotRun, Never, 600_000, "endpoints crashed while they ran this request; change it, or come back after the stated time";
     /// The platform's service cannot be reached.
     PlatformUnavailable = "platform_unavailable", 503, MayHaveRun, Never, 2000, "the platform's log cannot be reached; ask for the status, then try again";
     /// The intent or a record cannot be read.
--- /dev/null
+++ b/crates/ochreyard-core/tests/quarantine.rs
@@ -0,0 +1,201 @@
+//! Which requests are found to crash endpoints, and what becomes of them.
+
+use ochreyard_core::direct::{Clearance, Fingerprint, Judged, Quarantine, QuarantineNews};
+use rstest::rstest;
+
+/// The first verdict, in milliseconds.
+const FIRST_LIFE_MS: u64 = 600_000;
+/// How long copies are kept back while one is tried, in milliseconds.
+const TRIAL_MS: u64 = 3_000;
+
+fn request(number: u32) -> Fingerprint {
+    Fingerprint::of(&[&number.to_le_bytes()])
+}
+
+/// The requests `present` were at `endpoint` when it crashed.
+fn crash(quarantine: &mut Quarantine, endpoint: &str, present: &[u32], at_ms: u64) -> Vec<Judged> {
+    let each = present.iter().map(|number| quarantine.on_crash(endpoint, "tiles", request(*number), at_ms, at_ms));
+    each.flatten().collect()
+}
+
+fn judged_after_three() -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for (endpoint, at_ms) in [("e1", 1_000), ("e2", 2_000), ("e3", 3_000)] {
+        crash(&mut quarantine, endpoint, &[7], at_ms);
+    }
+    quarantine
+}
+
+#[test]
+fn a_request_is_free_after_one_crash_tried_after_two_and_refused_after_three() {
+    let mut quarantine = Quarantine::default();
+    assert!(quarantine.is_empty());
+    crash(&mut quarantine, "e1", &[7], 1_000);
+    assert_eq!(quarantine.clearance(request(7), 1_001), Clearance::Free);
+    crash(&mut quarantine, "e2", &[7], 2_000);
+    assert_eq!(quarantine.clearance(request(7), 2_001), Clearance::Trial);
+    let judged = crash(&mut quarantine, "e3", &[7], 3_000);
+    assert_eq!(judged.len(), 1);
+    assert_eq!((judged[0].fingerprint, judged[0].crashes.len()), (request(7), 3));
+    assert_eq!(quarantine.clearance(request(7), 3_001), Clearance::Quarantined { left_ms: FIRST_LIFE_MS - 1 });
+    assert_eq!(quarantine.clearance(request(8), 3_001), Clearance::Free);
+}
+
+#[test]
+fn several_reports_of_one_crash_count_once() {
+    let mut quarantine = Quarantine::default();
+    for at_ms in [1_000, 1_003, 1_240] {
+        crash(&mut quarantine, "e1", &[7], at_ms);
+    }
+    assert_eq!(quarantine.clearance(request(7), 1_300), Clearance::Free);
+}
+
+#[test]
+fn an_endpoint_that_started_again_under_its_name_counts_again() {
+    let mut quarantine = Quarantine::default();
+    for at_ms in [1_000, 5_000, 9_000] {
+        crash(&mut quarantine, "e1", &[7], at_ms);
+    }
+    assert!(matches!(quarantine.clearance(request(7), 9_001), Clearance::Quarantined { .. }));
+}
+
+#[test]
+fn a_run_that_ends_well_clears_a_suspect_and_a_verdict() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, "e1", &[7], 1_000);
+    crash(&mut quarantine, "e2", &[7], 2_000);
+    assert!(quarantine.on_good_end(request(7), 2_500));
+    crash(&mut quarantine, "e3", &[7], 3_000);
+    assert_eq!(quarantine.clearance(request(7), 3_001), Clearance::Free);
+    let mut quarantine = judged_after_three();
+    assert!(quarantine.on_good_end(request(7), 3_500));
+    assert_eq!(quarantine.clearance(request(7), 3_501), Clearance::Free);
+    assert!(!quarantine.on_good_end(request(8), 3_500));
+}
+
+#[test]
+fn while_a_suspect_is_tried_its_copies_are_kept_back() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, "e1", &[7], 1_000);
+    crash(&mut quarantine, "e2", &[7], 2_000);
+    let news = quarantine.begin_trial(request(7), 2_100);
+    assert_eq!(quarantine.clearance(request(7), 2_101), Clearance::OnTrial { left_ms: TRIAL_MS - 1 });
+    let mut other = Quarantine::default();
+    other.take(&quarantine.news_since(0, 2_101), 2_101);
+    other.take(&news, 2_101);
+    assert_eq!(other.clearance(request(7), 2_102), Clearance::OnTrial { left_ms: TRIAL_MS - 1 });
+    quarantine.end_trial(request(7));
+    assert_eq!(quarantine.clearance(request(7), 2_103), Clearance::Trial);
+    assert_eq!(other.clearance(request(7), 2_101 + TRIAL_MS), Clearance::Trial);
+}
+
+#[test]
+fn once_a_verdict_is_over_one_more_crash_renews_it_for_twice_as_long() {
+    let mut quarantine = judged_after_three();
+    let over_ms = 3_000 + FIRST_LIFE_MS;
+    quarantine.forget_old(over_ms);
+    assert_eq!(quarantine.clearance(request(7), over_ms), Clearance::Trial);
+    let judged = crash(&mut quarantine, "e4", &[7], over_ms + 10);
+    assert_eq!((judged[0].times, judged[0].for_ms), (2, 2 * FIRST_LIFE_MS));
+    assert!(matches!(quarantine.clearance(request(7), over_ms + 11), Clearance::Quarantined { .. }));
+}
+
+#[test]
+fn endpoints_that_go_down_together_say_little_of_the_requests_that_they_had() {
+    let mut quarantine = Quarantine::default();
+    for at_ms in [1_000, 5_000, 9_000] {
+        for endpoint in ["e1", "e2", "e3"] {
+            crash(&mut quarantine, endpoint, &[7], at_ms);
+        }
+    }
+    // Nine crashes at three moments count as much as four and a half: one request did have them all.
+    assert!(matches!(quarantine.clearance(request(7), 9_001), Clearance::Quarantined { .. }));
+    let mut quarantine = Quarantine::default();
+    for (at_ms, endpoint) in [(1_000, "e1"), (5_000, "e2"), (9_000, "e3")] {
+        crash(&mut quarantine, "other-1", &[1], at_ms);
+        crash(&mut quarantine, "other-2", &[2], at_ms + 3);
+        crash(&mut quarantine, endpoint, &[7], at_ms + 5);
+    }
+    assert_eq!(quarantine.clearance(request(7), 9_010), Clearance::Free);
+}
+
+#[test]
+fn a_bystander_of_three_other_causes_is_released_once_they_are_known() {
+    let mut quarantine = Quarantine::default();
+    // Request 9 is beside each of three causes once, and refused for it.
+    for (endpoint, cause, at_ms) in [("e1", 1, 1_000), ("e2", 2, 2_000), ("e3", 3, 3_000)] {
+        crash(&mut quarantine, endpoint, &[cause, 9], at_ms);
+    }
+    assert!(matches!(quarantine.clearance(request(9), 3_001), Clearance::Quarantined { .. }));
+    let more = [("e4", 1), ("e5", 1), ("e6", 2), ("e7", 2), ("e8", 3), ("e9", 3)];
+    for (at, (endpoint, cause)) in more.into_iter().enumerate() {
+        crash(&mut quarantine, endpoint, &[cause], 4_000 + 1_000 * at as u64);
+    }
+    for cause in [1, 2, 3] {
+        assert!(matches!(quarantine.clearance(request(cause), 10_000), Clearance::Quarantined { .. }));
+    }
+    assert_eq!(quarantine.clearance(request(9), 10_000), Clearance::Free);
+}
+
+#[test]
+fn what_one_entry_knows_another_one_takes_over_and_it_does_not_come_round_again() {
+    let mut here = judged_after_three();
+    let mut there = Quarantine::default();
+    there.take(&here.news_since(0, 3_100), 3_105);
+    assert!(matches!(there.clearance(request(7), 3_106), Clearance::Quarantined { .. }));
+    let (known_here, known_there) = (here.changes(), there.changes());
+    here.take(&there.news_since(0, 3_200), 3_205);
+    there.take(&here.news_since(0, 3_300), 3_305);
+    assert_eq!((here.changes(), there.changes()), (known_here, known_there));
+    here.on_good_end(request(7), 4_000);
+    there.take(&here.news_since(known_here, 4_100), 4_110);
+    assert_eq!(there.clearance(request(7), 4_111), Clearance::Free);
+    let (known_here, known_there) = (here.changes(), there.changes());
+    here.take(&there.news_since(0, 4_200), 4_210);
+    there.take(&here.news_since(0, 4_300), 4_310);
+    assert_eq!((here.changes(), there.changes()), (known_here, known_there));
+}
+
+#[test]
+fn entries_that_each_saw_one_crash_know_all_three_together() {
+    let mut entries = [Quarantine::default(), Quarantine::default(), Quarantine::default()];
+    for (at, entry) in entries.iter_mut().enumerate() {
+        crash(entry, &format!("e{at}"), &[7], 1_000 * (at as u64 + 1));
+    }
+    let news: Vec<QuarantineNews> = entries.iter().map(|entry| entry.news_since(0, 60_000)).collect();
+    for entry in &mut entries {
+        news.iter().for_each(|told| drop(entry.take(told, 60_002)));
+        assert!(matches!(entry.clearance(request(7), 60_003), Clearance::Quarantined { .. }));
+    }
+}
+
+#[test]
+fn a_verdict_from_the_log_holds_without_the_crashes_that_it_rests_on() {
+    let judged = judged_after_three();
+    let verdicts = vec![judged.verdict(request(7), 4_000).unwrap()];
+    let mut restarted = Quarantine::default();
+    restarted.take(&QuarantineNews { verdicts, ..QuarantineNews::default() }, 4_000);
+    let left_ms = 3_000 + FIRST_LIFE_MS - 4_001;
+    assert_eq!(restarted.clearance(request(7), 4_001), Clearance::Quarantined { left_ms });
+    // A crash of another request must not release it.
+    crash(&mut restarted, "e9", &[8], 5_000);
+    assert!(matches!(restarted.clearance(request(7), 5_001), Clearance::Quarantined { .. }));
+}
+
+/// A flood of suspects neither grows without bound nor drives out those that were at several crashes.
+#[rstest]
+#[case::spread(10_000, 1)]
+#[case::together(200, 50)]
+fn a_flood_of_suspects_is_bounded_and_keeps_those_that_crashed_most(#[case] crashes: u32, #[case] each: u32) {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, "a", &[1], 10);
+    crash(&mut quarantine, "b", &[1], 1_000);
+    for number in 0..crashes {
+        let present: Vec<u32> = (0..each).map(|at| 100 + number * each + at).collect();
+        crash(&mut quarantine, &format!("e{number}"), &present, 2_000 + 100 * u64::from(number));
+    }
+    let now_ms = 2_000 + 100 * u64::from(crashes);
+    assert_eq!(quarantine.clearance(request(1), now_ms), Clearance::Trial);
+    let told = serde_json::to_vec(&quarantine.news_since(0, now_ms)).unwrap();
+    assert!(told.len() < 1 << 20, "{} bytes", told.len());
+}
--- /dev/null
+++ b/crates/ochreyard-direct/src/containment.rs
@@ -0,0 +1,101 @@
+//! What an entry does about requests that crash endpoints: reports, trials, news.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ochreyard_core::direct::{CrashNews, Fingerprint, Judged, Pick, QuarantineNews};
+
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+use crate::meters;
+use crate::peers::tell_all;
+
+/// How long crashes are gathered before others are told: all requests of an endpoint break off within a few
+/// milliseconds of its crash, and are told in one message.
+const GATHER: Duration = Duration::from_millis(5);
+
+/// What waits to be told or written.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    crashes: RefCell<Vec<CrashNews>>,
+    /// Requests that were judged here, and are to be written into the log.
+    pub to_write: RefCell<Vec<Fingerprint>>,
+    /// Wakes whoever writes.
+    pub written: tokio::sync::Notify,
+}
+
+impl<D: Dialect> Entry<D> {
+    /// An endpoint crashed that had a request; its connection broke at `at_ms`.
+    pub fn on_crash(self: &Rc<Self>, pick: &Pick, service: &str, fingerprint: Fingerprint, at_ms: u64) {
+        let now_ms = self.clock.now_ms();
+        let judged = self.state.borrow_mut().quarantine.on_crash(&pick.id, service, fingerprint, at_ms, now_ms);
+        self.note_judged(&judged, "seen");
+        self.outbox.to_write.borrow_mut().extend(judged.iter().map(|one| one.fingerprint));
+        if !judged.is_empty() {
+            self.outbox.written.notify_one();
+        }
+        self.tell_crash(pick, service, fingerprint, now_ms.saturating_sub(at_ms));
+    }
+
+    /// Tells others of a crash, with what else is known of it within a moment.
+    fn tell_crash(self: &Rc<Self>, pick: &Pick, service: &str, fingerprint: Fingerprint, age_ms: u64) {
+        let mut crashes = self.outbox.crashes.borrow_mut();
+        if let Some(crash) = crashes.iter_mut().find(|crash| crash.endpoint == pick.id) {
+            crash.present.push(fingerprint);
+            return;
+        }
+        if crashes.is_empty() {
+            let entry = Rc::clone(self);
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(GATHER).await;
+                let crashes = std::mem::take(&mut *entry.outbox.crashes.borrow_mut());
+                tell_all(&entry, &QuarantineNews { crashes, ..QuarantineNews::default() });
+            });
+        }
+        crashes.push(CrashNews {
+            endpoint: pick.id.clone(),
+            service: service.to_owned(),
+            age_ms,
+            present: vec![fingerprint],
+        });
+    }
+
+    /// A suspect is about to be sent: others keep copies of it back.
+    pub fn begin_trial(self: &Rc<Self>, fingerprint: Fingerprint) {
+        let now_ms = self.clock.now_ms();
+        let news = self.state.borrow_mut().quarantine.begin_trial(fingerprint, now_ms);
+        log::info!("event=suspect_tried fingerprint={fingerprint}");
+        meters::on_trial();
+        tell_all(self, &news);
+    }
+
+    /// A request ended well. Others learn of it when they ask.
+    pub fn on_good_end(&self, fingerprint: Fingerprint) {
+        let now_ms = self.clock.now_ms();
+        if self.state.borrow_mut().quarantine.on_good_end(fingerprint, now_ms) {
+            log::debug!("event=suspect_cleared fingerprint={fingerprint}");
+        }
+    }
+
+    /// Takes what another box tells of requests that crash endpoints.
+    pub fn take_quarantine_news(&self, news: &QuarantineNews) {
+        if news.is_empty() {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        let judged = self.state.borrow_mut().quarantine.take(news, now_ms);
+        self.note_judged(&judged, "told");
+    }
+
+    fn note_judged(&self, judged: &[Judged], source: &str) {
+        for Judged { fingerprint, times, for_ms, crashes } in judged {
+            meters::on_quarantined();
+            log::warn!(
+                "event=request_quarantined fingerprint={fingerprint} source={source} times={times} for_ms={for_ms} \
+                 crashed=\"{}\"",
+                crashes.iter().map(|(id, age_ms)| format!("{id} {age_ms} ms ago")).collect::<Vec<_>>().join(", ")
+            );
+        }
+    }
+}
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -8,17 +8,19 @@
 
 use bytes::Bytes;
 use ochreyard_core::direct::{
-    BoxList, BoxRecord, Catalog, EndpointChange, EndpointPool, EngineFigures, GroupNews, Reading, RepeatBudget,
-    RepeatLimits, RouteTable, ServiceQueue,
+    BoxList, BoxRecord, Catalog, EndpointChange, EndpointPool, EngineFigures, GroupNews, Quarantine, Reading,
+    RepeatBudget, RepeatLimits, RouteTable, ServiceQueue,
 };
 use ochreyard_core::hash;
 use ochreyard_process::Clock;
 
-use crate::boxes_heard::BoxesHeard;
 use crate::connection_pool::ConnectionPool;
+use crate::containment::Outbox;
 use crate::crash_check::CrashChecks;
 use crate::dialect::Dialect;
+use crate::heard::Heard;
 use crate::link::CallLink;
+use crate::peers::PassedOver;
 
 /// Boxes that are assumed to share the budget of repeats until others are known.
 const ASSUMED_BOXES: u64 = 16;
@@ -54,6 +56,8 @@
     pub budget: RepeatBudget,
     /// Requests that wait, by service.
     pub queues: HashMap<String, ServiceQueue>,
+    /// What is known of requests that crash endpoints.
+    pub quarantine: Quarantine,
     /// Other boxes.
     pub boxes: BoxList,
     /// Whether the platform's log answered the last call.
@@ -91,9 +95,13 @@
     pub is_refusing: Cell<bool>,
     /// Endpoints that were looked at after they broke a connection.
     pub crash_checks: CrashChecks,
+    /// What waits to be told of requests that crash endpoints.
+    pub outbox: Outbox,
+    /// Other boxes that took no news of late.
+    pub passed_over: PassedOver,
     draws: Cell<u64>,
     links: RefCell<BTreeMap<SocketAddr, Rc<CallLink>>>,
-    boxes_heard: RefCell<BTreeMap<SocketAddr, BoxesHeard>>,
+    heard: RefCell<BTreeMap<SocketAddr, Heard>>,
 }
 
 impl<D: Dialect> Entry<D> {
@@ -110,6 +118,7 @@
             connections: ConnectionPool::default(),
             budget: RepeatBudget::new(limits, ASSUMED_BOXES),
             queues: HashMap::new(),
+            quarantine: Quarantine::default(),
             boxes: BoxList::default(),
             log_answers: false,
         };
@@ -122,9 +131,11 @@
             is_stopping: Cell::new(false),
             is_refusing: Cell::new(false),
             crash_checks: CrashChecks::default(),
+            outbox: Outbox::default(),
+            passed_over: PassedOver::default(),
             draws,
             links: RefCell::default(),
-            boxes_heard: RefCell::default(),
+            heard: RefCell::default(),
         }
     }
 
@@ -230,14 +241,14 @@
         }
     }
 
-    /// How much of another box's list of boxes is known here; nothing of that of another life.
-    pub fn boxes_heard(&self, addr: SocketAddr) -> BoxesHeard {
-        self.boxes_heard.borrow().get(&addr).copied().unwrap_or_default()
+    /// How much of what another box tells step by step is known here.
+    pub fn heard(&self, addr: SocketAddr) -> Heard {
+        self.heard.borrow().get(&addr).copied().unwrap_or_default()
     }
 
-    /// Notes how much of another box's list of boxes is known here.
-    pub fn note_boxes_heard(&self, addr: SocketAddr, heard: BoxesHeard) {
-        self.boxes_heard.borrow_mut().insert(addr, heard);
+    /// Notes how much of what another box tells is known here.
+    pub fn note_heard(&self, addr: SocketAddr, heard: Heard) {
+        self.heard.borrow_mut().insert(addr, heard);
     }
 
     /// Notes whether the platform's log answers.
--- a/crates/ochreyard-direct/src/follow.rs
+++ b/crates/ochreyard-direct/src/follow.rs
@@ -1,14 +1,16 @@
-//! Follows the platform's log: the configuration, the endpoints, our own boxes.
+//! Follows the platform's log: the configuration, the endpoints, our own boxes, verdicts on requests.
 
 mod boxes;
 mod config;
 mod endpoints;
+mod quarantine;
 
 use std::time::Duration;
 
 pub use self::boxes::follow_boxes;
 pub use self::config::follow_config;
 pub use self::endpoints::follow_endpoints;
+pub use self::quarantine::keep_verdicts;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLogError, KeyedPage};
--- /dev/null
+++ b/crates/ochreyard-direct/src/follow/quarantine.rs
@@ -0,0 +1,84 @@
+//! Keeps verdicts on requests that crash endpoints in the platform's log: they outlast all our processes.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use ochreyard_core::direct::{Fingerprint, QuarantineNews, VerdictNews};
+use serde::{Deserialize, Serialize};
+
+use super::{RETRY_PAUSE, noted};
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+use crate::keyed_log::{KeyedLog, KeyedRecord, Topic};
+
+/// A verdict as it stands in the log, under the fingerprint of its request. Times are of the writer's clock,
+/// in milliseconds since 1970.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct VerdictRecord {
+    made_ms: u64,
+    until_ms: u64,
+    times: u32,
+}
+
+/// Reads the verdicts once, and writes those that are made here. While the process runs, others tell it of theirs.
+pub async fn keep_verdicts<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
+    while !read_verdicts(&entry, &log).await {
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    loop {
+        while write_next(&entry, &log).await {}
+        if entry.outbox.to_write.borrow().is_empty() {
+            entry.outbox.written.notified().await;
+        } else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn read_verdicts<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> bool {
+    let Some(page) = noted(entry, log.newest(Topic::Quarantine).await) else { return false };
+    let now_ms = entry.clock.now_ms();
+    let verdicts = page.records.iter().filter_map(|record| read(record, now_ms)).collect();
+    entry.take_quarantine_news(&QuarantineNews { verdicts, ..QuarantineNews::default() });
+    true
+}
+
+/// The verdict of a record; `None` where it is over, was dropped, or cannot be read.
+fn read(record: &KeyedRecord, now_ms: u64) -> Option<VerdictNews> {
+    let value = record.value.as_ref()?;
+    let parsed = record.key.parse::<Fingerprint>().ok().zip(serde_json::from_slice::<VerdictRecord>(value).ok());
+    let Some((fingerprint, verdict)) = parsed else {
+        log::warn!("event=verdict_unreadable key={}", record.key);
+        return None;
+    };
+    let left_ms = verdict.until_ms.saturating_sub(now_ms);
+    let age_ms = now_ms.saturating_sub(verdict.made_ms);
+    (left_ms > 0).then_some(VerdictNews { fingerprint, age_ms, left_ms, times: verdict.times })
+}
+
+/// Writes one verdict that was made here. `false` if there is none, or the log failed.
+async fn write_next<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> bool {
+    let Some(fingerprint) = entry.outbox.to_write.borrow().last().copied() else { return false };
+    let value = present_verdict(entry, fingerprint);
+    let written = log.append(Topic::Quarantine, &fingerprint.to_string(), &value).await;
+    if noted(entry, written).is_none() {
+        return false;
+    }
+    entry.outbox.to_write.borrow_mut().retain(|other| *other != fingerprint);
+    true
+}
+
+/// What is to be written of a request; nothing where it has been released meanwhile, which drops its key.
+fn present_verdict<D: Dialect>(entry: &Entry<D>, fingerprint: Fingerprint) -> Bytes {
+    let now_ms = entry.clock.now_ms();
+    let Some(verdict) = entry.state.borrow().quarantine.verdict(fingerprint, now_ms) else { return Bytes::new() };
+    let record = VerdictRecord {
+        made_ms: now_ms.saturating_sub(verdict.age_ms),
+        until_ms: now_ms + verdict.left_ms,
+        times: verdict.times,
+    };
+    serde_json::to_vec(&record).map(Bytes::from).unwrap_or_else(|error| {
+        log::error!("event=verdict_unwritable error=\"{error}\"");
+        Bytes::new()
+    })
+}
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -1,5 +1,6 @@
 //! One caller's request, from its head to its final answer.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -102,6 +103,8 @@
         sent: 0,
         tried: Vec::new(),
         may_have_run: false,
+        fingerprint: OnceCell::new(),
+        is_tried: false,
         started_ms,
         config_version: table.version(),
     })
--- a/crates/ochreyard-direct/src/given_up.rs
+++ b/crates/ochreyard-direct/src/given_up.rs
@@ -17,4 +17,9 @@
     Failed,
     /// Its time is over.
     TimeUp,
+    /// It crashed endpoints, or may: it is refused.
+    Quarantined {
+        /// How much longer, in milliseconds.
+        left_ms: u64,
+    },
 }
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -3,6 +3,7 @@
 mod choosing;
 mod ending;
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use crate::answer_body::AnswerBody;
 use crate::attempt::{self, Attempt};
 use crate::caller_request::CallerRequest;
-use crate::crash_check;
+use crate::crash_check::{self, CrashCheck};
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::given_up::GivenUp;
@@ -57,6 +58,10 @@
     pub tried: Vec<String>,
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
+    /// What tells that this request comes again, once that was asked for.
+    pub fingerprint: OnceCell<Fingerprint>,
+    /// Whether it is a suspect that is being tried by this attempt of its caller.
+    pub is_tried: bool,
     /// When its head had come.
     pub started_ms: u64,
     /// The configuration that it was admitted under.
@@ -196,7 +201,13 @@
     /// Notes how long serving it took.
     pub fn note_served(&self) {
         let took_ms = self.entry.clock.now_ms().saturating_sub(self.attempt_started_ms);
-        self.entry.state.borrow_mut().queue(&self.service).time.note(took_ms);
+        let mut state = self.entry.state.borrow_mut();
+        state.queue(&self.service).time.note(took_ms);
+        let is_any_suspected = !state.quarantine.is_empty();
+        drop(state);
+        if is_any_suspected {
+            self.entry.on_good_end(self.fingerprint());
+        }
     }
 
     /// Milliseconds since the request's head came.
@@ -208,15 +219,19 @@
     /// An attempt broke off with its connection. Looks whether its endpoint crashed.
     pub async fn note_lost_attempt(&mut self, pick: &Pick, cause: &str) {
         self.note_failed_attempt(pick, cause);
+        let (entry, pick, service) = (Rc::clone(&self.entry), pick.clone(), self.service.clone());
         let fingerprint = self.fingerprint();
-        let ran_ms = self.entry.clock.now_ms().saturating_sub(self.attempt_started_ms);
-        let (entry, pick) = (Rc::clone(&self.entry), pick.clone());
+        let lost_ms = entry.clock.now_ms();
+        let lasted_ms = lost_ms.saturating_sub(self.attempt_started_ms);
         let look = tokio::task::spawn_local(async move {
             let found = crash_check::check(&entry, &pick).await;
             log::info!(
-                "event=request_lost fingerprint={fingerprint} endpoint={} found={found:?} after_ms={ran_ms}",
+                "event=request_lost fingerprint={fingerprint} endpoint={} found={found:?} lasted_ms={lasted_ms}",
                 pick.id
             );
+            if found == CrashCheck::Crashed {
+                entry.on_crash(&pick, &service, fingerprint, lost_ms);
+            }
         });
         // A connection to an endpoint that is cut off comes up late or never; the look goes on without us.
         drop(tokio::time::timeout(LOOK_WAIT, look).await);
@@ -225,7 +240,7 @@
     /// What tells that this request comes again.
     #[must_use]
     pub fn fingerprint(&self) -> Fingerprint {
-        self.request.fingerprint(self.entry.dialect.headers())
+        *self.fingerprint.get_or_init(|| self.request.fingerprint(self.entry.dialect.headers()))
     }
 
     /// An attempt failed that may have run.
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ochreyard_core::direct::{Choice, NoPick, Pick, Seeker};
+use ochreyard_core::direct::{Choice, Clearance, NoPick, Pick, Seeker};
 
 use super::Job;
 use crate::dialect::Dialect;
@@ -68,6 +68,7 @@
         if self.may_have_run && !self.route.kind.may_run_again() {
             return Err(GivenUp::Failed.into());
         }
+        let is_trial = self.is_trial(now_ms)?;
         if self.is_spent() {
             return Err(last.into());
         }
@@ -91,6 +92,11 @@
                 if self.has_arrived && state.budget.try_take(&self.service, now_ms) {
                     meters::on_repeat(&self.service);
                 }
+                drop(state);
+                if is_trial {
+                    self.is_tried = true;
+                    self.entry.begin_trial(self.fingerprint());
+                }
                 Ok(pick)
             }
             Choice::Wait(facts) => {
@@ -104,6 +110,27 @@
         }
     }
 
+    /// Whether it would run as a suspect that is tried.
+    ///
+    /// # Errors
+    ///
+    /// When it is refused: it crashed endpoints, a copy of it is being tried, or this would be a repeat of a suspect.
+    fn is_trial(&self, now_ms: u64) -> Result<bool, GivenUp> {
+        let state = self.entry.state.borrow();
+        if state.quarantine.is_empty() {
+            return Ok(false);
+        }
+        match state.quarantine.clearance(self.fingerprint(), now_ms) {
+            Clearance::Free => Ok(false),
+            Clearance::Trial if self.may_have_run => Err(GivenUp::Failed),
+            Clearance::Trial => Ok(true),
+            Clearance::OnTrial { .. } if self.is_tried => Ok(false),
+            Clearance::OnTrial { left_ms } | Clearance::Quarantined { left_ms } => {
+                Err(GivenUp::Quarantined { left_ms })
+            }
+        }
+    }
+
     fn seeker(&self) -> Seeker<'_> {
         Seeker {
             service: &self.service,
--- a/crates/ochreyard-direct/src/job/ending.rs
+++ b/crates/ochreyard-direct/src/job/ending.rs
@@ -45,6 +45,7 @@
             GivenUp::Full => ErrorKind::Overloaded,
             GivenUp::Budget => ErrorKind::RetryBudgetSpent,
             GivenUp::Leaving => ErrorKind::Leaving,
+            GivenUp::Quarantined { .. } => ErrorKind::Quarantined,
             GivenUp::NoEndpoint | GivenUp::Stands | GivenUp::Failed | GivenUp::TimeUp => ErrorKind::NoEndpoint,
         };
         log::info!(
@@ -58,6 +59,12 @@
             self.elapsed_ms(),
             self.last_facts
         );
+        if matches!(why, GivenUp::Quarantined { .. }) {
+            log::info!("event=suspect_refused request={} fingerprint={} {why:?}", self.id(), self.fingerprint());
+        }
+        if self.is_tried && !self.may_have_run {
+            self.entry.state.borrow_mut().quarantine.end_trial(self.fingerprint());
+        }
         meters::on_answer(&self.service, kind.as_str(), self.elapsed_ms());
         let refusal = Refusal::new(kind);
         let comes_back = refusal.kind.rule().status == StatusCode::SERVICE_UNAVAILABLE;
@@ -66,8 +73,10 @@
 
     /// When a caller should come back, in milliseconds.
     fn come_back_ms(&self, why: GivenUp) -> u64 {
-        if why == GivenUp::Leaving {
-            return LEAVING_COME_BACK_MS;
+        match why {
+            GivenUp::Leaving => return LEAVING_COME_BACK_MS,
+            GivenUp::Quarantined { left_ms } => return left_ms,
+            _ => {}
         }
         let is_down = self.entry.state.borrow().pool.is_down(&self.service, self.entry.clock.now_ms());
         let (least, most) = if is_down { COME_BACK_PARTS_DOWN } else { COME_BACK_PARTS };
--- a/crates/ochreyard-direct/src/keyed_log.rs
+++ b/crates/ochreyard-direct/src/keyed_log.rs
@@ -14,6 +14,8 @@
     Endpoints,
     /// The records that our own boxes write of themselves.
     Boxes,
+    /// Verdicts on requests that crash endpoints, by their fingerprint.
+    Quarantine,
 }
 
 /// One record. A key without a value has been dropped.
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -43,6 +43,16 @@
     metrics::counter!("ochreyard_direct_repeats_total", "service" => service.to_owned()).increment(1);
 }
 
+/// A suspect is sent to an endpoint.
+pub fn on_trial() {
+    metrics::counter!("ochreyard_direct_suspects_tried_total").increment(1);
+}
+
+/// A request was found to crash endpoints.
+pub fn on_quarantined() {
+    metrics::counter!("ochreyard_direct_requests_quarantined_total").increment(1);
+}
+
 /// All figures as text, with those that are looked up when they are asked for.
 pub fn render<D: Dialect>(entry: &Entry<D>, handle: &PrometheusHandle) -> String {
     let state = entry.state.borrow();
@@ -53,6 +63,7 @@
         .set(state.reading.age_ms(now_ms) as f64 / MS_PER_S);
     metrics::gauge!("ochreyard_direct_log_answers").set(f64::from(u8::from(state.log_answers)));
     metrics::gauge!("ochreyard_direct_known_boxes").set(state.boxes.len() as f64);
+    metrics::gauge!("ochreyard_direct_quarantined").set(state.quarantine.quarantined(now_ms) as f64);
     for (service, queue) in &state.queues {
         metrics::gauge!("ochreyard_direct_waiting", "service" => service.clone()).set(queue.line.len() as f64);
     }
--- a/crates/ochreyard-direct/src/peers.rs
+++ b/crates/ochreyard-direct/src/peers.rs
@@ -15,6 +15,6 @@
 mod tell;
 
 pub use ask::keep_asking;
-pub use news::{GROUP_PATH, ToldNews, take_news};
+pub use news::{News, PassedOver, take_news, tell_all};
 pub use question::STATE_PATH;
 pub use tell::state_for;
--- a/crates/ochreyard-direct/src/peers/ask.rs
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -81,7 +81,7 @@
         name: Some(entry.identity.name.clone()),
         record: Some(entry.identity.record),
         from: Some(state.reading.next().unwrap_or(0)),
-        boxes_heard: entry.boxes_heard(to),
+        heard: entry.heard(to),
     }
 }
 
@@ -102,7 +102,8 @@
     for (name, record) in told.boxes {
         entry.take_box(&name, record);
     }
-    entry.note_boxes_heard(from, told.boxes_told);
+    entry.take_quarantine_news(&told.quarantine);
+    entry.note_heard(from, told.told);
 }
 
 /// Takes over how far another box has read. Where the log was away, its reader says
--- a/crates/ochreyard-direct/src/peers/news.rs
+++ b/crates/ochreyard-direct/src/peers/news.rs
@@ -1,5 +1,7 @@
-//! Takes what the leader of a group tells of it, and passes it on.
+//! News that one box tells all others: they are passed on, so that nobody tells hundreds.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,7 +9,8 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use ochreyard_core::direct::GroupNews;
+use ochreyard_core::direct::{GroupNews, QuarantineNews};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::call_error::CallError;
@@ -15,56 +18,127 @@
 use crate::entry::Entry;
 use crate::link::CallLink;
 
-/// Where the leader of a group tells of it.
-pub const GROUP_PATH: &str = "/group";
-/// Largest news of a group.
-const MAX_NEWS_BYTES: usize = 64 << 10;
-/// Longest wait for a box that is told: until it is told again.
+/// Largest news that are taken.
+const MAX_NEWS_BYTES: usize = 256 << 10;
+/// Longest wait for a box that is told: until it is told again of a group.
 const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Up to this many boxes are told directly: passing on would save little.
+const TOLD_DIRECTLY: usize = 12;
+/// How long a box that took no news is not asked to pass them on, in milliseconds.
+const PASSED_OVER_MS: u64 = 2_000;
+/// Boxes of one share that are tried one after the other.
+const TRIED_IN_TURN: usize = 3;
 
-/// News of a group, and the boxes that the one which gets it tells in turn.
-///
-/// A leader that told hundreds of boxes itself would need all of its link for that.
+/// Something that boxes tell each other.
+pub trait News: Serialize + DeserializeOwned + Clone + 'static {
+    /// Where it is told.
+    const PATH: &'static str;
+
+    /// Takes it over.
+    fn take<D: Dialect>(&self, entry: &Rc<Entry<D>>);
+}
+
+impl News for GroupNews {
+    const PATH: &'static str = "/group";
+
+    fn take<D: Dialect>(&self, entry: &Rc<Entry<D>>) {
+        entry.take_group_news(self);
+    }
+}
+
+impl News for QuarantineNews {
+    const PATH: &'static str = "/quarantine";
+
+    fn take<D: Dialect>(&self, entry: &Rc<Entry<D>>) {
+        entry.take_quarantine_news(self);
+    }
+}
+
+/// News, and the boxes that the one which gets them tells in turn.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct ToldNews {
-    /// The news.
-    pub news: GroupNews,
-    /// Where to pass them on.
+struct Told<N> {
+    news: N,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub pass_on: Vec<SocketAddr>,
+    pass_on: Vec<SocketAddr>,
+}
+
+impl<N: News> Told<N> {
+    async fn tell(&self, link: &CallLink) -> Result<(), CallError> {
+        link.post(N::PATH, self, TELL_TIMEOUT).await.map(drop)
+    }
+}
+
+/// Boxes that took no news of late, each with the time until which it is passed over.
+#[derive(Debug, Default)]
+pub struct PassedOver {
+    until_ms: RefCell<BTreeMap<SocketAddr, u64>>,
+}
+
+/// Tells all other boxes, without waiting for them.
+///
+/// One that told hundreds of boxes itself would spend most of its link on it. So it tells about the square
+/// root of them, and each of those passes the news on to as many others.
+pub fn tell_all<D: Dialect, N: News>(entry: &Rc<Entry<D>>, news: &N) {
+    let mut boxes: Vec<SocketAddr> = entry.state.borrow().boxes.addrs().collect();
+    // Boxes of one data centre have addresses alike, so most news are passed on within it.
+    boxes.sort_unstable();
+    boxes.dedup();
+    for share in boxes.chunks(share_size(boxes.len())) {
+        let told = Told { news: news.clone(), pass_on: in_order(entry, share) };
+        tokio::task::spawn_local(tell_share(Rc::clone(entry), told));
+    }
+}
+
+/// Boxes that are told by one of them: the root of all, so that the first one tells no more
+/// boxes than each of those passes news on to.
+const fn share_size(boxes: usize) -> usize {
+    if boxes <= TOLD_DIRECTLY { 1 } else { boxes.isqrt() }
+}
+
+/// The boxes of a share, those first that take news.
+fn in_order<D: Dialect>(entry: &Entry<D>, share: &[SocketAddr]) -> Vec<SocketAddr> {
+    let now_ms = entry.clock.now_ms();
+    let passed_over = entry.passed_over.until_ms.borrow();
+    let is_passed_over = |addr: &SocketAddr| passed_over.get(addr).is_some_and(|until_ms| now_ms < *until_ms);
+    let mut share = share.to_vec();
+    share.sort_by_key(is_passed_over);
+    share
 }
 
-impl ToldNews {
-    /// Tells another box.
-    ///
-    /// # Errors
-    ///
-    /// When it has not taken the news by the time that it is told again.
-    pub async fn tell(&self, link: &CallLink) -> Result<(), CallError> {
-        link.post(GROUP_PATH, self, TELL_TIMEOUT).await.map(drop)
+/// Tells the first box of a share that takes the news, and lets it tell the others.
+async fn tell_share<D: Dialect, N: News>(entry: Rc<Entry<D>>, mut told: Told<N>) {
+    for _ in 0..TRIED_IN_TURN.min(told.pass_on.len()) {
+        let first = told.pass_on.remove(0);
+        let Err(error) = told.tell(&entry.link(first)).await else {
+            entry.passed_over.until_ms.borrow_mut().remove(&first);
+            return;
+        };
+        log::debug!("event=box_not_told addr={first} error=\"{error}\"");
+        let until_ms = entry.clock.now_ms() + PASSED_OVER_MS;
+        entry.passed_over.until_ms.borrow_mut().insert(first, until_ms);
     }
 }
 
-/// Takes what a leader tells of its group.
-pub async fn take_news<D: Dialect>(entry: &Rc<Entry<D>>, request: Request<Incoming>) -> StatusCode {
+/// Takes what another box tells, and passes it on.
+pub async fn take_news<D: Dialect, N: News>(entry: &Rc<Entry<D>>, request: Request<Incoming>) -> StatusCode {
     let Ok(body) = Limited::new(request.into_body(), MAX_NEWS_BYTES).collect().await else {
         return StatusCode::BAD_REQUEST;
     };
-    let told: ToldNews = match serde_json::from_slice(&body.to_bytes()) {
+    let told: Told<N> = match serde_json::from_slice(&body.to_bytes()) {
         Ok(told) => told,
         Err(error) => {
-            log::warn!("event=group_news_unreadable error=\"{error}\"");
+            log::warn!("event=news_unreadable path={} error=\"{error}\"", N::PATH);
             return StatusCode::BAD_REQUEST;
         }
     };
-    entry.take_group_news(&told.news);
+    told.news.take(entry);
     pass_on(entry, told);
     StatusCode::NO_CONTENT
 }
 
 /// Passes news on, without waiting for those that are told.
-fn pass_on<D: Dialect>(entry: &Rc<Entry<D>>, told: ToldNews) {
-    let passed = Rc::new(ToldNews { news: told.news, pass_on: Vec::new() });
+fn pass_on<D: Dialect, N: News>(entry: &Rc<Entry<D>>, told: Told<N>) {
+    let passed = Rc::new(Told { news: told.news, pass_on: Vec::new() });
     for addr in told.pass_on {
         let (link, passed) = (entry.link(addr), Rc::clone(&passed));
         tokio::task::spawn_local(async move {
--- a/crates/ochreyard-direct/src/peers/peer_state.rs
+++ b/crates/ochreyard-direct/src/peers/peer_state.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use ochreyard_core::direct::BoxRecord;
+use ochreyard_core::direct::{BoxRecord, QuarantineNews};
 use serde::{Deserialize, Serialize};
 
 use super::peer_endpoint::PeerEndpoint;
 use super::peer_reading::PeerReading;
-use crate::boxes_heard::BoxesHeard;
+use crate::heard::Heard;
 
 /// What a box knows and another one may lack.
 #[derive(Debug, Clone, Serialize, Deserialize, Default)]
@@ -20,7 +20,10 @@
     pub reading: Option<PeerReading>,
     /// This box, and others that it learned of since it was asked last.
     pub boxes: BTreeMap<String, BoxRecord>,
-    /// How much of its list of boxes that completes.
+    /// What became known of requests that crash endpoints since it was asked last.
+    #[serde(default, skip_serializing_if = "QuarantineNews::is_empty")]
+    pub quarantine: QuarantineNews,
+    /// How far the asker knows what is told step by step, with this.
     #[serde(default)]
-    pub boxes_told: BoxesHeard,
+    pub told: Heard,
 }
--- a/crates/ochreyard-direct/src/peers/question.rs
+++ b/crates/ochreyard-direct/src/peers/question.rs
@@ -4,7 +4,7 @@
 
 use ochreyard_core::direct::BoxRecord;
 
-use crate::boxes_heard::BoxesHeard;
+use crate::heard::Heard;
 
 /// Where a box tells what it knows.
 pub const STATE_PATH: &str = "/state";
@@ -20,8 +20,8 @@
     pub record: Option<BoxRecord>,
     /// Where it reads on among the records of endpoints.
     pub from: Option<u64>,
-    /// How much of the list of boxes it knows already.
-    pub boxes_heard: BoxesHeard,
+    /// How much of what is told step by step it knows already.
+    pub heard: Heard,
 }
 
 impl Question {
@@ -34,9 +34,10 @@
             name: pairs.get("box").map(|name| (*name).to_owned()),
             record: record(&pairs),
             from: number("from"),
-            boxes_heard: BoxesHeard {
+            heard: Heard {
                 life: number("life").unwrap_or(0),
-                count: number("boxes").and_then(|count| usize::try_from(count).ok()).unwrap_or(0),
+                boxes: number("boxes").and_then(|count| usize::try_from(count).ok()).unwrap_or(0),
+                quarantine: number("quarantine").unwrap_or(0),
             },
         }
     }
@@ -51,8 +52,10 @@
             format!("addr={addr}&cores={cores_permille}&link={link_mbps}")
         }));
         pairs.extend(self.from.map(|from| format!("from={from}")));
-        let BoxesHeard { life, count } = self.boxes_heard;
-        pairs.extend((count > 0).then(|| format!("life={life}&boxes={count}")));
+        let Heard { life, boxes, quarantine } = self.heard;
+        pairs.extend((boxes > 0 || quarantine > 0).then(|| format!("life={life}")));
+        pairs.extend((boxes > 0).then(|| format!("boxes={boxes}")));
+        pairs.extend((quarantine > 0).then(|| format!("quarantine={quarantine}")));
         format!("{STATE_PATH}?{}", pairs.join("&"))
     }
 }
--- a/crates/ochreyard-direct/src/peers/tell.rs
+++ b/crates/ochreyard-direct/src/peers/tell.rs
@@ -9,9 +9,9 @@
 use super::peer_reading::PeerReading;
 use super::peer_state::PeerState;
 use super::question::Question;
-use crate::boxes_heard::BoxesHeard;
 use crate::dialect::Dialect;
 use crate::entry::{Entry, State};
+use crate::heard::Heard;
 
 /// The answer to a box that asks; what it says of itself is noted.
 pub fn state_for<D: Dialect>(entry: &Entry<D>, query: &str) -> Bytes {
@@ -29,12 +29,15 @@
 /// What this box knows and the asker may lack.
 fn told<D: Dialect>(entry: &Entry<D>, question: &Question) -> PeerState {
     let state = entry.state.borrow();
+    // What was heard of another life says nothing of this one.
+    let heard = if question.heard.life == entry.identity.life { question.heard } else { Heard::default() };
     PeerState {
         config: newer_config(&state, question.version),
         endpoints: question.from.map_or_else(Vec::new, |from| changed_since(&state, from)),
         reading: question.from.and_then(|_| reading(&state, entry.clock.now_ms())),
-        boxes: boxes(entry, &state, question.boxes_heard),
-        boxes_told: BoxesHeard { life: entry.identity.life, count: state.boxes.learned() },
+        boxes: boxes(entry, &state, heard.boxes),
+        quarantine: state.quarantine.news_since(heard.quarantine, entry.clock.now_ms()),
+        told: Heard { life: entry.identity.life, boxes: state.boxes.learned(), quarantine: state.quarantine.changes() },
     }
 }
 
@@ -58,8 +61,7 @@
 }
 
 /// This box, and those of its list that the asker has not been told of.
-fn boxes<D>(entry: &Entry<D>, state: &State, heard: BoxesHeard) -> BTreeMap<String, BoxRecord> {
-    let known = if heard.life == entry.identity.life { heard.count } else { 0 };
+fn boxes<D>(entry: &Entry<D>, state: &State, known: usize) -> BTreeMap<String, BoxRecord> {
     let news = state.boxes.learned_since(known).map(|(name, record)| (name.to_owned(), *record));
     news.chain([(entry.identity.name.clone(), entry.identity.record)]).collect()
 }
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -120,7 +120,8 @@
 fn start_followers<D: Dialect, L: KeyedLog>(settings: &Settings, entry: &Rc<Entry<D>>, log: L) {
     tokio::task::spawn_local(follow::follow_config(Rc::clone(entry), log.clone()));
     tokio::task::spawn_local(follow::follow_endpoints(Rc::clone(entry), log.clone()));
-    tokio::task::spawn_local(follow::follow_boxes(Rc::clone(entry), log));
+    tokio::task::spawn_local(follow::follow_boxes(Rc::clone(entry), log.clone()));
+    tokio::task::spawn_local(follow::keep_verdicts(Rc::clone(entry), log));
     tokio::task::spawn_local(peers::keep_asking(Rc::clone(entry), seeds(settings)));
     tokio::task::spawn_local(sweep(Rc::clone(entry)));
 }
@@ -140,7 +141,12 @@
 async fn sweep<D: Dialect>(entry: Rc<Entry<D>>) {
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
-        entry.state.borrow_mut().connections.sweep();
+        let now_ms = entry.clock.now_ms();
+        let mut state = entry.state.borrow_mut();
+        state.connections.sweep();
+        if !state.quarantine.is_empty() {
+            state.quarantine.forget_old(now_ms);
+        }
     }
 }
 
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -9,12 +9,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use ochreyard_core::direct::{GroupNews, QuarantineNews};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::answer_body::AnswerBody;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
+use crate::peers::News;
 use crate::{connection, forward, meters, peers};
 
 /// Least size of the buffer for a head; the library needs this much.
@@ -138,7 +140,12 @@
             let query = request.uri().query().unwrap_or_default();
             Response::new(AnswerBody::whole(peers::state_for(entry, query)))
         }
-        (Side::Peers, &Method::POST, peers::GROUP_PATH) => status_only(peers::take_news(entry, request).await),
+        (Side::Peers, &Method::POST, GroupNews::PATH) => {
+            status_only(peers::take_news::<D, GroupNews>(entry, request).await)
+        }
+        (Side::Peers, &Method::POST, QuarantineNews::PATH) => {
+            status_only(peers::take_news::<D, QuarantineNews>(entry, request).await)
+        }
         _ => status_only(StatusCode::NOT_FOUND),
     }
 }
