Endpoints that start again as themselves, and entries by other writers

Cause: an endpoint may start again under its identifier; what was learned of it (failures, connections, what a request tried, counts) went on counting. Ruled out, by the model (20,000 cases with engines that start again in the middle of a change): that a leader must know the start of each engine. A fence by it changed nothing, since the group forms anew under a new epoch; it was taken out again.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -7,6 +7,7 @@
 mod box_list;
 mod box_record;
 mod catalog;
+mod endpoint_life;
 mod endpoint_pool;
 mod event_splitter;
 mod fingerprint;
@@ -20,6 +21,7 @@
 pub use box_list::BoxList;
 pub use box_record::BoxRecord;
 pub use catalog::{Catalog, EndpointChange, EndpointRecord};
+pub use endpoint_life::EndpointLife;
 pub use endpoint_pool::{EndpointPool, NoPick, Outcome, Pick, ReportedLoad};
 pub use event_splitter::{EventSplitter, WholeEvents};
 pub use fingerprint::{Fingerprint, NoFingerprint};
--- a/crates/ochreyard-core/src/direct/catalog.rs
+++ b/crates/ochreyard-core/src/direct/catalog.rs
@@ -24,6 +24,9 @@
     pub is_leaving: bool,
     /// How much longer it is slow from its start, in milliseconds.
     pub cold_ms: u64,
+    /// When this life of it started, by its own clock, in milliseconds since 1970; 0 where it does not tell.
+    #[serde(default)]
+    pub born_ms: u64,
 }
 
 /// One change of the list of endpoints.
--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -17,6 +17,7 @@
 pub use self::pick::Pick;
 pub use self::reported_load::ReportedLoad;
 use super::catalog::{EndpointChange, EndpointRecord};
+use super::endpoint_life::EndpointLife;
 use super::group_news::GroupNews;
 use super::waiting::Urgency;
 use crate::hash;
@@ -68,6 +69,7 @@
     fn put(&mut self, id: String, record: EndpointRecord) {
         if let Some(member) = self.members.get_mut(&id)
             && member.record.service == record.service
+            && member.record.born_ms == record.born_ms
         {
             member.record = record;
             return;
@@ -104,7 +106,7 @@
     pub fn pick(
         &self,
         service: &str,
-        tried: &[String],
+        tried: &[EndpointLife],
         urgency: Urgency,
         draw: u64,
         now_ms: u64,
@@ -114,7 +116,7 @@
         }
         let open: Vec<(&str, &Member)> = self
             .of_service(service)
-            .filter(|(id, member)| !member.record.is_leaving && !tried.iter().any(|other| other == id))
+            .filter(|(id, member)| !member.record.is_leaving && !tried.iter().any(|life| member.is_life(id, life)))
             .collect();
         let is_sound =
             |member: &Member| !member.is_aside(now_ms) && !member.is_slow(now_ms) && self.is_serving(member, now_ms);
@@ -130,7 +132,13 @@
         let compared = shuffled.into_iter().take(COMPARED).map(|(_, found)| found);
         let best = compared.min_by(|a, b| self.pressure(a.1, now_ms).total_cmp(&self.pressure(b.1, now_ms)));
         let (id, member) = best.ok_or(NoPick::Full)?;
-        Ok(Pick { id: id.to_owned(), addr: member.record.addr, in_flight: member.in_flight, urgency })
+        Ok(Pick {
+            id: id.to_owned(),
+            born_ms: member.record.born_ms,
+            addr: member.record.addr,
+            in_flight: member.in_flight,
+            urgency,
+        })
     }
 
     /// Whether all groups of a service are known to stand or to be broken.
@@ -250,19 +258,24 @@
     }
 
     /// An attempt is on its way.
-    pub fn on_start(&mut self, id: &str, urgency: Urgency) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.on_start(urgency);
+    pub fn on_start(&mut self, pick: &Pick) {
+        if let Some(member) = self.member_of(pick) {
+            member.on_start(pick.urgency);
         }
     }
 
-    /// An attempt has ended.
-    pub fn on_end(&mut self, id: &str, urgency: Urgency, outcome: Outcome, now_ms: u64) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.on_end(urgency, outcome, now_ms);
+    /// An attempt has ended. One at a life before says nothing of the present one.
+    pub fn on_end(&mut self, pick: &Pick, outcome: Outcome, now_ms: u64) {
+        if let Some(member) = self.member_of(pick) {
+            member.on_end(pick.urgency, outcome, now_ms);
         }
     }
 
+    /// The endpoint that was picked, if it still lives the same life.
+    fn member_of(&mut self, pick: &Pick) -> Option<&mut Member> {
+        self.members.get_mut(&pick.id).filter(|member| member.record.born_ms == pick.born_ms)
+    }
+
     /// An endpoint was heard: a head, an event, any byte of an answer.
     pub fn on_heard(&mut self, id: &str, now_ms: u64) {
         if let Some(member) = self.members.get_mut(id) {
@@ -278,7 +291,7 @@
     /// others take 200 ms in place of 65 for three to six seconds; once they are gone, steps
     /// are short again although the rank is as slow as before.
     #[must_use]
-    pub fn should_leave(&self, id: &str, service: &str, tried: &[String], now_ms: u64) -> bool {
+    pub fn should_leave(&self, id: &str, service: &str, tried: &[EndpointLife], now_ms: u64) -> bool {
         let is_slow = |id: &str| self.members.get(id).is_some_and(|member| member.is_slow(now_ms));
         let other = || self.pick(service, tried, Urgency::InAim, 0, now_ms).ok();
         is_slow(id) && other().is_some_and(|pick| pick.id != id && !is_slow(&pick.id))
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -3,8 +3,8 @@
 use super::NEWS_LIFE_MS;
 use super::outcome::Outcome;
 use super::reported_load::ReportedLoad;
-use crate::direct::EndpointRecord;
 use crate::direct::waiting::Urgency;
+use crate::direct::{EndpointLife, EndpointRecord};
 
 /// Weight of one more outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether it is this life of the endpoint `id`.
+    pub fn is_life(&self, id: &str, life: &EndpointLife) -> bool {
+        life.id == id && life.born_ms == self.record.born_ms
+    }
+
     /// Requests there, as far as known: our own exactly, those of other boxes from
     /// the last report, fading with its age.
     pub fn requests(&self, now_ms: u64) -> f64 {
--- a/crates/ochreyard-core/src/direct/endpoint_pool/pick.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/pick.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::direct::EndpointLife;
 use crate::direct::waiting::Urgency;
 
 /// The endpoint for an attempt.
@@ -9,6 +10,8 @@
 pub struct Pick {
     /// Its identifier.
     pub id: String,
+    /// When the life of it that was picked started.
+    pub born_ms: u64,
     /// Where it listens.
     pub addr: SocketAddr,
     /// Requests that this box already has there.
@@ -16,3 +19,11 @@
     /// How soon the request had to go.
     pub urgency: Urgency,
 }
+
+impl Pick {
+    /// The life of the endpoint that was picked.
+    #[must_use]
+    pub fn life(&self) -> EndpointLife {
+        EndpointLife { id: self.id.clone(), born_ms: self.born_ms }
+    }
+}
--- a/crates/ochreyard-core/src/direct/quarantine.rs
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -310,23 +310,18 @@
         self.judge(now_ms)
     }
 
-    /// Takes another entry's verdict, unless a later one, or a clearance since, is known.
+    /// Takes another entry's verdict, unless one as late, or a clearance since, is known. Two entries that judge
+    /// by themselves differ by milliseconds, which is no news.
     fn take_verdict(&mut self, told: &VerdictNews, now_ms: u64) {
+        let until_ms = now_ms + told.left_ms.min(verdict::MAX_LIFE_MS);
         let made_ms = now_ms.saturating_sub(told.age_ms);
         let is_cleared = self.cleared.get(&told.fingerprint).is_some_and(|cleared| cleared.at_ms >= made_ms);
-        let knows_later = self.verdicts.get(&told.fingerprint).is_some_and(|known| {
-            (known.times, known.until_ms) >= (told.times, now_ms + told.left_ms) || known.times > told.times
-        });
+        let knows_later = self.verdicts.get(&told.fingerprint).is_some_and(|known| known.times >= told.times);
         if is_cleared || knows_later || told.times == 0 {
             return;
         }
-        // Two entries that judge by themselves differ by milliseconds: that is no news to pass on.
-        let is_same = self.verdicts.get(&told.fingerprint).is_some_and(|known| known.times == told.times);
-        if is_same {
-            return;
-        }
         self.changes += 1;
-        let verdict = Verdict { made_ms, until_ms: now_ms + told.left_ms, times: told.times, change: self.changes };
+        let verdict = Verdict { made_ms, until_ms, times: told.times, change: self.changes };
         self.verdicts.insert(told.fingerprint, verdict);
     }
 }
--- a/crates/ochreyard-core/src/direct/quarantine/verdict.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/verdict.rs
@@ -4,7 +4,7 @@
 /// request needs longer than that; each trial after it costs one endpoint at the most.
 const FIRST_LIFE_MS: u64 = 10 * 60 * 1_000;
 /// The longest time, in milliseconds: a day.
-const MAX_LIFE_MS: u64 = 24 * 60 * 60 * 1_000;
+pub const MAX_LIFE_MS: u64 = 24 * 60 * 60 * 1_000;
 /// How long a verdict that is over is remembered, in milliseconds: a request that crashes an endpoint on its trial
 /// is refused again at once, and for twice as long.
 const REMEMBERED_MS: u64 = MAX_LIFE_MS;
--- a/crates/ochreyard-core/src/direct/waiting/choice.rs
+++ b/crates/ochreyard-core/src/direct/waiting/choice.rs
@@ -1,6 +1,7 @@
 //! Whether a request goes to an endpoint now, waits for one, or is given up.
 
 use super::{Arrival, ServiceQueue, Ticket, Urgency, WaitFacts};
+use crate::direct::endpoint_life::EndpointLife;
 use crate::direct::endpoint_pool::{EndpointPool, NoPick, Pick};
 
 /// A request that looks for an endpoint.
@@ -9,7 +10,7 @@
     /// Its service.
     pub service: &'a str,
     /// Endpoints that were tried.
-    pub tried: &'a [String],
+    pub tried: &'a [EndpointLife],
     /// How it arrived.
     pub arrival: Arrival,
     /// When its time ends.
--- a/crates/ochreyard-core/tests/endpoint_pool.rs
+++ b/crates/ochreyard-core/tests/endpoint_pool.rs
@@ -4,8 +4,20 @@
 
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
-    EndpointChange, EndpointPool, EndpointRecord, GroupNews, NoPick, Outcome, RankNews, TellerRole, Urgency,
+    EndpointChange, EndpointLife, EndpointPool, EndpointRecord, GroupNews, NoPick, Outcome, Pick, RankNews, TellerRole,
+    Urgency,
 };
+use rstest::rstest;
+
+/// The first life of an endpoint.
+fn life(id: &str) -> EndpointLife {
+    EndpointLife { id: id.to_owned(), born_ms: 0 }
+}
+
+/// An endpoint in its first life, as it would be picked.
+fn picked(id: &str, urgency: Urgency) -> Pick {
+    Pick { id: id.to_owned(), born_ms: 0, addr: endpoint(1).addr, in_flight: 0, urgency }
+}
 
 fn pool(ports: impl IntoIterator<Item = u16>) -> EndpointPool {
     let mut pool = EndpointPool::new();
@@ -31,9 +43,9 @@
 #[test]
 fn the_endpoint_with_least_of_our_own_requests_is_picked() {
     let mut pool = pool([1, 2]);
-    pool.on_start("e1", Urgency::InAim);
+    pool.on_start(&picked("e1", Urgency::InAim));
     assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 0).unwrap().id, "e2");
-    assert_eq!(pool.pick("tiles", &["e2".into()], Urgency::InAim, 0, 0).unwrap().id, "e1");
+    assert_eq!(pool.pick("tiles", &[life("e2")], Urgency::InAim, 0, 0).unwrap().id, "e1");
     assert_eq!(pool.pick("other", &[], Urgency::InAim, 0, 0), Err(NoPick::Nobody));
 }
 
@@ -47,20 +59,56 @@
 #[test]
 fn an_address_that_passed_to_another_endpoint_keeps_no_history() {
     let mut pool = pool([1]);
-    pool.on_start("e1", Urgency::InAim);
-    pool.on_end("e1", Urgency::InAim, Outcome::Unreachable, 0);
+    pool.on_start(&picked("e1", Urgency::InAim));
+    pool.on_end(&picked("e1", Urgency::InAim), Outcome::Unreachable, 0);
     pool.apply(EndpointChange::Gone("e1".into()));
     pool.apply(EndpointChange::Known("new".into(), endpoint(1)));
     assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 1).unwrap().id, "new");
 }
 
+/// An endpoint that starts again under its identifier: its record tells when it did.
+fn start_again(pool: &mut EndpointPool, born_ms: u64) {
+    pool.apply(EndpointChange::Known("e1".into(), EndpointRecord { born_ms, ..endpoint(1) }));
+}
+
+#[rstest]
+#[case::later(1_000)]
+#[case::by_a_clock_that_is_behind(10)]
+fn an_endpoint_that_starts_again_keeps_no_history(#[case] born_ms: u64) {
+    let mut pool = EndpointPool::new();
+    start_again(&mut pool, 500);
+    let first = pool.pick("tiles", &[], Urgency::InAim, 0, 0).unwrap();
+    pool.on_start(&first);
+    pool.on_news(&news(false, &[1], 9), 0);
+    start_again(&mut pool, born_ms);
+    let second = pool.pick("tiles", &[first.life()], Urgency::InAim, 0, 1).expect("it was not tried in this life");
+    assert_eq!((second.born_ms, second.in_flight), (born_ms, 0));
+}
+
+#[test]
+fn what_ends_late_of_a_life_before_says_nothing_of_the_next_one() {
+    let mut pool = pool([2]);
+    start_again(&mut pool, 500);
+    let first = pool.pick("tiles", &[life("e2")], Urgency::InAim, 0, 0).unwrap();
+    pool.on_start(&first);
+    start_again(&mut pool, 900);
+    let second = pool.pick("tiles", &[life("e2")], Urgency::InAim, 0, 1).unwrap();
+    pool.on_start(&second);
+    // Counted against the new life, this would set it aside, and forget its request.
+    pool.on_end(&first, Outcome::Unreachable, 2);
+    let again = pool.pick("tiles", &[life("e2")], Urgency::InAim, 0, 3).unwrap();
+    assert_eq!(again.in_flight, 1);
+    (0..2).for_each(|_| pool.on_start(&picked("e2", Urgency::InAim)));
+    assert!((0..20).all(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 4).unwrap().id == "e1"));
+}
+
 #[test]
 fn one_that_cannot_be_reached_is_set_aside_but_used_where_no_other_is_left() {
     let mut pool = pool([1, 2]);
-    pool.on_start("e1", Urgency::InAim);
-    pool.on_end("e1", Urgency::InAim, Outcome::Unreachable, 0);
+    pool.on_start(&picked("e1", Urgency::InAim));
+    pool.on_end(&picked("e1", Urgency::InAim), Outcome::Unreachable, 0);
     assert!((0..20).all(|draw| pool.pick("tiles", &[], Urgency::InAim, draw, 100).unwrap().id == "e2"));
-    assert_eq!(pool.pick("tiles", &["e2".into()], Urgency::InAim, 0, 100).unwrap().id, "e1");
+    assert_eq!(pool.pick("tiles", &[life("e2")], Urgency::InAim, 0, 100).unwrap().id, "e1");
 }
 
 #[test]
@@ -97,9 +145,9 @@
     let mut slow = news(true, &[1, 2], 0);
     slow.ranks[0].pace_permille = 4_000;
     pool.on_news(&slow, 0);
-    pool.on_start("e2", Urgency::InAim);
+    pool.on_start(&picked("e2", Urgency::InAim));
     assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 1).unwrap().id, "e2");
-    assert_eq!(pool.pick("tiles", &["e2".into()], Urgency::InAim, 0, 1).unwrap().id, "e1");
+    assert_eq!(pool.pick("tiles", &[life("e2")], Urgency::InAim, 0, 1).unwrap().id, "e1");
     assert_eq!(pool.pick("tiles", &[], Urgency::InAim, 0, 5_000).unwrap().id, "e1");
 }
 
@@ -118,7 +166,7 @@
     pool.on_news(&with_paces([4_000, 1_000]), 100);
     assert!(pool.should_leave("e1", "tiles", &[], 101));
     assert!(!pool.should_leave("e2", "tiles", &[], 101));
-    assert!(!pool.should_leave("e1", "tiles", &["e2".into()], 101), "the other one was tried");
+    assert!(!pool.should_leave("e1", "tiles", &[life("e2")], 101), "the other one was tried");
     assert!(!pool.should_leave("e1", "tiles", &[], 5_000), "what was told is old");
     pool.on_news(&with_paces([4_000, 4_000]), 5_000);
     assert!(!pool.should_leave("e1", "tiles", &[], 5_001), "the other one is as slow");
@@ -191,14 +239,14 @@
     let most = (0..).find(|_| {
         let is_full = pool.pick("tiles", &[], Urgency::Late, 0, 1) == Err(NoPick::Full);
         if !is_full {
-            pool.on_start("e1", Urgency::Late);
+            pool.on_start(&picked("e1", Urgency::Late));
         }
         is_full
     });
     assert_eq!(most, Some(pool.late_in_flight("tiles")));
     assert!(pool.late_in_flight("tiles") >= slots / 2);
     assert!(pool.pick("tiles", &[], Urgency::InAim, 0, 1).is_ok());
-    pool.on_end("e1", Urgency::Late, Outcome::Good, 2);
+    pool.on_end(&picked("e1", Urgency::Late), Outcome::Good, 2);
     assert!(pool.pick("tiles", &[], Urgency::Late, 0, 2).is_ok());
 }
 
--- a/crates/ochreyard-core/tests/group_map_model/mod.rs
+++ b/crates/ochreyard-core/tests/group_map_model/mod.rs
@@ -114,6 +114,8 @@
     /// Times that the map in use changed.
     pub switches: u64,
     has_faults: bool,
+    /// Until when the group stands since an engine has started again: then it forms anew.
+    forms_ms: Option<u64>,
 }
 
 impl World {
@@ -137,6 +139,7 @@
             standing_since_ms: None,
             switches: 0,
             has_faults: true,
+            forms_ms: None,
         }
     }
 
@@ -180,6 +183,9 @@
         if self.draws.one_in(900) {
             self.form_anew();
         }
+        if self.forms_ms.is_none() && self.draws.one_in(500) {
+            self.restart_engine();
+        }
     }
 
     fn restart_agent(&mut self, at: usize, down_ms: u64) {
@@ -190,7 +196,16 @@
         self.candidates[at].frozen_until_ms = up_ms;
     }
 
+    /// An engine starts again as itself. Until the group forms anew, nobody has noticed: it
+    /// reports the epoch and the state of the group as before, and takes orders.
+    fn restart_engine(&mut self) {
+        let at = self.draws.below(RANKS as u64) as usize;
+        self.engines[at] = Engine { map: (0, content_of(dealt().sets())), ..Engine::default() };
+        self.forms_ms = Some(self.now_ms + 20 + self.draws.below(600));
+    }
+
     fn form_anew(&mut self) {
+        self.forms_ms = None;
         self.epoch += 1;
         let map = (0, content_of(dealt().sets()));
         // A number of a map is never used again, in no epoch.
@@ -216,6 +231,14 @@
     }
 
     fn advance_steps(&mut self) -> Result<(), String> {
+        if self.forms_ms.is_some_and(|forms_ms| forms_ms <= self.now_ms) {
+            self.form_anew();
+        }
+        if self.forms_ms.is_some() {
+            // Steps are made by all ranks together.
+            self.standing_since_ms = None;
+            return Ok(());
+        }
         let next = self.step + 1;
         let is_held = self.engines.iter().any(|engine| engine.held == Some(next));
         if self.is_idle || self.now_ms < self.next_step_ms {
--- a/crates/ochreyard-core/tests/stand_load_model/entry_model.rs
+++ b/crates/ochreyard-core/tests/stand_load_model/entry_model.rs
@@ -42,13 +42,13 @@
     }
 
     pub fn run(&mut self, pick: Pick, until_ms: u64) {
-        self.pool.on_start(&pick.id, pick.urgency);
+        self.pool.on_start(&pick);
         self.running.push((until_ms, pick));
     }
 
     pub fn end_runs(&mut self, now_ms: u64) {
         for (_, pick) in self.running.extract_if(.., |(until_ms, _)| *until_ms <= now_ms) {
-            self.pool.on_end(&pick.id, pick.urgency, Outcome::Good, now_ms);
+            self.pool.on_end(&pick, Outcome::Good, now_ms);
         }
     }
 
@@ -77,5 +77,6 @@
         slots: SLOTS,
         is_leaving: false,
         cold_ms: 0,
+        born_ms: 0,
     }
 }
--- a/crates/ochreyard-direct/src/answer.rs
+++ b/crates/ochreyard-direct/src/answer.rs
@@ -29,7 +29,7 @@
     /// Keeps the connection, once the body was read to its end.
     pub fn finish(self, entry: &Entry<D>) {
         let mut state = entry.state.borrow_mut();
-        state.connections.keep(&self.pick.id, self.pick.addr, self.connection, &self.head.headers);
+        state.connections.keep(&self.pick, self.connection, &self.head.headers);
     }
 }
 
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -66,7 +66,7 @@
 /// A kept connection on which the answer before has come to its end.
 async fn free_connection<D: Dialect>(entry: &Entry<D>, pick: &Pick) -> Option<Connection> {
     loop {
-        let mut connection = entry.state.borrow_mut().connections.take(&pick.id, pick.addr)?;
+        let mut connection = entry.state.borrow_mut().connections.take(pick)?;
         if connection.is_free().await {
             return Some(connection);
         }
--- a/crates/ochreyard-direct/src/connection_pool.rs
+++ b/crates/ochreyard-direct/src/connection_pool.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use http::HeaderMap;
+use ochreyard_core::direct::{EndpointLife, Pick};
 
 use crate::connection::Connection;
 
@@ -21,19 +22,19 @@
     until: Instant,
 }
 
-/// Kept connections, by endpoint.
+/// Kept connections, by life of an endpoint.
 ///
-/// The endpoint's identifier is part of the key: its address may later belong to another one.
+/// Its address may later belong to another one, and what is still open to a life before leads nowhere.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
-    idle: HashMap<(String, SocketAddr), Vec<Idle>>,
+    idle: HashMap<(EndpointLife, SocketAddr), Vec<Idle>>,
 }
 
 impl ConnectionPool {
     /// Takes the connection that was used last, if one is left that should still be open.
-    pub fn take(&mut self, id: &str, addr: SocketAddr) -> Option<Connection> {
+    pub fn take(&mut self, pick: &Pick) -> Option<Connection> {
         let now = Instant::now();
-        let idle = self.idle.get_mut(&(id.to_owned(), addr))?;
+        let idle = self.idle.get_mut(&(pick.life(), pick.addr))?;
         while let Some(last) = idle.pop() {
             if last.until > now && last.connection.is_open() {
                 return Some(last.connection);
@@ -43,9 +44,9 @@
     }
 
     /// Keeps a connection whose answer was whole, unless the answer forbids it.
-    pub fn keep(&mut self, id: &str, addr: SocketAddr, connection: Connection, answer: &HeaderMap) {
+    pub fn keep(&mut self, pick: &Pick, connection: Connection, answer: &HeaderMap) {
         let Some(rest) = allowed_rest(answer) else { return };
-        let idle = self.idle.entry((id.to_owned(), addr)).or_default();
+        let idle = self.idle.entry((pick.life(), pick.addr)).or_default();
         if idle.len() < MAX_IDLE && connection.is_open() {
             idle.push(Idle { connection, until: Instant::now() + rest });
         }
--- a/crates/ochreyard-direct/src/crash_check.rs
+++ b/crates/ochreyard-direct/src/crash_check.rs
@@ -71,7 +71,7 @@
     let found = match Connection::open(pick.addr, CHECK_TIMEOUT).await {
         Ok(connection) => {
             // The next request needs one anyway.
-            entry.state.borrow_mut().connections.keep(&pick.id, pick.addr, connection, &HeaderMap::new());
+            entry.state.borrow_mut().connections.keep(&pick, connection, &HeaderMap::new());
             CrashCheck::Alive
         }
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => CrashCheck::Crashed,
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -203,8 +203,9 @@
         let record = match document.map(|document| self.dialect.read_endpoint(document)).transpose() {
             Ok(record) => record,
             Err(error) => {
+                // Its newest entry names no endpoint to use, whoever wrote it.
                 log::warn!("event=endpoint_unreadable endpoint={id} error=\"{error}\"");
-                return;
+                None
             }
         };
         let now_ms = self.clock.now_ms();
--- a/crates/ochreyard-direct/src/flight.rs
+++ b/crates/ochreyard-direct/src/flight.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use ochreyard_core::direct::{Outcome, Pick, Urgency};
+use ochreyard_core::direct::{Outcome, Pick};
 
 use crate::dialect::Dialect;
 use crate::entry::Entry;
@@ -11,17 +11,16 @@
 /// Counts an attempt at its endpoint for as long as it lives.
 pub struct Flight<D: Dialect> {
     entry: Rc<Entry<D>>,
-    id: String,
-    urgency: Urgency,
+    pick: Pick,
     outcome: Cell<Outcome>,
 }
 
 impl<D: Dialect> Flight<D> {
     /// An attempt at the picked endpoint begins.
     pub fn start(entry: &Rc<Entry<D>>, pick: &Pick) -> Self {
-        entry.state.borrow_mut().pool.on_start(&pick.id, pick.urgency);
+        entry.state.borrow_mut().pool.on_start(pick);
         let outcome = Cell::new(Outcome::Unknown);
-        Self { entry: Rc::clone(entry), id: pick.id.clone(), urgency: pick.urgency, outcome }
+        Self { entry: Rc::clone(entry), pick: pick.clone(), outcome }
     }
 
     /// Sets how the attempt ended.
@@ -32,19 +31,19 @@
     /// Notes that the endpoint was heard.
     pub fn on_heard(&self) {
         let now_ms = self.entry.clock.now_ms();
-        self.entry.state.borrow_mut().pool.on_heard(&self.id, now_ms);
+        self.entry.state.borrow_mut().pool.on_heard(&self.pick.id, now_ms);
     }
 
     /// Whether the endpoint has said nothing to anybody here for so long.
     pub fn is_silent(&self, for_ms: u64) -> bool {
         let now_ms = self.entry.clock.now_ms();
-        self.entry.state.borrow().pool.is_silent(&self.id, for_ms, now_ms)
+        self.entry.state.borrow().pool.is_silent(&self.pick.id, for_ms, now_ms)
     }
 }
 
 impl<D: Dialect> Drop for Flight<D> {
     fn drop(&mut self) {
         let now_ms = self.entry.clock.now_ms();
-        self.entry.state.borrow_mut().pool.on_end(&self.id, self.urgency, self.outcome.get(), now_ms);
+        self.entry.state.borrow_mut().pool.on_end(&self.pick, self.outcome.get(), now_ms);
     }
 }
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -10,7 +10,9 @@
 
 use http::Response;
 use http_body_util::BodyExt;
-use ochreyard_core::direct::{Arrival, Fingerprint, LostRequest, Outcome, Pick, Route, RouteKind, WaitFacts};
+use ochreyard_core::direct::{
+    Arrival, EndpointLife, Fingerprint, LostRequest, Outcome, Pick, Route, RouteKind, WaitFacts,
+};
 
 use crate::answer::{Answer, pass_on};
 use crate::answer_body::AnswerBody;
@@ -56,8 +58,8 @@
     pub last_facts: Option<WaitFacts>,
     /// Attempts that an endpoint got.
     pub sent: u64,
-    /// Endpoints that were tried.
-    pub tried: Vec<String>,
+    /// Lives of endpoints that were tried.
+    pub tried: Vec<EndpointLife>,
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
     /// What tells that this request comes again, once that was asked for.
@@ -164,7 +166,7 @@
             return;
         }
         self.sent += u64::from(was_reached);
-        self.tried.push(pick.id.clone());
+        self.tried.push(pick.life());
     }
 
     fn stands(&self) -> bool {
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -46,4 +46,4 @@
 pub use heard::Heard;
 pub use keyed_log::{KeyedLog, KeyedLogError, KeyedPage, KeyedRecord, Topic};
 pub use link::CallLink;
-pub use peers::{News, tell_all};
+pub use peers::{News, Question, tell_all};
--- a/crates/ochreyard-direct/src/peers.rs
+++ b/crates/ochreyard-direct/src/peers.rs
@@ -16,5 +16,5 @@
 
 pub use ask::keep_asking;
 pub use news::{News, PassedOver, take_news, tell_all};
-pub use question::STATE_PATH;
+pub use question::{Question, STATE_PATH};
 pub use tell::state_for;
--- a/crates/ochreyard-rank/src/agent.rs
+++ b/crates/ochreyard-rank/src/agent.rs
@@ -5,9 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use ochreyard_core::group_map::{
-    ChosenCounts, Grant, LeaderId, Order, OrderOutcome, RankView, SentOrder, chosen_between,
-};
+use ochreyard_core::group_map::{ChosenCounts, Grant, LeaderId, Order, OrderOutcome, RankView, SentOrder};
 use ochreyard_process::Clock;
 
 use crate::engine::{Counts, EngineError, RankEngine};
@@ -80,7 +78,7 @@
         let counts = self.noted(self.engine.counts().await)?;
         let told = ToldCounts { leader: *leader, counts };
         let before = self.told_counts.replace(Some(told.clone())).filter(|before| before.leader == *leader)?;
-        Some(ChosenCounts::new(&chosen_between(&before.counts.counts, &told.counts.counts)))
+        Some(ChosenCounts::new(&told.counts.since(&before.counts)))
     }
 
     async fn carry_out(&self, ask: &Ask) -> Vec<OrderOutcome> {
--- a/crates/ochreyard-rank/src/engine.rs
+++ b/crates/ochreyard-rank/src/engine.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 
-use ochreyard_core::group_map::{OrderOutcome, RankView, SentOrder};
+use ochreyard_core::group_map::{OrderOutcome, RankView, SentOrder, chosen_between};
 use serde::{Deserialize, Serialize};
 
 /// Why an engine told nothing.
@@ -25,10 +25,22 @@
 pub struct Counts {
     /// The epoch of the group.
     pub epoch: u64,
+    /// When this life of the engine started; 0 where it does not tell.
+    pub born_ms: u64,
     /// The counts.
     pub counts: Vec<u64>,
 }
 
+impl Counts {
+    /// What was chosen since `before`. An engine that started again counts from zero, even where it
+    /// has passed the former counts by now.
+    #[must_use]
+    pub fn since(&self, before: &Self) -> Vec<u64> {
+        let is_same_life = self.born_ms == before.born_ms;
+        chosen_between(if is_same_life { &before.counts } else { &[] }, &self.counts)
+    }
+}
+
 /// The experts that a rank holds, by set, under the map in use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct Lists {
