One clock that goes on while the machine is suspended

Cause: the clock of all decisions ran with the steady clock of the standard library, which stands still during a suspension. Leases, news, the configuration, deadlines and kept connections looked as young after it as before. Change: the time since boot (rustix), with a source that tests set; kept connections are judged by it; a suspension of 300 ms or more is noticed, logged, and connections are dropped. Ruled out: a second clock for leases alone (two times in one decision).

--- a/crates/ochreyard-direct/src/answer.rs
+++ b/crates/ochreyard-direct/src/answer.rs
@@ -28,8 +28,9 @@
 impl<D: Dialect> Answer<D> {
     /// Keeps the connection, once the body was read to its end.
     pub fn finish(self, entry: &Entry<D>) {
+        let now_ms = entry.clock.now_ms();
         let mut state = entry.state.borrow_mut();
-        state.connections.keep(&self.pick, self.connection, &self.head.headers);
+        state.connections.keep(&self.pick, self.connection, &self.head.headers, now_ms);
     }
 }
 
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -66,7 +66,8 @@
 /// A kept connection on which the answer before has come to its end.
 async fn free_connection<D: Dialect>(entry: &Entry<D>, pick: &Pick) -> Option<Connection> {
     loop {
-        let mut connection = entry.state.borrow_mut().connections.take(pick)?;
+        let now_ms = entry.clock.now_ms();
+        let mut connection = entry.state.borrow_mut().connections.take(pick, now_ms)?;
         if connection.is_free().await {
             return Some(connection);
         }
--- a/crates/ochreyard-direct/src/connection_pool.rs
+++ b/crates/ochreyard-direct/src/connection_pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http::HeaderMap;
 use ochreyard_core::direct::{EndpointLife, Pick};
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    until: Instant,
+    until_ms: u64,
 }
 
 /// Kept connections, by life of an endpoint.
@@ -32,11 +32,10 @@
 
 impl ConnectionPool {
     /// Takes the connection that was used last, if one is left that should still be open.
-    pub fn take(&mut self, pick: &Pick) -> Option<Connection> {
-        let now = Instant::now();
+    pub fn take(&mut self, pick: &Pick, now_ms: u64) -> Option<Connection> {
         let idle = self.idle.get_mut(&(pick.life(), pick.addr))?;
         while let Some(last) = idle.pop() {
-            if last.until > now && last.connection.is_open() {
+            if last.until_ms > now_ms && last.connection.is_open() {
                 return Some(last.connection);
             }
         }
@@ -44,19 +43,23 @@
     }
 
     /// Keeps a connection whose answer was whole, unless the answer forbids it.
-    pub fn keep(&mut self, pick: &Pick, connection: Connection, answer: &HeaderMap) {
+    pub fn keep(&mut self, pick: &Pick, connection: Connection, answer: &HeaderMap, now_ms: u64) {
         let Some(rest) = allowed_rest(answer) else { return };
         let idle = self.idle.entry((pick.life(), pick.addr)).or_default();
         if idle.len() < MAX_IDLE && connection.is_open() {
-            idle.push(Idle { connection, until: Instant::now() + rest });
+            idle.push(Idle { connection, until_ms: now_ms + rest.as_millis() as u64 });
         }
     }
 
+    /// Drops all of them.
+    pub fn clear(&mut self) {
+        self.idle.clear();
+    }
+
     /// Drops connections that have rested for long enough.
-    pub fn sweep(&mut self) {
-        let now = Instant::now();
+    pub fn sweep(&mut self, now_ms: u64) {
         self.idle.retain(|_, idle| {
-            idle.retain(|kept| kept.until > now && kept.connection.is_open());
+            idle.retain(|kept| kept.until_ms > now_ms && kept.connection.is_open());
             !idle.is_empty()
         });
     }
--- a/crates/ochreyard-direct/src/crash_check.rs
+++ b/crates/ochreyard-direct/src/crash_check.rs
@@ -71,7 +71,8 @@
     let found = match Connection::open(pick.addr, CHECK_TIMEOUT).await {
         Ok(connection) => {
             // The next request needs one anyway.
-            entry.state.borrow_mut().connections.keep(&pick, connection, &HeaderMap::new());
+            let now_ms = entry.clock.now_ms();
+            entry.state.borrow_mut().connections.keep(&pick, connection, &HeaderMap::new(), now_ms);
             CrashCheck::Alive
         }
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => CrashCheck::Crashed,
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -151,6 +151,12 @@
         Rc::clone(links.entry(addr).or_insert_with(|| Rc::new(CallLink::new(addr))))
     }
 
+    /// Drops all kept connections, to endpoints and to other boxes.
+    pub fn forget_connections(&self) {
+        self.state.borrow_mut().connections.clear();
+        self.links.borrow_mut().clear();
+    }
+
     /// Names of the services whose engines form groups.
     pub fn grouped_services(&self) -> Vec<String> {
         let state = self.state.borrow();
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -6,7 +6,7 @@
 
 use miette::{Context, IntoDiagnostic, Result};
 use ochreyard_core::direct::{BoxRecord, RepeatLimits};
-use ochreyard_process::{Clock, Settings, keep_metrics_up, new_life, start_logging, start_metrics};
+use ochreyard_process::{Clock, Settings, SuspensionWatch, keep_metrics_up, new_life, start_logging, start_metrics};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -19,6 +19,8 @@
 
 /// How often idle connections to endpoints are looked through.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// How often it is looked whether the machine was suspended: a few times within the least wait for another box.
+const SUSPENSION_LOOK: Duration = Duration::from_millis(100);
 /// How long a stopping box takes requests: the balancer asks every second and
 /// leaves a box after two misses. What comes later is refused as not run, since
 /// it might not end within the grace period.
@@ -124,6 +126,7 @@
     tokio::task::spawn_local(follow::keep_verdicts(Rc::clone(entry), log));
     tokio::task::spawn_local(peers::keep_asking(Rc::clone(entry), seeds(settings)));
     tokio::task::spawn_local(sweep(Rc::clone(entry)));
+    tokio::task::spawn_local(notice_suspensions(Rc::clone(entry)));
 }
 
 /// The peer addresses of the boxes that the platform names: same port as ours.
@@ -143,13 +146,26 @@
         tokio::time::sleep(SWEEP_EVERY).await;
         let now_ms = entry.clock.now_ms();
         let mut state = entry.state.borrow_mut();
-        state.connections.sweep();
+        state.connections.sweep(now_ms);
         if !state.quarantine.is_empty() {
             state.quarantine.forget_old(now_ms);
         }
     }
 }
 
+/// Notices that the machine was suspended. What is believed here is judged by its age, which has grown by that; what
+/// has no age is thrown away: connections, whose peers may have given them up.
+async fn notice_suspensions<D: Dialect>(entry: Rc<Entry<D>>) {
+    let mut watch = SuspensionWatch::start();
+    loop {
+        tokio::time::sleep(SUSPENSION_LOOK).await;
+        if let Some(suspended) = watch.look() {
+            log::warn!("event=suspended for_ms={}", suspended.as_millis());
+            entry.forget_connections();
+        }
+    }
+}
+
 /// Waits for SIGTERM or SIGINT; SIGHUP is noted and changes nothing while serving.
 async fn wait_for_stop() -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
--- a/crates/ochreyard-process/src/lib.rs
+++ b/crates/ochreyard-process/src/lib.rs
@@ -5,13 +5,15 @@
 mod logging;
 mod settings;
 mod stop;
+mod suspension;
 mod usage;
 
-pub use clock::Clock;
+pub use clock::{Clock, TimeSource, running, since_boot};
 pub use life::new_life;
 pub use logging::{LOG_LEVEL, LOG_LINES_PER_S, LOG_TARGET, LineBudget, Output, event_of, start_logging};
 pub use settings::{FieldKind, FieldSpec, Settings, SettingsFault, SettingsFaults, reference};
 pub use stop::{outlive_hangup, stop_signal};
+pub use suspension::SuspensionWatch;
 pub use usage::{exit_for_usage, exit_for_version};
 
 use std::time::Duration;
