An entry that starts knows at once what others know; the soak sends a request that crashes endpoints

Change: an entry that starts asks every 50 ms, and takes requests once it was told, or knows that it is alone, or after a second; two boxes by rank write a verdict that they made by what they were told.

--- a/crates/ochreyard-core/src/direct/fingerprint.rs
+++ b/crates/ochreyard-core/src/direct/fingerprint.rs
@@ -33,6 +33,14 @@
     }
 }
 
+impl Fingerprint {
+    /// A part of it as a number: as evenly spread.
+    #[must_use]
+    pub fn number(self) -> u64 {
+        self.0[..size_of::<u64>()].iter().fold(0, |number, byte| number << 8 | u64::from(*byte))
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/ochreyard-direct/src/containment.rs
+++ b/crates/ochreyard-direct/src/containment.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ochreyard_core::direct::{CrashNews, Fingerprint, Judged, LostRequest, Pick, QuarantineNews};
+use ochreyard_core::hash;
 
 use crate::dialect::Dialect;
 use crate::entry::Entry;
@@ -15,6 +16,9 @@
 /// milliseconds of its crash, and are told in one message.
 const GATHER: Duration = Duration::from_millis(5);
 
+/// Boxes that write a verdict which they made by what they were told: one may be cut off from the log.
+const TOLD_WRITERS: usize = 2;
+
 /// What waits to be told or written.
 #[derive(Debug, Default)]
 pub struct Outbox {
@@ -34,10 +38,7 @@
         let judged = state.quarantine.on_crash(&pick.id, service, lost, at_ms, now_ms);
         drop(state);
         self.note_judged(&judged, "seen");
-        self.outbox.to_write.borrow_mut().extend(judged.iter().map(|one| one.fingerprint));
-        if !judged.is_empty() {
-            self.outbox.written.notify_one();
-        }
+        judged.iter().for_each(|one| self.write_verdict(one.fingerprint));
         self.tell_crash(pick, service, lost, now_ms.saturating_sub(at_ms));
     }
 
@@ -89,6 +90,22 @@
         let judged = state.quarantine.take(news, now_ms);
         drop(state);
         self.note_judged(&judged, "told");
+        let ours = judged.iter().map(|one| one.fingerprint).filter(|one| self.is_writer_of(*one));
+        ours.for_each(|one| self.write_verdict(one));
+    }
+
+    /// Whether this box writes verdicts on a request that it was told of. Whoever saw the last crash writes them, too,
+    /// but it may have known too little to judge, or be gone by now.
+    fn is_writer_of(&self, fingerprint: Fingerprint) -> bool {
+        let place = |name: &str| hash::mix(hash::fnv1a(name.as_bytes()) ^ fingerprint.number());
+        let own = place(&self.identity.name);
+        let state = self.state.borrow();
+        state.boxes.iter().filter(|(name, _)| place(name) < own).count() < TOLD_WRITERS
+    }
+
+    fn write_verdict(&self, fingerprint: Fingerprint) {
+        self.outbox.to_write.borrow_mut().push(fingerprint);
+        self.outbox.written.notify_one();
     }
 
     /// An operator releases a request: here, at other boxes, and in the log.
@@ -96,8 +113,7 @@
         let now_ms = self.clock.now_ms();
         let news = self.state.borrow_mut().quarantine.release(fingerprint, now_ms);
         log::warn!("event=request_released fingerprint={fingerprint} source=operator");
-        self.outbox.to_write.borrow_mut().push(fingerprint);
-        self.outbox.written.notify_one();
+        self.write_verdict(fingerprint);
         tell_all(self, &news);
     }
 
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -25,6 +25,10 @@
 /// Boxes that are assumed to share the budget of repeats until others are known.
 const ASSUMED_BOXES: u64 = 16;
 
+/// How long a box that has just started waits for what others know, in milliseconds: a few tries at boxes that may be
+/// gone. Those who come meanwhile are told to come back shortly.
+const TOLD_WITHIN_MS: u64 = 1_000;
+
 /// Who this process is.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -89,6 +93,10 @@
     pub clock: Clock,
     /// What changes. Never borrowed across an `await`.
     pub state: RefCell<State>,
+    /// When it started.
+    pub started_ms: u64,
+    /// Whether another box has told what it knows, or there is none.
+    pub has_been_told: Cell<bool>,
     /// Whether a planned stop has begun.
     pub is_stopping: Cell<bool>,
     /// Whether new requests are refused, because they might not end before the process.
@@ -126,6 +134,8 @@
         Self {
             dialect,
             identity,
+            started_ms: clock.now_ms(),
+            has_been_told: Cell::new(false),
             clock,
             state: RefCell::new(state),
             is_stopping: Cell::new(false),
@@ -139,6 +149,12 @@
         }
     }
 
+    /// Whether it knows what others know, as far as that can be had: one that has just started would send requests
+    /// that crash endpoints, which all others refuse.
+    pub fn is_informed(&self) -> bool {
+        self.has_been_told.get() || self.clock.now_ms() >= self.started_ms + TOLD_WITHIN_MS
+    }
+
     /// An evenly spread number that differs from call to call and from box to box.
     pub fn draw(&self) -> u64 {
         self.draws.set(self.draws.get().wrapping_add(1));
--- a/crates/ochreyard-direct/src/follow/boxes.rs
+++ b/crates/ochreyard-direct/src/follow/boxes.rs
@@ -30,6 +30,9 @@
                 Err(error) => log::warn!("event=box_unreadable box={} error=\"{error}\"", record.key),
             }
         }
+        if page.is_some() && entry.state.borrow().boxes.is_empty() {
+            entry.has_been_told.set(true);
+        }
         let pause = match page {
             Some(_) if is_written && entry.box_to_ask().is_none() => BOXES_EVERY,
             Some(_) if is_written => TOLD_BOXES_EVERY,
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -31,7 +31,7 @@
     let started_ms = entry.clock.now_ms();
     let table = entry.state.borrow().table.clone();
     let (head, body) = request.into_parts();
-    let Some(table) = table else {
+    let Some(table) = table.filter(|_| entry.is_informed()) else {
         return refusal::of_kind(ErrorKind::Stale);
     };
     let body = match read_body(body, &table).await {
--- a/crates/ochreyard-direct/src/peers/ask.rs
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -18,6 +18,8 @@
 /// How often others are asked: several times within the time in which a change
 /// must be in force.
 const ASK_EVERY: Duration = Duration::from_millis(400);
+/// How often, until one has answered.
+const FIRST_ASK_EVERY: Duration = Duration::from_millis(50);
 /// Longest wait for another box.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Boxes that are asked at a time while the log gives no answer.
@@ -27,7 +29,7 @@
 pub async fn keep_asking<D: Dialect>(entry: Rc<Entry<D>>, seeds: Vec<SocketAddr>) {
     let mut links: BTreeMap<SocketAddr, Rc<CallLink>> = BTreeMap::new();
     loop {
-        tokio::time::sleep(ASK_EVERY).await;
+        tokio::time::sleep(if entry.is_informed() { ASK_EVERY } else { FIRST_ASK_EVERY }).await;
         let addrs = to_ask(&entry, &seeds);
         for addr in addrs {
             let link = links.entry(addr).or_insert_with(|| Rc::new(CallLink::new(addr)));
@@ -38,7 +40,7 @@
 
 fn to_ask<D: Dialect>(entry: &Entry<D>, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
     let state = entry.state.borrow();
-    let is_well = state.log_answers && state.table.is_some();
+    let is_well = state.log_answers && state.table.is_some() && entry.is_informed();
     let own = entry.identity.record.addr;
     let mut addrs: Vec<SocketAddr> =
         state.boxes.addrs().chain(seeds.iter().copied()).filter(|addr| *addr != own).collect();
@@ -86,6 +88,7 @@
 }
 
 fn take<D: Dialect>(entry: &Entry<D>, told: PeerState, from: SocketAddr, asked_ms: u64) {
+    entry.has_been_told.set(true);
     if let Some(document) = told.config {
         entry.take_config(&Bytes::from(document), &format!("peer-{from}"));
     }
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -164,9 +164,9 @@
     }
 }
 
-/// Ready means: a configuration is known and no stop has begun.
+/// Ready means: a configuration is known, others have told what they know, and no stop has begun.
 fn ready<D: Dialect>(entry: &Entry<D>) -> Response<AnswerBody> {
-    let is_ready = entry.state.borrow().table.is_some() && !entry.is_stopping.get();
+    let is_ready = entry.state.borrow().table.is_some() && entry.is_informed() && !entry.is_stopping.get();
     status_only(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
 
