--- a/crates/ochreyard-core/src/direct/quarantine.rs
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -8,18 +8,21 @@
 //! run, it runs on trial: one copy at a time over all entries, and no repeat of ours. After three it is refused for a
 //! time. A run that ends well clears it.
 
+mod clearance;
 mod crash;
 mod crash_list;
 mod evidence;
+mod exchange;
+mod judged;
 mod news;
 mod verdict;
 
 use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
-
+pub use self::clearance::Clearance;
 use self::crash_list::CrashList;
 use self::evidence::{TRIAL_WEIGHT, VERDICT_WEIGHT};
+pub use self::judged::Judged;
 pub use self::news::{ClearedNews, CrashNews, LostRequest, QuarantineNews, TrialNews, VerdictNews};
 use self::verdict::Verdict;
 use super::fingerprint::Fingerprint;
@@ -32,38 +35,6 @@
 /// Trials that are kept.
 const MAX_TRIALS: usize = 1_024;
 
-/// What may be done with a request now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Clearance {
-    /// Nothing stands against it.
-    Free,
-    /// It may be tried, once, at one endpoint.
-    Trial,
-    /// A copy of it is being tried.
-    OnTrial {
-        /// How much longer, in milliseconds.
-        left_ms: u64,
-    },
-    /// It is refused.
-    Quarantined {
-        /// How much longer, in milliseconds.
-        left_ms: u64,
-    },
-}
-
-/// A request that was found to crash endpoints.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Judged {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// How often it has been judged.
-    pub times: u32,
-    /// For how long it is refused, in milliseconds.
-    pub for_ms: u64,
-    /// The endpoints that crashed with it, and how long ago, in milliseconds.
-    pub crashes: Vec<(String, u64)>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Cleared {
     at_ms: u64,
@@ -282,71 +253,6 @@
         let (crashes, verdicts) = (&self.crashes, &self.verdicts);
         self.cleared.retain(|one, _| crashes.count(*one) > 0 || verdicts.contains_key(one));
     }
-
-    /// How many changes there have been: what another entry names to be told only what came since.
-    #[must_use]
-    pub const fn changes(&self) -> u64 {
-        self.changes
-    }
-
-    /// What changed after the first `known` changes.
-    #[must_use]
-    pub fn news_since(&self, known: u64, now_ms: u64) -> QuarantineNews {
-        let age_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
-        let crashes = self.crashes.all().iter().filter(|crash| crash.change > known).map(|crash| CrashNews {
-            endpoint: crash.endpoint.clone(),
-            service: crash.service.clone(),
-            age_ms: age_ms(crash.at_ms),
-            lost: crash
-                .present
-                .iter()
-                .map(|(one, ran_ms)| LostRequest { fingerprint: *one, ran_ms: *ran_ms })
-                .collect(),
-        });
-        let cleared = self.cleared.iter().filter(|(_, cleared)| cleared.change > known);
-        let verdicts = self.verdicts.iter().filter(|(_, verdict)| verdict.change > known);
-        QuarantineNews {
-            crashes: crashes.collect(),
-            cleared: cleared
-                .map(|(one, cleared)| ClearedNews { fingerprint: *one, age_ms: age_ms(cleared.at_ms) })
-                .collect(),
-            verdicts: verdicts.map(|(one, verdict)| verdict_news(*one, verdict, now_ms)).collect(),
-            trials: Vec::new(),
-        }
-    }
-
-    /// Takes what another entry tells. Gives the requests that are judged by that.
-    pub fn take(&mut self, news: &QuarantineNews, now_ms: u64) -> Vec<Judged> {
-        for crash in &news.crashes {
-            let at_ms = now_ms.saturating_sub(crash.age_ms);
-            self.take_crash(&crash.endpoint, &crash.service, &crash.lost, at_ms);
-        }
-        for verdict in &news.verdicts {
-            self.take_verdict(verdict, now_ms);
-        }
-        for cleared in &news.cleared {
-            self.clear(cleared.fingerprint, now_ms.saturating_sub(cleared.age_ms));
-        }
-        for trial in &news.trials {
-            self.keep_back(trial.fingerprint, now_ms + trial.left_ms.min(TRIAL_MS));
-        }
-        self.judge(now_ms)
-    }
-
-    /// Takes another entry's verdict, unless one as late, or a clearance since, is known. Two entries that judge
-    /// by themselves differ by milliseconds, which is no news.
-    fn take_verdict(&mut self, told: &VerdictNews, now_ms: u64) {
-        let until_ms = now_ms + told.left_ms.min(verdict::MAX_LIFE_MS);
-        let made_ms = now_ms.saturating_sub(told.age_ms);
-        let is_cleared = self.cleared.get(&told.fingerprint).is_some_and(|cleared| cleared.at_ms >= made_ms);
-        let knows_later = self.verdicts.get(&told.fingerprint).is_some_and(|known| known.times >= told.times);
-        if is_cleared || knows_later || told.times == 0 {
-            return;
-        }
-        self.changes += 1;
-        let verdict = Verdict { made_ms, until_ms, times: told.times, change: self.changes };
-        self.verdicts.insert(told.fingerprint, verdict);
-    }
 }
 
 const fn verdict_news(fingerprint: Fingerprint, verdict: &Verdict, now_ms: u64) -> VerdictNews {
