--- a/crates/ochreyard-core/tests/quarantine.rs
+++ b/crates/ochreyard-core/tests/quarantine.rs
@@ -1,6 +1,13 @@
 //! Which requests are found to crash endpoints, and what becomes of them.
 
-use ochreyard_core::direct::{Clearance, Fingerprint, Judged, LostRequest, Quarantine, QuarantineNews};
+mod common;
+
+use common::cases;
+use ochreyard_core::direct::{
+    Clearance, ClearedNews, CrashNews, Fingerprint, Judged, LostRequest, Quarantine, QuarantineNews, TrialNews,
+    VerdictNews,
+};
+use proptest::prelude::*;
 use rstest::rstest;
 
 /// The first verdict, in milliseconds.
@@ -206,3 +213,45 @@
     let told = serde_json::to_vec(&quarantine.news_since(0, now_ms)).unwrap();
     assert!(told.len() < 1 << 20, "{} bytes", told.len());
 }
+
+fn any_news() -> impl Strategy<Value = QuarantineNews> {
+    let fingerprint = || (0u32..6).prop_map(request);
+    let lost =
+        (fingerprint(), any::<Option<u64>>()).prop_map(|(fingerprint, ran_ms)| LostRequest { fingerprint, ran_ms });
+    let crash = ("e[0-3]", any::<u64>(), proptest::collection::vec(lost, 0..4)).prop_map(|(endpoint, age_ms, lost)| {
+        CrashNews { endpoint, service: "tiles".into(), age_ms: age_ms >> (age_ms % 64), lost }
+    });
+    let cleared = (fingerprint(), any::<u64>()).prop_map(|(fingerprint, age_ms)| ClearedNews { fingerprint, age_ms });
+    let verdict = (fingerprint(), any::<u64>(), any::<u64>(), any::<u32>())
+        .prop_map(|(fingerprint, age_ms, left_ms, times)| VerdictNews { fingerprint, age_ms, left_ms, times });
+    let trial = (fingerprint(), any::<u64>()).prop_map(|(fingerprint, left_ms)| TrialNews { fingerprint, left_ms });
+    let list = |strategy| proptest::collection::vec(strategy, 0..4);
+    let verdicts = proptest::collection::vec(verdict, 0..4);
+    let trials = proptest::collection::vec(trial, 0..4);
+    (list(crash.boxed()), proptest::collection::vec(cleared, 0..4), verdicts, trials)
+        .prop_map(|(crashes, cleared, verdicts, trials)| QuarantineNews { crashes, cleared, verdicts, trials })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(cases(256)))]
+
+    /// Whatever a box tells, it is taken without harm: nobody is refused for longer than a day, and what is told on reads back.
+    #[test]
+    fn no_news_are_fatal(told in proptest::collection::vec(any_news(), 1..12), pause_ms in 0u64..700_000) {
+        let mut quarantine = Quarantine::default();
+        let mut now_ms = 1_777_747_523_902;
+        for news in &told {
+            quarantine.take(news, now_ms);
+            now_ms += pause_ms;
+            quarantine.forget_old(now_ms);
+            for number in 0..6 {
+                if let Clearance::Quarantined { left_ms } = quarantine.clearance(request(number), now_ms) {
+                    prop_assert!(left_ms <= 24 * 60 * 60 * 1_000);
+                }
+            }
+        }
+        let on = quarantine.news_since(0, now_ms);
+        let text = serde_json::to_string(&on).unwrap();
+        prop_assert_eq!(serde_json::from_str::<QuarantineNews>(&text).unwrap(), on);
+    }
+}
