ochreyard explain: one request's story over the logs of all processes

Tests go from the identifier of a refused, a rejected and a broken request to the cause by the logs alone.

--- a/crates/ochreyard-entry/src/flags.rs
+++ b/crates/ochreyard-entry/src/flags.rs
@@ -74,6 +74,13 @@
                 required --peer addr: SocketAddr
             }
         }
+        /// Prints one request's story, in order over the logs of all processes.
+        cmd explain {
+            /// The request's identifier.
+            required request: String
+            /// Logs of entries and agents, one file a process.
+            repeated logs: PathBuf
+        }
         /// Prints reports.
         cmd report {
             /// Service-level burn, joined across the entries that are named.
--- a/crates/ochreyard-entry/src/main.rs
+++ b/crates/ochreyard-entry/src/main.rs
@@ -53,6 +53,7 @@
         OchreyardCmd::Plan(args) => operate::plan(&args),
         OchreyardCmd::Confirm(args) => operate::confirm(&args),
         OchreyardCmd::Status(args) => operate::status(&args),
+        OchreyardCmd::Explain(args) => operate::explain(&args),
         OchreyardCmd::Quarantine(args) => match args.subcommand {
             QuarantineCmd::List(args) => quarantine::list(&args),
             QuarantineCmd::Release(args) => quarantine::release(&args),
--- a/crates/ochreyard-operator/src/lib.rs
+++ b/crates/ochreyard-operator/src/lib.rs
@@ -7,6 +7,8 @@
 mod client;
 pub mod intent;
 mod report;
+mod story;
 
 pub use client::{ClientError, OperatorClient};
 pub use report::{BurnRow, EndpointRow, Status, render_burn, render_plan, render_status};
+pub use story::{Story, Unreadable};
