--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -1,20 +1,21 @@
 //! What one entry process knows and owns.
 
+mod identity;
+mod state;
+
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use ochreyard_core::direct::{
-    BoxList, BoxRecord, Catalog, EndpointChange, EndpointPool, EngineFigures, GroupNews, Quarantine, Reading,
-    RepeatBudget, RepeatLimits, RouteTable, ServiceQueue,
-};
+use ochreyard_core::direct::{BoxRecord, EndpointChange, EngineFigures, GroupNews, RepeatLimits};
 use ochreyard_core::hash;
 use ochreyard_process::Clock;
 
-use crate::connection_pool::ConnectionPool;
+pub use self::identity::Identity;
+pub use self::state::{State, queue_of};
 use crate::containment::Outbox;
 use crate::crash_check::CrashChecks;
 use crate::dialect::Dialect;
@@ -22,67 +23,10 @@
 use crate::link::CallLink;
 use crate::peers::PassedOver;
 
-/// Boxes that are assumed to share the budget of repeats until others are known.
-const ASSUMED_BOXES: u64 = 16;
-
 /// How long a box that has just started waits for what others know, in milliseconds: a few tries at boxes that may be
 /// gone. Those who come meanwhile are told to come back shortly.
 const TOLD_WITHIN_MS: u64 = 1_000;
 
-/// Who this process is.
-#[derive(Debug, Clone)]
-pub struct Identity {
-    /// Name of the box.
-    pub name: String,
-    /// The data centre that it stands in.
-    pub data_centre: String,
-    /// A number that no other life of any box has.
-    pub life: u64,
-    /// What it says of itself to other boxes.
-    pub record: BoxRecord,
-}
-
-/// Everything that changes while the process runs.
-pub struct State {
-    /// The configuration in force, if one is known.
-    pub table: Option<Arc<RouteTable>>,
-    /// The document that it was read from, for other boxes.
-    pub config_document: Bytes,
-    /// What the log says of endpoints.
-    pub catalog: Catalog,
-    /// How far and how recently the records of endpoints were read, here or by another box.
-    pub reading: Reading,
-    /// The endpoints as seen from here.
-    pub pool: EndpointPool,
-    /// Kept connections to endpoints.
-    pub connections: ConnectionPool,
-    /// How often a request may be sent again.
-    pub budget: RepeatBudget,
-    /// Requests that wait, by service.
-    pub queues: HashMap<String, ServiceQueue>,
-    /// What is known of requests that crash endpoints.
-    pub quarantine: Quarantine,
-    /// Other boxes.
-    pub boxes: BoxList,
-    /// Whether the platform's log answered the last call.
-    pub log_answers: bool,
-}
-
-impl State {
-    /// The requests of a service.
-    pub fn queue(&mut self, service: &str) -> &mut ServiceQueue {
-        queue_of(&mut self.queues, service)
-    }
-}
-
-/// The requests of a service, of all by service.
-pub fn queue_of<'a>(queues: &'a mut HashMap<String, ServiceQueue>, service: &str) -> &'a mut ServiceQueue {
-    if !queues.contains_key(service) {
-        queues.insert(service.to_owned(), ServiceQueue::default());
-    }
-    queues.get_mut(service).expect("inserted above")
-}
-
 /// One entry process.
 pub struct Entry<D> {
     /// The dialect of its surroundings.
@@ -117,19 +61,7 @@
     /// after `leaving_known_ms`.
     #[must_use]
     pub fn new(dialect: D, identity: Identity, limits: RepeatLimits, leaving_known_ms: u64, clock: Clock) -> Self {
-        let state = State {
-            table: None,
-            config_document: Bytes::new(),
-            catalog: Catalog::new(),
-            reading: Reading::new(leaving_known_ms),
-            pool: EndpointPool::new(),
-            connections: ConnectionPool::default(),
-            budget: RepeatBudget::new(limits, ASSUMED_BOXES),
-            queues: HashMap::new(),
-            quarantine: Quarantine::default(),
-            boxes: BoxList::default(),
-            log_answers: false,
-        };
+        let state = State::new(limits, leaving_known_ms);
         let draws = Cell::new(identity.life);
         Self {
             dialect,
--- /dev/null
+++ b/crates/ochreyard-direct/src/entry/identity.rs
@@ -0,0 +1,16 @@
+//! Who a process is.
+
+use ochreyard_core::direct::BoxRecord;
+
+/// Who this process is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name of the box.
+    pub name: String,
+    /// The data centre that it stands in.
+    pub data_centre: String,
+    /// A number that no other life of any box has.
+    pub life: u64,
+    /// What it says of itself to other boxes.
+    pub record: BoxRecord,
+}
--- a/crates/ochreyard-operator/tests/story.rs
+++ b/crates/ochreyard-operator/tests/story.rs
@@ -93,7 +93,7 @@
     bytes.extend(line(2_000, "event=request_waited request=r1 outcome=sent").into_bytes());
     bytes.extend(b"ts_ms=3000 level=info target=x event=request_failed request=r1 cut");
     let path = log("edge-5", &bytes);
-    let story = Story::read("r1", &[path.clone()]).unwrap();
+    let story = Story::read("r1", std::slice::from_ref(&path)).unwrap();
     assert_in_order(&story, &["why=Full", "outcome=sent", "request=r1 cut"]);
     let [unreadable] = story.unreadable() else { panic!("{:?}", story.unreadable()) };
     assert_eq!((&unreadable.log, unreadable.lines, unreadable.first), (&path, 4, 1));
