--- a/crates/ochreyard-core/src/direct/waiting/choice.rs
+++ b/crates/ochreyard-core/src/direct/waiting/choice.rs
@@ -60,7 +60,7 @@
             left_ms: seeker.deadline_ms.saturating_sub(now_ms),
             needed_ms: self.time.after_wait_ms().unwrap_or(seeker.aim_ms),
             has_served: self.time.after_wait_ms().is_some(),
-            is_worth_it: !is_down || seeker.ticket.is_some() || self.endings.is_holding_worth_it(now_ms),
+            is_worth_it: !is_down || seeker.ticket.is_some() || self.is_holding_worth_it(now_ms),
             // Who waits already was let in by what was expected then.
             stands_for_ms: if seeker.ticket.is_none() { self.stands.rest_ms(now_ms) } else { 0 },
             silent_ms: now_ms.saturating_sub(seeker.silent_since_ms),
@@ -70,6 +70,12 @@
         if facts.may_wait() { Choice::Wait(facts) } else { Choice::GiveUp(facts) }
     }
 
+    /// Whether holding serves as many as sending back, as far as known. While a first stand lasts, those that were held in
+    /// vain at its start say nothing of those that come near its end; where stands recur, they do.
+    fn is_holding_worth_it(&self, now_ms: u64) -> bool {
+        !self.stands.recur(now_ms) || self.endings.is_holding_worth_it(now_ms)
+    }
+
     /// An endpoint, if no other request goes first and this box has a place left for it.
     fn pick_in_turn(
         &self,
--- a/crates/ochreyard-core/src/direct/waiting/stand.rs
+++ b/crates/ochreyard-core/src/direct/waiting/stand.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Whether another stand was over a short time ago.
+    #[must_use]
+    pub fn recur(&self, now_ms: u64) -> bool {
+        self.past.iter().any(|(_, ended_ms)| now_ms < ended_ms + REMEMBERED_MS)
+    }
+
     /// How long stands have lasted of late, in milliseconds; `None` unless they recur.
     #[must_use]
     pub fn usual_ms(&self, now_ms: u64) -> Option<u64> {
--- a/crates/ochreyard-core/tests/waiting.rs
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -191,6 +191,22 @@
     Seeker { service: "tiles", tried: &[], arrival, deadline_ms: 8_000, silent_since_ms: 0, aim_ms: 400, ticket: None }
 }
 
+/// While a first stand lasts, those that were held in vain at its start say nothing of those that come near its end.
+#[rstest]
+#[case::first_stand(false, true)]
+#[case::stands_recur(true, false)]
+fn holding_goes_by_what_it_has_brought_where_stands_recur(#[case] recur: bool, #[case] waits: bool) {
+    let mut queue = ServiceQueue::default();
+    queue.time.note(1_000);
+    (0..20).for_each(|_| queue.endings.note(Met::Held, false, 900));
+    if recur {
+        queue.stands.note(true, 100);
+        queue.stands.note(false, 400);
+    }
+    let choice = queue.choose(&standing_pool(), 1, &Seeker { silent_since_ms: 1_000, ..seeker() }, 0, 1_000);
+    assert_eq!(matches!(choice, Choice::Wait(_)), waits, "{choice:?}");
+}
+
 #[test]
 fn only_a_caller_that_would_come_back_is_told_early() {
     let mut queue = ServiceQueue::default();
