Sight: what endpoints ask for in their answers is read, kept and logged

Cause: logs named the status of a refusal, not the pause that came with it, so the hypotheses could not be told apart. Change: signals are read in one place (times with fractions, twice, unreadable: each with its rule and test); nothing obeys them yet. Also: a load told with status 421 was noted for the endpoint that was meant, though another one answered; now it is not.

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -4,6 +4,7 @@
 mod group;
 mod member;
 mod no_pick;
+mod notice;
 mod outcome;
 mod pick;
 mod reported_load;
@@ -13,11 +14,13 @@
 use self::group::Group;
 use self::member::Member;
 pub use self::no_pick::NoPick;
+pub use self::notice::Notice;
 pub use self::outcome::Outcome;
 pub use self::pick::Pick;
 pub use self::reported_load::ReportedLoad;
 use super::catalog::{EndpointChange, EndpointRecord};
 use super::endpoint_life::EndpointLife;
+use super::endpoint_signals::EndpointSignals;
 use super::group_news::GroupNews;
 use super::waiting::Urgency;
 use crate::hash;
@@ -49,6 +52,8 @@
     members: HashMap<String, Member>,
     by_service: HashMap<String, Vec<String>>,
     groups: HashMap<String, Group>,
+    /// What lives have asked for that have no record now: one that lapsed may come back.
+    parted: HashMap<EndpointLife, Notice>,
     /// Endpoints that became known, and groups that began to stand, are numbered in their order.
     events: u64,
 }
@@ -79,11 +84,17 @@
         self.remove(&id);
         self.by_service.entry(record.service.clone()).or_default().push(id.clone());
         self.events += 1;
-        self.members.insert(id, Member::new(record, self.events));
+        let life = EndpointLife { id, born_ms: record.born_ms };
+        let notice = self.parted.remove(&life).unwrap_or_default();
+        self.members.insert(life.id, Member::new(record, self.events, notice));
     }
 
     fn remove(&mut self, id: &str) {
         let Some(member) = self.members.remove(id) else { return };
+        if member.notice != Notice::default() {
+            let life = EndpointLife { id: id.to_owned(), born_ms: member.record.born_ms };
+            self.parted.insert(life, member.notice);
+        }
         if let Some(ids) = self.by_service.get_mut(&member.record.service) {
             ids.retain(|other| other != id);
         }
@@ -335,11 +346,40 @@
         self.members.get(id).is_none_or(|member| member.is_silent(for_ms, now_ms))
     }
 
-    /// An endpoint told its load.
-    pub fn on_load(&mut self, id: &str, load: ReportedLoad, now_ms: u64) {
-        if let Some(member) = self.members.get_mut(id) {
+    /// An endpoint that was picked told of itself. What a life before tells says nothing of the present one.
+    pub fn on_signals(&mut self, pick: &Pick, signals: &EndpointSignals, now_ms: u64) {
+        if let Some(load) = signals.load
+            && let Some(member) = self.member_of(pick)
+        {
             member.on_load(load, now_ms);
         }
+        if signals.backoff_ms.is_none() && !signals.is_leaving {
+            return;
+        }
+        self.parted.retain(|_, notice| notice.is_recent(now_ms));
+        let notice = self.notice_mut(pick);
+        if let Some(backoff_ms) = signals.backoff_ms {
+            notice.on_backoff(backoff_ms, now_ms);
+        }
+        if signals.is_leaving {
+            notice.on_leaving(now_ms);
+        }
+    }
+
+    fn notice_mut(&mut self, pick: &Pick) -> &mut Notice {
+        let member = self.members.get_mut(&pick.id).filter(|member| member.record.born_ms == pick.born_ms);
+        match member {
+            Some(member) => &mut member.notice,
+            None => self.parted.entry(pick.life()).or_default(),
+        }
+    }
+
+    /// What the picked life of an endpoint has asked for.
+    #[must_use]
+    pub fn notice(&self, pick: &Pick) -> Notice {
+        let member = self.members.get(&pick.id).filter(|member| member.record.born_ms == pick.born_ms);
+        let parted = || self.parted.get(&pick.life()).copied();
+        member.map(|member| member.notice).or_else(parted).unwrap_or_default()
     }
 }
 
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -1,6 +1,7 @@
 //! One endpoint as it looks from this box: its load, its failures and its group.
 
 use super::NEWS_LIFE_MS;
+use super::notice::Notice;
 use super::outcome::Outcome;
 use super::reported_load::ReportedLoad;
 use crate::direct::waiting::Urgency;
@@ -39,6 +40,8 @@
     pub group: Option<String>,
     /// How much longer its work takes than usual, in thousandths.
     pub pace_permille: u64,
+    /// What it has asked for in its answers.
+    pub notice: Notice,
     /// The number of the event by which it became known.
     known: u64,
     load: ReportedLoad,
@@ -53,11 +56,12 @@
 }
 
 impl Member {
-    /// An endpoint of which nothing but its record is known.
-    pub const fn new(record: EndpointRecord, known: u64) -> Self {
+    /// An endpoint of which nothing is known but its record, and what it asked for before that lapsed.
+    pub const fn new(record: EndpointRecord, known: u64, notice: Notice) -> Self {
         Self {
             record,
             known,
+            notice,
             in_flight: 0,
             late_in_flight: 0,
             load: ReportedLoad { running: 0, waiting: 0 },
--- a/crates/ochreyard-core/src/lib.rs
+++ b/crates/ochreyard-core/src/lib.rs
@@ -41,4 +41,5 @@
 pub mod membership;
 pub mod rebalance;
 pub mod retry;
+pub mod retry_after;
 pub mod routing;
--- /dev/null
+++ b/crates/ochreyard-core/tests/retry_after.rs
@@ -0,0 +1,54 @@
+//! Times that peers name, in all the forms in which they may come.
+
+use ochreyard_core::direct::backoff_ms;
+use ochreyard_core::retry_after::{LONGEST_MS, NoRetryAfter, parse_ms};
+use proptest::prelude::*;
+use rstest::rstest;
+
+#[rstest]
+#[case::whole("3", Ok(3_000))]
+#[case::fraction("0.25", Ok(250))]
+#[case::less_than_a_millisecond("0.0001", Ok(1))]
+#[case::blanks(" 1.5 ", Ok(1_500))]
+#[case::zero("0", Ok(0))]
+#[case::minus_zero("-0", Ok(0))]
+#[case::exponent("1e1", Ok(10_000))]
+#[case::absurd("1e300", Ok(LONGEST_MS))]
+#[case::infinite("inf", Ok(LONGEST_MS))]
+#[case::negative("-2", Err(NoRetryAfter::Negative))]
+#[case::nothing("", Err(NoRetryAfter::NotSeconds))]
+#[case::no_number("NaN", Err(NoRetryAfter::NotSeconds))]
+#[case::word("soon", Err(NoRetryAfter::NotSeconds))]
+#[case::date("Wed, 21 Oct 2026 07:28:00 GMT", Err(NoRetryAfter::NotSeconds))]
+fn a_time_is_read_or_refused(#[case] value: &str, #[case] expected: Result<u64, NoRetryAfter>) {
+    assert_eq!(parse_ms(value), expected);
+}
+
+#[rstest]
+#[case::none(&[], None)]
+#[case::one(&["2"], Some(2_000))]
+#[case::twice_the_longest_counts(&["2", "3"], Some(3_000))]
+#[case::one_of_two_unreadable(&["soon", "3"], Some(3_000))]
+#[case::unreadable(&["soon"], Some(1_000))]
+#[case::negative(&["-1"], Some(1_000))]
+#[case::zero(&["0"], Some(0))]
+fn an_endpoint_is_left_alone_for_the_longest_time_it_names(#[case] values: &[&str], #[case] expected: Option<u64>) {
+    assert_eq!(backoff_ms(values.iter().map(|value| value.as_bytes())), expected);
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_without_a_panic_and_within_the_longest_time(
+        values in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..24), 0..4)
+    ) {
+        let read = backoff_ms(values.iter().map(Vec::as_slice));
+        prop_assert_eq!(read.is_some(), !values.is_empty());
+        prop_assert!(read.unwrap_or_default() <= LONGEST_MS);
+    }
+
+    #[test]
+    fn every_time_in_range_is_kept_to_the_millisecond(ms in 0..LONGEST_MS) {
+        let read_ms = parse_ms(&format!("{:.3}", ms as f64 / 1_000.0)).unwrap();
+        prop_assert!(read_ms.abs_diff(ms) <= 1);
+    }
+}
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{HeaderMap, StatusCode, response};
+use http::{StatusCode, response};
 use ochreyard_core::direct::{Outcome, Pick};
 
 use crate::answer::Answer;
@@ -13,6 +13,7 @@
 use crate::entry::Entry;
 use crate::exchange::{ExchangeError, Exchanged, exchange};
 use crate::flight::Flight;
+use crate::signals;
 
 /// Longest wait for a connection to an endpoint: several round trips between
 /// data centres, and short enough to leave time for another endpoint.
@@ -101,7 +102,7 @@
     let Exchanged { connection, response } = exchanged;
     let (head, body) = response.into_parts();
     flight.on_heard();
-    note_load(entry, &pick.id, &head.headers);
+    signals::note(entry, pick, &signals::read(&entry.dialect, &head));
     let is_own = head.headers.get(&names.attempt_id) == request.attempt_id.as_ref();
     let says_not_run = head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST;
     if says_not_run && (is_own || !head.headers.contains_key(&names.attempt_id)) {
@@ -133,11 +134,3 @@
         entry.state.borrow_mut().pool.on_group_fault(&pick.id, now_ms);
     }
 }
-
-fn note_load<D: Dialect>(entry: &Entry<D>, id: &str, headers: &HeaderMap) {
-    let value = headers.get(&entry.dialect.headers().load).and_then(|value| value.to_str().ok());
-    if let Some(load) = value.and_then(|value| entry.dialect.read_load(value)) {
-        let now_ms = entry.clock.now_ms();
-        entry.state.borrow_mut().pool.on_load(id, load, now_ms);
-    }
-}
--- a/crates/ochreyard-direct/src/dialect.rs
+++ b/crates/ochreyard-direct/src/dialect.rs
@@ -28,6 +28,8 @@
     pub proof: HeaderName,
     /// The endpoint's load.
     pub load: HeaderName,
+    /// Says that the endpoint leaves.
+    pub leaving: HeaderName,
     /// Other headers of callers that must reach the endpoint unchanged.
     pub end_to_end: Vec<HeaderName>,
 }
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -37,6 +37,7 @@
 mod send_failure;
 pub mod serve;
 mod server;
+mod signals;
 mod try_end;
 mod waiting_place;
 
--- /dev/null
+++ b/crates/ochreyard-direct/src/signals.rs
@@ -0,0 +1,56 @@
+//! Reads what an endpoint's answer tells of the endpoint itself, and notes it.
+
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, HeaderValue, StatusCode, response};
+use ochreyard_core::direct::{EndpointSignals, Pick, backoff_ms};
+
+use crate::dialect::{Dialect, HeaderNames};
+use crate::entry::Entry;
+
+/// Statuses with which an endpoint may ask for a pause.
+const BACKOFF_STATUSES: [StatusCode; 2] = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
+/// What the header of an endpoint that leaves holds where it says the contrary.
+const DENIALS: [&[u8]; 2] = [b"0", b"false"];
+
+/// What the head of an answer tells of the endpoint that gave it, be it the answer to this request or to another one.
+pub fn read<D: Dialect>(dialect: &D, head: &response::Parts) -> EndpointSignals {
+    // Another endpoint than the one that was meant listens at this address, and speaks of itself.
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return EndpointSignals::default();
+    }
+    let names = dialect.headers();
+    let may_ask = BACKOFF_STATUSES.contains(&head.status);
+    let asked = head.headers.get_all(RETRY_AFTER).iter().map(HeaderValue::as_bytes).filter(|_| may_ask);
+    let load = head.headers.get(&names.load).and_then(|value| value.to_str().ok());
+    EndpointSignals {
+        backoff_ms: backoff_ms(asked),
+        is_leaving: says_leaving(names, &head.headers),
+        load: load.and_then(|value| dialect.read_load(value)),
+    }
+}
+
+fn says_leaving(names: &HeaderNames, headers: &HeaderMap) -> bool {
+    headers.get_all(&names.leaving).iter().any(|value| !DENIALS.contains(&value.as_bytes().trim_ascii()))
+}
+
+/// Notes what an answer told of the endpoint that gave it.
+pub fn note<D: Dialect>(entry: &Entry<D>, pick: &Pick, signals: &EndpointSignals) {
+    let now_ms = entry.clock.now_ms();
+    let mut state = entry.state.borrow_mut();
+    let before = state.pool.notice(pick);
+    state.pool.on_signals(pick, signals, now_ms);
+    drop(state);
+    if let Some(backoff_ms) = signals.backoff_ms {
+        let asked_age_ms = before.asked_age_ms(now_ms);
+        let left_ms = before.backoff_until_ms(now_ms).map(|until_ms| until_ms - now_ms);
+        log::info!(
+            "event=endpoint_backoff endpoint={} addr={} asked_ms={backoff_ms} last_asked_ago_ms={asked_age_ms:?} \
+             last_left_ms={left_ms:?}",
+            pick.id,
+            pick.addr
+        );
+    }
+    if signals.is_leaving && !before.is_leaving() {
+        log::info!("event=endpoint_leaves endpoint={} addr={} source=answer", pick.id, pick.addr);
+    }
+}
