Endpoints get no request against what they ask for in their answers: a pause, or that they leave

Cause: the entry took from an answer whether it ran and its load, never what the endpoint asked for; an endpoint that refuses runs nothing and so looked like the best one, for the first attempt and the repeat. Change: a pause is kept by endpoint and life, also where its record lapses and comes back; no fallback reaches such an endpoint; asked again right before the request is written (a connection takes up to 250 ms). After a pause one request goes first, twice as many after each that was taken. Leaving by an answer is final for that life; idle connections close. Where all pause, whoever can be served at the first end waits, others are told that end at once. Ruled out: a shorter later pause that takes the longer one back (each answer stands for itself).

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -8,6 +8,7 @@
 mod outcome;
 mod pick;
 mod reported_load;
+mod slow_start;
 
 use std::collections::HashMap;
 
@@ -112,11 +113,11 @@
     }
 
     /// Picks an endpoint of a service that is not in `tried`: the least loaded of a few drawn ones.
-    /// Endpoints that were set aside are used only where no other is left.
+    /// Endpoints that were set aside are used only where no other is left; those that asked for a pause, never.
     ///
     /// # Errors
     ///
-    /// When nobody takes work, all have as much as they can serve in time, or all groups stand.
+    /// When nobody takes work, all have asked for a pause or have as much as they can serve in time, or all groups stand.
     pub fn pick(
         &self,
         service: &str,
@@ -128,16 +129,17 @@
         if self.is_down(service, now_ms) {
             return Err(NoPick::Stands);
         }
-        let open: Vec<(&str, &Member)> = self
-            .of_service(service)
-            .filter(|(id, member)| !member.record.is_leaving && !tried.iter().any(|life| member.is_life(id, life)))
-            .collect();
+        let is_left =
+            |id: &str, member: &Member| member.takes_work() && !tried.iter().any(|life| member.is_life(id, life));
+        let left = || self.of_service(service).filter(|(id, member)| is_left(id, member));
+        let open: Vec<(&str, &Member)> = left().filter(|(_, member)| member.is_welcome(now_ms)).collect();
         let is_sound =
             |member: &Member| !member.is_aside(now_ms) && !member.is_slow(now_ms) && self.is_serving(member, now_ms);
         let sound: Vec<(&str, &Member)> = open.iter().copied().filter(|(_, member)| is_sound(member)).collect();
         let usable = if sound.is_empty() { open } else { sound };
         if usable.is_empty() {
-            return Err(NoPick::Nobody);
+            let first_end_ms = left().filter_map(|(_, member)| member.notice.backoff_until_ms(now_ms)).min();
+            return Err(first_end_ms.map_or(NoPick::Nobody, |until_ms| NoPick::Paused { until_ms }));
         }
         let with_room = usable.into_iter().filter(|(_, member)| self.has_room(member, urgency, now_ms));
         let shuffled = with_room.enumerate().map(|(at, found)| (hash::mix(draw ^ at as u64), found));
@@ -158,7 +160,7 @@
     /// Whether all groups of a service are known to stand or to be broken.
     #[must_use]
     pub fn is_down(&self, service: &str, now_ms: u64) -> bool {
-        let mut members = self.of_service(service).filter(|(_, member)| !member.record.is_leaving).peekable();
+        let mut members = self.of_service(service).filter(|(_, member)| member.takes_work()).peekable();
         members.peek().is_some() && members.all(|(_, member)| !self.is_serving(member, now_ms))
     }
 
@@ -174,10 +176,7 @@
     /// Slots of all endpoints of a service that take work.
     #[must_use]
     pub fn slots(&self, service: &str) -> u64 {
-        self.of_service(service)
-            .filter(|(_, member)| !member.record.is_leaving)
-            .map(|(_, member)| member.record.slots)
-            .sum()
+        self.of_service(service).filter(|(_, member)| member.takes_work()).map(|(_, member)| member.record.slots).sum()
     }
 
     /// Requests of this box at a service's endpoints that were late when they were sent.
@@ -194,7 +193,7 @@
             Urgency::Late => most * LATE_DEPTH,
             Urgency::InAim => most,
         };
-        member.requests(now_ms).round() < limit
+        member.admits_one_more() && member.requests(now_ms).round() < limit
     }
 
     /// How loaded an endpoint counts: in a group with longer steps each request takes longer.
@@ -265,7 +264,7 @@
     /// Whether an endpoint of a service belongs to no group that is known.
     #[must_use]
     pub fn has_endpoint_without_group(&self, service: &str) -> bool {
-        self.of_service(service).any(|(_, member)| !member.record.is_leaving && self.group_of(member).is_none())
+        self.of_service(service).any(|(_, member)| member.takes_work() && self.group_of(member).is_none())
     }
 
     /// The records of the endpoints of a service that are not known to be in a group other
@@ -314,6 +313,11 @@
     }
 
     /// The endpoint that was picked, if it still lives the same life.
+    fn picked(&self, pick: &Pick) -> Option<&Member> {
+        self.members.get(&pick.id).filter(|member| member.record.born_ms == pick.born_ms)
+    }
+
+    /// The same, to be changed.
     fn member_of(&mut self, pick: &Pick) -> Option<&mut Member> {
         self.members.get_mut(&pick.id).filter(|member| member.record.born_ms == pick.born_ms)
     }
@@ -357,12 +361,14 @@
             return;
         }
         self.parted.retain(|_, notice| notice.is_recent(now_ms));
-        let notice = self.notice_mut(pick);
         if let Some(backoff_ms) = signals.backoff_ms {
-            notice.on_backoff(backoff_ms, now_ms);
+            match self.member_of(pick) {
+                Some(member) => member.on_backoff(backoff_ms, now_ms),
+                None => self.parted.entry(pick.life()).or_default().on_backoff(backoff_ms, now_ms),
+            }
         }
         if signals.is_leaving {
-            notice.on_leaving(now_ms);
+            self.notice_mut(pick).on_leaving(now_ms);
         }
     }
 
@@ -374,10 +380,37 @@
         }
     }
 
+    /// Whether a request may still be sent to the endpoint that was picked for it: what it or its record says may have
+    /// changed while a connection came up.
+    #[must_use]
+    pub fn is_welcome(&self, pick: &Pick, now_ms: u64) -> bool {
+        self.picked(pick).is_some_and(|member| member.is_welcome(now_ms))
+    }
+
+    /// Whether an endpoint that was picked has left since, or is about to.
+    #[must_use]
+    pub fn has_left(&self, pick: &Pick) -> bool {
+        !self.picked(pick).is_some_and(Member::takes_work)
+    }
+
+    /// An endpoint has taken a request.
+    pub fn on_accepted(&mut self, pick: &Pick, now_ms: u64) {
+        if let Some(member) = self.member_of(pick) {
+            member.on_accepted(now_ms);
+        }
+    }
+
+    /// The head of an answer has come, or the attempt has ended without one.
+    pub fn on_answered(&mut self, pick: &Pick) {
+        if let Some(member) = self.member_of(pick) {
+            member.on_answered();
+        }
+    }
+
     /// What the picked life of an endpoint has asked for.
     #[must_use]
     pub fn notice(&self, pick: &Pick) -> Notice {
-        let member = self.members.get(&pick.id).filter(|member| member.record.born_ms == pick.born_ms);
+        let member = self.picked(pick);
         let parted = || self.parted.get(&pick.life()).copied();
         member.map(|member| member.notice).or_else(parted).unwrap_or_default()
     }
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -4,6 +4,7 @@
 use super::notice::Notice;
 use super::outcome::Outcome;
 use super::reported_load::ReportedLoad;
+use super::slow_start::SlowStart;
 use crate::direct::waiting::Urgency;
 use crate::direct::{EndpointLife, EndpointRecord};
 
@@ -42,6 +43,9 @@
     pub pace_permille: u64,
     /// What it has asked for in its answers.
     pub notice: Notice,
+    /// Requests of this box that it has not answered yet.
+    unanswered: u64,
+    slow_start: SlowStart,
     /// The number of the event by which it became known.
     known: u64,
     load: ReportedLoad,
@@ -62,6 +66,8 @@
             record,
             known,
             notice,
+            unanswered: 0,
+            slow_start: if notice.has_asked() { SlowStart::AFTER_PAUSE } else { SlowStart::Open },
             in_flight: 0,
             late_in_flight: 0,
             load: ReportedLoad { running: 0, waiting: 0 },
@@ -86,6 +92,39 @@
         life.id == id && life.born_ms == self.record.born_ms
     }
 
+    /// Whether it takes new work at all: neither its record nor any answer of it has said that it leaves.
+    pub const fn takes_work(&self) -> bool {
+        !self.record.is_leaving && !self.notice.is_leaving()
+    }
+
+    /// Whether a request may be sent there now, as far as it has asked for anything.
+    pub fn is_welcome(&self, now_ms: u64) -> bool {
+        self.takes_work() && self.notice.backoff_until_ms(now_ms).is_none()
+    }
+
+    /// Whether a request more may be sent there while those before are unanswered.
+    pub const fn admits_one_more(&self) -> bool {
+        self.slow_start.admits(self.unanswered)
+    }
+
+    /// It wants no request for so long.
+    pub fn on_backoff(&mut self, backoff_ms: u64, now_ms: u64) {
+        self.notice.on_backoff(backoff_ms, now_ms);
+        self.slow_start = SlowStart::AFTER_PAUSE;
+    }
+
+    /// It has taken a request. What it took before it asked for a pause says nothing of what comes after.
+    pub fn on_accepted(&mut self, now_ms: u64) {
+        if self.notice.backoff_until_ms(now_ms).is_none() {
+            self.slow_start = self.slow_start.after_accepted(self.record.slots);
+        }
+    }
+
+    /// It has answered a request, with whatever.
+    pub const fn on_answered(&mut self) {
+        self.unanswered = self.unanswered.saturating_sub(1);
+    }
+
     /// Requests there, as far as known: our own exactly, those of other boxes from
     /// the last report, fading with its age.
     pub fn requests(&self, now_ms: u64) -> f64 {
@@ -139,6 +178,7 @@
     /// An attempt there begins.
     pub const fn on_start(&mut self, urgency: Urgency) {
         self.in_flight += 1;
+        self.unanswered += 1;
         self.late_in_flight += matches!(urgency, Urgency::Late) as u64;
     }
 
--- a/crates/ochreyard-core/src/direct/endpoint_pool/no_pick.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/no_pick.rs
@@ -7,6 +7,11 @@
     Nobody,
     /// Those that take work have as much as they can serve in time.
     Full,
+    /// All that take work have asked for a pause.
+    Paused {
+        /// When the first of these pauses is over.
+        until_ms: u64,
+    },
     /// All of their groups are known to stand or to be broken.
     Stands,
 }
--- a/crates/ochreyard-core/src/direct/endpoint_pool/notice.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/notice.rs
@@ -38,6 +38,12 @@
         self.is_leaving
     }
 
+    /// Whether it has ever asked for a pause.
+    #[must_use]
+    pub const fn has_asked(&self) -> bool {
+        self.asked_ms.is_some()
+    }
+
     /// Until when it wants no request; `None` if it wants some.
     #[must_use]
     pub fn backoff_until_ms(&self, now_ms: u64) -> Option<u64> {
--- a/crates/ochreyard-core/src/direct/waiting.rs
+++ b/crates/ochreyard-core/src/direct/waiting.rs
@@ -37,6 +37,11 @@
     Late,
 }
 
+/// How long callers are held through a pause that endpoints asked for while nothing is known of their patience, in
+/// milliseconds. The end of a pause is known, so they can be told when to come back; those that wait half a second for
+/// an answer wait twice as long at least.
+const UNKNOWN_PATIENCE_MS: u64 = 1_000;
+
 /// What is known of a request that found no endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WaitFacts {
@@ -50,7 +55,8 @@
     pub has_served: bool,
     /// Whether holding serves as many as sending back, by how tries have ended of late.
     pub is_worth_it: bool,
-    /// How much longer its service is expected to stand, in milliseconds; 0 where it goes on.
+    /// How much longer its service is expected to stand, or until the first pause of an endpoint is over, in
+    /// milliseconds; 0 where it goes on.
     pub stands_for_ms: u64,
     /// How long its caller has heard nothing, in milliseconds.
     pub silent_ms: u64,
@@ -69,10 +75,13 @@
         // One that waits already was let in, and stays for the whole of its second try.
         let is_last_wait = self.has_come_back && self.stands_for_ms == 0;
         let stays = |patience_ms| is_last_wait || self.silent_ms + self.stands_for_ms < patience_ms;
-        let is_there = self.patience_ms.is_none_or(stays);
+        let is_there = match (self.patience_ms, self.no_pick) {
+            (None, NoPick::Paused { .. }) => stays(UNKNOWN_PATIENCE_MS),
+            (patience_ms, _) => patience_ms.is_none_or(stays),
+        };
         let is_hopeful = match self.no_pick {
             NoPick::Nobody => false,
-            NoPick::Full => true,
+            NoPick::Full | NoPick::Paused { .. } => true,
             NoPick::Stands => self.has_served,
         };
         is_hopeful && is_in_time && is_there && self.is_worth_it
--- a/crates/ochreyard-core/src/direct/waiting/choice.rs
+++ b/crates/ochreyard-core/src/direct/waiting/choice.rs
@@ -61,8 +61,12 @@
             needed_ms: self.time.after_wait_ms().unwrap_or(seeker.aim_ms),
             has_served: self.time.after_wait_ms().is_some(),
             is_worth_it: !is_down || seeker.ticket.is_some() || self.is_holding_worth_it(now_ms),
-            // Who waits already was let in by what was expected then.
-            stands_for_ms: if seeker.ticket.is_none() { self.stands.rest_ms(now_ms) } else { 0 },
+            stands_for_ms: match no_pick {
+                NoPick::Paused { until_ms } => until_ms.saturating_sub(now_ms),
+                // Who waits already was let in by what was expected then.
+                _ if seeker.ticket.is_some() => 0,
+                _ => self.stands.rest_ms(now_ms),
+            },
             silent_ms: now_ms.saturating_sub(seeker.silent_since_ms),
             patience_ms: self.patience.limit_ms(),
             has_come_back: seeker.arrival.has_come_back,
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -29,6 +29,8 @@
     Answered(Box<Answer<D>>),
     /// The endpoint was not reached: it never had the request.
     NotSent,
+    /// The endpoint wants no request any more, by what it said since it was picked: it never had this one.
+    Unwanted,
     /// The endpoint said that it did not run the request.
     NotRun {
         /// Why.
@@ -56,10 +58,12 @@
     let flight = Flight::start(entry, pick);
     let out = request.to_endpoint(entry.dialect.headers(), &pick.id, deadline_ms);
     let kept = free_connection(entry, pick).await;
-    match exchange(kept, pick.addr, CONNECT_TIMEOUT, out).await {
+    let is_welcome = || entry.state.borrow().pool.is_welcome(pick, entry.clock.now_ms());
+    match exchange(kept, pick.addr, CONNECT_TIMEOUT, is_welcome, out).await {
         Ok(exchanged) => judge(entry, request, pick, flight, exchanged),
         Err(ExchangeError::Lost(error)) => lost(&flight, &error),
         Err(ExchangeError::Unreachable(error)) => unreachable(&flight, pick, &error),
+        Err(ExchangeError::Unwanted) => unwanted(pick),
         Err(ExchangeError::ClosedAtOnce) => not_sent(&flight),
     }
 }
@@ -80,6 +84,11 @@
     not_sent(flight)
 }
 
+fn unwanted<D: Dialect>(pick: &Pick) -> Attempt<D> {
+    log::info!("event=request_withheld endpoint={} addr={}", pick.id, pick.addr);
+    Attempt::Unwanted
+}
+
 fn not_sent<D: Dialect>(flight: &Flight<D>) -> Attempt<D> {
     flight.set(Outcome::Unreachable);
     Attempt::NotSent
@@ -121,6 +130,8 @@
         };
         return Attempt::MayHaveRun { cause: cause.to_owned() };
     }
+    let now_ms = entry.clock.now_ms();
+    entry.state.borrow_mut().pool.on_accepted(pick, now_ms);
     Attempt::Answered(Box::new(Answer { head, body, connection, pick: pick.clone(), flight }))
 }
 
--- a/crates/ochreyard-direct/src/call_error.rs
+++ b/crates/ochreyard-direct/src/call_error.rs
@@ -24,7 +24,7 @@
         match error {
             ExchangeError::Unreachable(error) => Self::Connect(error.to_string()),
             ExchangeError::Lost(error) => error.into(),
-            ExchangeError::ClosedAtOnce => Self::Lost("closed at once".to_owned()),
+            error @ (ExchangeError::Unwanted | ExchangeError::ClosedAtOnce) => Self::Lost(error.to_string()),
         }
     }
 }
--- a/crates/ochreyard-direct/src/connection_pool.rs
+++ b/crates/ochreyard-direct/src/connection_pool.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Drops those to an endpoint that leaves.
+    pub fn forget(&mut self, pick: &Pick) {
+        self.idle.remove(&(pick.life(), pick.addr));
+    }
+
     /// Drops all of them.
     pub fn clear(&mut self) {
         self.idle.clear();
--- a/crates/ochreyard-direct/src/crash_check.rs
+++ b/crates/ochreyard-direct/src/crash_check.rs
@@ -63,7 +63,7 @@
 }
 
 fn has_left<D: Dialect>(entry: &Entry<D>, pick: &Pick) -> bool {
-    entry.state.borrow().pool.record(&pick.id).is_none_or(|record| record.is_leaving)
+    entry.state.borrow().pool.has_left(pick)
 }
 
 async fn look_at<D: Dialect>(entry: Rc<Entry<D>>, pick: Pick) -> CrashCheck {
--- a/crates/ochreyard-direct/src/exchange.rs
+++ b/crates/ochreyard-direct/src/exchange.rs
@@ -21,6 +21,9 @@
     /// The new connection closed before a byte was written: the peer never had the request.
     #[error("closed at once")]
     ClosedAtOnce,
+    /// The peer no longer wants the request; it never had it.
+    #[error("no longer wanted")]
+    Unwanted,
     /// The peer may have read the request.
     #[error("lost: {0}")]
     Lost(hyper::Error),
@@ -35,7 +38,8 @@
 }
 
 /// Sends `request` over `kept`; where that closed before a byte was written, or there is
-/// none, over a new connection that comes up in `connect_timeout`.
+/// none, over a new connection that comes up in `connect_timeout`. Asks `is_welcome` right before a byte is written: a
+/// connection may take a quarter of a second, in which the peer may have said that it wants no more.
 ///
 /// # Errors
 ///
@@ -44,8 +48,12 @@
     kept: Option<Connection>,
     addr: SocketAddr,
     connect_timeout: Duration,
+    is_welcome: impl Fn() -> bool,
     mut request: Request<Full<Bytes>>,
 ) -> Result<Exchanged, ExchangeError> {
+    if !is_welcome() {
+        return Err(ExchangeError::Unwanted);
+    }
     if let Some(mut connection) = kept {
         match connection.send(request).await {
             Ok(response) => return Ok(Exchanged { connection, response }),
@@ -54,6 +62,9 @@
         }
     }
     let mut connection = Connection::open(addr, connect_timeout).await.map_err(ExchangeError::Unreachable)?;
+    if !is_welcome() {
+        return Err(ExchangeError::Unwanted);
+    }
     match connection.send(request).await {
         Ok(response) => Ok(Exchanged { connection, response }),
         Err(SendFailure::Lost(error)) => Err(ExchangeError::Lost(error)),
--- a/crates/ochreyard-direct/src/flight.rs
+++ b/crates/ochreyard-direct/src/flight.rs
@@ -13,6 +13,7 @@
     entry: Rc<Entry<D>>,
     pick: Pick,
     outcome: Cell<Outcome>,
+    is_answered: Cell<bool>,
 }
 
 impl<D: Dialect> Flight<D> {
@@ -20,7 +21,7 @@
     pub fn start(entry: &Rc<Entry<D>>, pick: &Pick) -> Self {
         entry.state.borrow_mut().pool.on_start(pick);
         let outcome = Cell::new(Outcome::Unknown);
-        Self { entry: Rc::clone(entry), pick: pick.clone(), outcome }
+        Self { entry: Rc::clone(entry), pick: pick.clone(), outcome, is_answered: Cell::new(false) }
     }
 
     /// Sets how the attempt ended.
@@ -32,6 +33,14 @@
     pub fn on_heard(&self) {
         let now_ms = self.entry.clock.now_ms();
         self.entry.state.borrow_mut().pool.on_heard(&self.pick.id, now_ms);
+        self.note_answered();
+    }
+
+    /// Notes once that the endpoint has answered, or will not.
+    fn note_answered(&self) {
+        if !self.is_answered.replace(true) {
+            self.entry.state.borrow_mut().pool.on_answered(&self.pick);
+        }
     }
 
     /// Whether the endpoint has said nothing to anybody here for so long.
@@ -43,6 +52,7 @@
 
 impl<D: Dialect> Drop for Flight<D> {
     fn drop(&mut self) {
+        self.note_answered();
         let now_ms = self.entry.clock.now_ms();
         self.entry.state.borrow_mut().pool.on_end(&self.pick, self.outcome.get(), now_ms);
     }
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -103,6 +103,7 @@
         has_arrived: false,
         last_facts: None,
         sent: 0,
+        refused_by_stands: 0,
         tried: Vec::new(),
         may_have_run: false,
         fingerprint: OnceCell::new(),
--- a/crates/ochreyard-direct/src/given_up.rs
+++ b/crates/ochreyard-direct/src/given_up.rs
@@ -7,6 +7,11 @@
     NoEndpoint,
     /// The endpoints that were asked have no room.
     Full,
+    /// All endpoints that take work have asked for a pause.
+    Paused {
+        /// How long until the first pause is over, in milliseconds.
+        left_ms: u64,
+    },
     /// All groups of the service stand.
     Stands,
     /// The box is leaving.
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -61,6 +61,8 @@
     pub last_facts: Option<WaitFacts>,
     /// Attempts that an endpoint got.
     pub sent: u64,
+    /// Attempts that were refused because the whole group stood.
+    pub refused_by_stands: usize,
     /// Lives of endpoints that were tried.
     pub tried: Vec<EndpointLife>,
     /// Whether an earlier attempt may have run.
@@ -101,6 +103,7 @@
                     return Ok(*answer);
                 }
                 Some(Attempt::NotSent) => last = GivenUp::NoEndpoint,
+                Some(Attempt::Unwanted) => {}
                 Some(Attempt::NotRun { status }) => {
                     self.note_failure(&pick, &format!("not run, status {status}"));
                     last = GivenUp::Full;
@@ -165,9 +168,13 @@
     /// Counts an attempt. An endpoint that was not reached never had the request. Where the
     /// whole group stands, its rank is not at fault, and may be asked again once it goes on.
     fn count(&mut self, pick: &Pick, attempt: Option<&Attempt<D>>) {
+        if matches!(attempt, Some(Attempt::Unwanted)) {
+            return;
+        }
         let was_reached = !matches!(attempt, Some(Attempt::NotSent));
         self.has_arrived |= was_reached;
         if matches!(attempt, Some(Attempt::NotRun { .. })) && self.stands() {
+            self.refused_by_stands += 1;
             return;
         }
         self.sent += u64::from(was_reached);
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -63,7 +63,7 @@
 
     /// Whether no further attempt is allowed.
     fn is_spent(&self) -> bool {
-        self.sent >= self.route.max_attempts || self.tried.len() >= MAX_UNREACHED
+        self.sent >= self.route.max_attempts || self.tried.len() + self.refused_by_stands >= MAX_UNREACHED
     }
 
     fn pick_next(&mut self, last: GivenUp, place: Option<&WaitingPlace<D>>) -> Result<Pick, NotPicked> {
@@ -108,7 +108,7 @@
             }
             Choice::GiveUp(facts) => {
                 self.last_facts = Some(facts);
-                Err(given_up(facts.no_pick, last).into())
+                Err(given_up(facts.no_pick, last, now_ms).into())
             }
         }
     }
@@ -159,10 +159,11 @@
 }
 
 /// Why a request is given up that found no endpoint; `last` says how its last attempt went.
-const fn given_up(no_pick: NoPick, last: GivenUp) -> GivenUp {
+const fn given_up(no_pick: NoPick, last: GivenUp, now_ms: u64) -> GivenUp {
     match no_pick {
         NoPick::Nobody => last,
         NoPick::Full => GivenUp::Full,
+        NoPick::Paused { until_ms } => GivenUp::Paused { left_ms: until_ms.saturating_sub(now_ms) },
         NoPick::Stands => GivenUp::Stands,
     }
 }
--- a/crates/ochreyard-direct/src/job/ending.rs
+++ b/crates/ochreyard-direct/src/job/ending.rs
@@ -20,6 +20,11 @@
 /// seconds, so nearly the longest time that callers wait for.
 const COME_BACK_PARTS_DOWN: (f64, f64) = (3.4, 3.0);
 
+/// Callers that are sent back until a pause of all endpoints is over are spread over this part of it, and over no less
+/// than the time in milliseconds: a slow start doubles its requests a few times within that.
+const PAUSE_SPREAD: u64 = 4;
+const LEAST_SPREAD_MS: u64 = 250;
+
 impl<D: Dialect> Job<D> {
     fn id(&self) -> &str {
         self.request.attempt_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
@@ -42,7 +47,7 @@
         let kind = match why {
             GivenUp::TimeUp if self.sent > 0 => ErrorKind::DeadlineExceeded,
             _ if self.may_have_run => ErrorKind::EndpointFailed,
-            GivenUp::Full => ErrorKind::Overloaded,
+            GivenUp::Full | GivenUp::Paused { .. } => ErrorKind::Overloaded,
             GivenUp::Budget => ErrorKind::RetryBudgetSpent,
             GivenUp::Leaving => ErrorKind::Leaving,
             GivenUp::Quarantined { .. } => ErrorKind::Quarantined,
@@ -76,6 +81,9 @@
         match why {
             GivenUp::Leaving => return LEAVING_COME_BACK_MS,
             GivenUp::Quarantined { left_ms } => return left_ms,
+            GivenUp::Paused { left_ms } => {
+                return left_ms + self.entry.draw() % (left_ms / PAUSE_SPREAD).max(LEAST_SPREAD_MS);
+            }
             _ => {}
         }
         let is_down = self.entry.state.borrow().pool.is_down(&self.service, self.entry.clock.now_ms());
--- a/crates/ochreyard-direct/src/link.rs
+++ b/crates/ochreyard-direct/src/link.rs
@@ -90,7 +90,7 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<(Connection, Response<Bytes>), CallError> {
-        let Exchanged { connection, response } = exchange(kept, self.addr, timeout, request).await?;
+        let Exchanged { connection, response } = exchange(kept, self.addr, timeout, || true, request).await?;
         let (head, body) = response.into_parts();
         let bytes = body.collect().await?.to_bytes();
         Ok((connection, Response::from_parts(head, bytes)))
--- a/crates/ochreyard-direct/src/signals.rs
+++ b/crates/ochreyard-direct/src/signals.rs
@@ -39,6 +39,10 @@
     let mut state = entry.state.borrow_mut();
     let before = state.pool.notice(pick);
     state.pool.on_signals(pick, signals, now_ms);
+    let is_first_word = signals.is_leaving && !before.is_leaving();
+    if is_first_word {
+        state.connections.forget(pick);
+    }
     drop(state);
     if let Some(backoff_ms) = signals.backoff_ms {
         let asked_age_ms = before.asked_age_ms(now_ms);
@@ -50,7 +54,7 @@
             pick.addr
         );
     }
-    if signals.is_leaving && !before.is_leaving() {
+    if is_first_word {
         log::info!("event=endpoint_leaves endpoint={} addr={} source=answer", pick.id, pick.addr);
     }
 }
