--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -14,6 +14,7 @@
 mod fingerprint;
 mod group_news;
 mod quarantine;
+mod questions;
 mod reading;
 mod repeat_budget;
 mod route_table;
@@ -31,6 +32,7 @@
 pub use quarantine::{
     Clearance, ClearedNews, CrashNews, Judged, LostRequest, Quarantine, QuarantineNews, TrialNews, VerdictNews,
 };
+pub use questions::{Asked, Questions};
 pub use reading::Reading;
 pub use repeat_budget::{RepeatBudget, RepeatLimits};
 pub use route_table::{
--- /dev/null
+++ b/crates/ochreyard-core/src/direct/questions.rs
@@ -0,0 +1,39 @@
+//! Which other boxes a box asks, again and again, while the platform's log answers it.
+
+use std::net::SocketAddr;
+
+use super::box_list::BoxList;
+use super::reading::Reading;
+
+/// Whom a box asks in one round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Asked {
+    /// The box that it relies on for the records of endpoints.
+    pub relied_on: Option<SocketAddr>,
+    /// Any box, for what else is new. Boxes that rely on each other may all be behind with the configuration, each by a
+    /// reading of its own that hangs, while they keep each other's records of endpoints fresh.
+    pub any: Option<SocketAddr>,
+}
+
+/// Counts the rounds of a box.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Questions {
+    rounds: u64,
+}
+
+impl Questions {
+    /// Whom the box `own` asks in the next round; `draw` is any evenly spread number. A box that reads for others relies
+    /// on nobody, and asks any box each time.
+    pub fn next(&mut self, reading: &Reading, own: &str, others: &BoxList, draw: u64) -> Asked {
+        self.rounds += 1;
+        let relied_on = reading.box_to_ask(own, others);
+        let asks_any = relied_on.is_none();
+        let any = asks_any.then(|| any_of(others, draw)).flatten();
+        Asked { relied_on, any: any.filter(|addr| Some(*addr) != relied_on) }
+    }
+}
+
+fn any_of(others: &BoxList, draw: u64) -> Option<SocketAddr> {
+    let at = draw.checked_rem(others.len() as u64)?;
+    others.addrs().nth(usize::try_from(at).ok()?)
+}
