Boxes ask any other box for what is new, beside the one that they rely on

Cause (likely for the entry that was 11 s behind, proved in the model): whom a box relies on is judged by records of endpoints alone; boxes that came to rely on each other keep those fresh and never learn of a configuration whose readings hang. Change: every third round one more box is asked, whichever; its answer counts for all that is new, not for whom to rely on. Ruled out: shorter readings of the log in each box (each is a priced call, and the lost answer is noticed only at its end). A third more questions between boxes.

--- a/crates/ochreyard-core/src/direct/questions.rs
+++ b/crates/ochreyard-core/src/direct/questions.rs
@@ -5,6 +5,10 @@
 use super::box_list::BoxList;
 use super::reading::Reading;
 
+/// Every how many rounds one more box is asked, whichever. What is newest then reaches a box within a few such rounds,
+/// whomever it relies on; a third more questions is what that costs.
+const ANY_EVERY: u64 = 3;
+
 /// Whom a box asks in one round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Asked {
@@ -27,7 +31,7 @@
     pub fn next(&mut self, reading: &Reading, own: &str, others: &BoxList, draw: u64) -> Asked {
         self.rounds += 1;
         let relied_on = reading.box_to_ask(own, others);
-        let asks_any = relied_on.is_none();
+        let asks_any = relied_on.is_none() || self.rounds.is_multiple_of(ANY_EVERY);
         let any = asks_any.then(|| any_of(others, draw)).flatten();
         Asked { relied_on, any: any.filter(|addr| Some(*addr) != relied_on) }
     }
--- a/crates/ochreyard-direct/src/peers/ask.rs
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ochreyard_core::direct::Questions;
 
 use super::peer_endpoint::PeerEndpoint;
 use super::peer_reading::PeerReading;
@@ -28,50 +29,62 @@
 /// Asks other boxes. `seeds` are addresses that are tried beside the boxes that are known.
 pub async fn keep_asking<D: Dialect>(entry: Rc<Entry<D>>, seeds: Vec<SocketAddr>) {
     let mut links: BTreeMap<SocketAddr, Rc<CallLink>> = BTreeMap::new();
+    let mut questions = Questions::default();
     loop {
         tokio::time::sleep(if entry.is_informed() { ASK_EVERY } else { FIRST_ASK_EVERY }).await;
-        let addrs = to_ask(&entry, &seeds);
-        for addr in addrs {
+        for (addr, role) in to_ask(&entry, &seeds, &mut questions) {
             let link = links.entry(addr).or_insert_with(|| Rc::new(CallLink::new(addr)));
-            tokio::task::spawn_local(ask(Rc::clone(&entry), Rc::clone(link)));
+            tokio::task::spawn_local(ask(Rc::clone(&entry), Rc::clone(link), role));
         }
     }
 }
 
-fn to_ask<D: Dialect>(entry: &Entry<D>, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+/// What a box is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Role {
+    /// This box relies on it: one that gives no fresh answer is passed over.
+    ReliedOn,
+    /// Whatever it knows that is newer.
+    Any,
+}
+
+fn to_ask<D: Dialect>(entry: &Entry<D>, seeds: &[SocketAddr], questions: &mut Questions) -> Vec<(SocketAddr, Role)> {
     let state = entry.state.borrow();
     let is_well = state.log_answers && state.table.is_some() && entry.is_informed();
+    if is_well && !state.boxes.is_empty() {
+        let asked = questions.next(&state.reading, &entry.identity.name, &state.boxes, entry.draw());
+        let relied_on = asked.relied_on.map(|addr| (addr, Role::ReliedOn));
+        return relied_on.into_iter().chain(asked.any.map(|addr| (addr, Role::Any))).collect();
+    }
     let own = entry.identity.record.addr;
     let mut addrs: Vec<SocketAddr> =
         state.boxes.addrs().chain(seeds.iter().copied()).filter(|addr| *addr != own).collect();
     addrs.sort_unstable();
     addrs.dedup();
     if addrs.is_empty() {
-        return addrs;
+        return Vec::new();
     }
     let first = usize::try_from(entry.draw() % addrs.len() as u64).unwrap_or(0);
     addrs.rotate_left(first);
-    if !is_well {
-        addrs.truncate(ASKED_AT_ONCE);
-        return addrs;
-    }
-    drop(state);
-    vec![entry.box_to_ask().unwrap_or(addrs[0])]
+    addrs.truncate(if is_well { 1 } else { ASKED_AT_ONCE });
+    addrs.into_iter().map(|addr| (addr, Role::ReliedOn)).collect()
 }
 
-async fn ask<D: Dialect>(entry: Rc<Entry<D>>, link: Rc<CallLink>) {
+async fn ask<D: Dialect>(entry: Rc<Entry<D>>, link: Rc<CallLink>, role: Role) {
     let asked_ms = entry.clock.now_ms();
     let path = question(&entry, link.addr()).path();
     let told = match link.get(&path, ASK_TIMEOUT).await {
         Ok(response) => serde_json::from_slice::<PeerState>(response.body()),
         Err(error) => {
             log::debug!("event=peer_silent addr={} error=\"{error}\"", link.addr());
-            entry.state.borrow_mut().reading.pass_over();
+            if role == Role::ReliedOn {
+                entry.state.borrow_mut().reading.pass_over();
+            }
             return;
         }
     };
     match told {
-        Ok(told) => take(&entry, told, link.addr(), asked_ms),
+        Ok(told) => take(&entry, told, link.addr(), role, asked_ms),
         Err(error) => log::warn!("event=peer_unreadable addr={} error=\"{error}\"", link.addr()),
     }
 }
@@ -87,13 +100,15 @@
     }
 }
 
-fn take<D: Dialect>(entry: &Entry<D>, told: PeerState, from: SocketAddr, asked_ms: u64) {
+fn take<D: Dialect>(entry: &Entry<D>, told: PeerState, from: SocketAddr, role: Role, asked_ms: u64) {
     entry.has_been_told.set(true);
     if let Some(document) = told.config {
         entry.take_config(&Bytes::from(document), &format!("peer-{from}"));
     }
     match told.reading {
-        Some(reading) => take_reading(entry, reading, asked_ms),
+        Some(reading) if role == Role::ReliedOn => take_reading(entry, reading, asked_ms),
+        Some(_) => {}
+        None if role == Role::Any => {}
         // It cannot be relied on now: another box is asked next time.
         None => entry.state.borrow_mut().reading.pass_over(),
     }
