The platform's client makes no call while the platform asks for a pause

Change: one place keeps it for all clones of a client, and says so in the log. Times are read by the one parser there is.

--- a/crates/ochreyard-platform/src/http.rs
+++ b/crates/ochreyard-platform/src/http.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use ochreyard_core::config::{LogPage, LogRecord};
-use reqwest::{Client, RequestBuilder, StatusCode};
+use ochreyard_core::retry_after;
+use reqwest::header::RETRY_AFTER;
+use reqwest::{Client, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
+use crate::backoff::Backoff;
 use crate::error::PlatformError;
 use crate::traits::{BoxList, ListedBox, LogStream, WeightStore};
 
@@ -19,6 +22,7 @@
     http: Client,
     base_url: String,
     stream: String,
+    backoff: Backoff,
 }
 
 #[derive(Deserialize)]
@@ -49,21 +53,37 @@
         let http = Client::builder().timeout(Duration::from_millis(timeout_ms)).no_proxy().build();
         let http = http.map_err(|error| PlatformError::Unavailable(error.to_string()))?;
         let base_url = base_url.into().trim_end_matches('/').to_owned();
-        Ok(Self { http, base_url, stream: stream.into() })
+        Ok(Self { http, base_url, stream: stream.into(), backoff: Backoff::default() })
     }
 
     async fn ask<T: DeserializeOwned>(&self, request: RequestBuilder) -> Result<T, PlatformError> {
         let unavailable = |error: reqwest::Error| PlatformError::Unavailable(error.to_string());
+        if let Some(retry_after_ms) = self.backoff.left_ms() {
+            return Err(PlatformError::Busy { retry_after_ms });
+        }
         let response = request.send().await.map_err(unavailable)?;
-        if response.status() == StatusCode::TOO_MANY_REQUESTS {
-            let seconds = response.headers().get("retry-after").and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-            return Err(PlatformError::Busy { retry_after_ms: seconds.map_or(DEFAULT_BUSY_MS, |s| s * 1000) });
+        if let Some(retry_after_ms) = asked_pause_ms(&response) {
+            self.backoff.ask(Duration::from_millis(retry_after_ms));
+            log::info!("event=platform_busy status={} retry_after_ms={retry_after_ms}", response.status().as_u16());
+            return Err(PlatformError::Busy { retry_after_ms });
         }
         let response = response.error_for_status().map_err(unavailable)?;
         response.json().await.map_err(unavailable)
     }
 }
 
+/// For how long a refusal asks for no call, in milliseconds. One that is too busy and names no time that can be read gets
+/// the usual one; one that is unavailable may be back at any moment.
+fn asked_pause_ms(response: &Response) -> Option<u64> {
+    let stated = response.headers().get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+    let stated_ms = stated.and_then(|value| retry_after::parse_ms(value).ok());
+    match response.status() {
+        StatusCode::TOO_MANY_REQUESTS => Some(stated_ms.unwrap_or(DEFAULT_BUSY_MS)),
+        StatusCode::SERVICE_UNAVAILABLE => stated_ms,
+        _ => None,
+    }
+}
+
 impl LogStream for HttpPlatform {
     async fn read(&self, from: u64, limit: u32) -> Result<LogPage, PlatformError> {
         let url = format!("{}/log/{}?from={from}&limit={limit}", self.base_url, self.stream);
--- a/crates/ochreyard-platform/src/lib.rs
+++ b/crates/ochreyard-platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each is a small trait, with an HTTP client for the shape in
 //! `docs/platform.md`. Tests put fakes behind the traits.
 
+mod backoff;
 mod error;
 mod http;
 mod traits;
