--- /dev/null
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/choosing.rs
@@ -0,0 +1,136 @@
+//! Which endpoint gets a request, and whether one has room.
+
+use super::group::Group;
+use super::{EndpointPool, Member, NoPick, Pick};
+use crate::direct::endpoint_life::EndpointLife;
+use crate::direct::waiting::Urgency;
+use crate::hash;
+
+/// Requests for each slot that an endpoint without a group may have, running and
+/// waiting: what waits starts after about as many runs.
+const PLAIN_DEPTH: f64 = 3.0;
+/// Requests that may wait at a rank of a group: the next place is free within the
+/// aim of a first event, a second one hardly.
+const GROUP_WAITING: f64 = 1.0;
+/// Share of what an endpoint takes up to which it gets requests that can only be late: the
+/// rest is for those that come next and can still be in their aim. A quarter of the places is
+/// what callers at their usual rate fill in half a second, until late ones have ended.
+const LATE_DEPTH: f64 = 0.75;
+/// Endpoints that are drawn for one request, of which the least loaded gets it. What is
+/// known of load is some hundred milliseconds old and alike at all boxes: were the
+/// least loaded of all picked, all boxes would send there at once.
+const COMPARED: usize = 3;
+/// The step of a group that told none, in milliseconds: what engines need under usual load.
+const USUAL_STEP_MS: u64 = 70;
+/// How much more loaded a group counts whose leader has fallen silent.
+const SILENT_LEADER_COST: f64 = 2.0;
+
+impl EndpointPool {
+    /// Picks an endpoint of a service that is not in `tried`: the least loaded of a few drawn ones.
+    /// Endpoints that were set aside are used only where no other is left; those that asked for a pause, never.
+    ///
+    /// # Errors
+    ///
+    /// When nobody takes work, all have asked for a pause or have as much as they can serve in time, or all groups stand.
+    pub fn pick(
+        &self,
+        service: &str,
+        tried: &[EndpointLife],
+        urgency: Urgency,
+        draw: u64,
+        now_ms: u64,
+    ) -> Result<Pick, NoPick> {
+        if self.is_down(service, now_ms) {
+            return Err(NoPick::Stands);
+        }
+        let is_left =
+            |id: &str, member: &Member| member.takes_work() && !tried.iter().any(|life| member.is_life(id, life));
+        let left = || self.of_service(service).filter(|(id, member)| is_left(id, member));
+        let open: Vec<(&str, &Member)> = left().filter(|(_, member)| member.is_welcome(now_ms)).collect();
+        let is_sound =
+            |member: &Member| !member.is_aside(now_ms) && !member.is_slow(now_ms) && self.is_serving(member, now_ms);
+        let sound: Vec<(&str, &Member)> = open.iter().copied().filter(|(_, member)| is_sound(member)).collect();
+        let usable = if sound.is_empty() { open } else { sound };
+        if usable.is_empty() {
+            let first_end_ms = left().filter_map(|(_, member)| member.notice.backoff_until_ms(now_ms)).min();
+            return Err(first_end_ms.map_or(NoPick::Nobody, |until_ms| NoPick::Paused { until_ms }));
+        }
+        let with_room = usable.into_iter().filter(|(_, member)| self.has_room(member, urgency, now_ms));
+        let shuffled = with_room.enumerate().map(|(at, found)| (hash::mix(draw ^ at as u64), found));
+        let mut shuffled: Vec<(u64, (&str, &Member))> = shuffled.collect();
+        shuffled.sort_unstable_by_key(|(key, _)| *key);
+        let compared = shuffled.into_iter().take(COMPARED).map(|(_, found)| found);
+        let best = compared.min_by(|a, b| self.pressure(a.1, now_ms).total_cmp(&self.pressure(b.1, now_ms)));
+        let (id, member) = best.ok_or(NoPick::Full)?;
+        Ok(Pick {
+            id: id.to_owned(),
+            born_ms: member.record.born_ms,
+            addr: member.record.addr,
+            in_flight: member.in_flight,
+            urgency,
+        })
+    }
+
+    /// Whether all groups of a service are known to stand or to be broken.
+    #[must_use]
+    pub fn is_down(&self, service: &str, now_ms: u64) -> bool {
+        let mut members = self.of_service(service).filter(|(_, member)| member.takes_work()).peekable();
+        members.peek().is_some() && members.all(|(_, member)| !self.is_serving(member, now_ms))
+    }
+
+    /// Slots of all endpoints of a service that take work.
+    #[must_use]
+    pub fn slots(&self, service: &str) -> u64 {
+        self.of_service(service).filter(|(_, member)| member.takes_work()).map(|(_, member)| member.record.slots).sum()
+    }
+
+    /// Requests of this box at a service's endpoints that were late when they were sent.
+    #[must_use]
+    pub fn late_in_flight(&self, service: &str) -> u64 {
+        self.of_service(service).map(|(_, member)| member.late_in_flight).sum()
+    }
+
+    /// Whether an endpoint can serve one more request in time.
+    fn has_room(&self, member: &Member, urgency: Urgency, now_ms: u64) -> bool {
+        let slots = member.record.slots.max(1) as f64;
+        let most = if self.group_of(member).is_some() { slots + GROUP_WAITING } else { slots * PLAIN_DEPTH };
+        let limit = match urgency {
+            Urgency::Late => most * LATE_DEPTH,
+            Urgency::InAim => most,
+        };
+        member.admits_one_more() && member.requests(now_ms).round() < limit
+    }
+
+    /// How loaded an endpoint counts: in a group with longer steps each request takes longer.
+    fn pressure(&self, member: &Member, now_ms: u64) -> f64 {
+        let group = self.group_of(member);
+        let is_silent = group.is_some_and(|group| group.is_silent(now_ms));
+        let step_ms = group.and_then(|group| group.step_ms(now_ms)).unwrap_or(USUAL_STEP_MS) as f64;
+        member.pressure(now_ms) * step_ms * if is_silent { SILENT_LEADER_COST } else { 1.0 }
+    }
+
+    /// Whether the group of an endpoint goes on, as far as known. One of which no group is known, and that came
+    /// after a group had begun to stand, is most likely its missing rank: until the group forms anew it rejects all
+    /// that it is sent. Where it was used before, 100 to 200 requests that had waited for the group went there.
+    pub(super) fn is_serving(&self, member: &Member, now_ms: u64) -> bool {
+        let is_missing_in = |group: &Group| !group.is_serving(now_ms) && group.stood() < member.known();
+        match self.group_of(member) {
+            Some(group) => group.is_serving(now_ms),
+            None => !self.groups_of(&member.record.service).any(is_missing_in),
+        }
+    }
+
+    /// Whether a request should leave an endpoint for another one: its leader said of late that
+    /// it is slow, and one that is not has room.
+    ///
+    /// Every step of a group takes as long as its slowest rank needs for its own requests. Left
+    /// to end there, ten requests at a rank five times as slow as usual make the steps of 600
+    /// others take 200 ms in place of 65 for three to six seconds; once they are gone, steps
+    /// are short again although the rank is as slow as before.
+    #[must_use]
+    pub fn should_leave(&self, id: &str, service: &str, tried: &[EndpointLife], now_ms: u64) -> bool {
+        let is_slow = |id: &str| self.members.get(id).is_some_and(|member| member.is_slow(now_ms));
+        let other = || self.pick(service, tried, Urgency::InAim, 0, now_ms).ok();
+        is_slow(id) && other().is_some_and(|pick| pick.id != id && !is_slow(&pick.id))
+    }
+}
