--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -204,7 +204,10 @@
         let failed = match outcome {
             Outcome::Good => 0.0,
             Outcome::Failed | Outcome::Unreachable => 1.0,
-            Outcome::Full => return self.refused_ms = Some(now_ms),
+            Outcome::Full => {
+                self.refused_ms = Some(now_ms);
+                return;
+            }
             Outcome::Unknown => return,
         };
         self.failures += FAILURE_WEIGHT * (failed - self.failures);
--- a/crates/ochreyard-core/src/direct/waiting.rs
+++ b/crates/ochreyard-core/src/direct/waiting.rs
@@ -41,8 +41,7 @@
 }
 
 /// How long callers are held through a wait of known length while nothing is known of their patience, in milliseconds.
-/// They can be told when to come back; those that wait half a second for
-/// an answer wait twice as long at least.
+/// They can be told when to come back, and those that expect an answer in half a second wait twice as long at least.
 const UNKNOWN_PATIENCE_MS: u64 = 1_000;
 
 /// What is known of a request that found no endpoint.
