--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -88,6 +88,31 @@
     assert_eq!(catalog.overdue(8_100), [EndpointChange::Gone("dies".into())]);
 }
 
+/// Seen: requests at an endpoint 2.0 to 2.3 s after its record had gone, from the one box that the log had not answered for a
+/// while until 1.4 s before. It took the record for one that had lapsed in that outage, and waited for two seconds from
+/// when it read that, not from the log's return.
+#[test]
+fn a_record_that_goes_soon_after_an_outage_is_waited_for_until_two_seconds_after_the_return() {
+    let mut catalog = Catalog::new();
+    catalog.take("leaves", 1, Some(endpoint(1)), 0);
+    catalog.on_log_away(1_000);
+    catalog.on_log_read(6_000);
+    assert_eq!(catalog.take("leaves", 2, None, 7_700), None);
+    assert_eq!(catalog.overdue(8_000), [EndpointChange::Gone("leaves".into())]);
+}
+
+#[test]
+fn a_record_that_lapsed_while_the_log_was_away_may_come_back_until_two_seconds_after_the_return() {
+    let mut catalog = Catalog::new();
+    catalog.take("lapses", 1, Some(endpoint(1)), 0);
+    catalog.on_log_away(1_000);
+    // Another box told of it.
+    assert_eq!(catalog.take("lapses", 2, None, 2_000), None);
+    catalog.on_log_read(6_000);
+    assert!(catalog.overdue(7_900).is_empty());
+    assert_eq!(catalog.overdue(8_000), [EndpointChange::Gone("lapses".into())]);
+}
+
 #[test]
 fn an_endpoint_that_a_whole_reading_no_longer_lists_is_gone() {
     let mut catalog = Catalog::new();
