A record that went in or soon after an outage is waited for until two seconds after the log's return

Cause: the two seconds ran from when a box read that the record had gone, so one that left 1.4 s after the return got work for 2.33 s (bound 2 s), and one that lapsed early in a long outage was given up before the log was back. Change: they run from the return, as the box knows it. Ruled out: the time of a connection (6 ms here).

--- a/crates/ochreyard-core/src/direct/catalog.rs
+++ b/crates/ochreyard-core/src/direct/catalog.rs
@@ -1,7 +1,7 @@
 //! What the platform's log says of endpoints, folded so that late news cannot
 //! undo newer news.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -53,7 +53,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
     kept: HashMap<String, Kept>,
-    unconfirmed: HashMap<String, u64>,
+    /// Endpoints whose record went in an outage of the log or soon after: they may write it again.
+    unconfirmed: BTreeSet<String>,
     away_since_ms: Option<u64>,
     back_at_ms: u64,
 }
@@ -95,39 +96,35 @@
         let former = former.and_then(|kept| kept.record);
         match record {
             Some(record) => {
-                let was_unconfirmed = self.unconfirmed.remove(id).is_some();
+                let was_unconfirmed = self.unconfirmed.remove(id);
                 let is_news = was_unconfirmed || former.as_ref() != Some(&record);
                 is_news.then(|| EndpointChange::Known(id.to_owned(), record))
             }
             // An entry that lapsed while the log was away says nothing of the endpoint:
             // it may write itself back.
             None if self.is_settling(now_ms) => {
-                self.unconfirmed.insert(id.to_owned(), now_ms.max(self.back_at_ms) + RETURN_GRACE_MS);
+                self.unconfirmed.insert(id.to_owned());
                 None
             }
             None => Some(EndpointChange::Gone(id.to_owned())),
         }
     }
 
-    /// Endpoints that did not write themselves back in time.
+    /// Endpoints that did not write themselves back in time. Their time runs from the log's return, not from when this box
+    /// read that a record had gone: one that leaves soon after an outage would get work for seconds too long.
     pub fn overdue(&mut self, now_ms: u64) -> Vec<EndpointChange> {
-        if self.away_since_ms.is_some() {
+        if self.is_settling(now_ms) {
             return Vec::new();
         }
-        let due: Vec<String> =
-            self.unconfirmed.iter().filter(|(_, until)| **until <= now_ms).map(|(id, _)| id.clone()).collect();
-        self.unconfirmed.retain(|_, until| *until > now_ms);
-        due.into_iter().map(EndpointChange::Gone).collect()
+        std::mem::take(&mut self.unconfirmed).into_iter().map(EndpointChange::Gone).collect()
     }
 
     /// The endpoints that changed at `from` or later, with the offset of their change,
     /// as another box may take them over. One whose entry lapsed, and may come back,
     /// is left out until that is settled.
     pub fn changed_since(&self, from: u64) -> impl Iterator<Item = (&str, u64, Option<&EndpointRecord>)> {
-        let changed = self
-            .kept
-            .iter()
-            .filter(move |(id, kept)| kept.changed >= from && !self.unconfirmed.contains_key(id.as_str()));
+        let changed =
+            self.kept.iter().filter(move |(id, kept)| kept.changed >= from && !self.unconfirmed.contains(id.as_str()));
         changed.map(|(id, kept)| (id.as_str(), kept.changed, kept.record.as_ref()))
     }
 
