--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -46,6 +46,7 @@
 pub use dialect::{Dialect, HeaderNames, Unreadable};
 pub use entry::{Entry, Identity, State};
 pub use fields::FIELDS;
+pub use follow::follow_config;
 pub use heard::Heard;
 pub use keyed_log::{KeyedLog, KeyedLogError, KeyedPage, KeyedRecord, Topic};
 pub use link::CallLink;
