A return of the platform's log makes a waiting reading of the configuration begin anew

Cause: such a reading that began before an outage is never answered, and was noticed only at its end: 6 s in boxes that read for others, 26 s in the rest, while the process knew by its other readings that the log was back. Change: whoever waits for news of the configuration is told of the return, and reads the newest at once. Ruled out: a shorter wait (each reading is a priced call); a shorter time-out (a slow log answers late).

--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -13,6 +13,7 @@
 use ochreyard_core::direct::{BoxRecord, EndpointChange, EngineFigures, GroupNews, RepeatLimits};
 use ochreyard_core::hash;
 use ochreyard_process::Clock;
+use tokio::sync::Notify;
 
 pub use self::identity::Identity;
 pub use self::state::{State, queue_of};
@@ -49,6 +50,8 @@
     pub crash_checks: CrashChecks,
     /// What waits to be told of requests that crash endpoints.
     pub outbox: Outbox,
+    /// Tells that the platform's log answers again after it had not.
+    pub log_returned: Notify,
     /// Other boxes that took no news of late.
     pub passed_over: PassedOver,
     draws: Cell<u64>,
@@ -74,6 +77,7 @@
             is_refusing: Cell::new(false),
             crash_checks: CrashChecks::default(),
             outbox: Outbox::default(),
+            log_returned: Notify::new(),
             passed_over: PassedOver::default(),
             draws,
             links: RefCell::default(),
@@ -218,6 +222,9 @@
         if state.log_answers != answers {
             state.log_answers = answers;
             log::warn!("event=log_reachability answers={answers} problem=\"{problem}\"");
+            if answers {
+                self.log_returned.notify_waiters();
+            }
         }
     }
 }
--- a/crates/ochreyard-direct/src/follow/config.rs
+++ b/crates/ochreyard-direct/src/follow/config.rs
@@ -16,7 +16,7 @@
 
 /// Follows the configuration; each reading waits for the next record.
 pub async fn follow_config<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
-    loop {
+    'outage: loop {
         let start = log.newest(Topic::Config).await;
         let Some(page) = noted(&entry, start) else {
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -26,7 +26,12 @@
         let mut from = after_last(&page);
         loop {
             let wait_ms = if entry.box_to_ask().is_none() { READER_WAIT_MS } else { TOLD_WAIT_MS };
-            match log.read(Topic::Config, from, wait_ms).await {
+            // A reading that began before an outage may never be answered, and is noticed seconds after the return.
+            let reading = tokio::select! {
+                reading = log.read(Topic::Config, from, wait_ms) => reading,
+                () = entry.log_returned.notified() => continue 'outage,
+            };
+            match reading {
                 Err(KeyedLogError::Gone { first }) if first > from => from = first,
                 result => {
                     let Some(page) = noted(&entry, result) else { break };
