Evacuated data centres get no request, cold endpoints no more than they bear from all boxes together

Cause: of what operators write, only the configuration was read; the record of an evacuation counted as a configuration that cannot be read. That an endpoint is cold weighed in the choice alone, so every box sent to it as if it were the only one.

Change: Evacuations keeps the newest record of each data centre, by position; boxes tell each other; what was in force outlives a return of the store until the operator has had time to write again. ColdBound deals whole requests in a window of a second to all boxes: the part of SharedLimit that dealt the limits that endpoints name is now DealtPart, used by both. An endpoint that could not be reached, or whose group stood, counts as possibly cold for 3 s.

Found by the property of cold_model while it was built: a box that starts again has forgotten what it sent, so it sends nothing to a cold endpoint for one window.

Ruled out: the bound for warm endpoints, too: it would bind services whose warm endpoints serve more than cold ones bear.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -11,6 +11,7 @@
 mod endpoint_pool;
 mod endpoint_record;
 mod endpoint_signals;
+mod evacuation;
 mod event_splitter;
 mod fingerprint;
 mod group_news;
@@ -30,6 +31,7 @@
 pub use endpoint_pool::{Asking, EndpointPool, LimitUse, NoPick, Notice, Outcome, Pick, ReportedLoad};
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_signals::{EndpointSignals, backoff_ms};
+pub use evacuation::{EvacuationNews, Evacuations};
 pub use event_splitter::{EventSplitter, WholeEvents};
 pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use group_news::{GroupNews, RankNews, TellerRole};
@@ -41,9 +43,11 @@
 pub use reading::Reading;
 pub use repeat_budget::{RepeatBudget, RepeatLimits};
 pub use route_table::{
-    CallerLimits, EngineFigures, Route, RouteKind, RouteTable, ServiceSpec, WeightedService, Workspace,
+    CallerLimits, ColdFigures, EngineFigures, Route, RouteKind, RouteTable, ServiceSpec, WeightedService, Workspace,
+};
+pub use shared_limit::{
+    DealtPart, LimitNews, LimitWord, Place, Quota, RequestRate, SharedLimit, Sharers, ToldLimit, limit,
 };
-pub use shared_limit::{LimitNews, LimitWord, Place, Quota, RequestRate, SharedLimit, Sharers, ToldLimit, limit};
 pub use waiting::{
     Arrival, Choice, Endings, Met, Patience, Seeker, ServiceQueue, ServiceTime, Stands, Ticket, Urgency, WaitFacts,
     WaitingLine,
--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -4,6 +4,8 @@
 mod answers;
 mod asking;
 mod choosing;
+mod cold;
+mod cold_bound;
 mod drawn_order;
 mod group;
 mod groups;
@@ -18,9 +20,10 @@
 mod reported_load;
 mod slow_start;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 pub use self::asking::Asking;
+use self::cold::ColdQuotas;
 use self::group::Group;
 pub use self::limit_use::LimitUse;
 use self::member::Member;
@@ -48,6 +51,9 @@
     parted: HashMap<EndpointLife, Parted>,
     /// The boxes that share limits.
     sharers: Sharers,
+    cold_quotas: ColdQuotas,
+    /// Data centres whose endpoints get no request.
+    evacuated: BTreeSet<String>,
     /// Changes of limits are numbered in their order.
     limit_changes: u64,
     /// Endpoints that became known, and groups that began to stand, are numbered in their order.
@@ -74,6 +80,7 @@
             && member.record.service == record.service
             && member.record.born_ms == record.born_ms
         {
+            member.is_evacuated = self.evacuated.contains(&record.data_centre);
             member.record = record;
             return;
         }
@@ -82,7 +89,23 @@
         self.events += 1;
         let life = EndpointLife { id, born_ms: record.born_ms };
         let before = self.parted.remove(&life).unwrap_or_default();
-        self.members.insert(life.id, Member::new(record, self.events, before));
+        let cold = self.cold_bound(&life.id, &record.service);
+        let mut member = Member::new(record, self.events, before, cold);
+        member.is_evacuated = self.evacuated.contains(&member.record.data_centre);
+        self.members.insert(life.id, member);
+    }
+
+    /// Endpoints of these data centres get no request from now on, those of all others do.
+    pub fn set_evacuated<'a>(&mut self, data_centres: impl Iterator<Item = &'a str>) {
+        self.evacuated = data_centres.map(str::to_owned).collect();
+        for member in self.members.values_mut() {
+            member.is_evacuated = self.evacuated.contains(&member.record.data_centre);
+        }
+    }
+
+    /// The data centres whose endpoints get no request, in the order of their names.
+    pub fn evacuated(&self) -> impl Iterator<Item = &str> {
+        self.evacuated.iter().map(String::as_str)
     }
 
     fn remove(&mut self, id: &str) {
--- a/crates/ochreyard-core/src/direct/endpoint_pool/answers.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/answers.rs
@@ -80,7 +80,7 @@
     /// Whether an endpoint that was picked has left since, or is about to.
     #[must_use]
     pub fn has_left(&self, pick: &Pick) -> bool {
-        !self.picked(pick).is_some_and(Member::takes_work)
+        self.picked(pick).is_none_or(Member::is_leaving)
     }
 
     /// How many endpoints of a service ask this box for something.
@@ -89,7 +89,7 @@
         let is_paused = |member: &Member| member.takes_work() && !member.is_welcome(now_ms);
         Asking {
             paused: self.of_service(service).filter(|(_, member)| is_paused(member)).count(),
-            leaving: self.of_service(service).filter(|(_, member)| !member.takes_work()).count(),
+            leaving: self.of_service(service).filter(|(_, member)| member.is_leaving()).count(),
         }
     }
 
--- a/crates/ochreyard-core/src/direct/endpoint_pool/groups.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/groups.rs
@@ -26,9 +26,11 @@
         self.events += 1;
         let event = self.events;
         let group = self.groups.entry(name.clone()).or_insert_with(|| Group::new(now_ms));
+        let was_serving = group.is_serving(now_ms);
         if !group.on_news(news, event, now_ms) {
             return;
         }
+        let goes_on_again = !was_serving && news.is_serving;
         for rank in &news.ranks {
             let Some(member) = self.members.get_mut(&rank.endpoint) else { continue };
             if member.group.as_ref() != Some(&name) {
@@ -39,6 +41,9 @@
             if news.is_serving {
                 member.on_told_serving(now_ms);
             }
+            if goes_on_again {
+                member.cold.on_return(now_ms);
+            }
         }
     }
 
--- a/crates/ochreyard-core/src/direct/endpoint_pool/limits.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/limits.rs
@@ -17,6 +17,11 @@
                 limit.set_place(sharers.place(id));
             }
         }
+        for (id, member) in &mut self.members {
+            if member.cold.is_bounded() {
+                member.cold.set_place(sharers.place(id));
+            }
+        }
         self.sharers = sharers;
     }
 
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -1,6 +1,7 @@
 //! One endpoint as it looks from this box: its load, its failures and its group.
 
 use super::NEWS_LIFE_MS;
+use super::cold_bound::ColdBound;
 use super::notice::Notice;
 use super::outcome::Outcome;
 use super::parted::Parted;
@@ -26,8 +27,10 @@
 /// Most doublings of the time for which it is set aside: keeps the shift within a `u64`,
 /// well beyond [`MAX_SET_ASIDE_MS`].
 const MAX_DOUBLINGS: u32 = 8;
-/// How much more loaded an endpoint counts that is still slow from its start.
-const COLD_COST: f64 = 1.5;
+/// How much more loaded an endpoint counts that has just started, and is slow for a while: by this part, less as it warms.
+const COLD_COST: f64 = 0.5;
+/// An endpoint that stays cold for this long or longer counts as slow as any, in milliseconds.
+const COLD_SPAN_MS: f64 = 3_000.0;
 /// After this time, reported load says nothing more, in milliseconds.
 const LOAD_LIFE_MS: f64 = 1_500.0;
 /// The pace of an endpoint that is as fast as usual, in thousandths.
@@ -52,6 +55,10 @@
     pub notice: Notice,
     /// What it takes from all boxes together, where it names that.
     pub limit: Option<SharedLimit>,
+    /// What it bears while it is cold.
+    pub cold: ColdBound,
+    /// Whether its data centre is evacuated.
+    pub is_evacuated: bool,
     /// Requests of this box that were picked for it and are not sent yet.
     unsent: u64,
     /// Requests of this box that it has not answered yet.
@@ -74,13 +81,15 @@
 
 impl Member {
     /// An endpoint of which nothing is known but its record, and what it asked for before that lapsed.
-    pub fn new(record: EndpointRecord, known: u64, before: Parted) -> Self {
+    pub fn new(record: EndpointRecord, known: u64, before: Parted, cold: ColdBound) -> Self {
         let Parted { notice, limit } = before;
         Self {
             record,
             known,
             notice,
             limit,
+            cold,
+            is_evacuated: false,
             unsent: 0,
             unanswered: 0,
             slow_start: if notice.has_asked() { SlowStart::AFTER_PAUSE } else { SlowStart::Open },
@@ -109,9 +118,14 @@
         life.id == id && life.born_ms == self.record.born_ms
     }
 
-    /// Whether it takes new work at all: neither its record nor any answer of it has said that it leaves.
+    /// Whether it takes new work at all: it does not leave, and its data centre is not evacuated.
     pub const fn takes_work(&self) -> bool {
-        !self.record.is_leaving && !self.notice.is_leaving()
+        !self.is_leaving() && !self.is_evacuated
+    }
+
+    /// Whether its record or an answer of it has said that it leaves.
+    pub const fn is_leaving(&self) -> bool {
+        self.record.is_leaving || self.notice.is_leaving()
     }
 
     /// Whether a request may be sent there now, as far as it has asked for anything.
@@ -119,34 +133,47 @@
         self.takes_work() && self.notice.backoff_until_ms(now_ms).is_none()
     }
 
-    /// Whether a request more may be sent there: while those before are unanswered, and within this box's part of its
-    /// limit.
+    /// Whether a request more may be sent there: while those before are unanswered, and within this box's part of what it
+    /// takes from all boxes together.
     pub fn admits_one_more(&self, now_ms: u64) -> bool {
-        let is_free = self.limit.as_ref().is_none_or(|limit| limit.admits(self.unsent, now_ms));
-        self.slow_start.admits(self.unanswered) && is_free
+        self.slow_start.admits(self.unanswered) && self.is_free(self.unsent, now_ms)
     }
 
-    /// When its limit lets this box send the next request; `None` where it has none.
+    /// When what it takes from all boxes together lets this box send the next request; `None` where nothing binds.
     pub fn limit_free_ms(&self, now_ms: u64) -> Option<u64> {
-        self.limit.as_ref().and_then(|limit| limit.free_ms(self.unsent, now_ms))
+        self.free_ms(self.unsent, now_ms)
+    }
+
+    fn free_ms(&self, unsent: u64, now_ms: u64) -> Option<u64> {
+        let limited_ms = self.limit.as_ref().and_then(|limit| limit.free_ms(unsent, now_ms));
+        limited_ms.max(self.cold.free_ms(unsent, now_ms))
     }
 
-    /// A request is about to be written, if its limit lets it.
+    fn is_free(&self, unsent: u64, now_ms: u64) -> bool {
+        self.free_ms(unsent, now_ms).is_none_or(|free_ms| now_ms >= free_ms)
+    }
+
+    /// A request is about to be written, if what it takes from all boxes together lets it.
     pub fn try_send(&mut self, now_ms: u64) -> bool {
-        let Some(limit) = &mut self.limit else { return true };
-        let is_free = limit.admits(0, now_ms);
+        let is_free = self.is_free(0, now_ms);
         if is_free {
-            limit.on_sent(now_ms);
+            self.cold.on_sent(now_ms);
+            if let Some(limit) = &mut self.limit {
+                limit.on_sent(now_ms);
+            }
         }
         is_free
     }
 
     /// A request that was picked, or that counted as sent at `counted_ms`, is not on its way any more.
     pub fn on_unsent(&mut self, counted_ms: Option<u64>) {
-        match (counted_ms, &mut self.limit) {
-            (Some(sent_ms), Some(limit)) => limit.take_back(sent_ms),
-            (Some(_), None) => {}
-            (None, _) => self.unsent = self.unsent.saturating_sub(1),
+        let Some(sent_ms) = counted_ms else {
+            self.unsent = self.unsent.saturating_sub(1);
+            return;
+        };
+        self.cold.take_back(sent_ms);
+        if let Some(limit) = &mut self.limit {
+            limit.take_back(sent_ms);
         }
     }
 
@@ -187,8 +214,10 @@
     /// How loaded it counts for a comparison.
     pub fn pressure(&self, now_ms: u64) -> f64 {
         let slots = self.record.slots.max(1) as f64;
-        let cold = if self.record.cold_ms > 0 { COLD_COST } else { 1.0 };
-        (self.requests(now_ms) + 1.0) / slots * cold * (1.0 + FAILURE_COST * self.failures.max(self.refusal(now_ms)))
+        let cold = (self.cold.left_ms(now_ms) as f64 / COLD_SPAN_MS).min(1.0);
+        (self.requests(now_ms) + 1.0) / slots
+            * (1.0 + COLD_COST * cold)
+            * (1.0 + FAILURE_COST * self.failures.max(self.refusal(now_ms)))
     }
 
     /// What its last refusal still says: 1 just after it, 0 a while later.
@@ -251,6 +280,7 @@
             let times = self.unreachable_times.min(MAX_DOUBLINGS);
             self.aside_until_ms = now_ms + (SET_ASIDE_MS << times).min(MAX_SET_ASIDE_MS);
             self.unreachable_times += 1;
+            self.cold.on_return(self.aside_until_ms);
         } else if outcome == Outcome::Good {
             self.unreachable_times = 0;
             self.aside_until_ms = 0;
--- a/crates/ochreyard-core/src/direct/route_table.rs
+++ b/crates/ochreyard-core/src/direct/route_table.rs
@@ -1,6 +1,7 @@
 //! Which route a request takes, and whose request it is.
 
 mod caller_limits;
+mod cold_figures;
 mod engine_figures;
 mod route;
 mod route_kind;
@@ -12,6 +13,7 @@
 use std::sync::Arc;
 
 pub use self::caller_limits::CallerLimits;
+pub use self::cold_figures::ColdFigures;
 pub use self::engine_figures::EngineFigures;
 pub use self::route::Route;
 pub use self::route_kind::RouteKind;
--- a/crates/ochreyard-core/src/direct/route_table/service_spec.rs
+++ b/crates/ochreyard-core/src/direct/route_table/service_spec.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cold_figures::ColdFigures;
 use super::engine_figures::EngineFigures;
 
 /// One service of the configuration.
@@ -13,4 +14,7 @@
     pub max_connections: u64,
     /// Figures of its engines, for model services.
     pub engine: Option<EngineFigures>,
+    /// What its endpoints bear while they are cold, where that is bounded.
+    #[serde(default)]
+    pub cold: Option<ColdFigures>,
 }
--- a/crates/ochreyard-core/src/direct/shared_limit.rs
+++ b/crates/ochreyard-core/src/direct/shared_limit.rs
@@ -5,6 +5,7 @@
 //! their parts, and nobody takes over theirs. A box that has none leaves the endpoint alone; only where nothing is heard of
 //! the limit for long, since those that have a part are gone or have no callers, it sends a request in its turn.
 
+mod dealt_part;
 mod limit_news;
 mod limit_word;
 mod place;
@@ -12,8 +13,7 @@
 mod request_rate;
 mod sharers;
 
-use std::collections::VecDeque;
-
+pub use self::dealt_part::DealtPart;
 pub use self::limit_news::{LimitNews, ToldLimit};
 pub use self::limit_word::LimitWord;
 pub use self::place::Place;
@@ -21,9 +21,6 @@
 pub use self::request_rate::{RequestRate, limit};
 pub use self::sharers::Sharers;
 
-/// Least time between two requests of this box, as a share of what an even pace would be: callers that wait are served
-/// through the whole window, not all at its start.
-const LEAST_GAP: f64 = 0.75;
 /// After this time without a word of the limit, boxes without a part send a request each in their turn, in milliseconds:
 /// news of it reach all boxes a few times within it.
 const UNHEARD_MS: u64 = 20_000;
@@ -42,21 +39,19 @@
 pub struct SharedLimit {
     /// `None` where it has ended.
     rate: Option<RequestRate>,
-    place: Place,
+    part: DealtPart,
     /// When an answer last said so, to this box or another one.
     heard_ms: u64,
     /// When others were last told, and the number of that change among all of this box.
     told_ms: u64,
     change: u64,
-    /// When this box sent its last requests, oldest first.
-    sent_ms: VecDeque<u64>,
 }
 
 impl SharedLimit {
     /// A limit that became known at `heard_ms` to a box at `place`.
     #[must_use]
     pub const fn new(rate: Option<RequestRate>, place: Place, heard_ms: u64) -> Self {
-        Self { rate, place, heard_ms, told_ms: heard_ms, change: 0, sent_ms: VecDeque::new() }
+        Self { rate, part: DealtPart::new(place), heard_ms, told_ms: heard_ms, change: 0 }
     }
 
     /// What the endpoint takes from all boxes together, unless the limit has ended.
@@ -68,7 +63,7 @@
     /// The place of this box among those that share it.
     #[must_use]
     pub const fn place(&self) -> Place {
-        self.place
+        self.part.place()
     }
 
     /// How long ago it was last heard, in milliseconds.
@@ -79,7 +74,7 @@
 
     /// Other boxes take part.
     pub const fn set_place(&mut self, place: Place) {
-        self.place = place;
+        self.part.set_place(place);
     }
 
     /// An answer to a request that was sent at `asked_ms` named this limit, or none. Says whether that changes it.
@@ -113,7 +108,7 @@
     /// hear nothing of the endpoint.
     #[must_use]
     pub fn is_due(&self, now_ms: u64) -> bool {
-        let reaches_all = self.rate.is_some_and(|rate| Quota::of(rate).count >= self.place.boxes);
+        let reaches_all = self.rate.is_some_and(|rate| Quota::of(rate).count >= self.place().boxes);
         !reaches_all && now_ms >= self.told_ms + CONFIRM_EVERY_MS
     }
 
@@ -138,8 +133,7 @@
     /// The part of this box: requests, and the window in which it may send them. `None` where the limit has ended.
     #[must_use]
     pub fn share(&self) -> Option<Quota> {
-        let quota = Quota::of(self.rate?);
-        Some(Quota { count: quota.share(self.place), window_ms: quota.window_ms })
+        Some(self.part.of(Quota::of(self.rate?)))
     }
 
     /// Whether one more request may be sent, beside `unsent` that were picked for the endpoint and are not sent yet.
@@ -152,54 +146,36 @@
     #[must_use]
     pub fn free_ms(&self, unsent: u64, now_ms: u64) -> Option<u64> {
         let quota = Quota::of(self.rate?);
-        let share = quota.share(self.place);
-        if share == 0 {
-            let free_ms = self.turn_ms(quota).max(self.after_last_ms(1, quota.window_ms));
-            return Some(if unsent > 0 { free_ms.max(now_ms + quota.window_ms) } else { free_ms });
-        }
-        let gap_ms = (quota.window_ms as f64 * LEAST_GAP / share as f64) as u64;
-        let paced_ms = if unsent > 0 { now_ms + unsent * gap_ms } else { self.after_last_ms(1, gap_ms) };
-        let in_window_ms = match share.checked_sub(unsent) {
-            Some(left) if left > 0 => self.after_last_ms(left, quota.window_ms),
-            _ => now_ms + quota.window_ms,
-        };
-        Some(paced_ms.max(in_window_ms))
+        Some(self.part.free_ms(quota, unsent, now_ms).unwrap_or_else(|| self.turn_free_ms(quota, unsent, now_ms)))
+    }
+
+    /// When a box without a part may send the next request, beside `unsent` others.
+    fn turn_free_ms(&self, quota: Quota, unsent: u64, now_ms: u64) -> u64 {
+        let free_ms = self.turn_ms(quota).max(self.part.after_last_ms(1, quota.window_ms));
+        if unsent > 0 { free_ms.max(now_ms + quota.window_ms) } else { free_ms }
     }
 
     /// When a box without a part may send one request, since nobody has heard of the limit.
     const fn turn_ms(&self, quota: Quota) -> u64 {
-        let turns = (self.place.rank + 1).saturating_sub(quota.count).div_ceil(quota.count);
+        let turns = (self.place().rank + 1).saturating_sub(quota.count).div_ceil(quota.count);
         self.heard_ms + UNHEARD_MS + turns * TURN_WINDOWS * quota.window_ms
     }
 
-    /// The end of a pause after the `n`th last request was sent; 0 where there were fewer.
-    fn after_last_ms(&self, n: u64, pause_ms: u64) -> u64 {
-        let at = usize::try_from(n).ok().and_then(|n| self.sent_ms.len().checked_sub(n));
-        at.map_or(0, |at| self.sent_ms[at] + pause_ms)
-    }
-
     /// A request is sent.
     pub fn on_sent(&mut self, now_ms: u64) {
         let Some(rate) = self.rate else { return };
-        let window_ms = Quota::of(rate).window_ms;
-        while self.sent_ms.front().is_some_and(|sent_ms| sent_ms + window_ms <= now_ms) {
-            self.sent_ms.pop_front();
-        }
-        self.sent_ms.push_back(now_ms);
+        self.part.on_sent(Quota::of(rate).window_ms, now_ms);
     }
 
     /// A request that counts as sent at `sent_ms` never reached the endpoint.
     pub fn take_back(&mut self, sent_ms: u64) {
-        if let Some(at) = self.sent_ms.iter().rposition(|other| *other == sent_ms) {
-            self.sent_ms.remove(at);
-        }
+        self.part.take_back(sent_ms);
     }
 
     /// Requests that this box sent within the last window.
     #[must_use]
     pub fn sent_in_window(&self, now_ms: u64) -> usize {
-        let window_ms = self.rate.map_or(0, |rate| Quota::of(rate).window_ms);
-        self.sent_ms.iter().filter(|sent_ms| **sent_ms + window_ms > now_ms).count()
+        self.part.sent_within(self.rate.map_or(0, |rate| Quota::of(rate).window_ms), now_ms)
     }
 }
 
--- a/crates/ochreyard-core/src/direct/shared_limit/quota.rs
+++ b/crates/ochreyard-core/src/direct/shared_limit/quota.rs
@@ -36,6 +36,12 @@
         Self { count, window_ms: exact_ms.clamp(SPAN_MS + TRANSIT_MS, LONGEST_MS) }
     }
 
+    /// At most `count` arrivals within any `span_ms`.
+    #[must_use]
+    pub const fn within(count: u64, span_ms: u64) -> Self {
+        Self { count, window_ms: span_ms + TRANSIT_MS }
+    }
+
     /// The part of one box; those that come first get what cannot be dealt evenly.
     #[must_use]
     pub const fn share(self, place: Place) -> u64 {
--- a/crates/ochreyard-direct/src/dialect.rs
+++ b/crates/ochreyard-direct/src/dialect.rs
@@ -46,11 +46,28 @@
     pub problem: String,
 }
 
+/// What a record of the topic of the operators is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OperatorKey<'a> {
+    /// The configuration.
+    Config,
+    /// The evacuation of a data centre: in force while the key has a value.
+    Evacuation {
+        /// The data centre.
+        data_centre: &'a str,
+    },
+    /// Nothing that is known here.
+    Unknown,
+}
+
 /// One dialect of the surroundings.
 pub trait Dialect: 'static {
     /// Names of headers.
     fn headers(&self) -> &HeaderNames;
 
+    /// What the record under a key of the operators' topic is about.
+    fn operator_key<'a>(&self, key: &'a str) -> OperatorKey<'a>;
+
     /// Reads the configuration.
     ///
     /// # Errors
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -154,6 +154,7 @@
             return false;
         }
         log::info!("event=config_in_force version={} source={source}", table.version());
+        state.pool.set_cold_bounds(&table);
         state.table = Some(Arc::new(table));
         state.config_document = document.clone();
         true
@@ -179,14 +180,24 @@
         for change in changes {
             match &change {
                 EndpointChange::Known(id, record) => log::info!(
-                    "event=endpoint_known endpoint={id} service={} addr={} leaving={}",
+                    "event=endpoint_known endpoint={id} service={} addr={} leaving={} cold_ms={}",
                     record.service,
                     record.addr,
-                    record.is_leaving
+                    record.is_leaving,
+                    record.cold_ms
                 ),
                 EndpointChange::Gone(id) => log::info!("event=endpoint_gone endpoint={id}"),
             }
-            self.state.borrow_mut().pool.apply(change);
+            let cold = match &change {
+                EndpointChange::Known(id, record) if record.cold_ms > 0 => Some((id.clone(), record.cold_ms)),
+                EndpointChange::Known(..) | EndpointChange::Gone(_) => None,
+            };
+            let now_ms = self.clock.now_ms();
+            let mut state = self.state.borrow_mut();
+            state.pool.apply(change);
+            if let Some((id, cold_ms)) = cold {
+                state.pool.on_cold(&id, cold_ms, now_ms);
+            }
         }
     }
 
--- a/crates/ochreyard-direct/src/entry/state.rs
+++ b/crates/ochreyard-direct/src/entry/state.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use ochreyard_core::direct::{
-    BoxList, Catalog, EndpointPool, Quarantine, Reading, RepeatBudget, RepeatLimits, RouteTable, ServiceQueue, Sharers,
+    BoxList, Catalog, EndpointPool, Evacuations, Quarantine, Reading, RepeatBudget, RepeatLimits, RouteTable,
+    ServiceQueue, Sharers,
 };
 
 use crate::connection_pool::ConnectionPool;
@@ -18,6 +19,8 @@
     pub config_document: Bytes,
     /// What the log says of endpoints.
     pub catalog: Catalog,
+    /// The data centres that operators have evacuated.
+    pub evacuations: Evacuations,
     /// How far and how recently the records of endpoints were read, here or by another box.
     pub reading: Reading,
     /// The endpoints as seen from here.
@@ -48,6 +51,7 @@
             table: None,
             config_document: Bytes::new(),
             catalog: Catalog::new(),
+            evacuations: Evacuations::default(),
             reading: Reading::new(leaving_known_ms),
             pool: EndpointPool::new(),
             connections: ConnectionPool::default(),
--- a/crates/ochreyard-direct/src/fields.rs
+++ b/crates/ochreyard-direct/src/fields.rs
@@ -51,6 +51,12 @@
         default: Some("10"),
         about: "length of the window of the two fields before",
     },
+    FieldSpec {
+        name: "cold_overage",
+        kind: FieldKind::Fraction(0.1, 1_000.0),
+        default: Some("1"),
+        about: "how many times more than it bears a cold endpoint may get, from all boxes together",
+    },
     FieldSpec {
         name: "drain_grace_s",
         kind: FieldKind::Fraction(0.0, 600.0),
--- a/crates/ochreyard-direct/src/follow/config.rs
+++ b/crates/ochreyard-direct/src/follow/config.rs
@@ -1,11 +1,11 @@
-//! Follows the configuration in the platform's log.
+//! Follows what operators write into the platform's log: the configuration, and evacuations of data centres.
 
 use std::rc::Rc;
 
 use super::{RETRY_PAUSE, after_last, noted};
 use crate::dialect::Dialect;
 use crate::entry::Entry;
-use crate::keyed_log::{KeyedLog, KeyedLogError, KeyedRecord, Topic};
+use crate::keyed_log::{KeyedLog, KeyedLogError, Topic};
 
 /// How long a reading of the configuration waits for news in a box that reads for others. A
 /// reading whose answer is lost ends after this and the time-out.
@@ -14,7 +14,7 @@
 /// read tell of a newer configuration meanwhile, several times a second.
 const TOLD_WAIT_MS: u64 = 25_000;
 
-/// Follows the configuration; each reading waits for the next record.
+/// Follows what operators write; each reading waits for the next record.
 pub async fn follow_config<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
     let mut returns = entry.returns.subscribe();
     'outage: loop {
@@ -23,7 +23,7 @@
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
-        take_configs(&entry, &page.records);
+        entry.take_operator_listing(&page);
         let mut from = after_last(&page);
         loop {
             let wait_ms = if entry.box_to_ask().is_none() { READER_WAIT_MS } else { TOLD_WAIT_MS };
@@ -43,7 +43,7 @@
                     if page.next.era != from.era {
                         continue 'outage;
                     }
-                    take_configs(&entry, &page.records);
+                    entry.take_operator_records(&page.records);
                     from = page.next;
                 }
             }
@@ -51,9 +51,3 @@
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
-
-fn take_configs<D: Dialect>(entry: &Entry<D>, records: &[KeyedRecord]) {
-    for document in records.iter().filter_map(|record| record.value.as_ref()) {
-        entry.take_config(document, "log");
-    }
-}
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -19,6 +19,7 @@
 mod crash_check;
 mod dialect;
 mod entry;
+mod evacuations;
 mod exchange;
 mod fields;
 mod flight;
@@ -45,7 +46,7 @@
 
 pub use call_error::CallError;
 pub use connection::tune;
-pub use dialect::{Dialect, HeaderNames, Unreadable};
+pub use dialect::{Dialect, HeaderNames, OperatorKey, Unreadable};
 pub use entry::{Entry, Identity, State};
 pub use fields::FIELDS;
 pub use follow::follow_config;
--- a/crates/ochreyard-direct/src/log_return.rs
+++ b/crates/ochreyard-direct/src/log_return.rs
@@ -21,6 +21,7 @@
         let before = state.era.replace(era);
         let now_ms = self.clock.now_ms();
         state.catalog.on_return(era, before.map(|_| now_ms));
+        state.evacuations.on_return(era, now_ms);
         let Some(before) = before else { return };
         let next = state.reading.next().unwrap_or_default();
         log::warn!("event=log_came_back era={era} before={before} read_up_to={next} source={source}");
--- a/crates/ochreyard-direct/src/peers/ask.rs
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -105,6 +105,7 @@
     if let Some(document) = told.config {
         entry.take_config(&Bytes::from(document), &format!("peer-{from}"));
     }
+    entry.take_evacuation_news(&told.evacuations);
     if let Some(reading) = told.reading.filter(|reading| reading.next.era > 0) {
         entry.note_era(reading.next.era, "box");
     }
--- a/crates/ochreyard-direct/src/peers/peer_state.rs
+++ b/crates/ochreyard-direct/src/peers/peer_state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ochreyard_core::direct::{BoxRecord, LimitNews, QuarantineNews};
+use ochreyard_core::direct::{BoxRecord, EvacuationNews, LimitNews, QuarantineNews};
 use serde::{Deserialize, Serialize};
 
 use super::peer_endpoint::PeerEndpoint;
@@ -14,6 +14,9 @@
 pub struct PeerState {
     /// The configuration's document, unless the asker has this version or a newer one.
     pub config: Option<String>,
+    /// What is known of evacuations of data centres.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuations: Vec<EvacuationNews>,
     /// Endpoints that changed since the position that the asker named.
     pub endpoints: Vec<PeerEndpoint>,
     /// How far the records of endpoints were read, and how long ago.
--- a/crates/ochreyard-direct/src/peers/tell.rs
+++ b/crates/ochreyard-direct/src/peers/tell.rs
@@ -33,6 +33,7 @@
     let heard = if question.heard.life == entry.identity.life { question.heard } else { Heard::default() };
     PeerState {
         config: newer_config(&state, question.version),
+        evacuations: state.evacuations.news().collect(),
         endpoints: question.from.map_or_else(Vec::new, |from| changed_since(&state, from)),
         reading: question.from.and_then(|_| reading(&state, entry.clock.now_ms())),
         boxes: boxes(entry, &state, heard.boxes),
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -77,6 +77,8 @@
         clock,
     ));
 
+    entry.state.borrow_mut().pool.set_cold_overage(settings.fraction("cold_overage"), entry.started_ms);
+
     let callers = bind(settings, "callers_addr").await?;
     let ready = bind(settings, "ready_addr").await?;
     let peer = bind(settings, "peer_addr").await?;
@@ -144,6 +146,7 @@
 async fn sweep<D: Dialect>(entry: Rc<Entry<D>>) {
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
+        entry.settle_evacuations();
         let now_ms = entry.clock.now_ms();
         let mut state = entry.state.borrow_mut();
         state.connections.sweep(now_ms);
--- a/crates/ochreyard-entry/tests/deploy.rs
+++ b/crates/ochreyard-entry/tests/deploy.rs
@@ -7,7 +7,9 @@
 /// Fills the template as the platform does, each figure as given.
 fn filled(template: &str, figure: &str) -> String {
     let mut text = String::new();
-    for line in template.lines() {
+    // Marks of a section that is there if its figure is given stand on lines of their own.
+    let is_mark = |line: &&str| line.starts_with("{{#") || line.starts_with("{{/");
+    for line in template.lines().filter(|line| !is_mark(line)) {
         let Some((field, gap)) = line.split_once(": ").filter(|(_, gap)| gap.contains("{{")) else {
             text.push_str(line);
             text.push('\n');
