A few boxes read the log, one pair a data centre relays, all others are told

All 430 others asked the same two boxes. A box that had read for itself was ahead of whom it relied on, took that for being behind, and passed on to boxes that knew nothing: freshness was lost in calm, too.

Change: Duty finds by a common order who reads (two), who relays in its data centre (two each) and who is told; those that are told call the log only where nobody has told them enough, after a growing, drawn pause (RetryPauses). A box that starts asks those that the platform names; they tell all to a few at a time (Newcomers) and name those to the next. Lists of boxes are compared by a digest. What a box tells counts as fresh by when the log was asked, not by who is ahead.

Ruled out: readers in each data centre (six times the calls on small fleets for no gain); log-join as the choice of readers (a call for each box and lease, and no answer while the log is away).

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -7,6 +7,7 @@
 mod box_list;
 mod box_record;
 mod catalog;
+mod duty;
 mod endpoint_life;
 mod endpoint_pool;
 mod endpoint_record;
@@ -20,6 +21,7 @@
 mod questions;
 mod reading;
 mod repeat_budget;
+mod retry_pauses;
 mod route_table;
 mod shared_limit;
 mod waiting;
@@ -27,6 +29,7 @@
 pub use box_list::BoxList;
 pub use box_record::BoxRecord;
 pub use catalog::{Catalog, EndpointChange};
+pub use duty::{Duty, Own};
 pub use endpoint_life::EndpointLife;
 pub use endpoint_pool::{Asking, EndpointPool, LimitUse, NoPick, Notice, Outcome, Pick, ReportedLoad};
 pub use endpoint_record::EndpointRecord;
@@ -42,6 +45,7 @@
 pub use questions::{Asked, Questions};
 pub use reading::Reading;
 pub use repeat_budget::{RepeatBudget, RepeatLimits};
+pub use retry_pauses::RetryPauses;
 pub use route_table::{
     CallerLimits, ColdFigures, EngineFigures, Route, RouteKind, RouteTable, ServiceSpec, WeightedService, Workspace,
 };
--- a/crates/ochreyard-core/src/direct/box_list.rs
+++ b/crates/ochreyard-core/src/direct/box_list.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use super::box_record::BoxRecord;
+use crate::hash;
 
 /// Other boxes by name.
 ///
@@ -13,6 +14,7 @@
     records: BTreeMap<String, BoxRecord>,
     /// Their names as they were learned; a box that moved is named once more.
     learned: Vec<String>,
+    digest: u64,
 }
 
 impl BoxList {
@@ -21,11 +23,21 @@
         if self.records.get(name) == Some(&record) {
             return false;
         }
-        self.records.insert(name.to_owned(), record);
+        self.digest ^= digest_of(name, &record);
+        if let Some(former) = self.records.insert(name.to_owned(), record) {
+            self.digest ^= digest_of(name, &former);
+        }
         self.learned.push(name.to_owned());
         true
     }
 
+    /// A number that is the same for lists of the same boxes, whatever the order in which they were learned. `own` is the
+    /// box that keeps the list, which is not in it.
+    #[must_use]
+    pub fn digest(&self, own: (&str, &BoxRecord)) -> u64 {
+        self.digest ^ digest_of(own.0, own.1)
+    }
+
     /// How many boxes are known.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -54,9 +66,19 @@
         self.learned.len()
     }
 
+    /// `count` boxes, others for each draw.
+    pub fn sample(&self, count: usize, draw: u64) -> impl Iterator<Item = (&str, &BoxRecord)> {
+        let from = usize::try_from(draw.checked_rem(self.records.len() as u64).unwrap_or(0)).unwrap_or(0);
+        self.iter().skip(from).chain(self.iter().take(from)).take(count)
+    }
+
     /// The boxes learned after the first `count` records.
     pub fn learned_since(&self, count: usize) -> impl Iterator<Item = (&str, &BoxRecord)> {
         let names = self.learned.get(count..).unwrap_or_default();
         names.iter().filter_map(|name| Some((name.as_str(), self.records.get(name)?)))
     }
 }
+
+fn digest_of(name: &str, record: &BoxRecord) -> u64 {
+    hash::mix(hash::fnv1a(name.as_bytes()) ^ hash::mix(hash::fnv1a(record.addr.to_string().as_bytes())))
+}
--- a/crates/ochreyard-core/src/direct/questions.rs
+++ b/crates/ochreyard-core/src/direct/questions.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::box_list::BoxList;
+use super::duty::Own;
 use super::reading::Reading;
 
 /// Every how many rounds one more box is asked, whichever. What is newest then reaches a box within a few such rounds,
@@ -28,7 +29,7 @@
 impl Questions {
     /// Whom the box `own` asks in the next round; `draw` is any evenly spread number. A box that reads for others relies
     /// on nobody, and asks any box each time.
-    pub fn next(&mut self, reading: &Reading, own: &str, others: &BoxList, draw: u64) -> Asked {
+    pub fn next(&mut self, reading: &Reading, own: Own, others: &BoxList, draw: u64) -> Asked {
         self.rounds += 1;
         let relied_on = reading.box_to_ask(own, others);
         let asks_any = relied_on.is_none() || self.rounds.is_multiple_of(ANY_EVERY);
--- a/crates/ochreyard-core/tests/candidacy.rs
+++ b/crates/ochreyard-core/tests/candidacy.rs
@@ -4,7 +4,12 @@
 use ochreyard_core::group_map::{Candidacy, Grant, LeaderId, candidate_place, groupless_wait_ms};
 
 fn record(number: u16, cores_permille: u64, link_mbps: u64) -> BoxRecord {
-    BoxRecord { addr: format!("10.0.0.1:{}", 7000 + number).parse().unwrap(), cores_permille, link_mbps }
+    BoxRecord {
+        addr: format!("10.0.0.1:{}", 7000 + number).parse().unwrap(),
+        data_centre: String::new(),
+        cores_permille,
+        link_mbps,
+    }
 }
 
 /// The places of these boxes, each as it sees the others.
@@ -12,7 +17,7 @@
     let place = |own: &(&str, BoxRecord)| {
         let mut others = BoxList::default();
         for (name, record) in boxes.iter().filter(|other| other.0 != own.0) {
-            others.take(name, *record);
+            others.take(name, record.clone());
         }
         candidate_place(service, (own.0, &own.1), &others)
     };
@@ -91,7 +96,7 @@
     assert!(list.take("b", record(2, 250, 100)));
     let known = list.learned();
     assert!(list.take("a", record(3, 250, 100)), "it has moved");
-    let told: Vec<(&str, BoxRecord)> = list.learned_since(known).map(|(name, record)| (name, *record)).collect();
+    let told: Vec<(&str, BoxRecord)> = list.learned_since(known).map(|(name, record)| (name, record.clone())).collect();
     assert_eq!(told, [("a", record(3, 250, 100))]);
     assert_eq!(list.learned_since(99).count(), 0);
 }
--- a/crates/ochreyard-core/tests/questions.rs
+++ b/crates/ochreyard-core/tests/questions.rs
@@ -15,7 +15,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use ochreyard_core::direct::{BoxList, BoxRecord, Position, Questions, Reading};
+use ochreyard_core::direct::{BoxList, BoxRecord, Own, Position, Questions, Reading};
 use ochreyard_core::hash;
 use rstest::rstest;
 
@@ -37,6 +37,10 @@
     version: u64,
 }
 
+const fn own(name: &str) -> Own<'_> {
+    Own { name, data_centre: "" }
+}
+
 struct Fleet {
     boxes: Vec<BoxModel>,
     by_addr: BTreeMap<SocketAddr, usize>,
@@ -47,7 +51,8 @@
     fn new(count: usize) -> Self {
         let name = |at: usize| format!("box-{at}");
         let addr = |at: usize| SocketAddr::from(([10, 0, 0, at as u8 + 1], 7_340));
-        let record = |at: usize| BoxRecord { addr: addr(at), cores_permille: 250, link_mbps: 1_000 };
+        let record =
+            |at: usize| BoxRecord { addr: addr(at), data_centre: String::new(), cores_permille: 250, link_mbps: 1_000 };
         let others = |own: usize| {
             let mut list = BoxList::default();
             for at in (0..count).filter(|at| *at != own) {
@@ -76,7 +81,7 @@
 
     fn reads_for_others(&self, at: usize) -> bool {
         let model = &self.boxes[at];
-        model.reading.box_to_ask(&model.name, &model.others).is_none()
+        model.reading.box_to_ask(own(&model.name), &model.others).is_none()
     }
 
     /// A box that reads for others, or whose records are too old, reads those of endpoints; never the configuration.
@@ -89,7 +94,7 @@
     fn ask(&mut self, at: usize, now_ms: u64) {
         let draw = self.draw();
         let BoxModel { name, others, reading, questions, .. } = &mut self.boxes[at];
-        let asked = questions.next(reading, name, others, draw);
+        let asked = questions.next(reading, own(name), others, draw);
         if let Some(to) = asked.relied_on.map(|addr| self.by_addr[&addr]) {
             let is_slow = now_ms < SLOW_MS && self.reads_for_others(to) && self.draw().is_multiple_of(2);
             if is_slow {
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -22,7 +22,7 @@
 use crate::dialect::Dialect;
 use crate::heard::Heard;
 use crate::link::CallLink;
-use crate::peers::PassedOver;
+use crate::peers::{Newcomers, PassedOver};
 
 /// How long a box that has just started waits for what others know, in milliseconds: a few tries at boxes that may be
 /// gone. Those who come meanwhile are told to come back shortly.
@@ -54,6 +54,10 @@
     pub log_returned: Notify,
     /// How often the platform's log has come back from an older copy since this box started.
     pub returns: watch::Sender<u64>,
+    /// Whether the platform names this box to others, so that it reads the log at once.
+    pub is_seed: Cell<bool>,
+    /// Boxes that were told all of late.
+    pub newcomers: RefCell<Newcomers>,
     /// Other boxes that took no news of late.
     pub passed_over: PassedOver,
     draws: Cell<u64>,
@@ -81,6 +85,8 @@
             outbox: Outbox::default(),
             log_returned: Notify::new(),
             returns: watch::Sender::new(0),
+            is_seed: Cell::new(true),
+            newcomers: RefCell::default(),
             passed_over: PassedOver::default(),
             draws,
             links: RefCell::default(),
@@ -135,7 +141,7 @@
     /// The box to ask for records of endpoints; `None` where this one reads for the others.
     pub fn box_to_ask(&self) -> Option<SocketAddr> {
         let state = self.state.borrow();
-        state.reading.box_to_ask(&self.identity.name, &state.boxes)
+        state.reading.box_to_ask(self.identity.own(), &state.boxes)
     }
 
     /// Takes a configuration over if it is newer than the one in force: never an
@@ -207,9 +213,10 @@
             return;
         }
         let mut state = self.state.borrow_mut();
+        let addr = record.addr;
         if state.boxes.take(name, record) {
             self.deal_shares(&mut state);
-            log::info!("event=box_known box={name} addr={} boxes={}", record.addr, state.boxes.len() + 1);
+            log::info!("event=box_known box={name} addr={addr} boxes={}", state.boxes.len() + 1);
         }
     }
 
--- a/crates/ochreyard-direct/src/entry/identity.rs
+++ b/crates/ochreyard-direct/src/entry/identity.rs
@@ -1,6 +1,6 @@
 //! Who a process is.
 
-use ochreyard_core::direct::BoxRecord;
+use ochreyard_core::direct::{BoxRecord, Own};
 
 /// Who this process is.
 #[derive(Debug, Clone)]
@@ -14,3 +14,11 @@
     /// What it says of itself to other boxes.
     pub record: BoxRecord,
 }
+
+impl Identity {
+    /// This box, as it looks for its duty among all boxes.
+    #[must_use]
+    pub fn own(&self) -> Own<'_> {
+        Own { name: &self.name, data_centre: &self.data_centre }
+    }
+}
--- a/crates/ochreyard-direct/src/follow.rs
+++ b/crates/ochreyard-direct/src/follow.rs
@@ -5,8 +5,6 @@
 mod endpoints;
 mod quarantine;
 
-use std::time::Duration;
-
 use ochreyard_core::direct::Position;
 
 pub use self::boxes::follow_boxes;
@@ -17,10 +15,6 @@
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedLogError, KeyedPage};
 
-/// Longest pause between looks while the log fails: several looks within the
-/// time in which a change must be in force once the log is back.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
-
 /// Where to read on after the newest records. The end that comes with them may
 /// already count a record that is not among them, so reading goes on from the last
 /// one that is; records in between that are no longer kept have been replaced.
--- a/crates/ochreyard-direct/src/follow/boxes.rs
+++ b/crates/ochreyard-direct/src/follow/boxes.rs
@@ -3,21 +3,27 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::{RETRY_PAUSE, noted};
+use ochreyard_core::direct::{Duty, RetryPauses};
+
+use super::noted;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, Topic};
 
 /// How often the list of our own boxes is read by those boxes that read for others.
 const BOXES_EVERY: Duration = Duration::from_secs(8);
-/// How often the others read it: they are told of new boxes by those that read.
-const TOLD_BOXES_EVERY: Duration = Duration::from_secs(60);
+/// How often those read it that relay: they are told of new boxes by those that read.
+const RELAY_BOXES_EVERY: Duration = Duration::from_secs(60);
 
-/// Writes this box into the list of our own boxes, and reads who else is there.
+/// Writes this box into the list of our own boxes, and reads who else is there. A box that is told by others does neither:
+/// whomever it asks learns of it, and tells others.
 pub async fn follow_boxes<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
     let mut returns = entry.returns.subscribe();
     let mut is_written = false;
+    let mut pauses = RetryPauses::default();
+    entry.wait_for_start().await;
     loop {
+        entry.wait_while_told().await;
         if !is_written {
             let record = serde_json::to_vec(&entry.identity.record).unwrap_or_default();
             let written = log.append(Topic::Boxes, &entry.identity.name, &record).await;
@@ -37,10 +43,13 @@
         if page.is_some() && entry.state.borrow().boxes.is_empty() {
             entry.has_been_told.set(true);
         }
-        let pause = match page {
-            Some(_) if is_written && entry.box_to_ask().is_none() => BOXES_EVERY,
-            Some(_) if is_written => TOLD_BOXES_EVERY,
-            _ => RETRY_PAUSE,
+        if page.is_some() && is_written {
+            pauses.reset();
+        }
+        let pause = match entry.duty() {
+            _ if page.is_none() || !is_written => entry.pause_after_failure(&mut pauses),
+            Duty::Reads => BOXES_EVERY,
+            Duty::Relays | Duty::Told => RELAY_BOXES_EVERY,
         };
         if tokio::time::timeout(pause, returns.changed()).await.is_ok() {
             // What the log had acknowledged is gone: this box may be in its list no more.
--- a/crates/ochreyard-direct/src/follow/config.rs
+++ b/crates/ochreyard-direct/src/follow/config.rs
@@ -2,7 +2,9 @@
 
 use std::rc::Rc;
 
-use super::{RETRY_PAUSE, after_last, noted};
+use ochreyard_core::direct::{Duty, RetryPauses};
+
+use super::{after_last, noted};
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedLogError, Topic};
@@ -10,23 +12,35 @@
 /// How long a reading of the configuration waits for news in a box that reads for others. A
 /// reading whose answer is lost ends after this and the time-out.
 const READER_WAIT_MS: u64 = 5_000;
-/// How long it waits in the other boxes: each reading is a call to the log, and those that
-/// read tell of a newer configuration meanwhile, several times a second.
-const TOLD_WAIT_MS: u64 = 25_000;
+/// How long it waits in a box that relays: each reading is a call to the log, and those that read tell of a newer
+/// configuration meanwhile, several times a second.
+const RELAY_WAIT_MS: u64 = 25_000;
 
-/// Follows what operators write; each reading waits for the next record.
+/// Follows what operators write; each reading waits for the next record. A box that is told by others does not read, but
+/// where they tell it too little.
 pub async fn follow_config<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
     let mut returns = entry.returns.subscribe();
+    let mut pauses = RetryPauses::default();
+    entry.wait_for_start().await;
     'outage: loop {
+        entry.wait_while_told().await;
         let start = log.newest(Topic::Config).await;
         let Some(page) = noted(&entry, &log, start) else {
-            tokio::time::sleep(RETRY_PAUSE).await;
+            tokio::time::sleep(entry.pause_after_failure(&mut pauses)).await;
             continue;
         };
+        pauses.reset();
         entry.take_operator_listing(&page);
         let mut from = after_last(&page);
         loop {
-            let wait_ms = if entry.box_to_ask().is_none() { READER_WAIT_MS } else { TOLD_WAIT_MS };
+            let wait_ms = match entry.duty() {
+                Duty::Reads => READER_WAIT_MS,
+                Duty::Relays => RELAY_WAIT_MS,
+                Duty::Told => {
+                    tokio::time::sleep(entry.pause_after_failure(&mut pauses)).await;
+                    continue 'outage;
+                }
+            };
             // A reading that began before an outage may never be answered, and is noticed seconds after the return.
             let reading = tokio::select! {
                 reading = log.read(Topic::Config, from, wait_ms) => reading,
@@ -48,6 +62,6 @@
                 }
             }
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        tokio::time::sleep(entry.pause_after_failure(&mut pauses)).await;
     }
 }
--- a/crates/ochreyard-direct/src/follow/endpoints.rs
+++ b/crates/ochreyard-direct/src/follow/endpoints.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::{RETRY_PAUSE, after_last, noted};
+use ochreyard_core::direct::{Duty, RetryPauses};
+
+use super::{after_last, noted};
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedRecord, Topic};
@@ -18,17 +20,24 @@
 /// for the next record would return at once.
 pub async fn follow_endpoints<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
     let mut returns = entry.returns.subscribe();
+    let mut pauses = RetryPauses::default();
+    entry.wait_for_start().await;
+    // What was told at the start need not be listed.
+    let mut is_listed = entry.is_well_told() && !entry.is_seed.get();
     loop {
         returns.mark_unchanged();
         let has_returned = || returns.has_changed().unwrap_or(false);
-        if read_newest(&entry, &log).await {
+        if is_listed || read_newest(&entry, &log).await {
+            pauses.reset();
             while !has_returned() && read_on(&entry, &log).await {}
+            is_listed = false;
             if has_returned() {
                 entry.spread().await;
                 continue;
             }
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        tokio::time::sleep(entry.pause_after_failure(&mut pauses)).await;
+        is_listed = entry.is_well_told();
     }
 }
 
@@ -59,13 +68,18 @@
 /// Waits for one pause. Says whether this box has to read by then: others may have told it enough.
 async fn is_due_after_pause<D: Dialect>(entry: &Entry<D>) -> bool {
     let pause = Duration::from_millis(entry.state.borrow().reading.pause_ms());
-    if entry.box_to_ask().is_none() {
+    if entry.duty() == Duty::Reads {
         tokio::time::sleep(pause).await;
         return true;
     }
     tokio::time::sleep(pause / LOOKS_A_PAUSE).await;
-    let now_ms = entry.clock.now_ms();
-    !entry.state.borrow().reading.is_fresh(now_ms)
+    if entry.knows_endpoints() {
+        return false;
+    }
+    // Boxes that were told by the same one are all left without a word at once.
+    let spread_ms = entry.draw() % (entry.state.borrow().reading.pause_ms() + 1);
+    tokio::time::sleep(Duration::from_millis(spread_ms)).await;
+    !entry.knows_endpoints()
 }
 
 /// Reads the records since the last reading; `false` if the log failed.
--- a/crates/ochreyard-direct/src/follow/quarantine.rs
+++ b/crates/ochreyard-direct/src/follow/quarantine.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use ochreyard_core::direct::{Fingerprint, QuarantineNews, VerdictNews};
+use ochreyard_core::direct::{Duty, Fingerprint, QuarantineNews, RetryPauses, VerdictNews};
 use serde::{Deserialize, Serialize};
 
-use super::{RETRY_PAUSE, noted};
+use super::noted;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedRecord, Topic};
@@ -24,9 +24,14 @@
 /// log comes back from an older copy, those that are known are written again, and so are releases: the copy may hold what was
 /// released since.
 pub async fn keep_verdicts<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
-    while !read_verdicts(&entry, &log).await {
-        tokio::time::sleep(RETRY_PAUSE).await;
+    let mut pauses = RetryPauses::default();
+    entry.wait_for_start().await;
+    // Whoever told it of everything else told it of the verdicts, too.
+    let is_told = |entry: &Entry<D>| entry.duty() == Duty::Told && entry.is_well_told();
+    while !is_told(&entry) && !read_verdicts(&entry, &log).await {
+        tokio::time::sleep(entry.pause_after_failure(&mut pauses)).await;
     }
+    pauses.reset();
     let mut returns = entry.returns.subscribe();
     loop {
         while write_next(&entry, &log).await {}
@@ -39,7 +44,7 @@
                 }
             }
         } else {
-            tokio::time::sleep(RETRY_PAUSE).await;
+            tokio::time::sleep(entry.pause_after_failure(&mut pauses)).await;
         }
     }
 }
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -31,6 +31,7 @@
 mod keyed_log;
 mod limits;
 mod link;
+mod log_duty;
 mod log_return;
 mod meters;
 mod operator_side;
--- /dev/null
+++ b/crates/ochreyard-direct/src/log_duty.rs
@@ -0,0 +1,65 @@
+//! Whether this box reads the platform's log itself, or is told by others what it holds.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ochreyard_core::direct::{Duty, RetryPauses};
+
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+
+/// How long a box that has just started leaves the log to others, in milliseconds, and by how much more it may be drawn:
+/// boxes that start together know nothing of each other, and all would read the same.
+const LEFT_TO_OTHERS_MS: u64 = 1_000;
+const LEFT_SPREAD_MS: u64 = 1_000;
+/// How often it looks meanwhile whether it has been told.
+const START_LOOK: Duration = Duration::from_millis(20);
+/// How often a box that is told looks whether that still holds.
+const TOLD_LOOK: Duration = Duration::from_millis(250);
+
+impl<D: Dialect> Entry<D> {
+    /// What it does to know what the log holds.
+    pub fn duty(&self) -> Duty {
+        Duty::of(self.identity.own(), &self.state.borrow().boxes)
+    }
+
+    /// Whether others have told it all, and something fresh of late.
+    pub fn is_well_told(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        let state = self.state.borrow();
+        state.table.is_some() && state.reading.is_told(now_ms)
+    }
+
+    /// Whether what it knows of endpoints is fresh, by whomever it was read.
+    pub fn knows_endpoints(&self) -> bool {
+        self.state.borrow().reading.is_fresh(self.clock.now_ms())
+    }
+
+    /// The boxes that the platform names. One that is named itself, or alone, reads the log at once.
+    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
+        let own = self.identity.record.addr;
+        self.is_seed.set(seeds.contains(&own) || seeds.is_empty());
+    }
+
+    /// Waits until it is its turn to read the log after its start, or until it has been told.
+    pub async fn wait_for_start(&self) {
+        let until_ms = self.started_ms + LEFT_TO_OTHERS_MS + self.identity.life % LEFT_SPREAD_MS;
+        while !self.is_seed.get() && !self.is_well_told() && self.clock.now_ms() < until_ms {
+            tokio::time::sleep(START_LOOK).await;
+        }
+    }
+
+    /// Waits for as long as others tell it enough. Where they do not, one call of its own, to read the records of endpoints,
+    /// finds out whether the log answers; all others wait for that.
+    pub async fn wait_while_told(&self) {
+        while self.duty() == Duty::Told && (self.is_well_told() || !self.state.borrow().log_answers) {
+            tokio::time::sleep(TOLD_LOOK).await;
+        }
+    }
+
+    /// How long to wait after one more call that failed.
+    pub fn pause_after_failure(&self, pauses: &mut RetryPauses) -> Duration {
+        let in_time_ms = self.state.borrow().reading.in_time_ms();
+        Duration::from_millis(pauses.after_failure(self.duty(), in_time_ms, self.draw()))
+    }
+}
--- a/crates/ochreyard-direct/src/log_return.rs
+++ b/crates/ochreyard-direct/src/log_return.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use ochreyard_core::direct::Duty;
+
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::meters;
@@ -33,7 +35,7 @@
     /// Waits for a part of the time in which all boxes read the log again, a different one each time: it takes a bounded
     /// number of calls a second. Boxes that read for others do not wait.
     pub async fn spread(&self) {
-        let is_reader = self.box_to_ask().is_none();
+        let is_reader = self.duty() == Duty::Reads;
         let pause_ms = if is_reader { 0 } else { self.draw() % READ_AGAIN_WITHIN_MS };
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
--- a/crates/ochreyard-direct/src/peers.rs
+++ b/crates/ochreyard-direct/src/peers.rs
@@ -7,6 +7,7 @@
 //! what is old.
 
 mod ask;
+mod newcomers;
 mod news;
 mod peer_endpoint;
 mod peer_reading;
@@ -15,6 +16,7 @@
 mod tell;
 
 pub use ask::keep_asking;
+pub use newcomers::Newcomers;
 pub use news::{News, PassedOver, take_news, tell_all};
 pub use question::{Question, STATE_PATH};
 pub use tell::state_for;
--- a/crates/ochreyard-direct/src/peers/ask.rs
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -19,10 +19,12 @@
 /// How often others are asked: several times within the time in which a change
 /// must be in force.
 const ASK_EVERY: Duration = Duration::from_millis(400);
-/// How often, until one has answered.
-const FIRST_ASK_EVERY: Duration = Duration::from_millis(50);
+/// How often, one at a time, until one has told the configuration.
+const FIRST_ASK_EVERY: Duration = Duration::from_millis(100);
 /// Longest wait for another box.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long boxes that the platform names are asked now and then, in milliseconds.
+const SEEDS_ASKED_MS: u64 = 10_000;
 /// Boxes that are asked at a time while the log gives no answer.
 const ASKED_AT_ONCE: usize = 3;
 
@@ -31,7 +33,8 @@
     let mut links: BTreeMap<SocketAddr, Rc<CallLink>> = BTreeMap::new();
     let mut questions = Questions::default();
     loop {
-        tokio::time::sleep(if entry.is_informed() { ASK_EVERY } else { FIRST_ASK_EVERY }).await;
+        let is_new = entry.state.borrow().table.is_none();
+        tokio::time::sleep(if is_new { FIRST_ASK_EVERY } else { ASK_EVERY }).await;
         for (addr, role) in to_ask(&entry, &seeds, &mut questions) {
             let link = links.entry(addr).or_insert_with(|| Rc::new(CallLink::new(addr)));
             tokio::task::spawn_local(ask(Rc::clone(&entry), Rc::clone(link), role));
@@ -50,11 +53,14 @@
 
 fn to_ask<D: Dialect>(entry: &Entry<D>, seeds: &[SocketAddr], questions: &mut Questions) -> Vec<(SocketAddr, Role)> {
     let state = entry.state.borrow();
-    let is_well = state.log_answers && state.table.is_some() && entry.is_informed();
+    let is_new = state.table.is_none();
+    let knows_enough = state.log_answers || state.reading.is_fresh(entry.clock.now_ms());
+    let is_well = knows_enough && !is_new && entry.is_informed();
     if is_well && !state.boxes.is_empty() {
-        let asked = questions.next(&state.reading, &entry.identity.name, &state.boxes, entry.draw());
+        let asked = questions.next(&state.reading, entry.identity.own(), &state.boxes, entry.draw());
         let relied_on = asked.relied_on.map(|addr| (addr, Role::ReliedOn));
-        return relied_on.into_iter().chain(asked.any.map(|addr| (addr, Role::Any))).collect();
+        let any = asked.any.map(|addr| seed_instead(entry, seeds).unwrap_or(addr));
+        return relied_on.into_iter().chain(any.map(|addr| (addr, Role::Any))).collect();
     }
     let own = entry.identity.record.addr;
     let mut addrs: Vec<SocketAddr> =
@@ -66,10 +72,20 @@
     }
     let first = usize::try_from(entry.draw() % addrs.len() as u64).unwrap_or(0);
     addrs.rotate_left(first);
-    addrs.truncate(if is_well { 1 } else { ASKED_AT_ONCE });
+    addrs.truncate(if is_well || is_new { 1 } else { ASKED_AT_ONCE });
     addrs.into_iter().map(|addr| (addr, Role::ReliedOn)).collect()
 }
 
+/// A box that the platform names, every other time for a while after the start: boxes that found different ones of them
+/// would else know each other late.
+fn seed_instead<D: Dialect>(entry: &Entry<D>, seeds: &[SocketAddr]) -> Option<SocketAddr> {
+    let draw = entry.draw();
+    let is_young = entry.clock.now_ms() < entry.started_ms + SEEDS_ASKED_MS;
+    let others: Vec<SocketAddr> = seeds.iter().copied().filter(|addr| *addr != entry.identity.record.addr).collect();
+    let at = usize::try_from(draw / 2).unwrap_or(0).checked_rem(others.len())?;
+    (is_young && draw.is_multiple_of(2)).then(|| others[at])
+}
+
 async fn ask<D: Dialect>(entry: Rc<Entry<D>>, link: Rc<CallLink>, role: Role) {
     let asked_ms = entry.clock.now_ms();
     let path = question(&entry, link.addr()).path();
@@ -94,13 +110,18 @@
     Question {
         version: state.table.as_ref().map(|table| table.version()),
         name: Some(entry.identity.name.clone()),
-        record: Some(entry.identity.record),
+        record: Some(entry.identity.record.clone()),
         from: Some(state.reading.next().unwrap_or_default()),
+        boxes: Some((state.boxes.len(), state.boxes.digest((&entry.identity.name, &entry.identity.record)))),
         heard: entry.heard(to),
     }
 }
 
 fn take<D: Dialect>(entry: &Entry<D>, told: PeerState, from: SocketAddr, role: Role, asked_ms: u64) {
+    if told.is_busy {
+        told.boxes.into_iter().for_each(|(name, record)| entry.take_box(&name, record));
+        return;
+    }
     entry.has_been_told.set(true);
     if let Some(document) = told.config {
         entry.take_config(&Bytes::from(document), &format!("peer-{from}"));
@@ -111,6 +132,10 @@
     }
     match told.reading {
         Some(reading) if role == Role::ReliedOn => take_reading(entry, reading, asked_ms),
+        // Whoever is left alone takes what is fresh from anybody.
+        Some(reading) if !entry.is_well_told() && is_fresh(entry, reading, asked_ms) => {
+            take_reading(entry, reading, asked_ms);
+        }
         Some(_) => {}
         None if role == Role::Any => {}
         // It cannot be relied on now: another box is asked next time.
@@ -132,6 +157,11 @@
     entry.note_heard(from, told.told);
 }
 
+fn is_fresh<D: Dialect>(entry: &Entry<D>, told: PeerReading, asked_ms: u64) -> bool {
+    let as_of_ms = asked_ms.saturating_sub(told.age_ms);
+    entry.state.borrow().reading.counts_as_fresh(as_of_ms, entry.clock.now_ms())
+}
+
 /// Takes over how far another box has read. Where the log was away, its reader says
 /// that it is back.
 fn take_reading<D: Dialect>(entry: &Entry<D>, told: PeerReading, asked_ms: u64) {
--- a/crates/ochreyard-direct/src/peers/peer_state.rs
+++ b/crates/ochreyard-direct/src/peers/peer_state.rs
@@ -32,6 +32,9 @@
     /// What became known of requests that crash endpoints since it was asked last.
     #[serde(default, skip_serializing_if = "QuarantineNews::is_empty")]
     pub quarantine: QuarantineNews,
+    /// Whether it has told as many boxes all as it can for now: the asker should ask one of `boxes`.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_busy: bool,
     /// How far the asker knows what is told step by step, with this.
     #[serde(default)]
     pub told: Heard,
--- a/crates/ochreyard-direct/src/peers/question.rs
+++ b/crates/ochreyard-direct/src/peers/question.rs
@@ -20,6 +20,8 @@
     pub record: Option<BoxRecord>,
     /// Where it reads on among the records of endpoints.
     pub from: Option<Position>,
+    /// How many boxes it knows, and the digest of its list of them.
+    pub boxes: Option<(usize, u64)>,
     /// How much of what is told step by step it knows already.
     pub heard: Heard,
 }
@@ -35,6 +37,7 @@
             name: pairs.get("box").map(|name| (*name).to_owned()),
             record: record(&pairs),
             from: pairs.get("from").and_then(|value| value.parse().ok()),
+            boxes: number("known").and_then(|count| usize::try_from(count).ok()).zip(number("digest")),
             heard: Heard {
                 life: number("life").unwrap_or(0),
                 boxes: number("boxes").and_then(|count| usize::try_from(count).ok()).unwrap_or(0),
@@ -50,11 +53,12 @@
         let mut pairs = Vec::new();
         pairs.extend(self.version.map(|version| format!("version={version}")));
         pairs.extend(self.name.as_ref().map(|name| format!("box={name}")));
-        pairs.extend(self.record.map(|record| {
-            let BoxRecord { addr, cores_permille, link_mbps } = record;
-            format!("addr={addr}&cores={cores_permille}&link={link_mbps}")
+        pairs.extend(self.record.as_ref().map(|record| {
+            let BoxRecord { addr, data_centre, cores_permille, link_mbps } = record;
+            format!("addr={addr}&data_centre={data_centre}&cores={cores_permille}&link={link_mbps}")
         }));
         pairs.extend(self.from.map(|from| format!("from={from}")));
+        pairs.extend(self.boxes.map(|(known, digest)| format!("known={known}&digest={digest}")));
         let Heard { life, boxes, quarantine, limits } = self.heard;
         pairs.extend((boxes > 0 || quarantine > 0 || limits > 0).then(|| format!("life={life}")));
         pairs.extend((boxes > 0).then(|| format!("boxes={boxes}")));
@@ -68,6 +72,7 @@
 fn record(pairs: &BTreeMap<&str, &str>) -> Option<BoxRecord> {
     Some(BoxRecord {
         addr: pairs.get("addr")?.parse().ok()?,
+        data_centre: pairs.get("data_centre").map_or_else(String::new, |name| (*name).to_owned()),
         cores_permille: pairs.get("cores")?.parse().ok()?,
         link_mbps: pairs.get("link")?.parse().ok()?,
     })
--- a/crates/ochreyard-direct/src/peers/tell.rs
+++ b/crates/ochreyard-direct/src/peers/tell.rs
@@ -13,19 +13,43 @@
 use crate::entry::{Entry, State};
 use crate::heard::Heard;
 
+/// Boxes that one is told of that asks for the first time, those that were learned last.
+const RECENT_BOXES: usize = 64;
+/// Boxes that it is told of beside, drawn.
+const SAMPLED_BOXES: usize = 16;
+
 /// The answer to a box that asks; what it says of itself is noted.
 pub fn state_for<D: Dialect>(entry: &Entry<D>, query: &str) -> Bytes {
     let question = Question::read(query);
-    if let (Some(name), Some(record)) = (&question.name, question.record) {
-        entry.take_box(name, record);
+    let asker = question.name.as_deref().zip(question.record.as_ref());
+    if let Some((name, record)) = asker {
+        entry.take_box(name, record.clone());
     }
-    let state = told(entry, &question);
+    let is_newcomer = question.version.is_none() && entry.state.borrow().table.is_some();
+    let state = match asker {
+        Some((name, record)) if is_newcomer && !admits(entry, name, record) => busy(entry),
+        _ => told(entry, &question),
+    };
     serde_json::to_vec(&state).map(Bytes::from).unwrap_or_else(|error| {
         log::error!("event=state_unwritable error=\"{error}\"");
         Bytes::new()
     })
 }
 
+/// Whether a box that knows nothing yet is told all now.
+fn admits<D: Dialect>(entry: &Entry<D>, name: &str, record: &BoxRecord) -> bool {
+    let link_mbps = entry.identity.record.link_mbps;
+    entry.newcomers.borrow_mut().admit(name, record, link_mbps, entry.clock.now_ms())
+}
+
+/// Names boxes that know more than the asker, and have told fewer.
+fn busy<D: Dialect>(entry: &Entry<D>) -> PeerState {
+    let newcomers = entry.newcomers.borrow();
+    let named = newcomers.named(entry.draw());
+    let boxes = named.map(|(name, record)| (name.to_owned(), record.clone())).collect();
+    PeerState { boxes, is_busy: true, ..PeerState::default() }
+}
+
 /// What this box knows and the asker may lack.
 fn told<D: Dialect>(entry: &Entry<D>, question: &Question) -> PeerState {
     let state = entry.state.borrow();
@@ -36,7 +60,7 @@
         evacuations: state.evacuations.news().collect(),
         endpoints: question.from.map_or_else(Vec::new, |from| changed_since(&state, from)),
         reading: question.from.and_then(|_| reading(&state, entry.clock.now_ms())),
-        boxes: boxes(entry, &state, heard.boxes),
+        boxes: boxes(entry, &state, question.boxes, heard.boxes),
         knows_all_boxes: state.knows_all_boxes,
         limits: state.pool.limit_news_since(heard.limits, entry.clock.now_ms()),
         quarantine: state.quarantine.news_since(heard.quarantine, entry.clock.now_ms()),
@@ -46,6 +70,7 @@
             quarantine: state.quarantine.changes(),
             limits: state.pool.limit_changes(),
         },
+        is_busy: false,
     }
 }
 
@@ -70,8 +95,23 @@
     state.catalog.is_settled().then(|| PeerReading { next, age_ms: state.reading.age_ms(now_ms) })
 }
 
-/// This box, and those of its list that the asker has not been told of.
-fn boxes<D>(entry: &Entry<D>, state: &State, known: usize) -> BTreeMap<String, BoxRecord> {
-    let news = state.boxes.learned_since(known).map(|(name, record)| (name.to_owned(), *record));
-    news.chain([(entry.identity.name.clone(), entry.identity.record)]).collect()
+/// Boxes that the asker may lack: none where its list is the same, all where it knows few, else what was learned since it
+/// asked last. Two boxes that have not asked each other before mostly differ in what they learned last; a few others beside
+/// that bring together what remains.
+fn boxes<D>(entry: &Entry<D>, state: &State, known: Option<(usize, u64)>, heard: usize) -> BTreeMap<String, BoxRecord> {
+    let identity = &entry.identity;
+    let (count, digest) = known.unwrap_or_default();
+    if digest == state.boxes.digest((&identity.name, &identity.record)) {
+        return BTreeMap::new();
+    }
+    let owned = |(name, record): (&str, &BoxRecord)| (name.to_owned(), record.clone());
+    let own = [(identity.name.clone(), identity.record.clone())];
+    if count < state.boxes.len() / 2 {
+        return state.boxes.iter().map(owned).chain(own).collect();
+    }
+    let is_first = heard == 0;
+    let since = if is_first { state.boxes.learned().saturating_sub(RECENT_BOXES) } else { heard };
+    let news = state.boxes.learned_since(since);
+    let others = state.boxes.sample(SAMPLED_BOXES, identity.life ^ entry.clock.now_ms());
+    news.chain(others).map(owned).chain(own).collect()
 }
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -106,6 +106,7 @@
         life: new_life(settings.text("entry")),
         record: BoxRecord {
             addr: settings.addr("peer_addr"),
+            data_centre: settings.text("data_centre").to_owned(),
             cores_permille: (settings.fraction("cores") * PERMILLE) as u64,
             link_mbps: settings.fraction("link_mbps") as u64,
         },
@@ -122,11 +123,13 @@
 
 /// Starts what keeps the entry's knowledge fresh: the log, other boxes, the sweep of connections.
 fn start_followers<D: Dialect, L: KeyedLog>(settings: &Settings, entry: &Rc<Entry<D>>, log: L) {
+    entry.set_seeds(&seeds(settings));
     tokio::task::spawn_local(follow::follow_config(Rc::clone(entry), log.clone()));
     tokio::task::spawn_local(follow::follow_endpoints(Rc::clone(entry), log.clone()));
     tokio::task::spawn_local(follow::follow_boxes(Rc::clone(entry), log.clone()));
     tokio::task::spawn_local(follow::keep_verdicts(Rc::clone(entry), log));
-    tokio::task::spawn_local(peers::keep_asking(Rc::clone(entry), seeds(settings)));
+    let seeds = seeds(settings);
+    tokio::task::spawn_local(peers::keep_asking(Rc::clone(entry), seeds));
     tokio::task::spawn_local(sweep(Rc::clone(entry)));
     tokio::task::spawn_local(notice_suspensions(Rc::clone(entry)));
 }
