Requests run only in the regions that their route and their workspace name

Cause: the configuration may name regions for a route and for a workspace; nobody read them, so a deployment of more than one region would send requests anywhere.

Change: Homes, the intersection of both, goes with a request to every choice of an endpoint: first attempt, repeat, resumed stream, trial, the look whether another endpoint could make a failure good. The settings name the region of each data centre; one that is not known is no home. What has no endpoint at home is refused at once.

Ruled out: nothing is passed between boxes that carries a request's body (questions and news carry fingerprints alone), so no other path needs a check.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -16,6 +16,7 @@
 mod event_splitter;
 mod fingerprint;
 mod group_news;
+mod homes;
 mod position;
 mod quarantine;
 mod questions;
@@ -38,6 +39,7 @@
 pub use event_splitter::{EventSplitter, WholeEvents};
 pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use group_news::{GroupNews, RankNews, TellerRole};
+pub use homes::Homes;
 pub use position::{NoPosition, Position};
 pub use quarantine::{
     Clearance, ClearedNews, CrashNews, Judged, LostRequest, Quarantine, QuarantineNews, TrialNews, VerdictNews,
--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -20,7 +20,7 @@
 mod reported_load;
 mod slow_start;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 pub use self::asking::Asking;
 use self::cold::ColdQuotas;
@@ -36,6 +36,7 @@
 use super::catalog::EndpointChange;
 use super::endpoint_life::EndpointLife;
 use super::endpoint_record::EndpointRecord;
+use super::homes::Homes;
 use super::shared_limit::Sharers;
 
 /// After this time, what a leader told of its group says nothing more, in milliseconds.
@@ -54,6 +55,8 @@
     cold_quotas: ColdQuotas,
     /// Data centres whose endpoints get no request.
     evacuated: BTreeSet<String>,
+    /// The region of each data centre.
+    regions: BTreeMap<String, String>,
     /// Changes of limits are numbered in their order.
     limit_changes: u64,
     /// Endpoints that became known, and groups that began to stand, are numbered in their order.
@@ -103,6 +106,15 @@
         }
     }
 
+    /// Sets the region of each data centre.
+    pub fn set_regions(&mut self, regions: BTreeMap<String, String>) {
+        self.regions = regions;
+    }
+
+    fn is_home(&self, homes: &Homes, member: &Member) -> bool {
+        homes.allow(self.regions.get(&member.record.data_centre).map(String::as_str))
+    }
+
     /// The data centres whose endpoints get no request, in the order of their names.
     pub fn evacuated(&self) -> impl Iterator<Item = &str> {
         self.evacuated.iter().map(String::as_str)
--- a/crates/ochreyard-core/src/direct/endpoint_pool/choosing.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/choosing.rs
@@ -4,6 +4,7 @@
 use super::group::Group;
 use super::{EndpointPool, Member, NoPick, Pick};
 use crate::direct::endpoint_life::EndpointLife;
+use crate::direct::homes::Homes;
 use crate::direct::waiting::Urgency;
 
 /// Requests for each slot that an endpoint without a group may have, running and
@@ -26,22 +27,40 @@
 const SILENT_LEADER_COST: f64 = 2.0;
 
 impl EndpointPool {
-    /// Picks an endpoint of a service that is not in `tried`: the least loaded of a few drawn ones.
+    /// Picks an endpoint for a request that may run anywhere.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::pick_within`].
+    pub fn pick(
+        &self,
+        service: &str,
+        tried: &[EndpointLife],
+        urgency: Urgency,
+        draw: u64,
+        now_ms: u64,
+    ) -> Result<Pick, NoPick> {
+        self.pick_within(&Homes::ANY, service, tried, urgency, draw, now_ms)
+    }
+
+    /// Picks an endpoint of a service that is at home and not in `tried`: the least loaded of a few drawn ones.
     /// Endpoints that were set aside are used only where no other is left; those that asked for a pause, never.
     ///
     /// # Errors
     ///
     /// When nobody takes work, all have asked for a pause, have as much as they can serve in time or as their limits let this box send, or all groups stand.
-    pub fn pick(
+    pub fn pick_within(
         &self,
+        homes: &Homes,
         service: &str,
         tried: &[EndpointLife],
         urgency: Urgency,
         draw: u64,
         now_ms: u64,
     ) -> Result<Pick, NoPick> {
-        let is_left =
-            |id: &str, member: &Member| member.takes_work() && !tried.iter().any(|life| member.is_life(id, life));
+        let is_left = |id: &str, member: &Member| {
+            member.takes_work() && self.is_home(homes, member) && !tried.iter().any(|life| member.is_life(id, life))
+        };
         let left = || self.drawn(service, draw).filter(|(id, member)| is_left(id, member));
         let open = || left().filter(|(_, member)| member.is_welcome(now_ms));
         let is_sound = |(_, member): &(&str, &Member)| self.is_sound(member, now_ms);
@@ -148,9 +167,9 @@
     /// others take 200 ms in place of 65 for three to six seconds; once they are gone, steps
     /// are short again although the rank is as slow as before.
     #[must_use]
-    pub fn should_leave(&self, id: &str, service: &str, tried: &[EndpointLife], now_ms: u64) -> bool {
+    pub fn should_leave(&self, id: &str, homes: &Homes, service: &str, tried: &[EndpointLife], now_ms: u64) -> bool {
         let is_slow = |id: &str| self.members.get(id).is_some_and(|member| member.is_slow(now_ms));
-        let other = || self.pick(service, tried, Urgency::InAim, 0, now_ms).ok();
+        let other = || self.pick_within(homes, service, tried, Urgency::InAim, 0, now_ms).ok();
         is_slow(id) && other().is_some_and(|pick| pick.id != id && !is_slow(&pick.id))
     }
 }
--- a/crates/ochreyard-core/src/direct/route_table/route.rs
+++ b/crates/ochreyard-core/src/direct/route_table/route.rs
@@ -4,6 +4,7 @@
 
 use super::route_kind::RouteKind;
 use super::weighted_service::WeightedService;
+use crate::direct::homes::Homes;
 
 /// One route of the configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +33,9 @@
     pub max_attempts: u64,
     /// Whether it may be used without a key.
     pub public: bool,
+    /// Where its requests may run.
+    #[serde(default)]
+    pub homes: Homes,
 }
 
 impl Route {
--- a/crates/ochreyard-core/src/direct/route_table/workspace.rs
+++ b/crates/ochreyard-core/src/direct/route_table/workspace.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::direct::homes::Homes;
+
 /// A workspace and its standing.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
@@ -9,4 +11,7 @@
     pub name: String,
     /// Goes before the priority of the route, if given.
     pub priority: Option<u64>,
+    /// Where its requests may run.
+    #[serde(default)]
+    pub homes: Homes,
 }
--- a/crates/ochreyard-core/src/direct/waiting/choice.rs
+++ b/crates/ochreyard-core/src/direct/waiting/choice.rs
@@ -4,12 +4,15 @@
 use super::{Arrival, Patience, ServiceQueue, Ticket, Urgency, WaitFacts};
 use crate::direct::endpoint_life::EndpointLife;
 use crate::direct::endpoint_pool::{EndpointPool, NoPick, Pick};
+use crate::direct::homes::Homes;
 
 /// A request that looks for an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct Seeker<'a> {
     /// Its service.
     pub service: &'a str,
+    /// Where it may run.
+    pub homes: &'a Homes,
     /// Endpoints that were tried.
     pub tried: &'a [EndpointLife],
     /// How it arrived.
@@ -134,7 +137,7 @@
         if !self.is_turn_of(seeker.ticket, urgency, now_ms) {
             return Err(NoPick::Full);
         }
-        let pick = pool.pick(seeker.service, seeker.tried, urgency, draw, now_ms)?;
+        let pick = pool.pick_within(seeker.homes, seeker.service, seeker.tried, urgency, draw, now_ms)?;
         let is_over = urgency == Urgency::Late
             && pool.late_in_flight(seeker.service) >= Self::most_late(pool.slots(seeker.service), boxes);
         if is_over { Err(NoPick::Full) } else { Ok(pick) }
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -7,8 +7,8 @@
 
 use direct_fixture::{addr, endpoint};
 use ochreyard_core::direct::{
-    BoxList, BoxRecord, Catalog, EndpointChange, EndpointRecord, EventSplitter, Own, Position, Reading, RepeatBudget,
-    RepeatLimits, Route, RouteKind, RouteTable, WeightedService, Workspace,
+    BoxList, BoxRecord, Catalog, EndpointChange, EndpointRecord, EventSplitter, Homes, Own, Position, Reading,
+    RepeatBudget, RepeatLimits, Route, RouteKind, RouteTable, WeightedService, Workspace,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -32,6 +32,7 @@
         services: vec![WeightedService { service: service.to_owned(), weight: 1 }],
         max_attempts: 2,
         public: false,
+        homes: Homes::ANY,
     }
 }
 #[rstest]
@@ -59,7 +60,7 @@
 fn keys_belong_to_workspaces_and_are_needed_once_there_are_any() {
     let table = RouteTable::new(1);
     assert!(!table.needs_key());
-    let workspace = Workspace { name: "resort".into(), priority: None };
+    let workspace = Workspace { name: "resort".into(), priority: None, homes: Homes::ANY };
     let table = table.with_workspace(workspace, ["k1".to_owned()]);
     assert!(table.needs_key());
     assert_eq!(table.workspace_of("k1").map(|workspace| workspace.name.as_str()), Some("resort"));
--- a/crates/ochreyard-core/tests/endpoint_notices.rs
+++ b/crates/ochreyard-core/tests/endpoint_notices.rs
@@ -4,7 +4,7 @@
 
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
-    Choice, EndpointChange, EndpointPool, EndpointRecord, EndpointSignals, LimitWord, NoPick, Pick, Seeker,
+    Choice, EndpointChange, EndpointPool, EndpointRecord, EndpointSignals, Homes, LimitWord, NoPick, Pick, Seeker,
     ServiceQueue, Urgency,
 };
 use proptest::prelude::*;
@@ -151,6 +151,7 @@
     let arrival = ochreyard_core::direct::Arrival { in_aim_until_ms: 200, has_come_back: false };
     Seeker {
         service: "tiles",
+        homes: &Homes::ANY,
         tried: &[],
         arrival,
         deadline_ms,
--- a/crates/ochreyard-core/tests/endpoint_pool.rs
+++ b/crates/ochreyard-core/tests/endpoint_pool.rs
@@ -4,8 +4,8 @@
 
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
-    EndpointChange, EndpointLife, EndpointPool, EndpointRecord, GroupNews, NoPick, Outcome, Pick, RankNews, TellerRole,
-    Urgency,
+    EndpointChange, EndpointLife, EndpointPool, EndpointRecord, GroupNews, Homes, NoPick, Outcome, Pick, RankNews,
+    TellerRole, Urgency,
 };
 use rstest::rstest;
 
@@ -202,14 +202,14 @@
         news
     };
     pool.on_news(&with_paces([1_000, 1_000]), 0);
-    assert!(!pool.should_leave("e1", "tiles", &[], 1), "it is not slow");
+    assert!(!pool.should_leave("e1", &Homes::ANY, "tiles", &[], 1), "it is not slow");
     pool.on_news(&with_paces([4_000, 1_000]), 100);
-    assert!(pool.should_leave("e1", "tiles", &[], 101));
-    assert!(!pool.should_leave("e2", "tiles", &[], 101));
-    assert!(!pool.should_leave("e1", "tiles", &[life("e2")], 101), "the other one was tried");
-    assert!(!pool.should_leave("e1", "tiles", &[], 5_000), "what was told is old");
+    assert!(pool.should_leave("e1", &Homes::ANY, "tiles", &[], 101));
+    assert!(!pool.should_leave("e2", &Homes::ANY, "tiles", &[], 101));
+    assert!(!pool.should_leave("e1", &Homes::ANY, "tiles", &[life("e2")], 101), "the other one was tried");
+    assert!(!pool.should_leave("e1", &Homes::ANY, "tiles", &[], 5_000), "what was told is old");
     pool.on_news(&with_paces([4_000, 4_000]), 5_000);
-    assert!(!pool.should_leave("e1", "tiles", &[], 5_001), "the other one is as slow");
+    assert!(!pool.should_leave("e1", &Homes::ANY, "tiles", &[], 5_001), "the other one is as slow");
 }
 
 #[test]
--- a/crates/ochreyard-core/tests/stand_load_model/entry_model.rs
+++ b/crates/ochreyard-core/tests/stand_load_model/entry_model.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use ochreyard_core::direct::{
-    Arrival, Choice, EndpointChange, EndpointPool, EndpointRecord, Outcome, Pick, Seeker, ServiceQueue, Ticket,
+    Arrival, Choice, EndpointChange, EndpointPool, EndpointRecord, Homes, Outcome, Pick, Seeker, ServiceQueue, Ticket,
 };
 
 use super::{ENDPOINTS, ENTRIES, SERVICE, SLOTS};
@@ -55,6 +55,7 @@
     pub fn choose(&mut self, of: &Try, draw: u64, now_ms: u64) -> Choice {
         let seeker = Seeker {
             service: SERVICE,
+            homes: &Homes::ANY,
             tried: &[],
             arrival: of.arrival,
             deadline_ms: of.deadline_ms,
--- a/crates/ochreyard-core/tests/step_times.rs
+++ b/crates/ochreyard-core/tests/step_times.rs
@@ -1,6 +1,6 @@
 //! When shorter steps help callers.
 
-use ochreyard_core::direct::{Route, RouteKind, RouteTable, WeightedService};
+use ochreyard_core::direct::{Homes, Route, RouteKind, RouteTable, WeightedService};
 use ochreyard_core::group_map::StepTimes;
 use rstest::rstest;
 
@@ -40,6 +40,7 @@
         services: services.iter().map(weighted).collect(),
         max_attempts: 2,
         public: false,
+        homes: Homes::ANY,
     }
 }
 
--- a/crates/ochreyard-core/tests/waiting.rs
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -4,8 +4,8 @@
 
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
-    Arrival, Choice, Endings, EndpointChange, EndpointPool, GroupNews, LimitNews, Met, NoPick, Patience, RankNews,
-    RequestRate, Seeker, ServiceQueue, ServiceTime, Stands, ToldLimit, Urgency, WaitFacts, WaitingLine,
+    Arrival, Choice, Endings, EndpointChange, EndpointPool, GroupNews, Homes, LimitNews, Met, NoPick, Patience,
+    RankNews, RequestRate, Seeker, ServiceQueue, ServiceTime, Stands, ToldLimit, Urgency, WaitFacts, WaitingLine,
 };
 use rstest::rstest;
 
@@ -191,6 +191,7 @@
     let arrival = Arrival { in_aim_until_ms: 0, has_come_back: false };
     Seeker {
         service: "tiles",
+        homes: &Homes::ANY,
         tried: &[],
         arrival,
         deadline_ms: 8_000,
--- a/crates/ochreyard-direct/src/fields.rs
+++ b/crates/ochreyard-direct/src/fields.rs
@@ -6,6 +6,12 @@
 pub const FIELDS: &[FieldSpec] = &[
     FieldSpec { name: "entry", kind: FieldKind::Name, default: None, about: "name of this box" },
     FieldSpec { name: "data_centre", kind: FieldKind::Name, default: None, about: "where it stands" },
+    FieldSpec {
+        name: "regions",
+        kind: FieldKind::Pairs,
+        default: Some("[]"),
+        about: "each data centre with its region, as `DATA_CENTRE=REGION`; routes and workspaces name regions where they may run",
+    },
     FieldSpec { name: "callers_addr", kind: FieldKind::Addr, default: None, about: "where callers are answered" },
     FieldSpec {
         name: "ready_addr",
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -80,6 +80,7 @@
     if table.needs_key() && !route.public && workspace.is_none() {
         return Err(ErrorKind::Unauthenticated);
     }
+    let homes = workspace.map_or_else(|| route.homes.clone(), |workspace| route.homes.and(&workspace.homes));
     let service = route.service_for(entry.draw()).ok_or(ErrorKind::NoEndpoint)?.to_owned();
     let caller_ms = text(&head.headers, &names.deadline_ms).and_then(|value| value.trim().parse::<u64>().ok());
     let held_ms = caller_ms.map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
@@ -94,6 +95,7 @@
     Ok(Job {
         entry: Rc::clone(entry),
         route: Arc::clone(route),
+        homes,
         request,
         deadline_ms: started_ms + held_ms,
         arrival,
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -11,7 +11,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use ochreyard_core::direct::{
-    Arrival, EndpointLife, Fingerprint, LostRequest, Outcome, Pick, Route, RouteKind, WaitFacts,
+    Arrival, EndpointLife, Fingerprint, Homes, LostRequest, Outcome, Pick, Route, RouteKind, WaitFacts,
 };
 
 use crate::answer::{Answer, pass_on};
@@ -43,6 +43,8 @@
     pub route: Arc<Route>,
     /// The service that serves it.
     pub service: String,
+    /// Where it may run.
+    pub homes: Homes,
     /// The request itself.
     pub request: CallerRequest,
     /// When its time ends.
@@ -164,7 +166,7 @@
     pub fn should_leave(&self, pick: &Pick) -> bool {
         let now_ms = self.entry.clock.now_ms();
         let state = self.entry.state.borrow();
-        state.pool.should_leave(&pick.id, &self.service, &self.tried, now_ms)
+        state.pool.should_leave(&pick.id, &self.homes, &self.service, &self.tried, now_ms)
             && state.budget.has_one(&self.service, now_ms)
     }
 
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ochreyard_core::direct::{Choice, Clearance, NoPick, Pick, Seeker};
+use ochreyard_core::direct::{Choice, Clearance, EndpointPool, NoPick, Pick, Seeker};
 
 use super::Job;
 use crate::dialect::Dialect;
@@ -137,6 +137,7 @@
     fn seeker(&self) -> Seeker<'_> {
         Seeker {
             service: &self.service,
+            homes: &self.homes,
             tried: &self.tried,
             arrival: self.arrival,
             deadline_ms: self.deadline_ms,
@@ -155,7 +156,12 @@
             && self.sent < self.route.max_attempts
             && self.time_left_ms() >= LEAST_USEFUL_MS
             && state.budget.has_one(&self.service, now_ms)
-            && state.pool.pick(&self.service, &self.tried, self.seeker().urgency(now_ms), 0, now_ms).is_ok()
+            && self.finds_another(&state.pool, now_ms)
+    }
+
+    fn finds_another(&self, pool: &EndpointPool, now_ms: u64) -> bool {
+        let urgency = self.seeker().urgency(now_ms);
+        pool.pick_within(&self.homes, &self.service, &self.tried, urgency, 0, now_ms).is_ok()
     }
 }
 
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -77,6 +77,7 @@
         clock,
     ));
 
+    entry.state.borrow_mut().pool.set_regions(settings.pairs("regions"));
     entry.state.borrow_mut().pool.set_cold_overage(settings.fraction("cold_overage"), entry.started_ms);
 
     let callers = bind(settings, "callers_addr").await?;
--- a/crates/ochreyard-entry/tests/deploy.rs
+++ b/crates/ochreyard-entry/tests/deploy.rs
@@ -18,6 +18,7 @@
         let value = match gap {
             gap if gap.contains("ratio") => "0.2".to_owned(),
             gap if gap.contains("bounds.") || gap.contains("limits.") => figure.to_owned(),
+            gap if gap.contains("zones") => "[\"hall=region\"]".to_owned(),
             gap if gap.contains("seeds") => "[\"127.0.0.1:7000\"]".to_owned(),
             gap if gap.contains("ip}}") || gap.contains("listen") || gap.contains("address") => {
                 "\"127.0.0.1:7000\"".to_owned()
--- a/crates/ochreyard-process/src/settings.rs
+++ b/crates/ochreyard-process/src/settings.rs
@@ -30,6 +30,8 @@
     Sha256,
     /// A list of addresses with port; may be empty.
     Addrs,
+    /// A list of pairs `NAME=NAME`; may be empty.
+    Pairs,
 }
 
 /// One field of the settings.
@@ -196,6 +198,14 @@
         list.into_iter().flatten().filter_map(|v| v.as_str()?.parse().ok()).collect()
     }
 
+    /// A field as a list of pairs.
+    #[must_use]
+    pub fn pairs(&self, name: &str) -> BTreeMap<String, String> {
+        let list = self.values.get(name).and_then(Value::as_array);
+        let pairs = list.into_iter().flatten().filter_map(|v| pair_of(v.as_str()?));
+        pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+    }
+
     /// The secret in the file that a field names.
     ///
     /// # Errors
@@ -259,7 +269,7 @@
     match kind {
         FieldKind::Number(..) => default.parse::<u64>().map_or(Value::Null, Value::from),
         FieldKind::Fraction(..) => default.parse::<f64>().map_or(Value::Null, Value::from),
-        FieldKind::Addrs => Value::Array(Vec::new()),
+        FieldKind::Addrs | FieldKind::Pairs => Value::Array(Vec::new()),
         _ => Value::from(default),
     }
 }
@@ -284,6 +294,10 @@
             Some(list) if list.iter().all(|v| v.as_str().is_some_and(is_addr)) => Ok(()),
             _ => refuse("is not a list of addresses with port"),
         },
+        FieldKind::Pairs => match value.as_array() {
+            Some(list) if list.iter().all(|v| v.as_str().is_some_and(|text| pair_of(text).is_some())) => Ok(()),
+            _ => refuse("is not a list of pairs NAME=NAME"),
+        },
         FieldKind::Url if text.is_some_and(|t| t.starts_with("http://") && t.len() > 7) => Ok(()),
         FieldKind::Url => refuse("is not an http:// address"),
         FieldKind::Choice(words) if text.is_some_and(|t| words.contains(&t)) => Ok(()),
@@ -300,6 +314,10 @@
     text.parse::<SocketAddr>().is_ok()
 }
 
+fn pair_of(text: &str) -> Option<(&str, &str)> {
+    text.split_once('=').filter(|(name, value)| is_name(name) && is_name(value))
+}
+
 fn is_name(text: &str) -> bool {
     let fits = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.';
     (1..=63).contains(&text.len()) && text.bytes().all(fits)
@@ -323,6 +341,7 @@
         FieldKind::Name => "a name: 1 to 63 of a-z, 0-9, '-' and '.'".into(),
         FieldKind::Addr => "an address with port, for example 127.0.0.1:8080".into(),
         FieldKind::Addrs => "a list of addresses with port".into(),
+        FieldKind::Pairs => "a list of pairs NAME=NAME".into(),
         FieldKind::Url => "an address that starts with http://".into(),
         FieldKind::Number(min, max) => format!("a whole number from {min} to {max}"),
         FieldKind::Fraction(min, max) => format!("a number from {min} to {max}"),
