Bodies of requests and answers take a bounded part of a box's memory

Cause: the body of a request was gathered without a bound over all callers: a thousand callers that stop in the middle of theirs hold a thousand times the longest body, 4 GB by the limits of the sites, on boxes of 112 to 512 MB. An answer that never ends, and an event that never ends, had no bound at all.

Change: HeldBytes counts what has come of bodies while the rest is awaited, over all of a box; a quarter of the memory that the settings name (memory_mb) is the most. Whoever comes then is refused at once, as not run. An answer that is gathered whole is 16 MiB at the most, an event of a stream 1 MiB.

Left: a caller that reads a short answer slowly holds what the library has buffered; engines that read requests slowly are met by the attempt's own time alone; no case in the soak yet.

--- a/crates/ochreyard-core/src/direct/event_splitter.rs
+++ b/crates/ochreyard-core/src/direct/event_splitter.rs
@@ -39,6 +39,12 @@
         !self.pending.is_empty()
     }
 
+    /// Bytes of the event that waits for its rest.
+    #[must_use]
+    pub fn part_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Drops the part of an event that will not become whole.
     pub fn drop_part(&mut self) {
         self.pending.clear();
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -56,6 +56,10 @@
     pub returns: watch::Sender<u64>,
     /// Whether the platform names this box to others, so that it reads the log at once.
     pub is_seed: Cell<bool>,
+    /// Bytes of bodies that are held.
+    pub held_bytes: Cell<usize>,
+    /// The most bytes of bodies that may be held.
+    pub most_held_bytes: Cell<usize>,
     /// Boxes that were told all of late.
     pub newcomers: RefCell<Newcomers>,
     /// Other boxes that took no news of late.
@@ -86,6 +90,8 @@
             log_returned: Notify::new(),
             returns: watch::Sender::new(0),
             is_seed: Cell::new(true),
+            held_bytes: Cell::new(0),
+            most_held_bytes: Cell::new(usize::MAX),
             newcomers: RefCell::default(),
             passed_over: PassedOver::default(),
             draws,
--- a/crates/ochreyard-direct/src/fields.rs
+++ b/crates/ochreyard-direct/src/fields.rs
@@ -75,6 +75,12 @@
         default: Some("1"),
         about: "processor cores of this box; boxes with more lead groups before others",
     },
+    FieldSpec {
+        name: "memory_mb",
+        kind: FieldKind::Fraction(1.0, 1_000_000.0),
+        default: Some("512"),
+        about: "memory of this box, in megabytes; bodies of requests and answers take a quarter of it at the most",
+    },
     FieldSpec {
         name: "link_mbps",
         kind: FieldKind::Fraction(0.001, 1_000_000.0),
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ochreyard_core::direct::{RouteKind, RouteTable};
 use ochreyard_core::error_kind::{ErrorKind, Refusal};
@@ -17,6 +16,7 @@
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::given_up::GivenUp;
+use crate::held_bytes::{HeldBytes, NotTaken};
 use crate::job::Job;
 use crate::refusal;
 use crate::relay;
@@ -34,7 +34,8 @@
     let Some(table) = table.filter(|_| entry.is_informed()) else {
         return refusal::of_kind(ErrorKind::Stale);
     };
-    let body = match read_body(body, &table).await {
+    let mut held = HeldBytes::none(&entry);
+    let body = match read_body(body, &table, &mut held).await {
         Ok(body) => body,
         Err(kind) => return refusal::of_kind(kind),
     };
@@ -44,19 +45,26 @@
     // The newest configuration counts: the body may have taken its time.
     let table = entry.state.borrow().table.clone().unwrap_or(table);
     match admit(&entry, &table, head, body, started_ms) {
-        Ok(job) => run(job).await,
+        Ok(job) => run(Job { _held_body: held, ..job }).await,
         Err(kind) => refusal::of_kind(kind),
     }
 }
 
-async fn read_body(body: Incoming, table: &RouteTable) -> Result<Bytes, ErrorKind> {
+async fn read_body<D: Dialect>(
+    body: Incoming,
+    table: &RouteTable,
+    held: &mut HeldBytes<D>,
+) -> Result<Bytes, ErrorKind> {
     let limits = table.limits();
     let wait = Duration::from_millis(limits.idle_timeout_ms);
-    let collected = tokio::time::timeout(wait, Limited::new(body, limits.max_body_bytes).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
-        Ok(Err(_)) => Err(ErrorKind::BadRequest),
+    match tokio::time::timeout(wait, held.take(body, limits.max_body_bytes)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(NotTaken::TooLong { .. })) => Err(ErrorKind::BodyTooLarge),
+        Ok(Err(NotTaken::TooMany)) => {
+            log::warn!("event=request_not_taken cause=\"bodies take too much memory\"");
+            Err(ErrorKind::Overloaded)
+        }
+        Ok(Err(NotTaken::BrokenOff(_))) => Err(ErrorKind::BadRequest),
         Err(_) => Err(ErrorKind::CallerSlow),
     }
 }
@@ -96,6 +104,7 @@
         entry: Rc::clone(entry),
         route: Arc::clone(route),
         homes,
+        _held_body: HeldBytes::none(entry),
         request,
         deadline_ms: started_ms + held_ms,
         arrival,
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use http::Response;
-use http_body_util::BodyExt;
 use ochreyard_core::direct::{
     Arrival, EndpointLife, Fingerprint, Homes, LostRequest, Outcome, Pick, Route, RouteKind, WaitFacts,
 };
@@ -22,6 +21,7 @@
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::given_up::GivenUp;
+use crate::held_bytes::{HeldBytes, NotTaken};
 use crate::meters;
 use crate::try_end::TryEnd;
 
@@ -32,6 +32,8 @@
 /// Longest wait until it is known whether a broken endpoint crashed, before the request goes on
 /// elsewhere: several round trips between data centres, and less than half of a pause that is in time.
 const LOOK_WAIT: Duration = Duration::from_millis(50);
+/// The longest answer that is taken whole before it goes to its caller.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// How often a waiting request looks whether its endpoint is still heard.
 const SILENCE_LOOK: Duration = Duration::from_millis(100);
 
@@ -45,6 +47,8 @@
     pub service: String,
     /// Where it may run.
     pub homes: Homes,
+    /// The bytes of its body.
+    pub _held_body: HeldBytes<D>,
     /// The request itself.
     pub request: CallerRequest,
     /// When its time ends.
@@ -194,13 +198,19 @@
     /// endpoint may make good.
     pub async fn take_whole(&mut self, mut answer: Answer<D>) -> Option<Response<AnswerBody>> {
         let wait = Duration::from_millis(self.time_left_ms());
-        let body = match tokio::time::timeout(wait, (&mut answer.body).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => {
+        let mut held = HeldBytes::none(&self.entry);
+        let body = match tokio::time::timeout(wait, held.take(&mut answer.body, MAX_ANSWER_BYTES)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(NotTaken::BrokenOff(error))) => {
                 answer.flight.set(Outcome::Failed);
                 self.note_lost_attempt(&answer.pick, &format!("answer broke off: {error}")).await;
                 return None;
             }
+            Ok(Err(cause)) => {
+                answer.flight.set(Outcome::Failed);
+                self.note_failed_attempt(&answer.pick, &format!("answer not taken: {cause}"));
+                return None;
+            }
             Err(_) => {
                 self.may_have_run = true;
                 return None;
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -27,6 +27,7 @@
 mod forward;
 mod given_up;
 mod heard;
+mod held_bytes;
 mod job;
 mod keyed_log;
 mod limits;
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -18,6 +18,8 @@
 /// Longest pause, in pauses that are still in time, before an endpoint that is
 /// silent to everybody loses the stream to another one.
 const PATIENCE_GAPS: u64 = 8;
+/// The longest event that is taken: what has come of one waits for its end.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 /// The pause between events that is assumed where the route names none.
 const USUAL_GAP_MS: u64 = 150;
 
@@ -96,6 +98,9 @@
                 answer.flight.on_heard();
                 let data = frame.into_data().unwrap_or_default();
                 let whole = self.splitter.push(&data);
+                if self.splitter.part_bytes() > MAX_EVENT_BYTES {
+                    return Step::Broken { cause: "an event is too long".to_owned(), is_lost: false };
+                }
                 if whole.count == 0 { Step::Part } else { Step::Events(whole.bytes) }
             }
             Ok(Some(Err(error))) => Step::Broken { cause: error.to_string(), is_lost: true },
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::entry::{Entry, Identity};
 use crate::keyed_log::KeyedLog;
 use crate::server::{Phase, Side};
-use crate::{follow, meters, peers, server};
+use crate::{follow, held_bytes, meters, peers, server};
 
 /// How often idle connections to endpoints are looked through.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
@@ -77,6 +77,7 @@
         clock,
     ));
 
+    entry.most_held_bytes.set(held_bytes::most_held(settings.fraction("memory_mb")));
     entry.state.borrow_mut().pool.set_regions(settings.pairs("regions"));
     entry.state.borrow_mut().pool.set_cold_overage(settings.fraction("cold_overage"), entry.started_ms);
 
