A refusal names what held the request back: evacuated, cold, not at home

Cause: of a request that found no endpoint the log told the load alone; that a data centre was evacuated minutes before, that endpoints were cold or not at home could not be told from it.

Change: request_failed names the evacuated data centres, and how many endpoints of the service are cold and how many not at home; explain tells of evacuations around it.

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -111,6 +111,12 @@
         self.regions = regions;
     }
 
+    /// How many endpoints of a service are not at home for requests with these homes.
+    #[must_use]
+    pub fn endpoints_away(&self, service: &str, homes: &Homes) -> usize {
+        self.of_service(service).filter(|(_, member)| !self.is_home(homes, member)).count()
+    }
+
     fn is_home(&self, homes: &Homes, member: &Member) -> bool {
         homes.allow(self.regions.get(&member.record.data_centre).map(String::as_str))
     }
--- a/crates/ochreyard-direct/src/job/ending.rs
+++ b/crates/ochreyard-direct/src/job/ending.rs
@@ -55,13 +55,14 @@
         };
         log::info!(
             "event=request_failed request={} route={} service={} kind={kind} why={why:?} sent={} config_version={} \
-             elapsed_ms={} facts=\"{:?}\"",
+             elapsed_ms={} {} facts=\"{:?}\"",
             self.id(),
             self.route.name,
             self.service,
             self.sent,
             self.config_version,
             self.elapsed_ms(),
+            self.held_back_by(),
             self.last_facts
         );
         if matches!(why, GivenUp::Quarantined { .. }) {
@@ -76,6 +77,16 @@
         refusal::response(&if comes_back { refusal.with_retry_after_ms(self.come_back_ms(why)) } else { refusal })
     }
 
+    /// What may hold a request back beside load: endpoints that are cold, not at home, or in an evacuated data centre.
+    fn held_back_by(&self) -> String {
+        let now_ms = self.entry.clock.now_ms();
+        let state = self.entry.state.borrow();
+        let evacuated: Vec<&str> = state.pool.evacuated().collect();
+        let cold = state.pool.cold_endpoints(&self.service, now_ms);
+        let away = state.pool.endpoints_away(&self.service, &self.homes);
+        format!("evacuated=\"{}\" cold={cold} not_at_home={away}", evacuated.join(","))
+    }
+
     /// When a caller should come back, in milliseconds.
     fn come_back_ms(&self, why: GivenUp) -> u64 {
         match why {
--- a/crates/ochreyard-operator/src/story.rs
+++ b/crates/ochreyard-operator/src/story.rs
@@ -29,8 +29,8 @@
     "endpoint_leaves",
 ];
 /// Events that tell of whole groups, of limits that a request without an endpoint may have met, or of this box.
-const SURROUNDING_EVENTS: [&str; 5] =
-    ["group_state", "endpoint_limit", "log_reachability", "log_came_back", "suspended"];
+const SURROUNDING_EVENTS: [&str; 6] =
+    ["group_state", "endpoint_limit", "data_centres_evacuated", "log_reachability", "log_came_back", "suspended"];
 
 /// One line of a story.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/ochreyard-operator/tests/story.rs
+++ b/crates/ochreyard-operator/tests/story.rs
@@ -83,6 +83,21 @@
     assert_in_order(&story, &["limit_per_s=1", "why=Limited"]);
 }
 
+#[test]
+fn a_refusal_names_what_held_the_request_back_and_leads_to_the_evacuation() {
+    let entry = log(
+        "edge-of-evacuation",
+        (line(1_000, "event=data_centres_evacuated data_centres=\"east\" source=log")
+            + &line(
+                2_000,
+                "event=request_failed request=r1 kind=no_endpoint why=NoEndpoint sent=0 evacuated=\"east\" cold=2 not_at_home=3",
+            ))
+        .as_bytes(),
+    );
+    let story = Story::read("r1", &[entry]).unwrap();
+    assert_in_order(&story, &["data_centres=\"east\"", "evacuated=\"east\" cold=2 not_at_home=3"]);
+}
+
 #[test]
 fn a_broken_stream_leads_to_the_look_at_its_endpoint() {
     let entry = log(
