A map follows demand only where steps come near the pause aim, or the group is busy

Cause: a map was changed whenever it lowered the skew by a quarter, however short steps were, since a shift shows in the skew before it shows in the steps. The demand of a group is that of the streams that run; with a few dozen of them its skew drifts by a third within a second. So each second each group copied experts after it (25 GB a change on the fleet, 235 changes in 26 s of calm), at steps of 50 ms where callers take 150 as in time.

Change: steps grow about as their most loaded rank does, so the step under the present skew is reckoned from the mean step and the mean skew of late (MeanSkew); the map is changed where that comes near the aim, or where a third of the places is taken, since requests then wait for places.

Ruled out: dropping the rule of the quarter altogether: a shift would be answered once steps are long.

--- a/crates/ochreyard-core/src/group_map/step_times.rs
+++ b/crates/ochreyard-core/src/group_map/step_times.rs
@@ -3,27 +3,43 @@
 /// Share of the pause aim from which the mean step counts as near it: single steps take up to
 /// half as long again, since a rank that reads a long prompt holds up all others.
 const NEAR_AIM_SHARE: f64 = 0.6;
-/// Improvement of the skew from which a map is changed however short steps are: it is what
-/// a shift of demand leaves behind, and steps are about to be longer than they were.
+/// Improvement of the skew from which the map of a busy group is changed however short steps are: requests that wait for a
+/// place get it sooner.
 const LARGE_GAIN: f64 = 1.25;
+/// Share of a group's places from which it counts as busy.
+const BUSY_SHARE: f64 = 0.35;
 
 /// How long the steps of a group take, beside how long they may.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StepTimes {
     /// The mean step of late, in milliseconds; 0 where it is not known.
     pub step_ms: u64,
+    /// The mean skew during those steps, where it is known.
+    pub mean_skew: Option<f64>,
     /// The longest pause between events that callers take as in time, in milliseconds.
     pub pause_aim_ms: Option<u64>,
+    /// Requests that run, as a share of the group's places.
+    pub busy_share: f64,
 }
 
 impl StepTimes {
-    /// Whether a change from the first skew to the second one may bring callers into their
-    /// aim. While steps are well under the aim, a change gains nobody anything, and where
-    /// its orders get lost it holds the group until every running stream is late.
+    /// Whether a change from the first skew to the second one may bring callers into their aim.
+    ///
+    /// While steps are well under the aim, and would be under the present skew, a change gains nobody anything: it copies
+    /// experts after what is in demand for a moment, and where its orders get lost it holds the group until every running
+    /// stream is late.
     #[must_use]
     pub fn gain_from(&self, (before, after): (f64, f64)) -> bool {
         let Some(pause_aim_ms) = self.pause_aim_ms else { return true };
-        let is_near_aim = self.step_ms == 0 || self.step_ms as f64 >= pause_aim_ms as f64 * NEAR_AIM_SHARE;
-        is_near_aim || before >= after * LARGE_GAIN
+        if self.step_ms == 0 {
+            return true;
+        }
+        let is_large = before >= after * LARGE_GAIN;
+        let near_aim_ms = pause_aim_ms as f64 * NEAR_AIM_SHARE;
+        let step_ms = self.step_ms as f64;
+        // Steps grow about as their most loaded rank does: a shift shows in the skew before it shows in the steps.
+        let expected_ms = self.mean_skew.map(|mean| step_ms * before / mean.max(1.0));
+        let is_coming_near = expected_ms.is_none_or(|expected_ms| expected_ms >= near_aim_ms);
+        step_ms >= near_aim_ms || (is_large && (is_coming_near || self.busy_share >= BUSY_SHARE))
     }
 }
--- a/crates/ochreyard-core/tests/step_times.rs
+++ b/crates/ochreyard-core/tests/step_times.rs
@@ -22,7 +22,27 @@
     #[case] skew: (f64, f64),
     #[case] wanted: bool,
 ) {
-    assert_eq!(StepTimes { step_ms, pause_aim_ms }.gain_from(skew), wanted);
+    let idle = StepTimes { step_ms, mean_skew: Some(1.2), pause_aim_ms, busy_share: 0.0 };
+    assert_eq!(idle.gain_from(skew), wanted);
+}
+
+/// What follows the demand of a moment: many requests of a few callers.
+const DRIFTED: (f64, f64) = (1.65, 1.15);
+
+#[rstest]
+#[case::steps_that_stay_far_from_the_aim(50, Some(1.4), 0.1, false)]
+#[case::the_same_in_a_busy_group(50, Some(1.4), 0.5, true)]
+#[case::steps_that_are_about_to_come_near_the_aim(75, Some(1.3), 0.1, true)]
+#[case::a_skew_that_is_not_known_yet(50, None, 0.1, true)]
+#[case::steps_near_the_aim(95, Some(1.4), 0.1, true)]
+fn a_map_does_not_follow_demand_that_harms_nobody(
+    #[case] step_ms: u64,
+    #[case] mean_skew: Option<f64>,
+    #[case] busy_share: f64,
+    #[case] wanted: bool,
+) {
+    let times = StepTimes { step_ms, mean_skew, pause_aim_ms: Some(150), busy_share };
+    assert_eq!(times.gain_from(DRIFTED), wanted);
 }
 
 fn route(prefix: &str, services: &[&str], gap_aim_ms: Option<u64>) -> Route {
--- a/crates/ochreyard-lead/src/leader.rs
+++ b/crates/ochreyard-lead/src/leader.rs
@@ -14,7 +14,7 @@
 use futures::future::join_all;
 use ochreyard_core::direct::TellerRole;
 use ochreyard_core::group_map::{
-    ArmingTimes, Controller, ControllerSettings, Demand, LeaderId, Leadership, Round, SentOrder, ShiftTimes,
+    ArmingTimes, Controller, ControllerSettings, Demand, LeaderId, Leadership, MeanSkew, Round, SentOrder, ShiftTimes,
 };
 use ochreyard_direct::{Dialect, Entry};
 use ochreyard_rank::{Ask, Engines};
@@ -49,6 +49,7 @@
     sent_maps: SentMaps,
     teller: Teller<D>,
     progress: StepProgress,
+    mean_skew: MeanSkew,
     pace_note: PaceNote,
     is_serving: bool,
     demand: Option<Demand>,
@@ -83,6 +84,7 @@
             finding: Finding::default(),
             sent_maps: SentMaps::default(),
             progress: StepProgress::default(),
+            mean_skew: MeanSkew::default(),
             pace_note: PaceNote::default(),
             is_serving: true,
             demand: None,
--- a/crates/ochreyard-lead/src/leader/decision.rs
+++ b/crates/ochreyard-lead/src/leader/decision.rs
@@ -32,6 +32,7 @@
             return;
         }
         self.note_stuck(now_ms);
+        self.note_skew();
         let before = self.controller.phase().clone();
         let round = std::mem::take(&mut self.last_round);
         self.pending = self.controller.on_round(&round, now_ms);
--- a/crates/ochreyard-lead/src/leader/proposal.rs
+++ b/crates/ochreyard-lead/src/leader/proposal.rs
@@ -70,10 +70,25 @@
         (demand.rates().len() == wanted).then(|| present.skew(demand.rates(), &paces))
     }
 
+    /// Notes the skew under which the steps of late were made.
+    pub(super) fn note_skew(&mut self) {
+        if let Some(skew) = self.present_skew() {
+            self.mean_skew.note(skew, self.now_ms());
+        }
+    }
+
     fn step_times(&self) -> StepTimes {
         let state = self.entry.state.borrow();
         let pause_aim_ms = state.table.as_ref().and_then(|table| table.pause_aim_ms(&self.service));
-        StepTimes { step_ms: self.progress.step_ms(), pause_aim_ms }
+        let step_ms = self.progress.step_ms();
+        StepTimes { step_ms, mean_skew: self.mean_skew.mean(), pause_aim_ms, busy_share: self.busy_share() }
+    }
+
+    /// Requests that run, as a share of the places of all ranks.
+    fn busy_share(&self) -> f64 {
+        let slots = self.entry.engine_figures(&self.service).map_or(1, |figures| figures.slots.max(1));
+        let running: u64 = self.last_round.views.iter().flatten().map(|view| view.running).sum();
+        running as f64 / (slots * self.members.size.max(1) as u64) as f64
     }
 
     /// How much longer work takes at each rank than usual.
