--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -6,6 +6,7 @@
 mod choosing;
 mod cold;
 mod cold_bound;
+mod data_centre_reach;
 mod drawn_order;
 mod group;
 mod groups;
@@ -24,6 +25,7 @@
 
 pub use self::asking::Asking;
 use self::cold::ColdQuotas;
+use self::data_centre_reach::DataCentreReach;
 use self::group::Group;
 pub use self::limit_use::LimitUse;
 use self::member::Member;
@@ -55,6 +57,8 @@
     cold_quotas: ColdQuotas,
     /// Data centres whose endpoints get no request.
     evacuated: BTreeSet<String>,
+    /// What is known of the way to each data centre, where attempts failed.
+    reach: HashMap<String, DataCentreReach>,
     /// The region of each data centre.
     regions: BTreeMap<String, String>,
     /// Changes of limits are numbered in their order.
--- a/crates/ochreyard-core/src/direct/endpoint_pool/answers.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/answers.rs
@@ -13,15 +13,25 @@
 
     /// An attempt has ended. One at a life before says nothing of the present one.
     pub fn on_end(&mut self, pick: &Pick, outcome: Outcome, now_ms: u64) {
+        if outcome == Outcome::Unreachable {
+            self.note_unreachable(pick, now_ms);
+        }
         if let Some(member) = self.member_of(pick) {
             member.on_end(pick.urgency, outcome, now_ms);
         }
     }
 
+    fn note_unreachable(&mut self, pick: &Pick, now_ms: u64) {
+        let Some(member) = self.picked(pick) else { return };
+        let data_centre = member.record.data_centre.clone();
+        self.reach.entry(data_centre).or_default().on_unreachable(&pick.id, now_ms);
+    }
+
     /// An endpoint was heard: a head, an event, any byte of an answer.
     pub fn on_heard(&mut self, id: &str, now_ms: u64) {
         if let Some(member) = self.members.get_mut(id) {
             member.on_heard(now_ms);
+            self.reach.remove(&member.record.data_centre);
         }
     }
 
--- a/crates/ochreyard-core/src/direct/endpoint_pool/choosing.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/choosing.rs
@@ -61,7 +61,9 @@
         let is_left = |id: &str, member: &Member| {
             member.takes_work() && self.is_home(homes, member) && !tried.iter().any(|life| member.is_life(id, life))
         };
-        let left = || self.drawn(service, draw).filter(|(id, member)| is_left(id, member));
+        let all_left = || self.drawn(service, draw).filter(|(id, member)| is_left(id, member));
+        let is_any_reached = all_left().any(|(_, member)| self.is_reached(member, now_ms));
+        let left = || all_left().filter(|(_, member)| !is_any_reached || self.is_reached(member, now_ms));
         let open = || left().filter(|(_, member)| member.is_welcome(now_ms));
         let is_sound = |(_, member): &(&str, &Member)| self.is_sound(member, now_ms);
         let has_room = |(_, member): &(&str, &Member)| self.has_room(member, urgency, now_ms);
@@ -106,14 +108,22 @@
         compared.min_by(|a, b| self.pressure(a.1, now_ms).total_cmp(&self.pressure(b.1, now_ms)))
     }
 
+    /// Whether its data centre does not count as cut off from this box.
+    fn is_reached(&self, member: &Member, now_ms: u64) -> bool {
+        self.reach.get(&member.record.data_centre).is_none_or(|reach| !reach.is_aside(now_ms))
+    }
+
     fn is_sound(&self, member: &Member, now_ms: u64) -> bool {
         !member.is_aside(now_ms) && !member.is_slow(now_ms) && self.is_serving(member, now_ms)
     }
 
-    /// Whether all groups of a service are known to stand or to be broken.
+    /// Whether all groups of a service are known to stand or to be broken, as far as they are reached.
     #[must_use]
     pub fn is_down(&self, service: &str, now_ms: u64) -> bool {
-        let mut members = self.of_service(service).filter(|(_, member)| member.takes_work()).peekable();
+        let takes_work = || self.of_service(service).filter(|(_, member)| member.takes_work());
+        let is_any_reached = takes_work().any(|(_, member)| self.is_reached(member, now_ms));
+        let counts = |member: &Member| !is_any_reached || self.is_reached(member, now_ms);
+        let mut members = takes_work().filter(|(_, member)| counts(member)).peekable();
         members.peek().is_some() && members.all(|(_, member)| !self.is_serving(member, now_ms))
     }
 
--- /dev/null
+++ b/crates/ochreyard-core/tests/cut_data_centre.rs
@@ -0,0 +1,136 @@
+//! A data centre that is cut off: how a box there comes to the endpoints that it still reaches, without network.
+//!
+//! Answers the load of a cut in a fleet of hundreds of endpoints: those across the cut fail at once, and a request that tried
+//! them one by one was given up although endpoints beside it served.
+
+mod direct_fixture;
+
+use direct_fixture::endpoint;
+use ochreyard_core::direct::{
+    EndpointChange, EndpointLife, EndpointPool, EndpointRecord, GroupNews, NoPick, Outcome, Pick, RankNews, Urgency,
+};
+use rstest::rstest;
+
+const DATA_CENTRES: usize = 5;
+const ENDPOINTS: usize = 575;
+/// Endpoints that one request tries in vain before it is given up.
+const MOST_TRIED: usize = 16;
+
+fn data_centre(at: usize) -> usize {
+    at % DATA_CENTRES
+}
+
+fn pool() -> EndpointPool {
+    let mut pool = EndpointPool::new();
+    for at in 0..ENDPOINTS {
+        let record = EndpointRecord { data_centre: format!("hall-{}", data_centre(at)), ..endpoint(at as u16 + 1) };
+        pool.apply(EndpointChange::Known(format!("i-{at}"), record));
+    }
+    pool
+}
+
+fn number(pick: &Pick) -> usize {
+    pick.id[2..].parse().unwrap()
+}
+
+/// Sends one request from data centre 0, of which no other is reached. Gives the endpoint that got it, and how many were
+/// tried in vain.
+fn send(pool: &mut EndpointPool, draw: u64, now_ms: u64) -> (Result<usize, NoPick>, usize) {
+    let mut tried: Vec<EndpointLife> = Vec::new();
+    while tried.len() < MOST_TRIED {
+        let pick = match pool.pick("tiles", &tried, Urgency::InAim, draw + tried.len() as u64, now_ms) {
+            Ok(pick) => pick,
+            Err(no_pick) => return (Err(no_pick), tried.len()),
+        };
+        pool.on_start(&pick);
+        if data_centre(number(&pick)) == 0 {
+            pool.on_heard(&pick.id, now_ms);
+            pool.on_end(&pick, Outcome::Good, now_ms);
+            return (Ok(number(&pick)), tried.len());
+        }
+        pool.on_end(&pick, Outcome::Unreachable, now_ms);
+        tried.push(pick.life());
+    }
+    (Err(NoPick::Nobody), tried.len())
+}
+
+#[test]
+fn a_box_in_a_data_centre_that_is_cut_off_finds_the_endpoints_there() {
+    let mut pool = pool();
+    let mut most_tried = 0;
+    for request in 0..200u64 {
+        let now_ms = request * 20;
+        let (got, tried) = send(&mut pool, request * 7_919, now_ms);
+        assert!(got.is_ok_and(|at| data_centre(at) == 0), "request {request}");
+        most_tried = most_tried.max(tried);
+    }
+    assert!(most_tried <= 2 * (DATA_CENTRES - 1), "{most_tried} tried in vain for one request");
+}
+
+#[test]
+fn a_data_centre_that_is_reached_again_is_used_again() {
+    let mut pool = pool();
+    for request in 0..20 {
+        let _ = send(&mut pool, request * 7_919, 0);
+    }
+    let used = |pool: &EndpointPool, now_ms: u64| {
+        (0..200).any(|draw| {
+            pool.pick("tiles", &[], Urgency::InAim, draw, now_ms).is_ok_and(|pick| data_centre(number(&pick)) != 0)
+        })
+    };
+    assert!(!used(&pool, 100));
+    assert!(used(&pool, 3_000), "it is tried again after a while");
+}
+
+#[rstest]
+#[case::one_endpoint_again_and_again(&[1, 1, 1], false)]
+#[case::two_of_one_data_centre(&[1, 6], true)]
+#[case::two_of_different_ones(&[1, 2], false)]
+fn it_takes_more_than_one_endpoint_to_give_a_data_centre_up(#[case] unreachable: &[usize], #[case] wanted: bool) {
+    let mut pool = pool();
+    for at in unreachable {
+        let record = pool.record(&format!("i-{at}")).unwrap().clone();
+        let pick = Pick::of(&format!("i-{at}"), &record);
+        pool.on_start(&pick);
+        pool.on_end(&pick, Outcome::Unreachable, 0);
+    }
+    let is_left_alone = !(0..500).any(|draw| {
+        pool.pick("tiles", &[], Urgency::InAim, draw, 10).is_ok_and(|pick| data_centre(number(&pick)) == 1)
+    });
+    assert_eq!(is_left_alone, wanted);
+}
+
+/// What is beyond the cut may go on, for all that is known: callers are not kept waiting for it.
+#[test]
+fn where_the_groups_on_this_side_stand_the_service_stands() {
+    let mut pool = pool();
+    let here = (0..ENDPOINTS).filter(|at| data_centre(*at) == 0);
+    let ranks = here.map(|at| RankNews { endpoint: format!("i-{at}"), running: 0, waiting: 0, pace_permille: 1_000 });
+    let news = GroupNews {
+        service: "tiles".into(),
+        group: "g".into(),
+        is_serving: false,
+        ranks: ranks.collect(),
+        ..GroupNews::default()
+    };
+    pool.on_news(&news, 0);
+    let (got, _) = send(&mut pool, 3, 10);
+    assert_eq!(got, Err(NoPick::Stands));
+    assert!(pool.is_down("tiles", 10));
+}
+
+#[test]
+fn where_nothing_is_reached_whatever_there_is_is_tried() {
+    let mut pool = EndpointPool::new();
+    for at in 0..4usize {
+        let record = EndpointRecord { data_centre: "far".to_owned(), ..endpoint(at as u16 + 1) };
+        pool.apply(EndpointChange::Known(format!("i-{at}"), record));
+    }
+    for at in 0..3 {
+        let record = pool.record(&format!("i-{at}")).unwrap().clone();
+        let pick = Pick::of(&format!("i-{at}"), &record);
+        pool.on_start(&pick);
+        pool.on_end(&pick, Outcome::Unreachable, 0);
+    }
+    assert!(pool.pick("tiles", &[], Urgency::InAim, 0, 1).is_ok());
+}
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -15,8 +15,10 @@
 /// How often a waiting request looks for room: well under the time of a step.
 const ROOM_LOOK: Duration = Duration::from_millis(10);
 /// Endpoints that are tried in vain for one request before it is given up, where
-/// none of them got it.
+/// none of them got it, and that took its time: a few connections that did not come up.
 const MAX_UNREACHED: usize = 4;
+/// The same where they failed at once, as they do where a data centre is cut off: two of each are tried before it counts as that.
+const MAX_UNREACHED_AT_ONCE: usize = 16;
 /// Least time left for which another attempt is worth its cost, in milliseconds: an
 /// engine's step alone takes longer.
 const LEAST_USEFUL_MS: u64 = 30;
@@ -63,7 +65,11 @@
 
     /// Whether no further attempt is allowed.
     fn is_spent(&self) -> bool {
-        self.sent >= self.route.max_attempts || self.tried.len() + self.refused_by_stands >= MAX_UNREACHED
+        let in_vain = self.tried.len() + self.refused_by_stands;
+        let took_its_time = self.elapsed_ms() >= self.route.aim_ms;
+        self.sent >= self.route.max_attempts
+            || (in_vain >= MAX_UNREACHED && took_its_time)
+            || in_vain >= MAX_UNREACHED_AT_ONCE
     }
 
     fn pick_next(&mut self, last: GivenUp, place: Option<&WaitingPlace<D>>) -> Result<Pick, NotPicked> {
