Boxes that answer no questions are not relied on

Cause: who reads and who relays is found by an order of all boxes that were ever known. Boxes that are gone for good stay in it: with the first ones gone, nobody reads for the others, and each reads for itself.

Change: Silences: a box that left three questions unanswered counts as silent for 20 s a question, and is passed over in the order until it is heard; those that asked it tell others. It stays a box of the fleet, so that one that is cut off keeps its part of limits.

The model now spreads the readings of boxes that are left alone, as the product does.

--- a/crates/ochreyard-core/src/direct/box_list.rs
+++ b/crates/ochreyard-core/src/direct/box_list.rs
@@ -1,8 +1,11 @@
 //! The other boxes that a box knows, in the order in which it learned of them.
 
+mod silences;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use self::silences::Silences;
 use super::box_record::BoxRecord;
 use crate::hash;
 
@@ -15,6 +18,7 @@
     /// Their names as they were learned; a box that moved is named once more.
     learned: Vec<String>,
     digest: u64,
+    silences: Silences,
 }
 
 impl BoxList {
@@ -55,6 +59,41 @@
         self.records.iter().map(|(name, record)| (name.as_str(), record))
     }
 
+    /// All boxes but those that answer no questions.
+    pub fn present(&self, now_ms: u64) -> impl Iterator<Item = (&str, &BoxRecord)> {
+        self.iter().filter(move |(name, _)| !self.silences.is_silent(name, now_ms))
+    }
+
+    /// The box at `addr` left a question unanswered.
+    pub fn on_unanswered(&mut self, addr: SocketAddr, now_ms: u64) {
+        if let Some(name) = self.name_at(addr) {
+            self.silences.on_unanswered(&name, now_ms);
+        }
+    }
+
+    /// The box at `addr` answered, or asked.
+    pub fn on_heard(&mut self, addr: SocketAddr, now_ms: u64) {
+        if let Some(name) = self.name_at(addr) {
+            self.silences.on_heard(&name, now_ms);
+        }
+    }
+
+    /// Another box says that this one answers no questions.
+    pub fn take_silent(&mut self, name: &str, now_ms: u64) {
+        if self.records.contains_key(name) {
+            self.silences.take_told(name, now_ms);
+        }
+    }
+
+    /// The boxes that left questions of this box unanswered.
+    pub fn silent(&self, now_ms: u64) -> impl Iterator<Item = &str> {
+        self.silences.own(now_ms)
+    }
+
+    fn name_at(&self, addr: SocketAddr) -> Option<String> {
+        self.records.iter().find(|(_, record)| record.addr == addr).map(|(name, _)| name.clone())
+    }
+
     /// Where all boxes are reached.
     pub fn addrs(&self) -> impl Iterator<Item = SocketAddr> {
         self.records.values().map(|record| record.addr)
--- a/crates/ochreyard-core/src/direct/duty.rs
+++ b/crates/ochreyard-core/src/direct/duty.rs
@@ -38,16 +38,16 @@
 }
 
 impl Duty {
-    /// The duty of the box `own` among all `others`.
+    /// The duty of the box `own` among all `others`. Those that answer nobody have none.
     #[must_use]
-    pub fn of(own: Own, others: &BoxList) -> Self {
+    pub fn of(own: Own, others: &BoxList, now_ms: u64) -> Self {
         let before =
             |others: &mut dyn Iterator<Item = &str>| others.filter(|name| place(name) < place(own.name)).count();
-        if before(&mut others.iter().map(|(name, _)| name)) < READERS {
+        if before(&mut others.present(now_ms).map(|(name, _)| name)) < READERS {
             return Self::Reads;
         }
         let is_near = |(_, record): &(&str, &BoxRecord)| record.data_centre == own.data_centre;
-        let is_first = before(&mut others.iter().filter(is_near).map(|(name, _)| name)) < RELAYS;
+        let is_first = before(&mut others.present(now_ms).filter(is_near).map(|(name, _)| name)) < RELAYS;
         if is_first { Self::Relays } else { Self::Told }
     }
 }
@@ -59,13 +59,13 @@
 
 /// The box that `own` asks after it has passed over `passed_over` others that had nothing fresh to tell: first those that it
 /// is meant to rely on, then all others. `None` where it reads itself, or knows no other.
-pub(super) fn source(own: Own, others: &BoxList, passed_over: usize) -> Option<SocketAddr> {
-    let duty = Duty::of(own, others);
+pub(super) fn source(own: Own, others: &BoxList, passed_over: usize, now_ms: u64) -> Option<SocketAddr> {
+    let duty = Duty::of(own, others, now_ms);
     if duty == Duty::Reads {
         return None;
     }
     let at = passed_over.checked_rem(others.len())?;
-    let meant = meant_sources(own, duty, others);
+    let meant = meant_sources(own, duty, others, now_ms);
     if let Some(addr) = meant.get(at) {
         return Some(*addr);
     }
@@ -76,10 +76,10 @@
 }
 
 /// The boxes that `own` is meant to rely on, half of all boxes each in another order.
-fn meant_sources(own: Own, duty: Duty, others: &BoxList) -> Vec<SocketAddr> {
-    let near = others.iter().filter(|(_, record)| duty == Duty::Told && record.data_centre == own.data_centre);
+fn meant_sources(own: Own, duty: Duty, others: &BoxList, now_ms: u64) -> Vec<SocketAddr> {
+    let near = others.present(now_ms).filter(|(_, record)| duty == Duty::Told && record.data_centre == own.data_centre);
     let mut meant = Vec::with_capacity(RELAYS + READERS);
-    for mut sources in [first(near, RELAYS), first(others.iter(), READERS)] {
+    for mut sources in [first(near, RELAYS), first(others.present(now_ms), READERS)] {
         let turn = usize::try_from(place(own.name) % sources.len().max(1) as u64).unwrap_or(0);
         sources.rotate_left(turn);
         meant.extend(sources);
--- a/crates/ochreyard-core/src/direct/questions.rs
+++ b/crates/ochreyard-core/src/direct/questions.rs
@@ -29,9 +29,9 @@
 impl Questions {
     /// Whom the box `own` asks in the next round; `draw` is any evenly spread number. A box that reads for others relies
     /// on nobody, and asks any box each time.
-    pub fn next(&mut self, reading: &Reading, own: Own, others: &BoxList, draw: u64) -> Asked {
+    pub fn next(&mut self, reading: &Reading, own: Own, others: &BoxList, draw: u64, now_ms: u64) -> Asked {
         self.rounds += 1;
-        let relied_on = reading.box_to_ask(own, others);
+        let relied_on = reading.box_to_ask(own, others, now_ms);
         let asks_any = relied_on.is_none() || self.rounds.is_multiple_of(ANY_EVERY);
         let any = asks_any.then(|| any_of(others, draw)).flatten();
         Asked { relied_on, any: any.filter(|addr| Some(*addr) != relied_on) }
--- a/crates/ochreyard-core/src/direct/reading.rs
+++ b/crates/ochreyard-core/src/direct/reading.rs
@@ -133,7 +133,7 @@
 
     /// The box to ask, of all `others`; `None` where the box `own` reads the log for the others.
     #[must_use]
-    pub fn box_to_ask(&self, own: Own, others: &BoxList) -> Option<SocketAddr> {
-        source(own, others, self.passed_over)
+    pub fn box_to_ask(&self, own: Own, others: &BoxList, now_ms: u64) -> Option<SocketAddr> {
+        source(own, others, self.passed_over, now_ms)
     }
 }
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -193,11 +193,11 @@
         boxes(&others)
     };
     let asked: Vec<Option<SocketAddr>> =
-        names.iter().map(|own| Reading::new(2_000).box_to_ask(near(own), &others(own))).collect();
+        names.iter().map(|own| Reading::new(2_000).box_to_ask(near(own), &others(own), 0)).collect();
     assert_eq!(asked.iter().filter(|asked| asked.is_none()).count(), 2, "{asked:?}");
     let reader = names.iter().zip(&asked).find(|(_, asked)| asked.is_none()).map(|(name, _)| name).unwrap();
     assert!(
-        Reading::new(2_000).box_to_ask(near("alone"), &BoxList::default()).is_none(),
+        Reading::new(2_000).box_to_ask(near("alone"), &BoxList::default(), 0).is_none(),
         "a box alone reads for itself"
     );
     assert!(!reader.is_empty());
@@ -207,18 +207,19 @@
 fn a_box_reads_for_itself_once_what_it_was_told_is_old_and_asks_another_one() {
     let others = boxes(&["a", "b", "c", "d"]);
     // Of five boxes, the last ones of the order are told; one of these names is among them.
-    let own =
-        ["v", "w", "x", "y", "z"].into_iter().find(|own| Reading::new(2_000).box_to_ask(near(own), &others).is_some());
+    let own = ["v", "w", "x", "y", "z"]
+        .into_iter()
+        .find(|own| Reading::new(2_000).box_to_ask(near(own), &others, 0).is_some());
     let own = own.expect("one of five comes after two others");
     let mut reading = Reading::new(2_000);
-    let first = reading.box_to_ask(near(own), &others);
+    let first = reading.box_to_ask(near(own), &others, 0);
     assert!(!reading.is_fresh(0), "nothing is known yet");
     assert!(reading.take_told(at(40), 1_000, 1_300));
     assert!(reading.is_fresh(2_100), "well within the time of 2,000 ms");
     assert!(!reading.is_fresh(2_200));
-    assert_eq!(reading.box_to_ask(near(own), &others), first);
+    assert_eq!(reading.box_to_ask(near(own), &others, 0), first);
     assert!(!reading.take_told(at(50), 1_000, 2_300), "it knows only what is old");
-    assert_ne!(reading.box_to_ask(near(own), &others), first);
+    assert_ne!(reading.box_to_ask(near(own), &others, 0), first);
     assert!(!reading.take_told(at(30), 2_300, 2_300), "it has not come as far as we have");
     assert_eq!(reading.next(), Some(at(40)));
 }
--- a/crates/ochreyard-core/tests/fleet_model.rs
+++ b/crates/ochreyard-core/tests/fleet_model.rs
@@ -58,6 +58,7 @@
 #[case::a_data_centre_is_cut_off_from_the_others(Trouble::CutOff)]
 #[case::the_log_turns_a_third_away(Trouble::TurnsAway)]
 #[case::half_of_the_boxes_start_again(Trouble::HalfRestart)]
+#[case::those_that_read_and_relay_are_gone(Trouble::FirstGone)]
 fn all_boxes_that_reach_the_log_or_others_know_of_a_leaving_in_time(#[case] trouble: Trouble) {
     for boxes in sizes() {
         let mut fleet = Fleet::new(boxes, trouble);
@@ -68,6 +69,19 @@
     }
 }
 
+#[test]
+fn others_take_the_place_of_boxes_that_are_gone_for_good() {
+    for boxes in sizes() {
+        let mut fleet = Fleet::new(boxes, Trouble::FirstGone);
+        fleet.run_until(LENGTH_MS);
+        let before = fleet.calls();
+        fleet.run_until(LENGTH_MS + 20_000);
+        let a_minute = (fleet.calls() - before) * 3;
+        println!("boxes={boxes} first gone: calls a minute={a_minute}");
+        assert!((a_minute as f64) < MOST_CALLS_A_MINUTE, "{a_minute} calls a minute of {boxes} boxes");
+    }
+}
+
 #[test]
 fn an_outage_costs_a_few_calls_a_box_and_all_know_soon_after() {
     for boxes in sizes() {
--- a/crates/ochreyard-core/tests/fleet_model/fleet.rs
+++ b/crates/ochreyard-core/tests/fleet_model/fleet.rs
@@ -1,6 +1,6 @@
 //! Boxes that read the log, relay or are told, by the decisions of the product, on virtual time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use ochreyard_core::direct::{BoxList, BoxRecord, Duty, Own, Position, Questions, Reading, RetryPauses};
@@ -34,6 +34,8 @@
     CutOff,
     /// Half of the boxes start again, knowing nothing.
     HalfRestart,
+    /// The boxes that read, those that relay and some that would follow them are gone for good.
+    FirstGone,
 }
 
 struct ModelBox {
@@ -48,6 +50,8 @@
     left_ms: u64,
     next_call_ms: u64,
     next_list_ms: u64,
+    /// Until when a box that nobody told enough waits for others that read the same.
+    spread_until_ms: Option<u64>,
     known_ms: Option<u64>,
     answered: usize,
 }
@@ -61,6 +65,7 @@
     calls: usize,
     /// The boxes that have written themselves into the log.
     written: BTreeMap<String, BoxRecord>,
+    gone: BTreeSet<usize>,
 }
 
 fn addr(at: usize) -> SocketAddr {
@@ -82,6 +87,7 @@
         left_ms: draws.between(LEFT_TO_OTHERS_MS.0, LEFT_TO_OTHERS_MS.1),
         next_call_ms: 0,
         next_list_ms: 0,
+        spread_until_ms: None,
         known_ms: None,
         answered: 0,
     }
@@ -92,8 +98,8 @@
         Own { name: &self.name, data_centre: &self.data_centre }
     }
 
-    fn duty(&self) -> Duty {
-        Duty::of(self.own(), &self.others)
+    fn duty(&self, now_ms: u64) -> Duty {
+        Duty::of(self.own(), &self.others, now_ms)
     }
 }
 
@@ -102,7 +108,7 @@
         let mut draws = Draws::new(count as u64);
         let boxes = (0..count).map(|at| new_box(at, 0, &mut draws)).collect();
         let by_addr = (0..count).map(|at| (addr(at), at)).collect();
-        Self { boxes, by_addr, trouble, draws, now_ms: 0, calls: 0, written: BTreeMap::new() }
+        Self { boxes, by_addr, trouble, draws, now_ms: 0, calls: 0, written: BTreeMap::new(), gone: BTreeSet::new() }
     }
 
     pub fn run_until(&mut self, until_ms: u64) {
@@ -113,7 +119,10 @@
                     .step_by(2)
                     .for_each(|at| self.boxes[at] = new_box(at, self.now_ms, &mut self.draws));
             }
-            for at in 0..self.boxes.len() {
+            if self.trouble == Trouble::FirstGone && self.now_ms == TROUBLE_MS.0 {
+                self.lose_first();
+            }
+            for at in (0..self.boxes.len()).filter(|at| !self.gone.contains(at)).collect::<Vec<_>>() {
                 self.follow_log(at);
                 // Boxes ask at different moments.
                 if (self.now_ms + at as u64 * STEP_MS).is_multiple_of(ASK_EVERY_MS) {
@@ -135,12 +144,21 @@
     /// the middle and the last one.
     pub fn known_after_ms(&self) -> (u64, u64) {
         let from_ms = if self.trouble == Trouble::Outage { TROUBLE_MS.1 } else { WRITTEN_MS };
+        let left = self.boxes.iter().enumerate().filter(|(at, _)| !self.gone.contains(at)).map(|(_, model)| model);
         let after = |model: &ModelBox| model.known_ms.map_or(u64::MAX, |known_ms| known_ms.saturating_sub(from_ms));
-        let mut after: Vec<u64> = self.boxes.iter().map(after).collect();
+        let mut after: Vec<u64> = left.map(after).collect();
         after.sort_unstable();
         (after[after.len() / 2], after[after.len() - 1])
     }
 
+    /// Takes away whoever does not only listen, and some more.
+    fn lose_first(&mut self) {
+        let busy = (0..self.boxes.len()).filter(|at| self.boxes[*at].duty(self.now_ms) != Duty::Told);
+        self.gone.extend(busy.collect::<Vec<_>>());
+        let following = self.boxes.len() / 20;
+        self.gone.extend(0..following);
+    }
+
     fn in_trouble(&self) -> bool {
         self.now_ms >= TROUBLE_MS.0 && self.now_ms < TROUBLE_MS.1
     }
@@ -149,12 +167,15 @@
         match self.trouble {
             _ if !self.in_trouble() => true,
             Trouble::Outage => false,
-            Trouble::TurnsAway => !at.is_multiple_of(3) && self.boxes[at].duty() != Duty::Reads,
+            Trouble::TurnsAway => !at.is_multiple_of(3) && self.boxes[at].duty(self.now_ms) != Duty::Reads,
             _ => true,
         }
     }
 
     fn reaches(&self, from: usize, to: usize) -> bool {
+        if self.gone.contains(&to) {
+            return false;
+        }
         let is_cut = self.trouble == Trouble::CutOff && self.in_trouble();
         !is_cut || from.is_multiple_of(DATA_CENTRES) == to.is_multiple_of(DATA_CENTRES)
     }
@@ -165,14 +186,27 @@
         let model = &self.boxes[at];
         let is_fresh = model.reading.is_fresh(now_ms);
         let is_left = at >= SEEDS && now_ms < model.started_ms + model.left_ms;
-        let reads = model.duty() == Duty::Reads;
-        if now_ms < model.next_call_ms || is_left || (is_fresh && !reads) {
+        let reads = model.duty(self.now_ms) == Duty::Reads;
+        if is_fresh && !reads {
+            self.boxes[at].spread_until_ms = None;
+            return;
+        }
+        if now_ms < model.next_call_ms || is_left {
+            return;
+        }
+        let draw = self.draws.number();
+        let pause_ms = model.reading.pause_ms();
+        let model = &mut self.boxes[at];
+        if is_fresh {
+            model.spread_until_ms = None;
+        } else if !reads && now_ms < *model.spread_until_ms.get_or_insert(now_ms + draw % pause_ms) {
             return;
         }
+        model.spread_until_ms = None;
         self.calls += 1;
         let is_answered = self.log_answers(at);
         let draw = self.draws.number();
-        let duty = self.boxes[at].duty();
+        let duty = self.boxes[at].duty(self.now_ms);
         let model = &mut self.boxes[at];
         if is_answered {
             model.pauses.reset();
@@ -214,7 +248,7 @@
         }
         let ModelBox { name, data_centre, others, reading, questions, .. } = model;
         let started_ms = model.started_ms;
-        let asked = questions.next(reading, Own { name, data_centre }, others, draw);
+        let asked = questions.next(reading, Own { name, data_centre }, others, draw, now_ms);
         let is_fresh = reading.is_fresh(now_ms);
         if let Some(to) = asked.relied_on {
             self.ask_one(at, self.by_addr[&to], true);
@@ -233,6 +267,7 @@
         }
         if !self.reaches(at, to) {
             self.boxes[at].reading.pass_over();
+            self.boxes[at].others.on_unanswered(addr(to), self.now_ms);
             return;
         }
         let now_ms = self.now_ms;
@@ -240,6 +275,8 @@
         let told = &mut self.boxes[to];
         told.answered += 1;
         told.others.take(&name, record);
+        told.others.on_heard(addr(at), now_ms);
+        let silent: Vec<String> = told.others.silent(now_ms).map(str::to_owned).collect();
         let (next, age_ms, known_ms) = (told.reading.next(), told.reading.age_ms(now_ms), told.known_ms);
         let own = (told.name.clone(), told.record.clone());
         let is_same = self.boxes[to].others.digest((&own.0, &own.1))
@@ -253,6 +290,8 @@
         for (name, record) in list.into_iter().filter(|(name, _)| *name != asker.name) {
             asker.others.take(&name, record);
         }
+        asker.others.on_heard(addr(to), now_ms);
+        silent.iter().filter(|name| **name != asker.name).for_each(|name| asker.others.take_silent(name, now_ms));
         if let Some(next) = next.filter(|_| relies) {
             asker.reading.take_told(next, now_ms.saturating_sub(age_ms), now_ms);
         }
--- a/crates/ochreyard-core/tests/questions.rs
+++ b/crates/ochreyard-core/tests/questions.rs
@@ -81,7 +81,7 @@
 
     fn reads_for_others(&self, at: usize) -> bool {
         let model = &self.boxes[at];
-        model.reading.box_to_ask(own(&model.name), &model.others).is_none()
+        model.reading.box_to_ask(own(&model.name), &model.others, 0).is_none()
     }
 
     /// A box that reads for others, or whose records are too old, reads those of endpoints; never the configuration.
@@ -94,7 +94,7 @@
     fn ask(&mut self, at: usize, now_ms: u64) {
         let draw = self.draw();
         let BoxModel { name, others, reading, questions, .. } = &mut self.boxes[at];
-        let asked = questions.next(reading, own(name), others, draw);
+        let asked = questions.next(reading, own(name), others, draw, now_ms);
         if let Some(to) = asked.relied_on.map(|addr| self.by_addr[&addr]) {
             let is_slow = now_ms < SLOW_MS && self.reads_for_others(to) && self.draw().is_multiple_of(2);
             if is_slow {
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -147,7 +147,7 @@
     /// The box to ask for records of endpoints; `None` where this one reads for the others.
     pub fn box_to_ask(&self) -> Option<SocketAddr> {
         let state = self.state.borrow();
-        state.reading.box_to_ask(self.identity.own(), &state.boxes)
+        state.reading.box_to_ask(self.identity.own(), &state.boxes, self.clock.now_ms())
     }
 
     /// Takes a configuration over if it is newer than the one in force: never an
--- a/crates/ochreyard-direct/src/log_duty.rs
+++ b/crates/ochreyard-direct/src/log_duty.rs
@@ -20,7 +20,7 @@
 impl<D: Dialect> Entry<D> {
     /// What it does to know what the log holds.
     pub fn duty(&self) -> Duty {
-        Duty::of(self.identity.own(), &self.state.borrow().boxes)
+        Duty::of(self.identity.own(), &self.state.borrow().boxes, self.clock.now_ms())
     }
 
     /// Whether others have told it all, and something fresh of late.
@@ -41,6 +41,16 @@
         self.is_seed.set(seeds.contains(&own) || seeds.is_empty());
     }
 
+    /// Another box answered, and says who left its questions unanswered.
+    pub fn note_silences(&self, from: SocketAddr, silent: &[String]) {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.state.borrow_mut();
+        state.boxes.on_heard(from, now_ms);
+        for name in silent.iter().filter(|name| **name != self.identity.name) {
+            state.boxes.take_silent(name, now_ms);
+        }
+    }
+
     /// Waits until it is its turn to read the log after its start, or until it has been told.
     pub async fn wait_for_start(&self) {
         let until_ms = self.started_ms + LEFT_TO_OTHERS_MS + self.identity.life % LEFT_SPREAD_MS;
--- a/crates/ochreyard-direct/src/peers/ask.rs
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -57,7 +57,8 @@
     let knows_enough = state.log_answers || state.reading.is_fresh(entry.clock.now_ms());
     let is_well = knows_enough && !is_new && entry.is_informed();
     if is_well && !state.boxes.is_empty() {
-        let asked = questions.next(&state.reading, entry.identity.own(), &state.boxes, entry.draw());
+        let now_ms = entry.clock.now_ms();
+        let asked = questions.next(&state.reading, entry.identity.own(), &state.boxes, entry.draw(), now_ms);
         let relied_on = asked.relied_on.map(|addr| (addr, Role::ReliedOn));
         let any = asked.any.map(|addr| seed_instead(entry, seeds).unwrap_or(addr));
         return relied_on.into_iter().chain(any.map(|addr| (addr, Role::Any))).collect();
@@ -93,8 +94,10 @@
         Ok(response) => serde_json::from_slice::<PeerState>(response.body()),
         Err(error) => {
             log::debug!("event=peer_silent addr={} error=\"{error}\"", link.addr());
+            let mut state = entry.state.borrow_mut();
+            state.boxes.on_unanswered(link.addr(), asked_ms);
             if role == Role::ReliedOn {
-                entry.state.borrow_mut().reading.pass_over();
+                state.reading.pass_over();
             }
             return;
         }
@@ -123,6 +126,7 @@
         return;
     }
     entry.has_been_told.set(true);
+    entry.note_silences(from, &told.silent_boxes);
     if let Some(document) = told.config {
         entry.take_config(&Bytes::from(document), &format!("peer-{from}"));
     }
--- a/crates/ochreyard-direct/src/peers/peer_state.rs
+++ b/crates/ochreyard-direct/src/peers/peer_state.rs
@@ -23,6 +23,9 @@
     pub reading: Option<PeerReading>,
     /// This box, and others that it learned of since it was asked last.
     pub boxes: BTreeMap<String, BoxRecord>,
+    /// Boxes that left its questions unanswered.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub silent_boxes: Vec<String>,
     /// Whether the box that tells has seen the whole list of boxes.
     #[serde(default)]
     pub knows_all_boxes: bool,
--- a/crates/ochreyard-direct/src/peers/tell.rs
+++ b/crates/ochreyard-direct/src/peers/tell.rs
@@ -18,12 +18,16 @@
 /// Boxes that it is told of beside, drawn.
 const SAMPLED_BOXES: usize = 16;
 
+/// Silent boxes that it is told of: far more than it may rely on.
+const MOST_SILENT: usize = 32;
+
 /// The answer to a box that asks; what it says of itself is noted.
 pub fn state_for<D: Dialect>(entry: &Entry<D>, query: &str) -> Bytes {
     let question = Question::read(query);
     let asker = question.name.as_deref().zip(question.record.as_ref());
     if let Some((name, record)) = asker {
         entry.take_box(name, record.clone());
+        entry.state.borrow_mut().boxes.on_heard(record.addr, entry.clock.now_ms());
     }
     let is_newcomer = question.version.is_none() && entry.state.borrow().table.is_some();
     let state = match asker {
@@ -61,6 +65,7 @@
         endpoints: question.from.map_or_else(Vec::new, |from| changed_since(&state, from)),
         reading: question.from.and_then(|_| reading(&state, entry.clock.now_ms())),
         boxes: boxes(entry, &state, question.boxes, heard.boxes),
+        silent_boxes: state.boxes.silent(entry.clock.now_ms()).take(MOST_SILENT).map(str::to_owned).collect(),
         knows_all_boxes: state.knows_all_boxes,
         limits: state.pool.limit_news_since(heard.limits, entry.clock.now_ms()),
         quarantine: state.quarantine.news_since(heard.quarantine, entry.clock.now_ms()),
