What operators write and endpoints that leave are told at once

Change: the first box of each data centre tells the others there of a configuration or an evacuation as soon as it has it; the first box that reads tells all of endpoints that leave. Both by the tree that news of groups take; whoever is missed learns it by its next question.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -31,7 +31,7 @@
 pub use box_list::BoxList;
 pub use box_record::BoxRecord;
 pub use catalog::{Catalog, EndpointChange};
-pub use duty::{Duty, Own};
+pub use duty::{Duty, Own, tells_all, tells_data_centre};
 pub use endpoint_life::EndpointLife;
 pub use endpoint_pool::{Asking, EndpointPool, LimitUse, NoPick, Notice, Outcome, Pick, ReportedLoad};
 pub use endpoint_record::EndpointRecord;
--- a/crates/ochreyard-core/src/direct/catalog.rs
+++ b/crates/ochreyard-core/src/direct/catalog.rs
@@ -145,6 +145,13 @@
         })
     }
 
+    /// What is told of one endpoint, and the position of its change; `None` where its entry lapsed and may come back.
+    #[must_use]
+    pub fn told(&self, id: &str) -> Option<(Position, Option<&EndpointRecord>)> {
+        let kept = self.kept.get(id).filter(|_| !self.unconfirmed.contains(id))?;
+        Some((kept.changed, kept.record.as_ref()))
+    }
+
     /// Whether no entry has lapsed that may come back. Until then another box that took
     /// over all changes would miss some, and must not rely on them.
     #[must_use]
--- a/crates/ochreyard-core/src/direct/duty.rs
+++ b/crates/ochreyard-core/src/direct/duty.rs
@@ -52,6 +52,19 @@
     }
 }
 
+/// Whether the box `own` is the one that tells the others of its data centre of news: the first one that answers.
+#[must_use]
+pub fn tells_data_centre(own: Own, others: &BoxList, now_ms: u64) -> bool {
+    let mut near = others.present(now_ms).filter(|(_, record)| record.data_centre == own.data_centre);
+    near.all(|(name, _)| place(own.name) < place(name))
+}
+
+/// Whether the box `own` is the first one that reads for all.
+#[must_use]
+pub fn tells_all(own: Own, others: &BoxList, now_ms: u64) -> bool {
+    others.present(now_ms).all(|(name, _)| place(own.name) < place(name))
+}
+
 /// The place of a box in the order that all boxes find by themselves.
 fn place(name: &str) -> u64 {
     hash::mix(hash::fnv1a(name.as_bytes()))
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -22,7 +22,7 @@
 use crate::dialect::Dialect;
 use crate::heard::Heard;
 use crate::link::CallLink;
-use crate::peers::{Newcomers, PassedOver};
+use crate::peers::{Newcomers, PassedOver, PeerEndpoint};
 
 /// How long a box that has just started waits for what others know, in milliseconds: a few tries at boxes that may be
 /// gone. Those who come meanwhile are told to come back shortly.
@@ -187,6 +187,20 @@
         self.apply(change);
     }
 
+    /// Takes what another box tells of endpoints.
+    pub fn take_peer_endpoints(&self, endpoints: Vec<PeerEndpoint>) {
+        let now_ms = self.clock.now_ms();
+        for PeerEndpoint { id, position, record } in endpoints {
+            let change = self.state.borrow_mut().catalog.take(&id, position, record, now_ms);
+            self.apply(change);
+        }
+    }
+
+    /// The version of the configuration in force, if one is known.
+    pub fn config_version(&self) -> Option<u64> {
+        self.state.borrow().table.as_ref().map(|table| table.version())
+    }
+
     /// Follows changes of the catalog.
     pub fn apply(&self, changes: impl IntoIterator<Item = EndpointChange>) {
         for change in changes {
--- a/crates/ochreyard-direct/src/follow/config.rs
+++ b/crates/ochreyard-direct/src/follow/config.rs
@@ -30,7 +30,9 @@
             continue;
         };
         pauses.reset();
+        let version = entry.config_version();
         entry.take_operator_listing(&page);
+        entry.tell_of_operators(version);
         let mut from = after_last(&page);
         loop {
             let wait_ms = match entry.duty() {
@@ -57,7 +59,11 @@
                     if page.next.era != from.era {
                         continue 'outage;
                     }
+                    let version = entry.config_version();
                     entry.take_operator_records(&page.records);
+                    if !page.records.is_empty() {
+                        entry.tell_of_operators(version);
+                    }
                     from = page.next;
                 }
             }
--- a/crates/ochreyard-direct/src/follow/endpoints.rs
+++ b/crates/ochreyard-direct/src/follow/endpoints.rs
@@ -10,6 +10,7 @@
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedRecord, Topic};
+use crate::peers::PeerEndpoint;
 
 /// How often, within a pause between readings, a box that is told by others looks
 /// whether what it knows has become too old.
@@ -57,7 +58,7 @@
 }
 
 /// Keeps the records of endpoints fresh for one pause; `false` if the log failed.
-async fn read_on<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> bool {
+async fn read_on<D: Dialect, L: KeyedLog>(entry: &Rc<Entry<D>>, log: &L) -> bool {
     if is_due_after_pause(entry).await && !read_changes(entry, log).await {
         return false;
     }
@@ -83,18 +84,39 @@
 }
 
 /// Reads the records since the last reading; `false` if the log failed.
-async fn read_changes<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> bool {
+async fn read_changes<D: Dialect, L: KeyedLog>(entry: &Rc<Entry<D>>, log: &L) -> bool {
     let asked_ms = entry.clock.now_ms();
     let Some(from) = entry.state.borrow().reading.next() else { return false };
     let Some(page) = noted(entry, log, log.read(Topic::Endpoints, from, 0).await) else { return false };
     if page.next.era != from.era {
         return false;
     }
+    let known_before = known(entry, &page.records);
     take_endpoints(entry, &page.records);
     entry.state.borrow_mut().reading.advance(page.next, asked_ms);
+    entry.tell_of_leaving(leaving_since(entry, known_before));
     true
 }
 
+/// The endpoints of these records that take work as far as known.
+fn known<D: Dialect>(entry: &Entry<D>, records: &[KeyedRecord]) -> BTreeSet<String> {
+    let state = entry.state.borrow();
+    let takes_work = |id: &str| state.pool.record(id).is_some_and(|record| !record.is_leaving);
+    records.iter().filter(|record| takes_work(&record.key)).map(|record| record.key.clone()).collect()
+}
+
+/// Those of them that leave now, or have left.
+fn leaving_since<D: Dialect>(entry: &Entry<D>, known_before: BTreeSet<String>) -> Vec<PeerEndpoint> {
+    let state = entry.state.borrow();
+    let leaves = |id: &str| state.pool.record(id).is_none_or(|record| record.is_leaving);
+    let left = known_before.into_iter().filter(|id| leaves(id));
+    left.filter_map(|id| {
+        let (position, record) = state.catalog.told(&id)?;
+        Some(PeerEndpoint { id, position, record: record.cloned() })
+    })
+    .collect()
+}
+
 fn settle_overdue<D: Dialect>(entry: &Entry<D>) {
     let now_ms = entry.clock.now_ms();
     let overdue = entry.state.borrow_mut().catalog.overdue(now_ms);
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -33,6 +33,7 @@
 mod limits;
 mod link;
 mod log_duty;
+mod log_news;
 mod log_return;
 mod meters;
 mod operator_side;
--- a/crates/ochreyard-direct/src/peers.rs
+++ b/crates/ochreyard-direct/src/peers.rs
@@ -17,6 +17,7 @@
 
 pub use ask::keep_asking;
 pub use newcomers::Newcomers;
-pub use news::{News, PassedOver, take_news, tell_all};
+pub use news::{News, PassedOver, take_news, tell_all, tell_data_centre};
+pub use peer_endpoint::PeerEndpoint;
 pub use question::{Question, STATE_PATH};
 pub use tell::state_for;
--- a/crates/ochreyard-direct/src/peers/ask.rs
+++ b/crates/ochreyard-direct/src/peers/ask.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use ochreyard_core::direct::Questions;
 
-use super::peer_endpoint::PeerEndpoint;
 use super::peer_reading::PeerReading;
 use super::peer_state::PeerState;
 use super::question::Question;
@@ -120,15 +119,18 @@
     }
 }
 
-fn take<D: Dialect>(entry: &Entry<D>, told: PeerState, from: SocketAddr, role: Role, asked_ms: u64) {
+fn take<D: Dialect>(entry: &Rc<Entry<D>>, told: PeerState, from: SocketAddr, role: Role, asked_ms: u64) {
     if told.is_busy {
         told.boxes.into_iter().for_each(|(name, record)| entry.take_box(&name, record));
         return;
     }
     entry.has_been_told.set(true);
     entry.note_silences(from, &told.silent_boxes);
-    if let Some(document) = told.config {
-        entry.take_config(&Bytes::from(document), &format!("peer-{from}"));
+    let version = entry.config_version();
+    if let Some(document) = told.config
+        && entry.take_config(&Bytes::from(document), &format!("peer-{from}"))
+    {
+        entry.tell_of_operators(version);
     }
     entry.take_evacuation_news(&told.evacuations);
     if let Some(reading) = told.reading.filter(|reading| reading.next.era > 0) {
@@ -145,11 +147,7 @@
         // It cannot be relied on now: another box is asked next time.
         None => entry.state.borrow_mut().reading.pass_over(),
     }
-    let now_ms = entry.clock.now_ms();
-    for PeerEndpoint { id, position, record } in told.endpoints {
-        let change = entry.state.borrow_mut().catalog.take(&id, position, record, now_ms);
-        entry.apply(change);
-    }
+    entry.take_peer_endpoints(told.endpoints);
     for (name, record) in told.boxes {
         entry.take_box(&name, record);
     }
--- a/crates/ochreyard-direct/src/peers/news.rs
+++ b/crates/ochreyard-direct/src/peers/news.rs
@@ -9,7 +9,7 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use ochreyard_core::direct::{GroupNews, LimitNews, QuarantineNews};
+use ochreyard_core::direct::{BoxRecord, GroupNews, LimitNews, QuarantineNews};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -19,7 +19,7 @@
 use crate::link::CallLink;
 
 /// Largest news that are taken.
-const MAX_NEWS_BYTES: usize = 256 << 10;
+const MAX_NEWS_BYTES: usize = 1 << 20;
 /// Longest wait for a box that is told: until it is told again of a group.
 const TELL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Up to this many boxes are told directly: passing on would save little.
@@ -87,7 +87,21 @@
 /// One that told hundreds of boxes itself would spend most of its link on it. So it tells about the square
 /// root of them, and each of those passes the news on to as many others.
 pub fn tell_all<D: Dialect, N: News>(entry: &Rc<Entry<D>>, news: &N) {
-    let mut boxes: Vec<SocketAddr> = entry.state.borrow().boxes.addrs().collect();
+    let boxes: Vec<SocketAddr> = entry.state.borrow().boxes.addrs().collect();
+    tell(entry, news, boxes);
+}
+
+/// Tells all other boxes of this data centre, in the same way.
+pub fn tell_data_centre<D: Dialect, N: News>(entry: &Rc<Entry<D>>, news: &N) {
+    let is_near = |record: &BoxRecord| record.data_centre == entry.identity.data_centre;
+    let state = entry.state.borrow();
+    let near = state.boxes.iter().filter(|(_, record)| is_near(record)).map(|(_, record)| record.addr);
+    let boxes = near.collect();
+    drop(state);
+    tell(entry, news, boxes);
+}
+
+fn tell<D: Dialect, N: News>(entry: &Rc<Entry<D>>, news: &N, mut boxes: Vec<SocketAddr>) {
     // Boxes of one data centre have addresses alike, so most news are passed on within it.
     boxes.sort_unstable();
     boxes.dedup();
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -17,6 +17,7 @@
 use crate::answer_body::AnswerBody;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
+use crate::log_news::{LeavingNews, OperatorNews};
 use crate::operator_side::{self, QUARANTINE_PATH, RELEASE_PATH};
 use crate::peers::News;
 use crate::{connection, forward, meters, peers};
@@ -151,6 +152,12 @@
         (Side::Peers, &Method::POST, LimitNews::PATH) => {
             status_only(peers::take_news::<D, LimitNews>(entry, request).await)
         }
+        (Side::Peers, &Method::POST, OperatorNews::PATH) => {
+            status_only(peers::take_news::<D, OperatorNews>(entry, request).await)
+        }
+        (Side::Peers, &Method::POST, LeavingNews::PATH) => {
+            status_only(peers::take_news::<D, LeavingNews>(entry, request).await)
+        }
         (Side::Peers, &Method::GET, QUARANTINE_PATH) => json(&operator_side::listed(entry)),
         (Side::Peers, &Method::POST, RELEASE_PATH) => status_only(operator_side::release(entry, request).await),
         _ => status_only(StatusCode::NOT_FOUND),
