--- a/crates/ochreyard-core/src/group_map/step_times.rs
+++ b/crates/ochreyard-core/src/group_map/step_times.rs
@@ -3,9 +3,15 @@
 /// Share of the pause aim from which the mean step counts as near it: single steps take up to
 /// half as long again, since a rank that reads a long prompt holds up all others.
 const NEAR_AIM_SHARE: f64 = 0.6;
-/// Improvement of the skew from which the map of a busy group is changed however short steps are: requests that wait for a
-/// place get it sooner.
+/// The same for the step that the present skew leads to, where a change lowers it by much: steps are about to grow, and the
+/// change takes its time.
+const COMING_NEAR_SHARE: f64 = 0.45;
+/// Improvement of the skew that counts as much. In a busy group it is worth a change however short steps are: requests that
+/// wait for a place get it sooner.
 const LARGE_GAIN: f64 = 1.25;
+/// Skew from which such a change is worth it in any group: few requests are enough to make single steps long, and they come
+/// faster than a map is changed.
+const HIGH_SKEW: f64 = 1.75;
 /// Share of a group's places from which it counts as busy.
 const BUSY_SHARE: f64 = 0.35;
 
@@ -25,7 +31,7 @@
 impl StepTimes {
     /// Whether a change from the first skew to the second one may bring callers into their aim.
     ///
-    /// While steps are well under the aim, and would be under the present skew, a change gains nobody anything: it copies
+    /// While steps are well under the aim, and stay there under the present skew, a change gains nobody anything: it copies
     /// experts after what is in demand for a moment, and where its orders get lost it holds the group until every running
     /// stream is late.
     #[must_use]
@@ -36,10 +42,12 @@
         }
         let is_large = before >= after * LARGE_GAIN;
         let near_aim_ms = pause_aim_ms as f64 * NEAR_AIM_SHARE;
+        let coming_near_ms = pause_aim_ms as f64 * COMING_NEAR_SHARE;
         let step_ms = self.step_ms as f64;
         // Steps grow about as their most loaded rank does: a shift shows in the skew before it shows in the steps.
         let expected_ms = self.mean_skew.map(|mean| step_ms * before / mean.max(1.0));
-        let is_coming_near = expected_ms.is_none_or(|expected_ms| expected_ms >= near_aim_ms);
-        step_ms >= near_aim_ms || (is_large && (is_coming_near || self.busy_share >= BUSY_SHARE))
+        let is_coming_near = expected_ms.is_none_or(|expected_ms| expected_ms >= coming_near_ms);
+        let is_exposed = before >= HIGH_SKEW || self.busy_share >= BUSY_SHARE;
+        step_ms >= near_aim_ms || (is_large && (is_coming_near || is_exposed))
     }
 }
--- a/crates/ochreyard-core/tests/step_times.rs
+++ b/crates/ochreyard-core/tests/step_times.rs
@@ -45,6 +45,13 @@
     assert_eq!(times.gain_from(DRIFTED), wanted);
 }
 
+/// A group that has just begun to work: its steps are short since hardly anything runs.
+#[test]
+fn a_high_skew_is_answered_before_the_load_comes() {
+    let times = StepTimes { step_ms: 20, mean_skew: Some(3.7), pause_aim_ms: Some(150), busy_share: 0.02 };
+    assert!(times.gain_from((3.7, 1.6)));
+}
+
 fn route(prefix: &str, services: &[&str], gap_aim_ms: Option<u64>) -> Route {
     let weighted = |service: &&str| WeightedService { service: (*service).to_owned(), weight: 1 };
     Route {
