Boxes by address: an answer heard costs the same at any number of boxes

Cause: each answer and each question looked through all boxes for the one at its address: boxes times boxes a round of questions. Change: a map from address to name beside the records; a box that moved is not found at its former address any more. Ruled out: a search by name (peers are known by address where they answer).

--- a/crates/ochreyard-core/src/direct/box_list.rs
+++ b/crates/ochreyard-core/src/direct/box_list.rs
@@ -2,7 +2,7 @@
 
 mod silences;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use self::silences::Silences;
@@ -15,6 +15,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct BoxList {
     records: BTreeMap<String, BoxRecord>,
+    names: HashMap<SocketAddr, String>,
     /// Their names as they were learned; a box that moved is named once more.
     learned: Vec<String>,
     digest: u64,
@@ -28,9 +29,14 @@
             return false;
         }
         self.digest ^= digest_of(name, &record);
+        let addr = record.addr;
         if let Some(former) = self.records.insert(name.to_owned(), record) {
             self.digest ^= digest_of(name, &former);
+            if self.names.get(&former.addr).is_some_and(|other| other == name) {
+                self.names.remove(&former.addr);
+            }
         }
+        self.names.insert(addr, name.to_owned());
         self.learned.push(name.to_owned());
         true
     }
@@ -66,15 +72,15 @@
 
     /// The box at `addr` left a question unanswered.
     pub fn on_unanswered(&mut self, addr: SocketAddr, now_ms: u64) {
-        if let Some(name) = self.name_at(addr) {
-            self.silences.on_unanswered(&name, now_ms);
+        if let Some(name) = self.names.get(&addr) {
+            self.silences.on_unanswered(name, now_ms);
         }
     }
 
     /// The box at `addr` answered, or asked.
     pub fn on_heard(&mut self, addr: SocketAddr, now_ms: u64) {
-        if let Some(name) = self.name_at(addr) {
-            self.silences.on_heard(&name, now_ms);
+        if let Some(name) = self.names.get(&addr) {
+            self.silences.on_heard(name, now_ms);
         }
     }
 
@@ -90,10 +96,6 @@
         self.silences.own(now_ms)
     }
 
-    fn name_at(&self, addr: SocketAddr) -> Option<String> {
-        self.records.iter().find(|(_, record)| record.addr == addr).map(|(name, _)| name.clone())
-    }
-
     /// Where all boxes are reached.
     pub fn addrs(&self) -> impl Iterator<Item = SocketAddr> {
         self.records.values().map(|record| record.addr)
