Groups that nobody leads are led at the same time, not one after the other

Cause: boxes ask to lead in a common order, 120 ms apart, one group each. With G groups without a leader the last one waits G turns; and as soon as one group is known, the others count as new endpoints beside it, which wait 2 s, not 0.9. While loads of one group came without names, no group at all was asked for.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -33,7 +33,7 @@
 pub use catalog::{Catalog, EndpointChange};
 pub use duty::{Duty, Own, tells_all, tells_data_centre};
 pub use endpoint_life::EndpointLife;
-pub use endpoint_pool::{Asking, EndpointPool, LimitUse, NoPick, Notice, Outcome, Pick, ReportedLoad};
+pub use endpoint_pool::{Asking, EndpointPool, LimitUse, NoPick, Notice, Outcome, Pick, ReportedLoad, UnledGroups};
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_signals::{EndpointSignals, backoff_ms};
 pub use evacuation::{EvacuationNews, Evacuations};
--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -20,6 +20,7 @@
 mod pick;
 mod reported_load;
 mod slow_start;
+mod unled_groups;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -35,6 +36,7 @@
 use self::parted::Parted;
 pub use self::pick::Pick;
 pub use self::reported_load::ReportedLoad;
+pub use self::unled_groups::UnledGroups;
 use super::catalog::EndpointChange;
 use super::endpoint_life::EndpointLife;
 use super::endpoint_record::EndpointRecord;
--- a/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
@@ -29,8 +29,8 @@
     stood: u64,
     /// The names of its ranks, in the order in which their loads are told.
     roster: Vec<String>,
-    /// Whether loads came last that are of another roster.
-    awaits_names: bool,
+    /// Ranks of which loads came last whose names are not known here.
+    unnamed: usize,
 }
 
 impl Group {
@@ -45,7 +45,7 @@
             observed_ms: None,
             stood: 0,
             roster: Vec::new(),
-            awaits_names: false,
+            unnamed: 0,
         }
     }
 
@@ -73,17 +73,22 @@
     pub fn ranks_of(&mut self, news: &GroupNews) -> Vec<RankNews> {
         let Some(loads) = &news.loads else {
             self.roster = news.ranks.iter().map(|rank| rank.endpoint.clone()).collect();
-            self.awaits_names = false;
+            self.unnamed = 0;
             return news.ranks.clone();
         };
         let named = loads.named(&self.roster);
-        self.awaits_names = named.is_none();
+        self.unnamed = if named.is_none() { loads.len() } else { 0 };
         named.unwrap_or_default()
     }
 
-    /// Whether its leader is heard, and has not told this box the names of its ranks yet.
-    pub fn awaits_names(&self, now_ms: u64) -> bool {
-        self.awaits_names && !self.is_silent(now_ms)
+    /// Ranks whose leader is heard, and has not told this box their names yet.
+    pub const fn unnamed(&self, now_ms: u64) -> usize {
+        if self.is_silent(now_ms) { 0 } else { self.unnamed }
+    }
+
+    /// How many ranks it has, as far as known; none where nobody has told of them.
+    pub fn size(&self) -> usize {
+        self.roster.len().max(self.unnamed)
     }
 
     /// Notes by which event it began to stand, if it went on until then.
--- a/crates/ochreyard-core/src/direct/endpoint_pool/groups.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/groups.rs
@@ -1,7 +1,9 @@
 //! What is known of the groups that endpoints are ranks of.
 
+use std::collections::BTreeSet;
+
 use super::group::Group;
-use super::{EndpointPool, Member, ReportedLoad};
+use super::{EndpointPool, Member, ReportedLoad, UnledGroups};
 use crate::direct::endpoint_record::EndpointRecord;
 use crate::direct::group_news::GroupNews;
 
@@ -53,29 +55,24 @@
         self.groups.get(&group_name(service, group)).is_none_or(|group| group.is_unled(now_ms))
     }
 
-    /// Whether a known group of a service is led by nobody.
-    #[must_use]
-    pub fn has_unled_group(&self, service: &str, now_ms: u64) -> bool {
-        let mut groups = self.of_service(service).filter_map(|(_, member)| self.group_of(member));
-        groups.any(|group| group.is_unled(now_ms))
-    }
-
-    /// Whether the names of the ranks of a group are about to be told.
-    #[must_use]
-    pub fn awaits_names(&self, service: &str, now_ms: u64) -> bool {
-        self.groups_of(service).any(|group| group.awaits_names(now_ms))
-    }
-
-    /// Whether a group of a service is known.
+    /// The groups of a service that nobody leads, as far as known.
     #[must_use]
-    pub fn knows_group(&self, service: &str) -> bool {
-        self.of_service(service).any(|(_, member)| self.group_of(member).is_some())
-    }
-
-    /// Whether an endpoint of a service belongs to no group that is known.
-    #[must_use]
-    pub fn has_endpoint_without_group(&self, service: &str) -> bool {
-        self.of_service(service).any(|(_, member)| member.takes_work() && self.group_of(member).is_none())
+    pub fn unled_groups(&self, service: &str, now_ms: u64) -> UnledGroups {
+        let mut unled = BTreeSet::new();
+        let mut endpoints = 0_usize;
+        for (_, member) in self.of_service(service) {
+            match self.group_of(member) {
+                Some(group) if group.is_unled(now_ms) => drop(unled.insert(&member.group)),
+                None if member.takes_work() => endpoints += 1,
+                _ => {}
+            }
+        }
+        let unnamed: usize = self.groups_of(service).map(|group| group.unnamed(now_ms)).sum();
+        UnledGroups {
+            known: unled.len(),
+            endpoints: endpoints.saturating_sub(unnamed),
+            group_size: self.groups_of(service).map(Group::size).filter(|size| *size > 0).min(),
+        }
     }
 
     /// The records of the endpoints of a service that are not known to be in a group other
--- a/crates/ochreyard-core/src/direct/roster_loads.rs
+++ b/crates/ochreyard-core/src/direct/roster_loads.rs
@@ -7,6 +7,8 @@
 
 /// The first character of a number; greater numbers are the characters after it.
 const ZERO: u8 = b'0';
+/// Characters a rank: requests that run, requests that wait.
+const CHARACTERS: usize = 2;
 /// The highest number that has a character: far more requests than a rank runs or lets wait.
 const MOST: u64 = (b'z' - ZERO) as u64;
 /// The pace of a rank that is as fast as usual, in thousandths.
@@ -39,15 +41,27 @@
         Self { roster: digest_of(ranks.iter().map(|rank| rank.endpoint.as_str())), loads, paces }
     }
 
+    /// Of how many ranks they are.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.loads.len() / CHARACTERS
+    }
+
+    /// Whether they are of no rank.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.loads.is_empty()
+    }
+
     /// The ranks, by the names of the roster; `None` where these are of another one.
     #[must_use]
     pub fn named(&self, names: &[String]) -> Option<Vec<RankNews>> {
-        let is_own = digest_of(names.iter().map(String::as_str)) == self.roster && self.loads.len() == names.len() * 2;
+        let is_own = digest_of(names.iter().map(String::as_str)) == self.roster && self.len() == names.len();
         if !is_own {
             return None;
         }
         let number = |byte: u8| u64::from(byte.saturating_sub(ZERO));
-        let loads = self.loads.as_bytes().chunks_exact(2);
+        let loads = self.loads.as_bytes().chunks_exact(CHARACTERS);
         let mut ranks: Vec<RankNews> = names
             .iter()
             .zip(loads)
--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -23,7 +23,7 @@
 mod step_times;
 
 pub use arming_times::ArmingTimes;
-pub use candidacy::{Candidacy, candidate_place, groupless_wait_ms};
+pub use candidacy::{Candidacy, candidate_place};
 pub use chosen_counts::ChosenCounts;
 pub use controller::{Controller, ControllerSettings, Phase, Round};
 pub use demand::{Demand, chosen_between};
--- a/crates/ochreyard-core/src/group_map/candidacy.rs
+++ b/crates/ochreyard-core/src/group_map/candidacy.rs
@@ -3,10 +3,12 @@
 //! All entries may lead, and nobody has to agree on who does: they ask one after
 //! the other, in an order that each works out for itself, and the agents grant
 //! one of them. An entry that is down or cut off costs the next one a short wait.
+//! Where several groups are led by nobody, as many entries ask at the same time: one
+//! after the other would take longer the more groups there are.
 
 use std::cmp::Reverse;
 
-use crate::direct::{BoxList, BoxRecord};
+use crate::direct::{BoxList, BoxRecord, UnledGroups};
 use crate::hash;
 
 /// How much longer each entry waits than the one before it in the order, in milliseconds:
@@ -20,34 +22,49 @@
 /// How long an endpoint may be in no known group before its agent is asked, in
 /// milliseconds: a leader finds a new endpoint well before.
 const GROUPLESS_MS: u64 = 2_000;
-/// The same where no group of the service is known, in milliseconds: three times the pause
+/// The same for a whole group of which nobody tells, in milliseconds: three times the pause
 /// between a leader's words to all boxes. After a start of all boxes at once nobody leads, and
 /// each second until somebody does makes every stream of that second late.
 const UNHEARD_MS: u64 = 900;
 
-/// How long an endpoint may be in no known group before its agent is asked, in milliseconds.
-#[must_use]
-pub const fn groupless_wait_ms(knows_group_of_service: bool) -> u64 {
-    if knows_group_of_service { GROUPLESS_MS } else { UNHEARD_MS }
-}
-
-/// Whether and when one entry asks to lead.
+/// Whether and when one entry asks to lead a group of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Candidacy {
-    unled_since_ms: Option<u64>,
+    groupless_since_ms: Option<u64>,
+    /// The most groups that were led by nobody at a time: those that lead some of them by now keep their places.
+    most_unled: usize,
+    /// Since when as many are.
+    unled_since_ms: u64,
     waits_until_ms: u64,
     tried_in_turn: u32,
 }
 
 impl Candidacy {
-    /// Whether it is this entry's turn, at `place` in the order of all entries.
-    pub fn is_due(&mut self, is_unled: bool, place: usize, now_ms: u64) -> bool {
-        if !is_unled {
-            *self = Self::default();
+    /// Whether it is this entry's turn, at `place` in the order of all entries. As many are due together as there are
+    /// groups to lead.
+    pub fn is_due(&mut self, unled: UnledGroups, place: usize, now_ms: u64) -> bool {
+        if !self.is_unled(unled, now_ms) {
+            *self = Self { groupless_since_ms: self.groupless_since_ms, ..Self::default() };
             return false;
         }
-        let since_ms = *self.unled_since_ms.get_or_insert(now_ms);
-        now_ms >= self.waits_until_ms && now_ms >= since_ms + place as u64 * STAGGER_MS
+        if unled.at_once() > self.most_unled {
+            self.most_unled = unled.at_once();
+            self.unled_since_ms = now_ms;
+        }
+        let turn = place / self.most_unled;
+        now_ms >= self.waits_until_ms && now_ms >= self.unled_since_ms + turn as u64 * STAGGER_MS
+    }
+
+    /// Whether a group is led by nobody, for all that has been told in time.
+    fn is_unled(&mut self, unled: UnledGroups, now_ms: u64) -> bool {
+        if unled.endpoints == 0 {
+            self.groupless_since_ms = None;
+            return unled.known > 0;
+        }
+        let since_ms = *self.groupless_since_ms.get_or_insert(now_ms);
+        let is_whole_group = unled.group_size.is_none() || unled.unknown() > 0;
+        let wait_ms = if is_whole_group { UNHEARD_MS } else { GROUPLESS_MS };
+        unled.known > 0 || now_ms >= since_ms + wait_ms
     }
 
     /// This entry has asked. Unless somebody leads by then, it asks again later, each time
--- a/crates/ochreyard-core/tests/candidacy.rs
+++ b/crates/ochreyard-core/tests/candidacy.rs
@@ -1,7 +1,13 @@
 //! Which entry leads a group, and when it asks to.
 
-use ochreyard_core::direct::{BoxList, BoxRecord};
-use ochreyard_core::group_map::{Candidacy, Grant, LeaderId, candidate_place, groupless_wait_ms};
+use ochreyard_core::direct::{BoxList, BoxRecord, UnledGroups};
+use ochreyard_core::group_map::{Candidacy, Grant, LeaderId, candidate_place};
+
+/// Ranks of a group.
+const SIZE: usize = 12;
+/// All groups are led, or one of them by nobody.
+const NONE: UnledGroups = UnledGroups { known: 0, endpoints: 0, group_size: Some(SIZE) };
+const ONE: UnledGroups = UnledGroups { known: 1, ..NONE };
 
 fn record(number: u16, cores_permille: u64, link_mbps: u64) -> BoxRecord {
     BoxRecord {
@@ -54,8 +60,8 @@
 fn the_first_asks_at_once_and_the_next_ones_in_turn() {
     let is_due = |place: usize, now_ms: u64| {
         let mut candidacy = Candidacy::default();
-        assert_eq!(candidacy.is_due(true, place, 1_000), place == 0);
-        candidacy.is_due(true, place, now_ms)
+        assert_eq!(candidacy.is_due(ONE, place, 1_000), place == 0);
+        candidacy.is_due(ONE, place, now_ms)
     };
     assert!(is_due(0, 1_000));
     assert!(!is_due(2, 1_200));
@@ -68,13 +74,13 @@
     let mut candidacy = Candidacy::default();
     let mut now_ms = 0;
     for wait_ms in [800, 1_600, 3_200, 6_400, 6_400] {
-        assert!(candidacy.is_due(true, 0, now_ms));
+        assert!(candidacy.is_due(ONE, 0, now_ms));
         candidacy.on_tried(now_ms);
-        assert!(!candidacy.is_due(true, 0, now_ms + wait_ms - 1));
+        assert!(!candidacy.is_due(ONE, 0, now_ms + wait_ms - 1));
         now_ms += wait_ms;
     }
-    assert!(!candidacy.is_due(false, 0, now_ms));
-    assert!(candidacy.is_due(true, 0, now_ms), "a group that loses its leader later is asked for at once");
+    assert!(!candidacy.is_due(NONE, 0, now_ms));
+    assert!(candidacy.is_due(ONE, 0, now_ms), "a group that loses its leader later is asked for at once");
 }
 
 #[test]
@@ -101,12 +107,33 @@
     assert_eq!(list.learned_since(99).count(), 0);
 }
 
+/// When the first entry of the order asks where these groups are led by nobody, within ten seconds.
+fn asks_at_ms(unled: UnledGroups) -> Option<u64> {
+    let mut candidacy = Candidacy::default();
+    (0..10_000).find(|now_ms| candidacy.is_due(unled, 0, *now_ms))
+}
+
 /// Where all boxes have started anew nobody tells of a group, and a leader is wanted soon; a new
 /// endpoint beside a group that is led is found by its leader.
 #[test]
-fn boxes_that_hear_of_no_group_at_all_ask_sooner() {
+fn a_whole_group_of_which_nobody_tells_is_asked_for_sooner_than_one_endpoint() {
     let lease_ms = 800;
-    assert!(groupless_wait_ms(false) > lease_ms, "agents that have just started grant nobody for as long");
-    assert!(groupless_wait_ms(false) < 1_000);
-    assert!(groupless_wait_ms(true) >= 2_000);
+    let no_group_known = asks_at_ms(UnledGroups { endpoints: 1, ..UnledGroups::default() }).unwrap();
+    assert!(no_group_known > lease_ms, "agents that have just started grant nobody for as long");
+    assert!(no_group_known < 1_000);
+    assert_eq!(asks_at_ms(UnledGroups { endpoints: SIZE, ..NONE }), Some(no_group_known));
+    assert!(asks_at_ms(UnledGroups { endpoints: SIZE - 1, ..NONE }).unwrap() >= 2_000);
+    assert_eq!(asks_at_ms(NONE), None);
+}
+
+#[test]
+fn as_many_ask_together_as_groups_are_led_by_nobody() {
+    let three = UnledGroups { known: 2, endpoints: SIZE, ..NONE };
+    let due = |place: usize, now_ms: u64| {
+        let mut candidacy = Candidacy::default();
+        candidacy.is_due(three, place, 0);
+        candidacy.is_due(three, place, now_ms)
+    };
+    assert!((0..3).all(|place| due(place, 0)));
+    assert!((3..6).all(|place| !due(place, 119) && due(place, 120)));
 }
--- a/crates/ochreyard-core/tests/endpoint_pool.rs
+++ b/crates/ochreyard-core/tests/endpoint_pool.rs
@@ -262,9 +262,9 @@
 #[test]
 fn nothing_is_sent_to_a_service_whose_groups_all_stand() {
     let mut pool = pool([1, 2]);
-    assert!(!pool.knows_group("tiles"));
+    assert_eq!(pool.unled_groups("tiles", 0).group_size, None);
     pool.on_news(&news(false, &[1, 2], 0), 0);
-    assert!(pool.knows_group("tiles"));
+    assert_eq!(pool.unled_groups("tiles", 0).group_size, Some(2));
     for urgency in [Urgency::InAim, Urgency::Late] {
         assert_eq!(pool.pick("tiles", &[], urgency, 0, 1), Err(NoPick::Stands));
     }
@@ -294,11 +294,11 @@
 #[test]
 fn a_group_is_unled_once_its_leader_is_silent_or_has_stood_down() {
     let mut pool = pool([1, 2]);
-    assert!(pool.has_endpoint_without_group("tiles"));
+    assert_eq!(pool.unled_groups("tiles", 0).endpoints, 2);
     pool.on_news(&news(true, &[1, 2], 0), 0);
-    assert!(!pool.has_endpoint_without_group("tiles"));
-    assert!(!pool.has_unled_group("tiles", 899));
-    assert!(pool.has_unled_group("tiles", 900), "well after a lease without a word");
+    assert_eq!(pool.unled_groups("tiles", 0).endpoints, 0);
+    assert!(pool.unled_groups("tiles", 899).known == 0);
+    assert!(pool.unled_groups("tiles", 900).known == 1, "well after a lease without a word");
     pool.on_news(&news(true, &[1, 2], 0), 1_000);
     pool.on_news(&GroupNews { teller: TellerRole::StoodDown, ..news(true, &[1], 0) }, 1_001);
     assert!(pool.is_unled("tiles", "g1", 1_001));
@@ -313,8 +313,8 @@
     assert!(!pool.is_down("tiles", 500), "the leader sees more of the group");
     pool.on_news(&observed, 1_000);
     assert!(pool.is_down("tiles", 1_000));
-    assert!(!pool.has_unled_group("tiles", 1_500), "one entry watches whether it can be led");
-    assert!(pool.has_unled_group("tiles", 1_900));
+    assert!(pool.unled_groups("tiles", 1_500).known == 0, "one entry watches whether it can be led");
+    assert!(pool.unled_groups("tiles", 1_900).known == 1);
 }
 
 #[test]
--- a/crates/ochreyard-lead/src/service_watch.rs
+++ b/crates/ochreyard-lead/src/service_watch.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ochreyard_core::group_map::{Candidacy, candidate_place, groupless_wait_ms};
+use ochreyard_core::group_map::{Candidacy, candidate_place};
 use ochreyard_direct::{Dialect, Entry};
 use ochreyard_rank::Engines;
 
@@ -45,7 +45,6 @@
     service: String,
     settings: LeaderSettings,
     candidacy: Candidacy,
-    groupless_since_ms: Option<u64>,
     led: LedGroups,
     slow_until_ms: Rc<Cell<u64>>,
 }
@@ -53,24 +52,15 @@
 impl<D: Dialect, S: Engines> ServiceWatch<D, S> {
     fn new(entry: Rc<Entry<D>>, engines: S, service: String, settings: LeaderSettings) -> Self {
         let (candidacy, led) = (Candidacy::default(), LedGroups::default());
-        Self {
-            entry,
-            engines,
-            service,
-            settings,
-            candidacy,
-            groupless_since_ms: None,
-            led,
-            slow_until_ms: Rc::default(),
-        }
+        Self { entry, engines, service, settings, candidacy, led, slow_until_ms: Rc::default() }
     }
 
     /// Leads a group that nobody leads, if there is one and it is this entry's turn.
     async fn look(&mut self) {
         let now_ms = self.entry.clock.now_ms();
-        let is_unled = self.has_unled(now_ms);
+        let unled = self.entry.state.borrow().pool.unled_groups(&self.service, now_ms);
         let place = self.place();
-        if !self.candidacy.is_due(is_unled, place, now_ms) {
+        if !self.candidacy.is_due(unled, place, now_ms) {
             return;
         }
         metrics::counter!("ochreyard_direct_unled_groups_seen_total", "service" => self.service.clone()).increment(1);
@@ -88,18 +78,6 @@
         }
     }
 
-    fn has_unled(&mut self, now_ms: u64) -> bool {
-        let state = self.entry.state.borrow();
-        let is_named = !state.pool.awaits_names(&self.service, now_ms);
-        let is_groupless = is_named && state.pool.has_endpoint_without_group(&self.service);
-        let since_ms = *self.groupless_since_ms.get_or_insert(now_ms);
-        if !is_groupless {
-            self.groupless_since_ms = None;
-        }
-        let wait_ms = groupless_wait_ms(state.pool.knows_group(&self.service));
-        state.pool.has_unled_group(&self.service, now_ms) || (is_groupless && now_ms >= since_ms + wait_ms)
-    }
-
     /// The place of this entry in the order of those that ask. One that leads a group
     /// already, or was too slow, leaves the next one to others first.
     fn place(&self) -> usize {
