--- a/crates/ochreyard-core/tests/stand_load.rs
+++ b/crates/ochreyard-core/tests/stand_load.rs
@@ -47,6 +47,14 @@
 
 /// Late ones have a bounded part of the places: those that come next are in their aim.
 #[test]
+fn those_who_come_as_a_stand_ends_are_sent_in_their_aim() {
+    let played = play(CALLERS, Group { stands_ms: 10_000..16_000, ..Group::default() });
+    let first = played.fresh_in_aim_share(16_000..17_000);
+    assert!(first >= 0.97, "{first} of those who came within a second of the end were in their aim");
+}
+
+/// The same once those who were refused have come back.
+#[test]
 fn soon_after_a_stand_callers_are_sent_in_their_aim_again() {
     let played = play(CALLERS, Group { stands_ms: 10_000..16_000, ..Group::default() });
     let soon = played.fresh_in_aim_share(18_000..22_000);
