--- a/crates/ochreyard-fleet-model/src/main.rs
+++ b/crates/ochreyard-fleet-model/src/main.rs
@@ -70,45 +70,36 @@
 }
 
 fn print_table(samples: &[Sample]) {
-    println!(
-        "| boxes | trouble | seed | calls at the start | calls in all | readers | relays | told | again | lists, writes |"
+    print_rows(
+        &["calls at the start", "calls in all", "of readers", "of relays", "of told", "read again", "lists, writes"],
+        samples,
+        |sample| {
+            let whole = &sample.whole;
+            let calls = [sample.start.calls(), whole.calls(), whole.reads_of_readers, whole.reads_of_relays];
+            let others = [whole.reads_of_told, whole.reads_again, whole.lists + whole.writes];
+            calls.iter().chain(&others).map(u64::to_string).collect()
+        },
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|");
-    for sample in samples {
-        let whole = &sample.whole;
-        println!(
-            "| {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
-            sample.boxes,
-            sample.trouble.name(),
-            sample.seed,
-            sample.start.calls(),
-            whole.calls(),
-            whole.reads_of_readers,
-            whole.reads_of_relays,
-            whole.reads_of_told,
-            whole.reads_again,
-            whole.lists + whole.writes
-        );
-    }
     println!();
-    println!(
-        "| boxes | trouble | seed | known after, middle ms | p99 | last | questions, busiest | kB a second, middle | busiest |"
+    print_rows(
+        &["known after, middle ms", "p99", "last", "questions, busiest", "kB a second, middle", "busiest"],
+        samples,
+        |sample| {
+            let known = &sample.known_after;
+            let counts = [known.middle_ms, known.p99_ms, known.last_ms, sample.most_questions];
+            let bytes_a_second = [sample.middle_bytes_a_second(), sample.most_bytes_a_second()];
+            let kilobytes = bytes_a_second.iter().map(|bytes| format!("{:.1}", bytes / 1_000.0));
+            counts.iter().map(u64::to_string).chain(kilobytes).collect()
+        },
     );
-    println!("|---|---|---|---|---|---|---|---|---|");
+}
+
+fn print_rows(heads: &[&str], samples: &[Sample], cells: impl Fn(&Sample) -> Vec<String>) {
+    println!("| boxes | trouble | seed | {} |", heads.join(" | "));
+    println!("|{}", "---|".repeat(heads.len() + 3));
     for sample in samples {
-        let known = &sample.known_after;
-        println!(
-            "| {} | {} | {} | {} | {} | {} | {} | {:.1} | {:.1} |",
-            sample.boxes,
-            sample.trouble.name(),
-            sample.seed,
-            known.middle_ms,
-            known.p99_ms,
-            known.last_ms,
-            sample.most_questions,
-            sample.middle_bytes_a_second() / 1_000.0,
-            sample.most_bytes_a_second() / 1_000.0
-        );
+        let run = format!("{} | {} | {}", sample.boxes, sample.trouble.name(), sample.seed);
+        println!("| {run} | {} |", cells(sample).join(" | "));
     }
 }
 
