Types for the priority of a request and its level; Urgency in a module of its own

The priority of a request is that of its workspace if set, else that of its route. Nothing uses it yet. endpoint_pool no longer depends on waiting for Urgency.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -20,12 +20,15 @@
 mod log_retry_backoff;
 mod poll_schedule;
 mod position;
+mod priority;
+mod priority_level;
 mod quarantine;
 mod read_role;
 mod roster_loads;
 mod route_table;
 mod shared_limit;
 mod shared_retry_budget;
+mod urgency;
 mod waiting;
 
 pub use allowed_regions::AllowedRegions;
@@ -47,6 +50,8 @@
 pub use log_retry_backoff::LogRetryBackoff;
 pub use poll_schedule::{PollSchedule, PollTargets};
 pub use position::{ParsePositionError, Position};
+pub use priority::Priority;
+pub use priority_level::PriorityLevel;
 pub use quarantine::{
     ClearedRequest, CrashReport, LostRequest, Quarantine, QuarantineDecision, QuarantineEntry, QuarantineUpdate,
     QuarantinedRequest, RunningTrial,
@@ -61,7 +66,8 @@
     parse_limit,
 };
 pub use shared_retry_budget::{RetryBudgetLimits, SharedRetryBudget};
+pub use urgency::Urgency;
 pub use waiting::{
     Arrival, DispatchDecision, Patience, PendingRequest, ServiceQueue, ServiceTime, StallHandling, StallHistory,
-    StallOutcomes, Ticket, Urgency, WaitFacts, WaitQueue,
+    StallOutcomes, Ticket, WaitFacts, WaitQueue,
 };
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -8,7 +8,7 @@
 use super::reported_load::ReportedLoad;
 use super::slow_start::SlowStart;
 use crate::direct::shared_limit::SharedLimit;
-use crate::direct::waiting::Urgency;
+use crate::direct::urgency::Urgency;
 use crate::direct::{EndpointIncarnation, EndpointRecord};
 
 /// Weight of the latest outcome in the moving average of failures.
--- a/crates/ochreyard-core/src/direct/endpoint_pool/pick.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/pick.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::direct::waiting::Urgency;
+use crate::direct::urgency::Urgency;
 use crate::direct::{EndpointIncarnation, EndpointRecord};
 
 /// The endpoint that was picked for an attempt.
--- a/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
@@ -5,7 +5,7 @@
 use super::{EndpointPool, Member, Pick, PickError};
 use crate::direct::allowed_regions::AllowedRegions;
 use crate::direct::endpoint_incarnation::EndpointIncarnation;
-use crate::direct::waiting::Urgency;
+use crate::direct::urgency::Urgency;
 
 /// Requests, running or queued, that an endpoint without a group may have per slot. A queued request then starts after
 /// about as many runs.
--- a/crates/ochreyard-core/src/direct/waiting.rs
+++ b/crates/ochreyard-core/src/direct/waiting.rs
@@ -32,15 +32,6 @@
 
 use super::endpoint_pool::PickError;
 
-/// Whether a request can still meet its latency target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Urgency {
-    /// The request can still be answered within its latency target.
-    OnTime,
-    /// The request can only be answered after its latency target.
-    Late,
-}
-
 /// Patience that is assumed for callers of unknown patience where the length of the wait is known, in milliseconds.
 /// A caller can be told when to retry, and one that expects an answer in half a second waits at least twice that long.
 const ASSUMED_PATIENCE_MS: u64 = 1_000;
--- a/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
+++ b/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
@@ -1,10 +1,13 @@
 //! Decides whether a request is sent to an endpoint now, waits for one, or is given up.
 
 use super::limited_turns::LimitedTurns;
-use super::{Arrival, Patience, ServiceQueue, Ticket, Urgency, WaitFacts};
+use super::{Arrival, Patience, ServiceQueue, Ticket, WaitFacts};
 use crate::direct::allowed_regions::AllowedRegions;
 use crate::direct::endpoint_incarnation::EndpointIncarnation;
 use crate::direct::endpoint_pool::{EndpointPool, Pick, PickError};
+use crate::direct::priority::Priority;
+use crate::direct::priority_level::PriorityLevel;
+use crate::direct::urgency::Urgency;
 
 /// A request that needs an endpoint.
 #[derive(Debug, Clone, Copy)]
@@ -15,6 +18,10 @@
     pub allowed_regions: &'a AllowedRegions,
     /// Endpoints that the request has been sent to already.
     pub tried: &'a [EndpointIncarnation],
+    /// Priority of the request.
+    pub priority: Priority,
+    /// Position of that priority among those of the service.
+    pub level: PriorityLevel,
     /// What was derived at the arrival of the request.
     pub arrival: Arrival,
     /// Deadline of the request, in milliseconds.
--- a/crates/ochreyard-core/src/direct/waiting/overload.rs
+++ b/crates/ochreyard-core/src/direct/waiting/overload.rs
@@ -5,8 +5,8 @@
 //! that long are gone by then. The wait is estimated from the late requests that the endpoints accepted since they
 //! were full.
 
-use super::Urgency;
 use super::decaying_count::DecayingCount;
+use crate::direct::urgency::Urgency;
 
 /// Decay time of the count of dispatched requests, in milliseconds: about the run time of one request.
 const DECAY_MS: f64 = 1_000.0;
--- a/crates/ochreyard-core/src/direct/waiting/service_queue.rs
+++ b/crates/ochreyard-core/src/direct/waiting/service_queue.rs
@@ -4,7 +4,8 @@
 use std::collections::HashMap;
 
 use super::limited_turns::LimitedTurns;
-use super::{Arrival, Overload, Patience, ServiceTime, StallHistory, StallOutcomes, Ticket, Urgency, WaitQueue};
+use super::{Arrival, Overload, Patience, ServiceTime, StallHistory, StallOutcomes, Ticket, WaitQueue};
+use crate::direct::urgency::Urgency;
 
 /// A request with a timeout below this share of the longest one is a retry of its caller: a caller that was sent back
 /// retries with two thirds of the time it had left, and timeouts of first attempts differ by less.
--- a/crates/ochreyard-core/src/direct/waiting/wait_queue.rs
+++ b/crates/ochreyard-core/src/direct/waiting/wait_queue.rs
@@ -1,6 +1,6 @@
 //! The requests of one service that wait at this entry, and the order in which they are sent.
 
-use super::Urgency;
+use crate::direct::urgency::Urgency;
 
 /// Identifies one request in a wait queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/ochreyard-core/tests/endpoint_notices.rs
+++ b/crates/ochreyard-core/tests/endpoint_notices.rs
@@ -5,7 +5,7 @@
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
     AllowedRegions, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, EndpointSignals, PendingRequest,
-    Pick, PickError, ReportedLimit, ServiceQueue, Urgency,
+    Pick, PickError, Priority, PriorityLevel, ReportedLimit, ServiceQueue, Urgency,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -153,6 +153,8 @@
         service: "tiles",
         allowed_regions: &AllowedRegions::ANY,
         tried: &[],
+        priority: Priority::LOWEST,
+        level: PriorityLevel::SINGLE,
         arrival,
         deadline_ms,
         silent_since_ms: 0,
--- a/crates/ochreyard-core/tests/stall_load_model/entry_model.rs
+++ b/crates/ochreyard-core/tests/stall_load_model/entry_model.rs
@@ -4,7 +4,7 @@
 
 use ochreyard_core::direct::{
     AllowedRegions, Arrival, AttemptOutcome, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord,
-    PendingRequest, Pick, ServiceQueue, Ticket,
+    PendingRequest, Pick, Priority, PriorityLevel, ServiceQueue, Ticket,
 };
 
 use super::{ENDPOINTS, ENTRIES, SERVICE, SLOTS};
@@ -58,6 +58,8 @@
             service: SERVICE,
             allowed_regions: &AllowedRegions::ANY,
             tried: &[],
+            priority: Priority::LOWEST,
+            level: PriorityLevel::SINGLE,
             arrival: attempt.arrival,
             deadline_ms: attempt.deadline_ms,
             silent_since_ms: attempt.arrived_ms,
--- a/crates/ochreyard-core/tests/waiting.rs
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -5,8 +5,8 @@
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
     AllowedRegions, Arrival, DispatchDecision, EndpointChange, EndpointLimit, EndpointPool, GroupUpdate, LimitUpdate,
-    Patience, PendingRequest, PickError, RankUpdate, RequestRate, ServiceQueue, ServiceTime, StallHandling,
-    StallHistory, StallOutcomes, Urgency, WaitFacts, WaitQueue,
+    Patience, PendingRequest, PickError, Priority, PriorityLevel, RankUpdate, RequestRate, ServiceQueue, ServiceTime,
+    StallHandling, StallHistory, StallOutcomes, Urgency, WaitFacts, WaitQueue,
 };
 use rstest::rstest;
 
@@ -198,6 +198,8 @@
         service: "tiles",
         allowed_regions: &AllowedRegions::ANY,
         tried: &[],
+        priority: Priority::LOWEST,
+        level: PriorityLevel::SINGLE,
         arrival,
         deadline_ms: 8_000,
         silent_since_ms: 0,
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request};
 use hyper::body::Incoming;
-use ochreyard_core::direct::{RouteKind, RouteTable};
+use ochreyard_core::direct::{Priority, PriorityLevel, RouteKind, RouteTable};
 use ochreyard_core::error_kind::{ErrorKind, Refusal};
 
 use crate::answer_body::AnswerBody;
@@ -110,6 +110,8 @@
         _buffered_body: BufferedBytes::none(entry),
         request,
         deadline_ms: started_ms + timeout_ms,
+        priority: Priority::new(workspace.and_then(|workspace| workspace.priority).unwrap_or(route.priority)),
+        priority_level: PriorityLevel::SINGLE,
         arrival,
         silent_since_ms: started_ms,
         attempt_started_ms: started_ms,
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -10,8 +10,8 @@
 
 use http::Response;
 use ochreyard_core::direct::{
-    AllowedRegions, Arrival, AttemptOutcome, EndpointIncarnation, Fingerprint, LostRequest, Pick, Route, RouteKind,
-    WaitFacts,
+    AllowedRegions, Arrival, AttemptOutcome, EndpointIncarnation, Fingerprint, LostRequest, Pick, Priority,
+    PriorityLevel, Route, RouteKind, WaitFacts,
 };
 
 use crate::answer::{Answer, caller_response};
@@ -54,6 +54,10 @@
     pub request: CallerRequest,
     /// Deadline of the request, in milliseconds of the entry's clock.
     pub deadline_ms: u64,
+    /// Priority of the request: that of its workspace if set, else that of its route.
+    pub priority: Priority,
+    /// Position of that priority among those of the service.
+    pub priority_level: PriorityLevel,
     /// Arrival of the request at its service.
     pub arrival: Arrival,
     /// When the caller last received something: when the head of its request came, or the last event that it got.
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -146,6 +146,8 @@
             service: &self.service,
             allowed_regions: &self.allowed_regions,
             tried: &self.tried,
+            priority: self.priority,
+            level: self.priority_level,
             arrival: self.arrival,
             deadline_ms: self.deadline_ms,
             silent_since_ms: self.silent_since_ms,
