Timeouts count only after the sockets have been read

Cause: when a stopped process continues, epoll_wait is interrupted and reports no sockets, but the timers that expired meanwhile fire. The entry dropped attempts whose answers were in its socket buffers.

Change: timeouts of ochreyard-direct that await bytes from a socket poll their future again after a few turns of the runtime before they count: the deadline of an attempt, the wait for a silent endpoint or stream, the read of an answer or a request body, connects, and calls to the log and to other boxes. A request is not written to an endpoint after its deadline, and a late stream that is not complete gets 504 as before.

--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -29,7 +29,8 @@
     Answered(Box<Answer<D>>),
     /// The endpoint was not reached, so it never received the request.
     NotSent,
-    /// The request was withheld, since the endpoint paused, left or reached its limit after it was picked.
+    /// The request was withheld, since the endpoint paused, left or reached its limit after it was picked, or the
+    /// deadline passed.
     Withheld,
     /// The endpoint reported that it did not run the request.
     NotRun {
@@ -60,11 +61,18 @@
 ) -> Attempt<D> {
     let in_flight = InFlightAttempt::start(entry, pick);
     let outgoing = request.to_endpoint(entry.dialect.headers(), &pick.id, timeout_ms);
+    let deadline_ms = entry.clock.now_ms() + timeout_ms;
+    // An attempt is still polled after its deadline, to read an answer that has arrived.
+    let is_late = || entry.clock.now_ms() >= deadline_ms;
     let kept = free_connection(entry, pick).await;
-    match exchange(kept, pick.addr, CONNECT_TIMEOUT, || in_flight.try_send(), outgoing).await {
+    match exchange(kept, pick.addr, CONNECT_TIMEOUT, || !is_late() && in_flight.try_send(), outgoing).await {
         Ok(exchanged) => classify(entry, request, pick, in_flight, exchanged),
         Err(ExchangeError::Lost(error)) => lost(&in_flight, &error),
         Err(ExchangeError::Unreachable(error)) => unreachable(&in_flight, pick, &error),
+        Err(ExchangeError::Withheld) if is_late() => {
+            in_flight.withhold();
+            Attempt::Withheld
+        }
         Err(ExchangeError::Withheld) => withheld(entry, pick),
         Err(ExchangeError::ClosedBeforeSend) => not_sent(&in_flight),
     }
--- a/crates/ochreyard-direct/src/connection.rs
+++ b/crates/ochreyard-direct/src/connection.rs
@@ -15,6 +15,7 @@
 use tokio::task::AbortHandle;
 
 use crate::send_failure::SendFailure;
+use crate::timeout::timeout_after_reads;
 
 /// How long sent bytes may stay unacknowledged, and a peer silent. Well over a few retransmissions (200 ms each and
 /// more) on a link that loses packets.
@@ -58,7 +59,7 @@
     ///
     /// When the connection does not open within `timeout`.
     pub async fn open(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
-        let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
+        let stream = timeout_after_reads(timeout, TcpStream::connect(addr)).await.ok_or(io::ErrorKind::TimedOut)??;
         set_socket_options(&stream)?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -21,6 +21,7 @@
 use crate::refusal;
 use crate::relay;
 use crate::stall_outcome::StallOutcome;
+use crate::timeout::timeout_after_reads;
 
 /// Delay after which a caller should send its request again while its box is leaving, in milliseconds: almost at once,
 /// since its next connection leads to another box.
@@ -57,15 +58,15 @@
 ) -> Result<Bytes, ErrorKind> {
     let limits = table.limits();
     let wait = Duration::from_millis(limits.idle_timeout_ms);
-    match tokio::time::timeout(wait, buffer.read_body(body, limits.max_body_bytes)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLong { .. })) => Err(ErrorKind::BodyTooLarge),
-        Ok(Err(BodyError::MemoryLimit)) => {
+    match timeout_after_reads(wait, buffer.read_body(body, limits.max_body_bytes)).await {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(BodyError::TooLong { .. })) => Err(ErrorKind::BodyTooLarge),
+        Some(Err(BodyError::MemoryLimit)) => {
             log::warn!("event=request_rejected cause=\"buffered bodies take too much memory\"");
             Err(ErrorKind::Overloaded)
         }
-        Ok(Err(BodyError::Interrupted(_))) => Err(ErrorKind::BadRequest),
-        Err(_) => Err(ErrorKind::CallerSlow),
+        Some(Err(BodyError::Interrupted(_))) => Err(ErrorKind::BadRequest),
+        None => Err(ErrorKind::CallerSlow),
     }
 }
 
@@ -138,7 +139,9 @@
             Ok(answer) => answer,
             Err(reason) => return job.give_up(reason),
         };
-        if matches!(job.route.kind, RouteKind::Stream { .. }) && answer.head.status.is_success() {
+        // A stream whose deadline has passed could only be broken off after its head, unless it is complete already.
+        let may_stream = answer.head.status.is_success() && job.time_left_ms() > 0;
+        if matches!(job.route.kind, RouteKind::Stream { .. }) && may_stream {
             return relay::stream(job, answer);
         }
         match job.read_complete(answer).await {
--- a/crates/ochreyard-direct/src/http_client.rs
+++ b/crates/ochreyard-direct/src/http_client.rs
@@ -11,6 +11,7 @@
 use crate::call_error::CallError;
 use crate::connection::Connection;
 use crate::exchange::{Exchanged, exchange};
+use crate::timeout::timeout_after_reads;
 
 /// Calls one HTTP server over one persistent connection, one call at a time.
 #[derive(Debug)]
@@ -77,9 +78,9 @@
         let mut kept = self.kept.lock().await;
         // Taken out, so that cancelling the call also drops its connection.
         let connection = kept.take().filter(Connection::is_open);
-        let late = |_| CallError::Timeout(timeout.as_millis());
+        let late = || CallError::Timeout(timeout.as_millis());
         let exchange = self.exchange(connection, request, timeout);
-        let (connection, response) = tokio::time::timeout(timeout, exchange).await.map_err(late)??;
+        let (connection, response) = timeout_after_reads(timeout, exchange).await.ok_or_else(late)??;
         *kept = Some(connection);
         Ok(response)
     }
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -25,6 +25,7 @@
 use crate::give_up_reason::GiveUpReason;
 use crate::meters;
 use crate::stall_outcome::StallOutcome;
+use crate::timeout::{poll_after_reads, timeout_after_reads};
 
 /// Multiple of the route's latency target after which a request leaves an endpoint that sends nothing on any request.
 const SILENCE_TIMEOUT_FACTOR: f64 = 2.5;
@@ -144,7 +145,7 @@
         self.attempt_started_ms = self.entry.clock.now_ms();
         self.head_ms = None;
         let attempt = attempt::send(&self.entry, &self.request, pick, left_ms);
-        tokio::time::timeout(Duration::from_millis(left_ms), self.watch_for_silence(pick, attempt)).await.ok()
+        timeout_after_reads(Duration::from_millis(left_ms), self.watch_for_silence(pick, attempt)).await
     }
 
     /// Waits for an attempt, but gives it up when its endpoint sends nothing on any request or has become slow, if the
@@ -156,17 +157,28 @@
         tokio::pin!(attempt);
         loop {
             tokio::select! {
+                // An attempt that has ended counts, however late this is noticed.
+                biased;
                 done = &mut attempt => return done,
                 () = tokio::time::sleep(SILENCE_CHECK_INTERVAL) => {}
             }
             let now_ms = self.entry.clock.now_ms();
             let waited_ms = now_ms - started_ms;
-            let is_silent = self.entry.state.borrow().pool.is_silent(&pick.id, silence_timeout_ms, now_ms);
+            let is_silent = || {
+                let now_ms = self.entry.clock.now_ms();
+                self.entry.state.borrow().pool.is_silent(&pick.id, silence_timeout_ms, now_ms)
+            };
             if may_retry_elsewhere && self.should_migrate(pick) {
                 return Attempt::MayHaveRun { cause: SLOW_ENDPOINT.to_owned() };
             }
-            if may_retry_elsewhere && waited_ms >= silence_timeout_ms && is_silent {
-                return Attempt::MayHaveRun { cause: format!("silent for {waited_ms} ms") };
+            if may_retry_elsewhere && waited_ms >= silence_timeout_ms && is_silent() {
+                if let Some(done) = poll_after_reads(attempt.as_mut()).await {
+                    return done;
+                }
+                // Answers to other requests may have been read meanwhile.
+                if is_silent() {
+                    return Attempt::MayHaveRun { cause: format!("silent for {waited_ms} ms") };
+                }
             }
         }
     }
@@ -203,19 +215,19 @@
     pub async fn read_complete(&mut self, mut answer: Answer<D>) -> Option<Response<AnswerBody>> {
         let wait = Duration::from_millis(self.time_left_ms());
         let mut buffer = BufferedBytes::none(&self.entry);
-        let body = match tokio::time::timeout(wait, buffer.read_body(&mut answer.body, MAX_ANSWER_BYTES)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(BodyError::Interrupted(error))) => {
+        let body = match timeout_after_reads(wait, buffer.read_body(&mut answer.body, MAX_ANSWER_BYTES)).await {
+            Some(Ok(body)) => body,
+            Some(Err(BodyError::Interrupted(error))) => {
                 answer.in_flight.set_outcome(AttemptOutcome::Failed);
                 self.record_lost_attempt(&answer.pick, &format!("answer broke off: {error}")).await;
                 return None;
             }
-            Ok(Err(cause)) => {
+            Some(Err(cause)) => {
                 answer.in_flight.set_outcome(AttemptOutcome::Failed);
                 self.record_failed_attempt(&answer.pick, &format!("answer not read: {cause}"));
                 return None;
             }
-            Err(_) => {
+            None => {
                 self.may_have_run = true;
                 return None;
             }
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -45,6 +45,7 @@
 mod signals;
 mod stall_outcome;
 mod sync_cursor;
+mod timeout;
 
 pub use call_error::CallError;
 pub use connection::set_socket_options;
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::dialect::Dialect;
 use crate::job::{Job, SLOW_ENDPOINT};
 use crate::meters;
+use crate::timeout::timeout_after_reads;
 
 /// Multiple of the target gap between events after which a stream leaves an endpoint that sends nothing on any request.
 const SILENCE_TIMEOUT_GAPS: u64 = 8;
@@ -91,8 +92,8 @@
         }
         let silence_timeout_ms = self.job.route.target_gap_ms.unwrap_or(DEFAULT_GAP_MS) * SILENCE_TIMEOUT_GAPS;
         let wait = Duration::from_millis(left_ms.min(silence_timeout_ms));
-        match tokio::time::timeout(wait, answer.body.frame()).await {
-            Ok(Some(Ok(frame))) => {
+        match timeout_after_reads(wait, answer.body.frame()).await {
+            Some(Some(Ok(frame))) => {
                 answer.in_flight.on_response_bytes();
                 let data = frame.into_data().unwrap_or_default();
                 let complete = self.splitter.push(&data);
@@ -101,11 +102,11 @@
                 }
                 if complete.count == 0 { Step::Partial } else { Step::Events(complete.bytes) }
             }
-            Ok(Some(Err(error))) => Step::Broken { cause: error.to_string(), is_lost: true },
-            Ok(None) if self.splitter.has_partial_event() => {
+            Some(Some(Err(error))) => Step::Broken { cause: error.to_string(), is_lost: true },
+            Some(None) if self.splitter.has_partial_event() => {
                 Step::Broken { cause: "stream ended within an event".to_owned(), is_lost: true }
             }
-            Ok(None) => {
+            Some(None) => {
                 answer.in_flight.set_outcome(AttemptOutcome::Success);
                 self.job.record_success();
                 meters::on_answer(&self.job.service, "whole", self.job.elapsed_ms());
@@ -115,11 +116,11 @@
                 }
                 Step::End
             }
-            Err(_) if self.job.time_left_ms() == 0 => Step::TimeUp,
-            Err(_) if answer.in_flight.is_silent(silence_timeout_ms) && self.may_resume() => {
+            None if self.job.time_left_ms() == 0 => Step::TimeUp,
+            None if answer.in_flight.is_silent(silence_timeout_ms) && self.may_resume() => {
                 Step::Broken { cause: format!("silent for {silence_timeout_ms} ms"), is_lost: false }
             }
-            Err(_) => Step::Partial,
+            None => Step::Partial,
         }
     }
 
