A stopping leader hands its groups over to a successor that it picks

Cause: when the box of a leader stops, its group has no leader for 0.5 to 1.2 s: the other entries hear that it stood down, check every 150 ms, wait for their turn, search for the ranks (0.4 s where an agent is silent), and pause 0.8 s after an attempt at which some grants were still held. The next leader knows no demand.

Change: the leader notices the stop in the pause between rounds, reports once more, releases its grants (100 ms at most; later releases go on) and posts a LeadershipHandover to `/lead` of the other boxes, strongest first, until one accepts: members, demand, map in use, arming time, highest map version. Three boxes that do not answer within 100 ms, eight boxes or 400 ms end the attempts, and the order of candidates applies as before. The successor asks the agents at once, and again for one lease while too few grant it and no other leader holds a majority. A box that stops, has just started, was too slow, or leads a group of the service refuses; so does one that has heard of another leader of the group since.

Reports name their leader by a tag (`leader`, absent in older versions). An update that a leader stood down counts only if that leader reported last: before, a candidate that got no majority made all entries forget the leader in office.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
@@ -1,6 +1,6 @@
 //! The state of a group of endpoints whose ranks run each step together.
 
-use super::REPORT_LIFETIME_MS;
+use super::{LeaderReport, REPORT_LIFETIME_MS};
 use crate::direct::group_update::{GroupUpdate, RankUpdate, ReporterRole};
 
 /// How long a group is avoided after one of its ranks reported a fault of another rank, in milliseconds. Its leader has
@@ -24,6 +24,8 @@
     reported_ms: u64,
     fault_until_ms: u64,
     leader_reported_ms: Option<u64>,
+    /// Tag of the leader that reported last.
+    leader_tag: Option<u64>,
     observer_reported_ms: Option<u64>,
     /// The number of the event at which the group last stalled.
     stalled_at_event: u64,
@@ -42,6 +44,7 @@
             reported_ms: now_ms,
             fault_until_ms: 0,
             leader_reported_ms: None,
+            leader_tag: None,
             observer_reported_ms: None,
             stalled_at_event: 0,
             roster: Vec::new(),
@@ -53,11 +56,17 @@
     /// group has a leader.
     pub fn apply_update(&mut self, update: &GroupUpdate, event: u64, now_ms: u64) -> bool {
         match update.reporter_role {
-            ReporterRole::Leads => self.leader_reported_ms = Some(now_ms),
+            ReporterRole::Leads => {
+                self.leader_reported_ms = Some(now_ms);
+                self.leader_tag = update.leader_tag;
+            }
             ReporterRole::Observes if self.has_leader(now_ms) => return false,
             ReporterRole::Observes => self.observer_reported_ms = Some(now_ms),
             ReporterRole::StoodDown => {
-                self.leader_reported_ms = None;
+                // The update of a former leader may arrive after the first report of the next one.
+                if update.leader_tag.is_none() || update.leader_tag == self.leader_tag {
+                    self.leader_reported_ms = None;
+                }
                 return false;
             }
         }
@@ -108,6 +117,12 @@
         self.leader_reported_ms.is_some_and(|leader_reported_ms| now_ms < leader_reported_ms + LEADER_TIMEOUT_MS)
     }
 
+    /// Returns the last report of the group's leader, if it is recent enough for the leader to count as such.
+    pub fn leader_report(&self, now_ms: u64) -> Option<LeaderReport> {
+        let age_ms = now_ms.saturating_sub(self.leader_reported_ms?);
+        (age_ms < LEADER_TIMEOUT_MS).then_some(LeaderReport { age_ms, leader_tag: self.leader_tag })
+    }
+
     /// Returns whether the group is neither led nor watched by an observer that checks whether it can be led.
     pub fn is_leaderless(&self, now_ms: u64) -> bool {
         let is_observed = self
--- a/crates/ochreyard-core/src/direct/endpoint_pool/groups.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/groups.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::group::Group;
-use super::{EndpointPool, LeaderlessGroups, Member, ReportedLoad};
+use super::{EndpointPool, LeaderReport, LeaderlessGroups, Member, ReportedLoad};
 use crate::direct::endpoint_record::EndpointRecord;
 use crate::direct::group_update::GroupUpdate;
 
@@ -55,6 +55,12 @@
         self.groups.get(&group_key(service, group)).is_none_or(|group| group.is_leaderless(now_ms))
     }
 
+    /// Returns the last report of a group's leader, if it is recent enough for the leader to count as such.
+    #[must_use]
+    pub fn leader_report(&self, service: &str, group: &str, now_ms: u64) -> Option<LeaderReport> {
+        self.groups.get(&group_key(service, group))?.leader_report(now_ms)
+    }
+
     /// Returns the groups of a service without a known leader.
     #[must_use]
     pub fn leaderless_groups(&self, service: &str, now_ms: u64) -> LeaderlessGroups {
--- a/crates/ochreyard-core/src/direct/group_update.rs
+++ b/crates/ochreyard-core/src/direct/group_update.rs
@@ -26,6 +26,9 @@
     /// Role in the group of the entry that reports.
     #[serde(rename = "teller")]
     pub reporter_role: ReporterRole,
+    /// Tag of the leader that reports, or has given up the lead; absent in reports of older versions.
+    #[serde(rename = "leader", default, skip_serializing_if = "Option::is_none")]
+    pub leader_tag: Option<u64>,
     /// Whether the group makes progress: it is complete, and is not stalled.
     pub is_serving: bool,
     /// Recent duration of a step, in milliseconds; 0 where that is not known.
--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -10,6 +10,7 @@
 mod compact_map;
 mod controller;
 mod demand;
+mod handover;
 mod leader_grant;
 mod leader_id;
 mod leadership;
@@ -18,14 +19,18 @@
 mod order;
 mod placement;
 mod planner;
+mod round_times;
 mod selection_counts;
 mod shift_response_times;
 mod step_times;
 
 pub use arming_times::ArmingTimes;
-pub use candidacy::{Candidacy, candidate_position};
+pub use candidacy::{Candidacy, candidate_position, successor_candidates};
 pub use controller::{ChangePhase, MapController, MapControllerSettings, Round};
 pub use demand::{Demand, selections_between};
+pub use handover::{
+    FirstGrants, HandoverAnswer, HandoverAttempts, HandoverRefusal, LeadershipHandover, SuccessorState,
+};
 pub use leader_grant::LeaderGrant;
 pub use leader_id::LeaderId;
 pub use leadership::Leadership;
@@ -34,6 +39,7 @@
 pub use order::{ArmedMap, Order, OrderOutcome, RankView, SentOrder};
 pub use placement::GroupPlacement;
 pub use planner::{PlanSettings, PlannedMap, Planner};
+pub use round_times::RoundTimes;
 pub use selection_counts::SelectionCounts;
 pub use shift_response_times::{ShiftResponse, ShiftResponseTimes};
 pub use step_times::StepTimes;
--- a/crates/ochreyard-core/src/group_map/arming_times.rs
+++ b/crates/ochreyard-core/src/group_map/arming_times.rs
@@ -13,6 +13,12 @@
 }
 
 impl ArmingTimes {
+    /// Creates the times of a leader whose predecessor observed this mean, in milliseconds; 0 if it observed none.
+    #[must_use]
+    pub fn handed_over(mean_ms: u64) -> Self {
+        Self { arming_since_ms: None, mean_ms: Some(mean_ms as f64).filter(|mean_ms| *mean_ms > 0.0) }
+    }
+
     /// Records that the controller entered `phase`.
     pub fn on_phase(&mut self, phase: &ChangePhase, now_ms: u64) {
         let arming_since_ms = self.arming_since_ms.take();
--- a/crates/ochreyard-core/src/group_map/candidacy.rs
+++ b/crates/ochreyard-core/src/group_map/candidacy.rs
@@ -7,6 +7,7 @@
 //! sequential requests would grow with the number of groups.
 
 use std::cmp::Reverse;
+use std::net::SocketAddr;
 
 use crate::direct::{BoxList, BoxRecord, LeaderlessGroups};
 use crate::hash;
@@ -87,9 +88,21 @@
 /// from service to service, so that one box does not lead all of them.
 #[must_use]
 pub fn candidate_position(service: &str, own: (&str, &BoxRecord), others: &BoxList) -> usize {
-    let key = |(name, record): (&str, &BoxRecord)| {
-        let tie_breaker = hash::mix(hash::fnv1a(service.as_bytes()) ^ hash::fnv1a(name.as_bytes()));
-        (Reverse(record.cores_permille), Reverse(record.link_mbps), tie_breaker)
-    };
-    others.iter().filter(|other| key(*other) < key(own)).count()
+    let own_key = candidate_key(service, own);
+    others.iter().filter(|other| candidate_key(service, *other) < own_key).count()
+}
+
+/// The other boxes that answered recently, in the order in which they are asked to succeed a leader: that of the
+/// candidates.
+#[must_use]
+pub fn successor_candidates(service: &str, others: &BoxList, now_ms: u64) -> Vec<SocketAddr> {
+    let mut candidates: Vec<_> = others.responsive(now_ms).collect();
+    candidates.sort_by_cached_key(|candidate| candidate_key(service, *candidate));
+    candidates.into_iter().map(|(_, record)| record.addr).collect()
+}
+
+/// The key by which candidates are sorted.
+fn candidate_key(service: &str, (name, record): (&str, &BoxRecord)) -> (Reverse<u64>, Reverse<u64>, u64) {
+    let tie_breaker = hash::mix(hash::fnv1a(service.as_bytes()) ^ hash::fnv1a(name.as_bytes()));
+    (Reverse(record.cores_permille), Reverse(record.link_mbps), tie_breaker)
 }
--- a/crates/ochreyard-core/src/group_map/controller.rs
+++ b/crates/ochreyard-core/src/group_map/controller.rs
@@ -26,12 +26,13 @@
 pub use self::phase::ChangePhase;
 pub use self::round::Round;
 pub use self::settings::MapControllerSettings;
+use super::leader_id::LeaderId;
 use super::order::{Order, OrderOutcome, RankView, SentOrder};
 use super::placement::GroupPlacement;
 
 /// A map version is a change count times this bound, plus a tag of the leader that is below
 /// the bound. Versions stay small enough to be exact in JSON.
-const VERSION_TAGS: u64 = 1 << 20;
+const VERSION_TAGS: u64 = LeaderId::TAGS;
 
 /// Most doublings of the increment by which the version is raised after refusals.
 const MAX_DOUBLINGS: u32 = 10;
@@ -152,6 +153,17 @@
         self.current_map = Some((version, placement));
     }
 
+    /// The highest map version that ranks reported or this controller used.
+    #[must_use]
+    pub const fn highest_version(&self) -> u64 {
+        self.highest_version
+    }
+
+    /// Raises the highest known version to one that a former leader knew, so that ranks refuse no version of this one.
+    pub fn raise_highest_version(&mut self, version: u64) {
+        self.highest_version = self.highest_version.max(version);
+    }
+
     /// Whether a change has been released and its first step is imminent.
     #[must_use]
     pub fn is_about_to_switch(&self, views: &[Option<RankView>]) -> bool {
--- a/crates/ochreyard-core/src/group_map/demand.rs
+++ b/crates/ochreyard-core/src/group_map/demand.rs
@@ -1,6 +1,8 @@
 //! How often each expert is selected, from cumulative counts that may restart at zero, and
 //! when that demand has shifted.
 
+use super::selection_counts::SelectionCounts;
+
 /// A distance of this many times the usual distance counts as a shift. Under constant demand
 /// the distance between readings has a standard deviation of about a third of its mean, so this
 /// is more than four deviations from it; a shift moves a third of the selections or more.
@@ -39,6 +41,19 @@
         Self { fade_ms, rates: vec![0.0; length], last_ms: 0, usual_distance: FIRST_USUAL, is_mostly_stale: false }
     }
 
+    /// Creates the demand from the recent selections that a former leader handed over.
+    #[must_use]
+    pub fn handed_over(selections: Vec<f64>, fade_ms: f64, now_ms: u64) -> Self {
+        Self { rates: selections, last_ms: now_ms, ..Self::new(0, fade_ms) }
+    }
+
+    /// The recent selections, rounded so that they can be handed over.
+    #[must_use]
+    pub fn rounded(&self) -> SelectionCounts {
+        let rounded: Vec<u64> = self.rates.iter().map(|rate| rate.round() as u64).collect();
+        SelectionCounts::new(&rounded)
+    }
+
     /// Adds the selections since the last call. Returns whether the demand has shifted, in
     /// which case all earlier counts are dropped at once.
     pub fn observe(&mut self, selections: &[f64], now_ms: u64) -> bool {
--- a/crates/ochreyard-core/src/group_map/leader_id.rs
+++ b/crates/ochreyard-core/src/group_map/leader_id.rs
@@ -9,3 +9,14 @@
     /// The incarnation's number, which is unique among the incarnations of all boxes.
     pub life: u64,
 }
+
+impl LeaderId {
+    /// Number of tags.
+    pub(super) const TAGS: u64 = 1 << 20;
+
+    /// A short form of the identity, for map versions and reports. Two leaders of one group share it by chance only.
+    #[must_use]
+    pub const fn tag(&self) -> u64 {
+        self.life % Self::TAGS
+    }
+}
--- a/crates/ochreyard-core/src/group_map/placement.rs
+++ b/crates/ochreyard-core/src/group_map/placement.rs
@@ -27,6 +27,11 @@
         Self { experts, sets: sorted((0..sets).map(set).collect()) }
     }
 
+    /// Builds a placement from the experts by set and rank.
+    pub(super) fn from_sets(experts: usize, sets: Vec<Vec<Vec<u16>>>) -> Self {
+        Self { experts, sets: sorted(sets) }
+    }
+
     /// The number of experts in a set.
     #[must_use]
     pub const fn experts(&self) -> usize {
--- /dev/null
+++ b/crates/ochreyard-core/tests/leadership_handover.rs
@@ -0,0 +1,274 @@
+//! Tests how a leader that stops finds a successor, and when a box accepts.
+
+use std::net::SocketAddr;
+
+use ochreyard_core::direct::{BoxList, BoxRecord, EndpointPool, GroupUpdate, LeaderReport, ReporterRole};
+use ochreyard_core::group_map::{
+    Demand, FirstGrants, GroupPlacement, HandoverAnswer, HandoverAttempts, HandoverRefusal, LeaderGrant, LeaderId,
+    Leadership, LeadershipHandover, MapController, MapControllerSettings, SelectionCounts, SuccessorState,
+    successor_candidates,
+};
+use rstest::rstest;
+
+const LEASE_MS: u64 = 800;
+const FORMER: LeaderId = LeaderId { life: 7 };
+
+fn addr(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7_000 + number))
+}
+
+fn handover() -> LeadershipHandover {
+    LeadershipHandover {
+        service: "tiles".into(),
+        group: "g0".into(),
+        size: 2,
+        from: FORMER,
+        report_age_ms: 20,
+        members: [(0, addr(0)), (1, addr(1))].into(),
+        demand: Some(SelectionCounts::new(&[30, 10, 20, 40])),
+        map_version: Some(3),
+        map: vec![vec![vec![0, 2], vec![1, 3]]],
+        arming_ms: 90,
+        highest_version: 5 << 20,
+        round_ms: 40,
+    }
+}
+
+const READY: SuccessorState = SuccessorState {
+    is_stopping: false,
+    is_ready: true,
+    is_slow: false,
+    leads_group: false,
+    leads_other: false,
+    leader_report: Some(LeaderReport { age_ms: 100, leader_tag: Some(FORMER.tag()) }),
+};
+
+#[rstest]
+#[case::ready(READY, None)]
+#[case::stopping(SuccessorState { is_stopping: true, ..READY }, Some(HandoverRefusal::Stopping))]
+#[case::just_started(SuccessorState { is_ready: false, ..READY }, Some(HandoverRefusal::NotReady))]
+#[case::slow(SuccessorState { is_slow: true, ..READY }, Some(HandoverRefusal::TooSlow))]
+#[case::doubled(SuccessorState { leads_group: true, ..READY }, Some(HandoverRefusal::LeadsGroup))]
+#[case::leads_another_group(SuccessorState { leads_other: true, ..READY }, Some(HandoverRefusal::LeadsOther))]
+#[case::late(
+    SuccessorState { leader_report: Some(LeaderReport { age_ms: 10, leader_tag: Some(8) }), ..READY },
+    Some(HandoverRefusal::HasLeader)
+)]
+#[case::late_and_nobody_leads(SuccessorState { leader_report: None, ..READY }, None)]
+#[case::leader_of_an_older_version(
+    SuccessorState { leader_report: Some(LeaderReport { age_ms: 10, leader_tag: None }), ..READY },
+    None
+)]
+fn a_box_accepts_only_what_it_can_lead(#[case] state: SuccessorState, #[case] refusal: Option<HandoverRefusal>) {
+    assert_eq!(state.decide(&handover()).err(), refusal);
+}
+
+#[rstest]
+#[case::no_ranks(LeadershipHandover { size: 0, members: [].into(), map: vec![], ..handover() })]
+#[case::too_many_ranks(LeadershipHandover { size: 1 << 40, map: vec![], map_version: None, ..handover() })]
+#[case::unknown_rank(LeadershipHandover { members: [(2, addr(2))].into(), ..handover() })]
+#[case::map_of_another_size(LeadershipHandover { map: vec![vec![vec![0, 1, 2, 3]]], ..handover() })]
+#[case::inexact_highest_version(LeadershipHandover { highest_version: u64::MAX, ..handover() })]
+#[case::inexact_map_version(LeadershipHandover { map_version: Some(u64::MAX), ..handover() })]
+fn a_handover_that_contradicts_itself_is_refused(#[case] handover: LeadershipHandover) {
+    assert_eq!(READY.decide(&handover), Err(HandoverRefusal::Invalid));
+}
+
+#[test]
+fn boxes_one_version_older_and_newer_read_the_messages() {
+    let written = serde_json::to_value(handover()).unwrap();
+    assert_eq!(serde_json::from_value::<LeadershipHandover>(written.clone()).unwrap(), handover());
+    let mut newer = written;
+    newer["new_field"] = serde_json::json!({"a": [1]});
+    assert_eq!(serde_json::from_value::<LeadershipHandover>(newer).unwrap(), handover());
+    let least = serde_json::json!({"service": "tiles", "group": "g0", "size": 2, "from": 7});
+    let least: LeadershipHandover = serde_json::from_value(least).unwrap();
+    assert!(least.is_consistent() && least.current_map(1, 4).is_none() && least.selections(4).is_none());
+    let refusal = r#"{"accepted": false, "refusal": "new_reason", "new_field": 1}"#;
+    let refusal: HandoverAnswer = serde_json::from_str(refusal).unwrap();
+    assert_eq!(refusal, HandoverAnswer { accepted: false, refusal: Some(HandoverRefusal::Unknown) });
+}
+
+/// A plan on demand or a map of other engines would index outside of it.
+#[test]
+fn demand_and_map_are_used_only_where_they_fit_the_engines() {
+    assert_eq!(handover().selections(4), Some(vec![30.0, 10.0, 20.0, 40.0]));
+    assert_eq!(handover().selections(5), None);
+    let expected = GroupPlacement::from_ranks(4, &[vec![vec![0, 2]], vec![vec![1, 3]]]);
+    assert_eq!(handover().current_map(1, 4), Some((3, expected)));
+    assert!(handover().current_map(2, 4).is_none(), "two sets");
+    assert!(handover().current_map(1, 3).is_none(), "expert 3 does not exist");
+    assert!(handover().current_map(1, 5).is_none(), "expert 4 has no rank");
+}
+
+#[test]
+fn the_successor_detects_a_shift_from_the_demand_that_it_was_handed() {
+    let selections = handover().selections(4).unwrap();
+    let mut demand = Demand::handed_over(selections, 150.0, 1_000);
+    assert_eq!(demand.rounded(), handover().demand.unwrap());
+    assert!(!demand.observe(&[31.0, 9.0, 21.0, 39.0], 1_100));
+    assert!(demand.observe(&[1.0, 90.0, 1.0, 8.0], 1_200));
+}
+
+/// Ranks refuse versions up to the highest that they ever had, and each refusal costs a copy of all experts.
+#[test]
+fn the_successor_uses_versions_above_those_of_the_former_leader() {
+    let mut controller = MapController::new(MapControllerSettings::default(), 0, 9);
+    controller.raise_highest_version(handover().highest_version);
+    controller.propose(GroupPlacement::round_robin(1, 4, 2), 1, 0);
+    assert_eq!(controller.highest_version(), (6 << 20) + 9);
+}
+
+fn asked(silent: impl Fn(usize) -> bool, took_ms: u64) -> usize {
+    let mut attempts = HandoverAttempts::new((0..20).map(addr).collect(), 1_000);
+    let mut now_ms = 1_000;
+    let mut asked = 0;
+    while attempts.next_candidate(now_ms).is_some() {
+        if silent(asked) {
+            attempts.on_silent();
+        }
+        asked += 1;
+        now_ms += took_ms;
+    }
+    asked
+}
+
+#[test]
+fn three_silent_candidates_or_four_tenths_of_a_second_end_the_attempts() {
+    assert_eq!(asked(|_| true, HandoverAttempts::ANSWER_TIMEOUT_MS), 3);
+    assert_eq!(asked(|at| at < 2, 1), 8, "refusals cost a round trip each");
+    assert_eq!(asked(|_| false, 90), 5);
+    let mut alone = HandoverAttempts::new(Vec::new(), 0);
+    assert_eq!(alone.next_candidate(0), None);
+}
+
+#[test]
+fn the_strongest_other_box_is_asked_first_and_silent_ones_are_not() {
+    let record = |number: u16, cores_permille: u64, link_mbps: u64| BoxRecord {
+        addr: addr(number),
+        data_centre: String::new(),
+        cores_permille,
+        link_mbps,
+    };
+    let mut others = BoxList::default();
+    for (name, record) in [("a", record(1, 240, 40)), ("b", record(2, 500, 100)), ("c", record(3, 500, 200))] {
+        others.insert(name, record);
+    }
+    assert_eq!(successor_candidates("tiles", &others, 0), [addr(3), addr(2), addr(1)]);
+    for now_ms in (0..20_000).step_by(100) {
+        others.on_poll_unanswered(addr(3), now_ms);
+        others.on_heard(addr(1), now_ms);
+        others.on_heard(addr(2), now_ms);
+    }
+    assert_eq!(successor_candidates("tiles", &others, 20_000), [addr(2), addr(1)]);
+}
+
+fn report(role: ReporterRole, tag: Option<u64>) -> GroupUpdate {
+    GroupUpdate {
+        service: "tiles".into(),
+        group: "g0".into(),
+        reporter_role: role,
+        leader_tag: tag,
+        is_serving: true,
+        ..GroupUpdate::default()
+    }
+}
+
+/// Updates are forwarded over different paths, and a candidate that failed ends its term with an update, too.
+#[test]
+fn only_the_reporting_leader_can_give_up_the_lead() {
+    let mut pool = EndpointPool::new();
+    pool.apply_group_update(&report(ReporterRole::Leads, Some(1)), 0);
+    pool.apply_group_update(&report(ReporterRole::Leads, Some(2)), 100);
+    pool.apply_group_update(&report(ReporterRole::StoodDown, Some(1)), 150);
+    let expected = LeaderReport { age_ms: 60, leader_tag: Some(2) };
+    assert_eq!(pool.leader_report("tiles", "g0", 160), Some(expected));
+    pool.apply_group_update(&report(ReporterRole::StoodDown, Some(2)), 200);
+    assert_eq!(pool.leader_report("tiles", "g0", 200), None);
+    pool.apply_group_update(&report(ReporterRole::Leads, Some(2)), 300);
+    pool.apply_group_update(&report(ReporterRole::StoodDown, None), 400);
+    assert_eq!(pool.leader_report("tiles", "g0", 400), None, "a leader of an older version");
+    pool.apply_group_update(&report(ReporterRole::Leads, Some(2)), 500);
+    assert_eq!(pool.leader_report("tiles", "g0", 1_400), None, "it is silent");
+}
+
+/// Agents of one group, and the successors that ask them for their first grants.
+struct Agents {
+    grants: Vec<LeaderGrant>,
+}
+
+struct Successor {
+    id: LeaderId,
+    first_grants: FirstGrants,
+    next_round_ms: Option<u64>,
+    is_leading: bool,
+    /// Number of agents that each round of requests reaches, from the first one or from the last one.
+    asks_last_first: bool,
+}
+
+const SIZE: usize = 24;
+
+impl Agents {
+    /// Half of the grants of a round are requested first by one successor, half by the other, as on two sides of a
+    /// network.
+    fn run(&mut self, successors: &mut [Successor], now_ms: u64, draw: &mut u64) {
+        let due: Vec<usize> =
+            (0..successors.len()).filter(|at| successors[*at].next_round_ms == Some(now_ms)).collect();
+        let mut leaderships = vec![Leadership::new(LEASE_MS); successors.len()];
+        for half in 0..2 {
+            for &at in &due {
+                let asks_last = (half == 1) != successors[at].asks_last_first;
+                let ranks = if asks_last { SIZE / 2..SIZE } else { 0..SIZE / 2 };
+                for rank in ranks {
+                    let granted = self.grants[rank].try_grant(&successors[at].id, LEASE_MS, now_ms);
+                    leaderships[at].on_answer(rank, granted, now_ms);
+                }
+            }
+        }
+        for &at in &due {
+            let successor = &mut successors[at];
+            if leaderships[at].has_majority(SIZE, now_ms, 0) {
+                successor.is_leading = true;
+                successor.next_round_ms = Some(now_ms + 100);
+                continue;
+            }
+            let others = self.grants.iter().filter_map(|grant| grant.holder(now_ms).copied());
+            let holders: Vec<LeaderId> = others.filter(|holder| *holder != successor.id).collect();
+            *draw += 1;
+            let draw = ochreyard_core::hash::mix(*draw);
+            let pause_ms = successor.first_grants.retry_pause_ms(&holders, SIZE, draw, now_ms);
+            self.grants.iter_mut().for_each(|grant| grant.release(&successor.id));
+            successor.next_round_ms = pause_ms.map(|pause_ms| now_ms + pause_ms);
+        }
+    }
+}
+
+/// A box whose answer was late leads beside the one that was asked next: each of them gets half of the grants.
+#[rstest]
+fn of_two_successors_one_leads(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut agents = Agents { grants: vec![LeaderGrant::new(LEASE_MS, 0); SIZE] };
+    let new_successor = |life: u64, asks_last_first: bool| Successor {
+        id: LeaderId { life },
+        first_grants: FirstGrants::new(FORMER, LEASE_MS, 1_000),
+        next_round_ms: Some(1_000),
+        is_leading: false,
+        asks_last_first,
+    };
+    let mut successors = [new_successor(1, false), new_successor(2, true)];
+    let mut draw = seed << 32;
+    for now_ms in 1_000..1_800 {
+        agents.run(&mut successors, now_ms, &mut draw);
+    }
+    assert_eq!(successors.iter().filter(|successor| successor.is_leading).count(), 1);
+    assert_eq!(successors.iter().filter(|successor| successor.next_round_ms.is_none()).count(), 1, "the other ends");
+}
+
+#[test]
+fn a_successor_waits_for_lost_releases_but_not_for_another_leader() {
+    let first_grants = FirstGrants::new(FORMER, LEASE_MS, 1_000);
+    assert!(first_grants.retry_pause_ms(&[FORMER; SIZE], SIZE, 9, 1_799).is_some());
+    assert!(first_grants.retry_pause_ms(&[FORMER; SIZE], SIZE, 9, 1_800).is_none(), "its grants have expired");
+    let other = LeaderId { life: 3 };
+    assert!(first_grants.retry_pause_ms(&[other; SIZE / 2], SIZE, 9, 1_100).is_some());
+    assert!(first_grants.retry_pause_ms(&[other; SIZE / 2 + 1], SIZE, 9, 1_100).is_none());
+}
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -21,7 +21,7 @@
 use crate::crash_check::CrashChecks;
 use crate::dialect::Dialect;
 use crate::http_client::HttpClient;
-use crate::peers::{FullSyncLimiter, PeerEndpoint, UnreachablePeers};
+use crate::peers::{FullSyncLimiter, HandoverHandler, PeerEndpoint, UnreachablePeers};
 use crate::sync_cursor::SyncCursor;
 
 /// How long a box that has just started waits for the state of other boxes, in milliseconds: long enough to poll a few
@@ -44,6 +44,10 @@
     pub has_initial_sync: Cell<bool>,
     /// Whether a planned stop has begun.
     pub is_stopping: Cell<bool>,
+    /// Notified when a planned stop begins.
+    pub stop_begun: Notify,
+    /// Decides on handovers of the leadership of groups; `None` if this process leads none.
+    pub handover_handler: RefCell<Option<HandoverHandler>>,
     /// Whether new requests are refused, because they might not end before the process.
     pub is_refusing: Cell<bool>,
     /// Checks of endpoints that broke a connection.
@@ -83,6 +87,8 @@
             clock,
             state: RefCell::new(state),
             is_stopping: Cell::new(false),
+            stop_begun: Notify::new(),
+            handover_handler: RefCell::default(),
             is_refusing: Cell::new(false),
             crash_checks: CrashChecks::default(),
             outbox: Outbox::default(),
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -204,6 +204,7 @@
     let started_ms = entry.clock.now_ms();
     log::info!("event=entry_leaving grace_ms={grace_ms}");
     entry.is_stopping.set(true);
+    entry.stop_begun.notify_waiters();
     let accept_ms = BALANCER_LAG_MS.min(grace_ms / 2);
     tokio::time::sleep(Duration::from_millis(accept_ms)).await;
     entry.is_refusing.set(true);
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -158,6 +158,7 @@
         (ListenerKind::Peers, &Method::POST, LeavingUpdate::PATH) => {
             empty_response(peers::receive_update::<D, LeavingUpdate>(entry, request).await)
         }
+        (ListenerKind::Peers, &Method::POST, peers::HANDOVER_PATH) => peers::receive_handover(entry, request).await,
         (ListenerKind::Peers, &Method::GET, QUARANTINE_PATH) => json_response(&operator_api::list_quarantined(entry)),
         (ListenerKind::Peers, &Method::POST, RELEASE_PATH) => {
             empty_response(operator_api::release(entry, request).await)
--- a/crates/ochreyard-lead/src/group_reporter.rs
+++ b/crates/ochreyard-lead/src/group_reporter.rs
@@ -34,6 +34,11 @@
         Self { entry, reported_ms: 0, reported_serving: None, last_names: None }
     }
 
+    /// Time since the last report, in milliseconds.
+    pub fn report_age_ms(&self) -> u64 {
+        self.entry.clock.now_ms().saturating_sub(self.reported_ms)
+    }
+
     /// Whether a report is due.
     pub fn is_due(&self, is_serving: bool, now_ms: u64) -> bool {
         self.reported_serving != Some(is_serving) || now_ms >= self.reported_ms + REPORT_INTERVAL_MS
--- a/crates/ochreyard-lead/src/leader.rs
+++ b/crates/ochreyard-lead/src/leader.rs
@@ -2,6 +2,7 @@
 
 mod decision;
 mod discovery;
+mod handing_over;
 mod hold_rank;
 mod observation;
 mod proposal;
@@ -14,8 +15,8 @@
 use futures::future::join_all;
 use ochreyard_core::direct::ReporterRole;
 use ochreyard_core::group_map::{
-    ArmingTimes, Demand, LeaderId, Leadership, MapController, MapControllerSettings, MeanSkew, Round, SentOrder,
-    ShiftResponseTimes,
+    ArmingTimes, Demand, FirstGrants, LeaderId, Leadership, MapController, MapControllerSettings, MeanSkew, Round,
+    RoundTimes, SentOrder, ShiftResponseTimes,
 };
 use ochreyard_direct::{Dialect, Entry};
 use ochreyard_rank::{EngineFactory, LeaderRequest};
@@ -35,6 +36,9 @@
 /// Maximum number of observations of such a group before another entry may attempt to lead it.
 const MAX_OBSERVATIONS: u32 = 10;
 
+/// How long a leader waits for its agents to release the grants: a few round trips between data centres.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Leads one group for one term.
 pub struct Leader<D, F> {
     entry: Rc<Entry<D>>,
@@ -53,6 +57,8 @@
     mean_skew: MeanSkew,
     pace_log: PaceLog,
     is_serving: bool,
+    /// Whether a majority of the agents has granted the leadership.
+    is_leading: bool,
     demand: Option<Demand>,
     counts_requested_ms: u64,
     /// Whether the demand has shifted since the change in progress was planned.
@@ -64,6 +70,29 @@
     wait_logged_ms: u64,
     /// Duration of the last search for a map, in milliseconds.
     search_ms: u64,
+    round_times: RoundTimes,
+    /// The other leaders that agents named in the last round.
+    other_holders: Vec<LeaderId>,
+    /// The handover by which this leader began.
+    predecessor: Option<Predecessor>,
+}
+
+/// What a leader knows about the one that handed over to it.
+struct Predecessor {
+    first_grants: FirstGrants,
+    /// Time of the predecessor's last report, in milliseconds.
+    reported_ms: u64,
+}
+
+/// Why a leader no longer leads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LeadEnd {
+    /// Too few agents grant the leadership.
+    NotGranted,
+    /// The entry stops.
+    Stopping,
+    /// The box is too slow.
+    TooSlow,
 }
 
 impl<D: Dialect, F: EngineFactory> Leader<D, F> {
@@ -94,6 +123,7 @@
             mean_skew: MeanSkew::default(),
             pace_log: PaceLog::default(),
             is_serving: true,
+            is_leading: false,
             demand: None,
             counts_requested_ms: 0,
             is_change_outdated: false,
@@ -103,6 +133,9 @@
             last_round: Round::default(),
             wait_logged_ms: 0,
             search_ms: 0,
+            round_times: RoundTimes::default(),
+            other_holders: Vec::new(),
+            predecessor: None,
         }
     }
 
@@ -113,9 +146,9 @@
         let mut reached = self.members.len();
         for _ in 0..MAX_OBSERVATIONS {
             if reached * 2 > self.members.size {
-                self.lead().await;
-                self.stand_down().await;
-                return self.is_too_slow();
+                let end = self.lead().await;
+                self.stand_down(end).await;
+                return end == LeadEnd::TooSlow;
             }
             let Some(observed) = self.observe().await else { break };
             reached = observed;
@@ -135,35 +168,60 @@
     }
 
     /// Leads until a majority of the agents no longer grants it, this entry stops, or the box is too slow.
-    async fn lead(&mut self) {
+    async fn lead(&mut self) -> LeadEnd {
         let (group, size) = (self.members.group.clone(), self.members.size);
         log::info!("event=leading_asked group={group}");
-        let mut is_leading = false;
         while !self.entry.is_stopping.get() {
             // The process may have been suspended. Once its grants have expired, its state of the group is
             // invalid, even if the agents grant it again.
-            if is_leading && !self.leadership.has_majority(size, self.now_ms(), 0) {
+            if self.is_leading && !self.leadership.has_majority(size, self.now_ms(), 0) {
                 log::info!("event=leading_lapsed group={group}");
-                return;
+                return LeadEnd::NotGranted;
             }
             let round_started_ms = self.now_ms();
             let holder = self.run_round().await;
             if !self.leadership.has_majority(size, self.now_ms(), 0) {
+                if self.retry_first_grants().await {
+                    continue;
+                }
                 log::info!("event=leading_ended group={group} holder={holder:?}");
-                return;
+                return LeadEnd::NotGranted;
             }
-            if !is_leading {
-                is_leading = true;
-                log::info!("event=leading group={group} hold_rank={}", self.controller.hold_rank());
+            self.round_times.observe(self.now_ms() - round_started_ms);
+            if !self.is_leading {
+                self.on_leading();
             }
             self.act_on_round().await;
             if self.is_too_slow() {
                 log::info!("event=leading_too_slow group={group} search_ms={}", self.search_ms);
-                return;
+                return LeadEnd::TooSlow;
             }
-            tokio::time::sleep(self.pause_before_next_round(round_started_ms)).await;
+            self.sleep_before_next_round(round_started_ms).await;
         }
         log::info!("event=leading_stopped group={group}");
+        LeadEnd::Stopping
+    }
+
+    /// Records that a majority of the agents has granted the leadership for the first time.
+    fn on_leading(&mut self) {
+        self.is_leading = true;
+        let group = &self.members.group;
+        log::info!("event=leading group={group} hold_rank={}", self.controller.hold_rank());
+        if let Some(predecessor) = &self.predecessor {
+            let since_report_ms = self.now_ms().saturating_sub(predecessor.reported_ms);
+            log::info!("event=leadership_taken_over group={group} since_report_ms={since_report_ms}");
+        }
+    }
+
+    /// Waits until the next round is due, or this entry stops.
+    async fn sleep_before_next_round(&self, round_started_ms: u64) {
+        let stop_begun = self.entry.stop_begun.notified();
+        if self.entry.is_stopping.get() {
+            return;
+        }
+        let pause = self.pause_before_next_round(round_started_ms);
+        // Both outcomes are followed by a check of `is_stopping`.
+        let _ = tokio::time::timeout(pause, stop_begun).await;
     }
 
     /// Advances the change in progress and reports the group, according to the last round.
@@ -188,15 +246,34 @@
         self.pace_log = pace_log;
     }
 
-    /// Releases the grants and reports this to the entries, so that the next leader need not wait until the
-    /// grants expire.
-    async fn stand_down(&mut self) {
-        self.leadership.clear();
+    /// Releases the grants, and hands the leadership over to another entry if this one stops or is too slow. If there is
+    /// no successor, reports to the entries that this one no longer leads, so that the next leader need not wait until
+    /// the grants expire.
+    async fn stand_down(&mut self, end: LeadEnd) {
+        let hands_over = end != LeadEnd::NotGranted && (self.is_leading || self.predecessor.is_some());
+        if hands_over && self.is_leading {
+            // The other entries do not stand for election while the successor takes over.
+            self.report(ReporterRole::Leads);
+        }
+        self.release_grants().await;
         self.pending_orders.clear();
-        let request = LeaderRequest { releases_grant: true, ..self.renewal_request() };
-        let releases =
-            self.members.iter().map(|(_, member)| send_to_agent(Rc::clone(&member.agent), request.clone(), 1));
-        join_all(releases).await;
+        if hands_over && self.hand_over().await {
+            return;
+        }
         self.report(ReporterRole::StoodDown);
     }
+
+    /// Releases the grants of all agents, without waiting long for agents that do not answer.
+    async fn release_grants(&mut self) {
+        self.leadership.clear();
+        let request = LeaderRequest { releases_grant: true, ..self.renewal_request() };
+        let releases: Vec<_> = self
+            .members
+            .iter()
+            .map(|(_, member)| send_to_agent(Rc::clone(&member.agent), request.clone(), 1))
+            .collect();
+        let released = tokio::task::spawn_local(join_all(releases));
+        // Releases that take longer arrive later; a majority is enough for the next leader.
+        let _ = tokio::time::timeout(RELEASE_TIMEOUT, released).await;
+    }
 }
--- a/crates/ochreyard-lead/src/leader/reporting.rs
+++ b/crates/ochreyard-lead/src/leader/reporting.rs
@@ -46,6 +46,7 @@
             service: self.service.clone(),
             group: self.members.group.clone(),
             reporter_role,
+            leader_tag: Some(self.id.tag()),
             is_serving: self.is_serving,
             step_ms: self.progress.step_ms(),
             ranks,
--- a/crates/ochreyard-lead/src/leader/round.rs
+++ b/crates/ochreyard-lead/src/leader/round.rs
@@ -105,14 +105,14 @@
         orders: &[(usize, SentOrder)],
         sent_ms: u64,
     ) -> Option<LeaderId> {
-        let mut holder = None;
+        self.other_holders.clear();
         let mut round = Round { views: vec![None; responses.len()], outcomes: Vec::new() };
         let mut selections: Vec<f64> = Vec::new();
         let mut held_experts: Vec<Option<HeldExperts>> = vec![None; responses.len()];
         for (rank, response) in responses.into_iter().enumerate() {
             let Some(response) = response else { continue };
             self.leadership.on_answer(rank, response.granted, sent_ms);
-            holder = holder.or(response.holder);
+            self.other_holders.extend(response.holder);
             self.members.record_known_map(rank, response.known_map_version);
             round.views[rank] = response.view.filter(|view| self.members.matches_view(rank, view));
             let sent = orders.iter().filter(|(to, _)| *to == rank);
@@ -127,6 +127,6 @@
         self.apply_held_experts(&held_experts);
         self.record_demand(&selections);
         self.last_round = round;
-        holder
+        self.other_holders.first().copied()
     }
 }
--- a/crates/ochreyard-lead/src/lib.rs
+++ b/crates/ochreyard-lead/src/lib.rs
@@ -11,6 +11,7 @@
 mod fields;
 mod group_reporter;
 mod leader;
+mod leader_spawner;
 mod members;
 mod pace_log;
 mod rank_discovery;
@@ -27,10 +28,13 @@
 use ochreyard_rank::EngineFactory;
 
 pub use self::fields::FIELDS;
+use self::leader_spawner::LeaderSpawners;
 use self::settings::LeaderSettings;
 
 /// Spawns the task that makes an entry lead groups, on the current thread's `LocalSet`.
 pub fn start<D: Dialect, F: EngineFactory>(entry: &Rc<Entry<D>>, engine_factory: F, settings: &Settings) {
     let settings = LeaderSettings::read(settings);
-    tokio::task::spawn_local(service_watch::watch_services(Rc::clone(entry), engine_factory, settings));
+    let spawners = LeaderSpawners::new(Rc::clone(entry), engine_factory, settings);
+    spawners.accept_handovers();
+    tokio::task::spawn_local(service_watch::watch_services(Rc::clone(entry), spawners));
 }
--- a/crates/ochreyard-lead/src/members.rs
+++ b/crates/ochreyard-lead/src/members.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Adds a rank that a former leader handed over.
+    pub fn add_handed_over(&mut self, rank: usize, engine: EngineLocation, agent: Rc<HttpClient>) {
+        self.by_rank.insert(rank, Member { engine, agent, known_map_version: None });
+    }
+
     /// Adds a discovered rank. A rank that has moved to another engine replaces its former entry.
     pub fn add(&mut self, discovered: DiscoveredRank) {
         let rank = discovered.view.rank;
--- a/crates/ochreyard-lead/src/service_watch.rs
+++ b/crates/ochreyard-lead/src/service_watch.rs
@@ -1,7 +1,6 @@
 //! Checks whether the groups of each service have a leader, and leads those that have none.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,25 +9,15 @@
 use ochreyard_rank::EngineFactory;
 
 use crate::engine_location::EngineLocation;
-use crate::leader::Leader;
+use crate::leader_spawner::{LeaderSpawner, LeaderSpawners};
 use crate::members::Members;
 use crate::rank_discovery::{DiscoveredRank, discover_ranks};
-use crate::settings::LeaderSettings;
 
 /// Pause between checks: a fifth of the time after which a leader counts as silent.
 const CHECK_PAUSE: Duration = Duration::from_millis(150);
-/// Time for which a box that was too slow to lead comes after all other candidates, in milliseconds.
-const SLOW_BOX_DEFERRAL_MS: u64 = 10_000;
-
-/// Names of the groups that this entry leads or is attempting to lead.
-type LedGroups = Rc<RefCell<BTreeSet<String>>>;
 
 /// Periodically checks every service whose engines form groups, until the process ends.
-pub async fn watch_services<D: Dialect, F: EngineFactory>(
-    entry: Rc<Entry<D>>,
-    engine_factory: F,
-    settings: LeaderSettings,
-) {
+pub async fn watch_services<D: Dialect, F: EngineFactory>(entry: Rc<Entry<D>>, spawners: Rc<LeaderSpawners<D, F>>) {
     let mut watches: BTreeMap<String, ServiceWatch<D, F>> = BTreeMap::new();
     loop {
         tokio::time::sleep(CHECK_PAUSE).await;
@@ -36,7 +25,7 @@
             continue;
         }
         for service in entry.grouped_services() {
-            let new_watch = || ServiceWatch::new(Rc::clone(&entry), engine_factory.clone(), service.clone(), settings);
+            let new_watch = || ServiceWatch::new(Rc::clone(&entry), spawners.of(&service));
             watches.entry(service.clone()).or_insert_with(new_watch).check().await;
         }
     }
@@ -45,18 +34,14 @@
 /// Checks the groups of one service.
 struct ServiceWatch<D, F> {
     entry: Rc<Entry<D>>,
-    engine_factory: F,
     service: String,
-    settings: LeaderSettings,
+    spawner: Rc<LeaderSpawner<D, F>>,
     candidacy: Candidacy,
-    led_groups: LedGroups,
-    slow_until_ms: Rc<Cell<u64>>,
 }
 
 impl<D: Dialect, F: EngineFactory> ServiceWatch<D, F> {
-    fn new(entry: Rc<Entry<D>>, engine_factory: F, service: String, settings: LeaderSettings) -> Self {
-        let (candidacy, led_groups) = (Candidacy::default(), LedGroups::default());
-        Self { entry, engine_factory, service, settings, candidacy, led_groups, slow_until_ms: Rc::default() }
+    fn new(entry: Rc<Entry<D>>, spawner: Rc<LeaderSpawner<D, F>>) -> Self {
+        Self { entry, service: spawner.service().to_owned(), spawner, candidacy: Candidacy::default() }
     }
 
     /// Starts to lead a group without a leader, if there is one and it is this entry's turn.
@@ -78,7 +63,7 @@
         );
         self.candidacy.on_attempt(self.entry.clock.now_ms());
         if let Some(members) = group {
-            self.start_leading(members);
+            self.spawner.spawn(members, None);
         }
     }
 
@@ -87,8 +72,7 @@
     fn candidate_position(&self) -> usize {
         let state = self.entry.state.borrow();
         let own = (self.entry.identity.name.as_str(), &self.entry.identity.record);
-        let is_slow = self.entry.clock.now_ms() < self.slow_until_ms.get();
-        let deferrals = self.led_groups.borrow().len() + usize::from(is_slow);
+        let deferrals = self.spawner.led_count() + usize::from(self.spawner.is_slow());
         candidate_position(&self.service, own, &state.boxes) + deferrals * state.boxes.len()
     }
 
@@ -109,7 +93,7 @@
         let state = self.entry.state.borrow();
         groups.retain(|group, ranks| {
             let is_granted = ranks.iter().any(|rank| rank.holder.is_some());
-            let is_led_here = self.led_groups.borrow().contains(group);
+            let is_led_here = self.spawner.leads(group);
             !is_granted && !is_led_here && state.pool.is_group_leaderless(&self.service, group, now_ms)
         });
         let index = position.checked_rem(groups.len())?;
@@ -119,18 +103,4 @@
         ranks.into_iter().for_each(|rank| members.add(rank));
         Some(members)
     }
-
-    fn start_leading(&self, members: Members) {
-        let (led_groups, group) = (Rc::clone(&self.led_groups), members.group.clone());
-        led_groups.borrow_mut().insert(group.clone());
-        let entry = Rc::clone(&self.entry);
-        let slow_until_ms = Rc::clone(&self.slow_until_ms);
-        let leader = Leader::new(Rc::clone(&entry), self.engine_factory.clone(), &self.service, members, self.settings);
-        tokio::task::spawn_local(async move {
-            if leader.run().await {
-                slow_until_ms.set(entry.clock.now_ms() + SLOW_BOX_DEFERRAL_MS);
-            }
-            led_groups.borrow_mut().remove(&group);
-        });
-    }
 }
