Requests wait by priority, and workspaces share a priority fairly

Cause: priorities of routes and workspaces were parsed and used nowhere.

Change: the configuration gives each service the set of priorities that its requests can have, computed once per configuration. The wait queue sends requests that can be on time first, then by priority, then fairly between workspaces by predicted work (start-time fair queuing), then by deadline; requests of one workspace and one priority keep the former order. Where a service has several priorities, endpoints are told that of the request in a header, in place of the caller's. The size that a caller states is read by the dialect; wrong or missing sizes count within a factor of 16 of the usual work of the route. Logs and the gauge of waiting requests tell the priority.

Tests that call WaitQueue::join pass the request in place of two times; they check the same as before.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -22,8 +22,10 @@
 mod position;
 mod priority;
 mod priority_level;
+mod priority_set;
 mod quarantine;
 mod read_role;
+mod request_size;
 mod roster_loads;
 mod route_table;
 mod shared_limit;
@@ -52,11 +54,13 @@
 pub use position::{ParsePositionError, Position};
 pub use priority::Priority;
 pub use priority_level::PriorityLevel;
+pub use priority_set::PrioritySet;
 pub use quarantine::{
     ClearedRequest, CrashReport, LostRequest, Quarantine, QuarantineDecision, QuarantineEntry, QuarantineUpdate,
     QuarantinedRequest, RunningTrial,
 };
 pub use read_role::{LocalBox, ReadRole, broadcasts_to_data_centre, broadcasts_to_fleet};
+pub use request_size::RequestSize;
 pub use roster_loads::RosterLoads;
 pub use route_table::{
     CallerLimits, ColdLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService, Workspace,
@@ -69,5 +73,5 @@
 pub use urgency::Urgency;
 pub use waiting::{
     Arrival, DispatchDecision, Patience, PendingRequest, ServiceQueue, ServiceTime, StallHandling, StallHistory,
-    StallOutcomes, Ticket, WaitFacts, WaitQueue,
+    StallOutcomes, Ticket, UsualWork, WaitFacts, WaitQueue,
 };
--- a/crates/ochreyard-core/src/direct/route_table.rs
+++ b/crates/ochreyard-core/src/direct/route_table.rs
@@ -10,7 +10,7 @@
 mod workspace;
 
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 pub use self::caller_limits::CallerLimits;
 pub use self::cold_limits::ColdLimits;
@@ -20,6 +20,8 @@
 pub use self::service_spec::ServiceSpec;
 pub use self::weighted_service::WeightedService;
 pub use self::workspace::Workspace;
+use super::priority::Priority;
+use super::priority_set::PrioritySet;
 
 /// One version of the configuration, indexed for lookups.
 #[derive(Debug, Clone, Default)]
@@ -29,6 +31,8 @@
     services: HashMap<String, Arc<ServiceSpec>>,
     /// Shortest target for the gap between two stream events among the routes of each service, in milliseconds.
     target_gaps_ms: HashMap<String, u64>,
+    /// Priorities of the requests of each service, computed when first needed.
+    priorities: OnceLock<HashMap<String, PrioritySet>>,
     keys: HashMap<String, Arc<Workspace>>,
     needs_key: bool,
     limits: CallerLimits,
@@ -49,6 +53,7 @@
             let shortest_ms = self.target_gaps_ms.entry(weighted.service.clone()).or_insert(target_gap_ms);
             *shortest_ms = target_gap_ms.min(*shortest_ms);
         }
+        self.priorities.take();
         let host_routes = self.routes.entry(route.host.to_ascii_lowercase()).or_default();
         host_routes.insert(route.path_prefix.clone(), Arc::new(route));
         self
@@ -65,6 +70,7 @@
     #[must_use]
     pub fn with_workspace(mut self, workspace: Workspace, keys: impl IntoIterator<Item = String>) -> Self {
         self.needs_key = true;
+        self.priorities.take();
         let workspace = Arc::new(workspace);
         self.keys.extend(keys.into_iter().map(|key| (key, Arc::clone(&workspace))));
         self
@@ -117,6 +123,37 @@
         self.target_gaps_ms.get(service).copied()
     }
 
+    /// Returns the priority of a request: that of its workspace if set, else that of its route.
+    #[must_use]
+    pub fn priority(route: &Route, workspace: Option<&Workspace>) -> Priority {
+        Priority::new(workspace.and_then(|workspace| workspace.priority).unwrap_or(route.priority))
+    }
+
+    /// Returns the different priorities that requests of a service can have.
+    #[must_use]
+    pub fn priorities(&self, service: &str) -> PrioritySet {
+        self.priorities.get_or_init(|| self.compute_priorities()).get(service).copied().unwrap_or_default()
+    }
+
+    fn compute_priorities(&self) -> HashMap<String, PrioritySet> {
+        let of_workspaces: PrioritySet =
+            self.keys.values().filter_map(|workspace| workspace.priority).map(Priority::new).collect();
+        let any_workspace_without = self.keys.values().any(|workspace| workspace.priority.is_none());
+        let mut by_service: HashMap<String, PrioritySet> = HashMap::new();
+        for route in self.routes.values().flat_map(HashMap::values) {
+            let mut priorities = of_workspaces;
+            // Where all workspaces have a priority of their own, only requests without a workspace have the route's.
+            if any_workspace_without || route.public || !self.needs_key {
+                priorities.insert(Self::priority(route, None));
+            }
+            for weighted in route.services.iter().filter(|weighted| weighted.weight > 0) {
+                let known = by_service.entry(weighted.service.clone()).or_default();
+                *known = known.union(priorities);
+            }
+        }
+        by_service
+    }
+
     /// Returns all services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
         self.services.values()
--- a/crates/ochreyard-core/src/direct/waiting.rs
+++ b/crates/ochreyard-core/src/direct/waiting.rs
@@ -7,10 +7,13 @@
 //! sent first takes a slot from another one. A request that can still meet its latency
 //! target is worth several times one that is only late, so requests on time go first. Late
 //! requests get a bounded share of the slots, so that they do not delay newer requests.
+//! Among requests on time, and among late ones, those of a more urgent priority go first,
+//! and workspaces share a priority fairly by work.
 
 mod arrival;
 mod decaying_count;
 mod dispatch_decision;
+mod fair_queue;
 mod limited_turns;
 mod overload;
 mod patience;
@@ -18,6 +21,8 @@
 mod service_time;
 mod stall_history;
 mod stall_outcomes;
+mod ticket;
+mod usual_work;
 mod wait_queue;
 
 pub use arrival::Arrival;
@@ -28,7 +33,9 @@
 pub use service_time::ServiceTime;
 pub use stall_history::StallHistory;
 pub use stall_outcomes::{StallHandling, StallOutcomes};
-pub use wait_queue::{Ticket, WaitQueue};
+pub use ticket::Ticket;
+pub use usual_work::UsualWork;
+pub use wait_queue::WaitQueue;
 
 use super::endpoint_pool::PickError;
 
--- a/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
+++ b/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
@@ -18,6 +18,10 @@
     pub allowed_regions: &'a AllowedRegions,
     /// Endpoints that the request has been sent to already.
     pub tried: &'a [EndpointIncarnation],
+    /// Workspace that the request belongs to, if it has one.
+    pub workspace: Option<&'a str>,
+    /// Predicted work of the request, in tokens.
+    pub work_tokens: u64,
     /// Priority of the request.
     pub priority: Priority,
     /// Position of that priority among those of the service.
@@ -70,6 +74,9 @@
             Ok(pick) => {
                 self.stalls.record(false, now_ms);
                 self.overload.on_dispatched(request.urgency(now_ms), now_ms);
+                if let Some(ticket) = request.ticket {
+                    self.wait_queue.on_sent(ticket);
+                }
                 return DispatchDecision::Send(pick);
             }
             Err(pick_error) => self.turn_under_limits(pick_error, pool, request, now_ms),
@@ -120,7 +127,7 @@
         let turns = self.limited_turns.filter(|turns| turns.is_recent(now_ms));
         match (pick_error, turns) {
             (PickError::Full | PickError::Limited { .. }, Some(turns)) => {
-                let ahead = self.wait_queue.ahead(request.ticket, request.urgency(now_ms), request.deadline_ms, now_ms);
+                let ahead = self.wait_queue.ahead(request, now_ms);
                 PickError::Limited { until_ms: turns.turn_ms(ahead) }
             }
             (pick_error, _) => pick_error,
@@ -129,11 +136,11 @@
 
     /// Returns how long a late request would wait for a free slot, in milliseconds; 0 where that is not known. A
     /// request on time gets no estimate: it goes first, and its wait is short.
-    fn queue_ms(&self, request: &PendingRequest, now_ms: u64) -> u64 {
+    fn queue_ms(&mut self, request: &PendingRequest, now_ms: u64) -> u64 {
         match request.urgency(now_ms) {
             Urgency::OnTime => 0,
             Urgency::Late => {
-                let ahead = self.wait_queue.late_ahead(request.ticket, request.deadline_ms, now_ms);
+                let ahead = self.wait_queue.late_ahead(request, now_ms);
                 self.overload.late_wait_ms(ahead, now_ms).unwrap_or(0)
             }
         }
@@ -148,7 +155,7 @@
 
     /// Picks an endpoint if no other request goes first and this box has a slot left for a request of this urgency.
     fn pick_in_turn(
-        &self,
+        &mut self,
         pool: &EndpointPool,
         boxes: u64,
         request: &PendingRequest,
@@ -156,7 +163,7 @@
         now_ms: u64,
     ) -> Result<Pick, PickError> {
         let urgency = request.urgency(now_ms);
-        if !self.may_go_now(request.ticket, urgency, now_ms) {
+        if !self.may_go_now(request, now_ms) {
             return Err(PickError::Full);
         }
         let pick =
--- a/crates/ochreyard-core/src/direct/waiting/service_queue.rs
+++ b/crates/ochreyard-core/src/direct/waiting/service_queue.rs
@@ -4,8 +4,9 @@
 use std::collections::HashMap;
 
 use super::limited_turns::LimitedTurns;
-use super::{Arrival, Overload, Patience, ServiceTime, StallHistory, StallOutcomes, Ticket, WaitQueue};
-use crate::direct::urgency::Urgency;
+use super::{
+    Arrival, Overload, Patience, PendingRequest, ServiceTime, StallHistory, StallOutcomes, UsualWork, WaitQueue,
+};
 
 /// A request with a timeout below this share of the longest one is a retry of its caller: a caller that was sent back
 /// retries with two thirds of the time it had left, and timeouts of first attempts differ by less.
@@ -25,6 +26,8 @@
 pub struct ServiceQueue {
     /// Requests that wait.
     pub wait_queue: WaitQueue,
+    /// Usual work of requests by route.
+    pub usual_work: UsualWork,
     /// Time that serving a request takes.
     pub service_time: ServiceTime,
     /// Present and past stalls of the service.
@@ -56,10 +59,10 @@
     }
 
     /// Returns whether no waiting request goes before this one.
-    pub(super) fn may_go_now(&self, ticket: Option<Ticket>, urgency: Urgency, now_ms: u64) -> bool {
-        match ticket {
+    pub(super) fn may_go_now(&mut self, request: &PendingRequest, now_ms: u64) -> bool {
+        match request.ticket {
             Some(ticket) => self.wait_queue.is_next(ticket, now_ms),
-            None => self.wait_queue.may_overtake(urgency, now_ms),
+            None => self.wait_queue.may_overtake(request.urgency(now_ms), request.priority, now_ms),
         }
     }
 
--- a/crates/ochreyard-core/tests/endpoint_notices.rs
+++ b/crates/ochreyard-core/tests/endpoint_notices.rs
@@ -153,6 +153,8 @@
         service: "tiles",
         allowed_regions: &AllowedRegions::ANY,
         tried: &[],
+        workspace: None,
+        work_tokens: 1,
         priority: Priority::LOWEST,
         level: PriorityLevel::SINGLE,
         arrival,
--- a/crates/ochreyard-core/tests/stall_load_model/entry_model.rs
+++ b/crates/ochreyard-core/tests/stall_load_model/entry_model.rs
@@ -54,10 +54,21 @@
     }
 
     pub fn decide(&mut self, attempt: &Attempt, draw: u64, now_ms: u64) -> DispatchDecision {
-        let request = PendingRequest {
+        self.queue.decide(&self.pool, ENTRIES as u64, &Self::pending_request(attempt), draw, now_ms)
+    }
+
+    /// Adds an attempt to the wait queue.
+    pub fn join(&mut self, attempt: &Attempt) -> Ticket {
+        self.queue.wait_queue.join(&Self::pending_request(attempt))
+    }
+
+    fn pending_request(attempt: &Attempt) -> PendingRequest<'static> {
+        PendingRequest {
             service: SERVICE,
             allowed_regions: &AllowedRegions::ANY,
             tried: &[],
+            workspace: None,
+            work_tokens: 1,
             priority: Priority::LOWEST,
             level: PriorityLevel::SINGLE,
             arrival: attempt.arrival,
@@ -66,8 +77,7 @@
             target_latency_ms: 0,
             patience_ms: None,
             ticket: attempt.ticket,
-        };
-        self.queue.decide(&self.pool, ENTRIES as u64, &request, draw, now_ms)
+        }
     }
 }
 
--- a/crates/ochreyard-core/tests/stall_load_model/mod.rs
+++ b/crates/ochreyard-core/tests/stall_load_model/mod.rs
@@ -142,10 +142,9 @@
                     self.disconnect(entry, &attempt, now_ms);
                 }
                 DispatchDecision::Wait(_) => {
-                    let wait_queue = &mut self.entries[entry].queue.wait_queue;
-                    attempt
-                        .ticket
-                        .get_or_insert_with(|| wait_queue.join(attempt.arrival.on_time_until_ms, attempt.deadline_ms));
+                    if attempt.ticket.is_none() {
+                        attempt.ticket = Some(self.entries[entry].join(&attempt));
+                    }
                     self.entries[entry].waiting.push(attempt);
                     continue;
                 }
--- a/crates/ochreyard-core/tests/waiting.rs
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -95,9 +95,9 @@
 #[test]
 fn requests_on_time_go_first_then_those_with_the_earliest_deadline() {
     let mut wait_queue = WaitQueue::default();
-    let late = wait_queue.join(100, 9_000);
-    let later = wait_queue.join(100, 8_000);
-    let fresh = wait_queue.join(1_200, 9_500);
+    let late = wait_queue.join(&arrived(100, 9_000));
+    let later = wait_queue.join(&arrived(100, 8_000));
+    let fresh = wait_queue.join(&arrived(1_200, 9_500));
     let order = [fresh, later, late];
     for ticket in order {
         assert!(order.iter().all(|other| wait_queue.is_next(*other, 1_000) == (*other == ticket)));
@@ -109,12 +109,12 @@
 #[test]
 fn only_a_request_on_time_overtakes_late_ones() {
     let mut wait_queue = WaitQueue::default();
-    wait_queue.join(100, 9_000);
-    assert!(wait_queue.may_overtake(Urgency::OnTime, 1_000));
-    assert!(!wait_queue.may_overtake(Urgency::Late, 1_000));
-    wait_queue.join(1_200, 9_500);
-    assert!(!wait_queue.may_overtake(Urgency::OnTime, 1_000), "another request on time came before");
-    assert!(wait_queue.may_overtake(Urgency::OnTime, 1_300), "that request is late by now");
+    wait_queue.join(&arrived(100, 9_000));
+    assert!(wait_queue.may_overtake(Urgency::OnTime, Priority::LOWEST, 1_000));
+    assert!(!wait_queue.may_overtake(Urgency::Late, Priority::LOWEST, 1_000));
+    wait_queue.join(&arrived(1_200, 9_500));
+    assert!(!wait_queue.may_overtake(Urgency::OnTime, Priority::LOWEST, 1_000), "another request on time came before");
+    assert!(wait_queue.may_overtake(Urgency::OnTime, Priority::LOWEST, 1_300), "that request is late by now");
 }
 
 #[test]
@@ -186,7 +186,7 @@
     (0..10).for_each(|_| queue.patience.record_abandonment(2_000));
     queue.service_time.record(1_000);
     let arrival = Arrival { on_time_until_ms: 0, is_caller_retry: false };
-    let ticket = Some(queue.wait_queue.join(0, 8_000));
+    let ticket = Some(queue.wait_queue.join(&pending_request()));
     let request = PendingRequest { arrival, silent_since_ms, ticket, ..pending_request() };
     let decision = queue.decide(&stalled_pool(), 1, &request, 0, 1_900);
     assert_eq!(matches!(decision, DispatchDecision::Wait(_)), waits, "{decision:?}");
@@ -198,6 +198,8 @@
         service: "tiles",
         allowed_regions: &AllowedRegions::ANY,
         tried: &[],
+        workspace: None,
+        work_tokens: 1,
         priority: Priority::LOWEST,
         level: PriorityLevel::SINGLE,
         arrival,
@@ -209,6 +211,12 @@
     }
 }
 
+/// A request that can be on time until `on_time_until_ms`.
+fn arrived(on_time_until_ms: u64, deadline_ms: u64) -> PendingRequest<'static> {
+    let arrival = Arrival { on_time_until_ms, is_caller_retry: false };
+    PendingRequest { arrival, deadline_ms, ..pending_request() }
+}
+
 /// When a data centre was cut off for 6 s, each of 38 boxes let half a dozen callers disconnect unanswered before it
 /// had measured their patience.
 #[rstest]
@@ -217,7 +225,7 @@
 fn a_caller_with_configured_patience_is_answered_before_it_disconnects(#[case] now_ms: u64, #[case] waits: bool) {
     let mut queue = ServiceQueue::default();
     queue.service_time.record(1_000);
-    let ticket = Some(queue.wait_queue.join(0, 8_000));
+    let ticket = Some(queue.wait_queue.join(&pending_request()));
     let request = PendingRequest { patience_ms: Some(2_000), ticket, ..pending_request() };
     let decision = queue.decide(&stalled_pool(), 1, &request, 0, now_ms);
     assert_eq!(matches!(decision, DispatchDecision::Wait(_)), waits, "{decision:?}");
@@ -249,7 +257,7 @@
     (0..10).for_each(|_| queue.patience.record_abandonment(2_000));
     queue.service_time.record(1_000);
     let arrival = Arrival { on_time_until_ms: 0, is_caller_retry };
-    let ticket = Some(queue.wait_queue.join(0, 8_000));
+    let ticket = Some(queue.wait_queue.join(&pending_request()));
     let decision = queue.decide(&stalled_pool(), 1, &PendingRequest { arrival, ticket, ..pending_request() }, 0, 1_900);
     assert!(matches!(decision, DispatchDecision::GiveUp(_)), "{decision:?}");
 }
@@ -277,7 +285,7 @@
     assert_eq!(pool.apply_limit_update(&LimitUpdate { limits: vec![limit] }, 1_000).len(), 1);
     let mut queue = ServiceQueue::default();
     queue.service_time.record(1_000);
-    let first = queue.wait_queue.join(0, 8_000);
+    let first = queue.wait_queue.join(&pending_request());
     let ahead = queue.decide(&pool, 1, &PendingRequest { ticket: Some(first), ..pending_request() }, 0, 1_010);
     assert!(matches!(ahead, DispatchDecision::GiveUp(_)), "its turn comes after its deadline: {ahead:?}");
     let behind = queue.decide(&pool, 1, &pending_request(), 0, 1_015);
--- a/crates/ochreyard-direct/src/caller_request.rs
+++ b/crates/ochreyard-direct/src/caller_request.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, request};
 use http_body_util::Full;
-use ochreyard_core::direct::Fingerprint;
+use ochreyard_core::direct::{Fingerprint, Priority};
 
 use crate::dialect::{Dialect, HeaderNames};
 
@@ -70,6 +70,11 @@
         Self { method: head.method, path, headers, body, attempt_id }
     }
 
+    /// Sets the priority that endpoints are told, in place of any that the caller has stated.
+    pub fn set_priority(&mut self, names: &HeaderNames, priority: Priority) {
+        self.headers.insert(names.priority.clone(), HeaderValue::from(u16::from(priority.number())));
+    }
+
     /// Returns the fingerprint by which a repetition of this request is recognized, whichever attempt it is: workspace,
     /// host, method, path and body.
     #[must_use]
--- a/crates/ochreyard-direct/src/dialect.rs
+++ b/crates/ochreyard-direct/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::HeaderName;
-use ochreyard_core::direct::{EndpointRecord, ReportedLoad, RouteTable};
+use ochreyard_core::direct::{EndpointRecord, ReportedLoad, RequestSize, RouteTable};
 
 /// Names of the headers that this process reads or sets.
 #[derive(Debug, Clone)]
@@ -31,6 +31,10 @@
     pub leaving: HeaderName,
     /// Requests per second that the endpoint accepts from all boxes together.
     pub limit: HeaderName,
+    /// The priority of the request; set by this process where a service has several priorities.
+    pub priority: HeaderName,
+    /// The size of the request, as the caller states it.
+    pub size: HeaderName,
     /// Other caller headers that must reach the endpoint unchanged.
     pub end_to_end: Vec<HeaderName>,
 }
@@ -83,4 +87,7 @@
 
     /// Parses the load that an endpoint reported.
     fn read_load(&self, value: &str) -> Option<ReportedLoad>;
+
+    /// Parses the size that a caller states for its request; `None` if it is malformed.
+    fn read_size(&self, value: &str) -> Option<RequestSize>;
 }
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request};
 use hyper::body::Incoming;
-use ochreyard_core::direct::{Priority, PriorityLevel, RouteKind, RouteTable};
+use ochreyard_core::direct::{EngineSpec, RouteKind, RouteTable};
 use ochreyard_core::error_kind::{ErrorKind, Refusal};
 
 use crate::answer_body::AnswerBody;
@@ -95,29 +95,41 @@
     let service = route.service_for(entry.next_random()).ok_or(ErrorKind::NoEndpoint)?.to_owned();
     let caller_ms = header_text(&head.headers, &names.deadline_ms).and_then(|value| value.trim().parse::<u64>().ok());
     let timeout_ms = caller_ms.map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
+    let size = header_text(&head.headers, &names.size).and_then(|value| entry.dialect.read_size(value));
+    let priority = RouteTable::priority(route, workspace.map(AsRef::as_ref));
+    let priority_level = table.priorities(&service).level(priority);
     let mut request = CallerRequest::new(&entry.dialect, head, body);
+    if priority_level.count > 1 {
+        request.set_priority(names, priority);
+    }
     if let Some(name) = workspace.and_then(|workspace| workspace.name.parse().ok()) {
         request.headers.insert(names.workspace.clone(), name);
     }
     let mut state = entry.state.borrow_mut();
     state.budget.on_request(&service, started_ms);
-    let arrival = state.queue(&service).on_arrival(&route.name, route.target_latency_ms, timeout_ms, started_ms);
+    let queue = state.queue(&service);
+    let arrival = queue.on_arrival(&route.name, route.target_latency_ms, timeout_ms, started_ms);
+    let stated_tokens = size.map(|size| size.work_tokens(engine_of(table, &service)));
+    let work_tokens = queue.usual_work.on_arrival(&route.name, stated_tokens);
     drop(state);
     Ok(Job {
         entry: Rc::clone(entry),
         route: Arc::clone(route),
+        workspace: workspace.cloned(),
         allowed_regions,
         _buffered_body: BufferedBytes::none(entry),
         request,
         deadline_ms: started_ms + timeout_ms,
-        priority: Priority::new(workspace.and_then(|workspace| workspace.priority).unwrap_or(route.priority)),
-        priority_level: PriorityLevel::SINGLE,
+        priority,
+        priority_level,
+        work_tokens,
         arrival,
         silent_since_ms: started_ms,
         attempt_started_ms: started_ms,
         head_ms: None,
         has_reached_endpoint: false,
         last_wait_facts: None,
+        ahead: 0,
         sent: 0,
         stall_refusals: 0,
         tried: Vec::new(),
@@ -131,6 +143,11 @@
     })
 }
 
+/// Returns the parameters of the engines of a service, if it has any.
+fn engine_of<'a>(table: &'a RouteTable, service: &str) -> Option<&'a EngineSpec> {
+    table.service(service)?.engine.as_ref()
+}
+
 /// Runs a request to its final answer, or to the start of its stream.
 async fn run<D: Dialect>(mut job: Job<D>) -> Response<AnswerBody> {
     loop {
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -11,7 +11,7 @@
 use http::Response;
 use ochreyard_core::direct::{
     AllowedRegions, Arrival, AttemptOutcome, EndpointIncarnation, Fingerprint, LostRequest, Pick, Priority,
-    PriorityLevel, Route, RouteKind, WaitFacts,
+    PriorityLevel, Route, RouteKind, WaitFacts, Workspace,
 };
 
 use crate::answer::{Answer, caller_response};
@@ -46,6 +46,8 @@
     pub route: Arc<Route>,
     /// The service that the request goes to.
     pub service: String,
+    /// The workspace that the request belongs to, if it has one.
+    pub workspace: Option<Arc<Workspace>>,
     /// Regions in which the request may run.
     pub allowed_regions: AllowedRegions,
     /// Accounts for the bytes of the request body.
@@ -58,6 +60,8 @@
     pub priority: Priority,
     /// Position of that priority among those of the service.
     pub priority_level: PriorityLevel,
+    /// Predicted work of the request, in tokens.
+    pub work_tokens: u64,
     /// Arrival of the request at its service.
     pub arrival: Arrival,
     /// When the caller last received something: when the head of its request came, or the last event that it got.
@@ -70,6 +74,8 @@
     pub has_reached_endpoint: bool,
     /// What was known when the request last found no endpoint.
     pub last_wait_facts: Option<WaitFacts>,
+    /// Number of waiting requests that went before this one when it was given up.
+    pub ahead: usize,
     /// Number of attempts that reached an endpoint.
     pub sent: u64,
     /// Number of attempts that were refused because the whole group was stalled.
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -44,10 +44,13 @@
         loop {
             let picked = match self.pick_next(last, slot.as_ref()) {
                 Ok(pick) => Ok(pick),
-                Err(NotPicked::GiveUp(why)) => Err(why),
+                Err(NotPicked::GiveUp(why)) => {
+                    self.ahead = self.count_ahead(slot.as_ref());
+                    Err(why)
+                }
                 Err(NotPicked::Wait) => {
                     if slot.is_none() {
-                        slot = Some(QueueSlot::join(&self.entry, &self.pending_request()));
+                        slot = Some(QueueSlot::join(&self.entry, self.id(), &self.pending_request()));
                         if self.is_service_stalled() {
                             self.stall_outcome.on_held();
                         }
@@ -63,6 +66,13 @@
         }
     }
 
+    /// Returns how many waiting requests go before this one.
+    fn count_ahead(&self, slot: Option<&QueueSlot<D>>) -> usize {
+        let now_ms = self.entry.clock.now_ms();
+        let request = PendingRequest { ticket: slot.map(QueueSlot::ticket), ..self.pending_request() };
+        self.entry.state.borrow_mut().queue(&self.service).wait_queue.ahead(&request, now_ms)
+    }
+
     /// Returns whether no further attempt is allowed.
     fn attempts_exhausted(&self) -> bool {
         let failures = self.tried.len() + self.stall_refusals;
@@ -146,6 +156,8 @@
             service: &self.service,
             allowed_regions: &self.allowed_regions,
             tried: &self.tried,
+            workspace: self.workspace_name(),
+            work_tokens: self.work_tokens,
             priority: self.priority,
             level: self.priority_level,
             arrival: self.arrival,
--- a/crates/ochreyard-direct/src/job/ending.rs
+++ b/crates/ochreyard-direct/src/job/ending.rs
@@ -26,10 +26,14 @@
 const MIN_JITTER_MS: u64 = 250;
 
 impl<D: Dialect> Job<D> {
-    fn id(&self) -> &str {
+    pub(super) fn id(&self) -> &str {
         self.request.attempt_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
+    pub(super) fn workspace_name(&self) -> Option<&str> {
+        self.workspace.as_ref().map(|workspace| workspace.name.as_str())
+    }
+
     pub(super) fn log_failed_attempt(&self, pick: &Pick, cause: &str) {
         meters::on_failed_attempt(&self.service);
         log::info!(
@@ -56,11 +60,14 @@
             }
         };
         log::info!(
-            "event=request_failed request={} route={} service={} kind={kind} why={why:?} sent={} config_version={} \
-             elapsed_ms={} {} facts=\"{:?}\"",
+            "event=request_failed request={} route={} service={} workspace={} priority={} ahead={} kind={kind} \
+             why={why:?} sent={} config_version={} elapsed_ms={} {} facts=\"{:?}\"",
             self.id(),
             self.route.name,
             self.service,
+            self.workspace_name().unwrap_or("-"),
+            self.priority,
+            self.ahead,
             self.sent,
             self.config_version,
             self.elapsed_ms(),
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use ochreyard_core::direct::PrioritySet;
 use tokio::net::TcpListener;
 
 use crate::dialect::Dialect;
@@ -98,7 +99,12 @@
         gauge("ochreyard_direct_limit_per_second").set(limits.limit_per_s);
         gauge("ochreyard_direct_limit_share_per_second").set(limits.share_per_s);
         gauge("ochreyard_direct_limit_sent_per_second").set(limits.sent_per_s);
-        metrics::gauge!("ochreyard_direct_waiting", "service" => service.clone()).set(queue.wait_queue.len() as f64);
+        let configured = state.table.as_ref().map_or_else(PrioritySet::default, |table| table.priorities(service));
+        // Includes priorities that are no longer configured, so that their gauges return to 0.
+        for priority in configured.union(queue.wait_queue.past_priorities()).iter() {
+            let labels = [("service", service.clone()), ("priority", priority.to_string())];
+            metrics::gauge!("ochreyard_direct_waiting", &labels).set(queue.wait_queue.waiting_at(priority) as f64);
+        }
     }
     handle.render()
 }
--- a/crates/ochreyard-direct/src/queue_slot.rs
+++ b/crates/ochreyard-direct/src/queue_slot.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use ochreyard_core::direct::{PendingRequest, Ticket};
+use ochreyard_core::direct::{PendingRequest, Priority, Ticket};
 
 use crate::dialect::Dialect;
 use crate::entry::Entry;
@@ -36,7 +36,12 @@
 /// Holds a slot in the wait queue of a service until dropped.
 pub struct QueueSlot<D: Dialect> {
     entry: Rc<Entry<D>>,
+    id: String,
     service: String,
+    workspace: String,
+    priority: Priority,
+    /// Number of requests that went before this one when it joined.
+    ahead: usize,
     ticket: Ticket,
     since_ms: u64,
     /// When the caller last received something.
@@ -46,15 +51,23 @@
 }
 
 impl<D: Dialect> QueueSlot<D> {
-    /// Joins the wait queue.
-    pub fn join(entry: &Rc<Entry<D>>, request: &PendingRequest<'_>) -> Self {
+    /// Joins the wait queue. `id` identifies the request in log lines.
+    pub fn join(entry: &Rc<Entry<D>>, id: &str, request: &PendingRequest<'_>) -> Self {
         let since_ms = entry.clock.now_ms();
-        let PendingRequest { service, arrival, deadline_ms, silent_since_ms, .. } = *request;
-        let ticket = entry.state.borrow_mut().queue(service).wait_queue.join(arrival.on_time_until_ms, deadline_ms);
+        let PendingRequest { service, workspace, priority, deadline_ms, silent_since_ms, .. } = *request;
+        let mut state = entry.state.borrow_mut();
+        let wait_queue = &mut state.queue(service).wait_queue;
+        let ahead = wait_queue.ahead(request, since_ms);
+        let ticket = wait_queue.join(request);
+        drop(state);
         let end = Cell::new(WaitEnd::CallerLeft);
         Self {
             entry: Rc::clone(entry),
+            id: id.to_owned(),
             service: service.to_owned(),
+            workspace: workspace.unwrap_or("-").to_owned(),
+            priority,
+            ahead,
             ticket,
             since_ms,
             silent_since_ms,
@@ -89,8 +102,13 @@
         meters::on_waited(&self.service, outcome, waited_ms);
         if waited_ms >= LONG_WAIT_MS {
             log::info!(
-                "event=request_waited service={} outcome={outcome} waited_ms={waited_ms} left_ms={left_ms}",
-                self.service
+                "event=request_waited request={} service={} workspace={} priority={} ahead={} outcome={outcome} \
+                 waited_ms={waited_ms} left_ms={left_ms}",
+                self.id,
+                self.service,
+                self.workspace,
+                self.priority,
+                self.ahead
             );
         }
     }
--- a/crates/ochreyard-operator/tests/timeline.rs
+++ b/crates/ochreyard-operator/tests/timeline.rs
@@ -71,6 +71,20 @@
     assert!(!timeline.to_string().contains("serving=true"), "a line that was written long after the request");
 }
 
+/// Guards against a wait that a timeline leaves out because its line does not name the request.
+#[test]
+fn the_timeline_of_a_request_that_waited_shows_its_priority_and_how_many_went_first() {
+    let waited = "event=request_waited request=r1 service=tiles workspace=w priority=2 ahead=7 outcome=given_up \
+                  waited_ms=900 left_ms=1200";
+    let failed = "event=request_failed request=r1 route=a service=tiles workspace=w priority=2 ahead=9 \
+                  kind=overloaded why=Full sent=0";
+    let of_other = waited.replace("request=r1", "request=r2");
+    let entry = log("edge-of-waits", (line(1_000, &of_other) + &line(2_000, waited) + &line(2_001, failed)).as_bytes());
+    let timeline = RequestTimeline::read("r1", &[entry]).unwrap();
+    assert_in_order(&timeline, &["priority=2 ahead=7 outcome=given_up", "priority=2 ahead=9 kind=overloaded"]);
+    assert!(!timeline.to_string().contains("r2"), "a line about another request");
+}
+
 #[test]
 fn the_timeline_of_a_rate_limited_request_shows_the_endpoints_that_report_the_limits() {
     let entry = log(
