Groups have a stream limit that entries admit requests by

Nothing kept a group from running more.

Change: the leader derives from the engine's parameters, the present skew, the largest skew of recent shifts while they recur, and the measured difference between real and modelled steps how many requests the group may run (`StreamLimit`), and reports it in the optional field `stream_limit` of `GroupUpdate`, every 100 ms near the limit. Entries estimate the running requests from the report and from what they sent and finished since, and admit by urgency and level (`AdmissionShare`). A request that may have run, or moves off a slow rank, is placed in any case.

The literals of `GroupUpdate` and `PendingRequest` in tests name the new fields; nothing else in existing tests changes.

Measured: tests of ochreyard-core, -lead and -direct pass.

--- a/crates/ochreyard-core/examples/pick_cost.rs
+++ b/crates/ochreyard-core/examples/pick_cost.rs
@@ -61,6 +61,7 @@
         is_serving: true,
         step_ms: 60,
         ranks: (0..ranks).map(update).collect(),
+        stream_limit: None,
         loads: None,
     };
     pool.apply_group_update(&group, 0);
--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -37,8 +37,8 @@
 pub use catalog::{Catalog, EndpointChange};
 pub use endpoint_incarnation::EndpointIncarnation;
 pub use endpoint_pool::{
-    AttemptOutcome, AvailabilityNotice, EndpointPool, LeaderlessGroups, LimitUsage, Pick, PickError, ReportedLoad,
-    UnavailableCounts,
+    Admission, AdmissionShare, AttemptOutcome, AvailabilityNotice, EndpointPool, GroupRunning, LeaderlessGroups,
+    LimitUsage, Pick, PickError, PickRequest, ReportedLoad, UnavailableCounts,
 };
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_signals::{EndpointSignals, parse_backoff_ms};
--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -1,6 +1,8 @@
 //! The endpoints that this entry calls directly: their load as this box estimates it, their failures, and the choice of
 //! the endpoint for each request.
 
+mod admission;
+mod admission_share;
 mod attempt_events;
 mod attempt_outcome;
 mod availability_notice;
@@ -9,6 +11,7 @@
 mod data_centre_reach;
 mod departed;
 mod group;
+mod group_running;
 mod groups;
 mod leaderless_groups;
 mod limit_usage;
@@ -16,6 +19,7 @@
 mod member;
 mod pick;
 mod pick_error;
+mod pick_request;
 mod reported_load;
 mod selection;
 mod shuffled_order;
@@ -24,17 +28,21 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+pub use self::admission::Admission;
+pub use self::admission_share::AdmissionShare;
 pub use self::attempt_outcome::AttemptOutcome;
 pub use self::availability_notice::AvailabilityNotice;
 use self::cold_limits::ColdQuotas;
 use self::data_centre_reach::DataCentreReach;
 use self::departed::Departed;
 use self::group::Group;
+pub use self::group_running::GroupRunning;
 pub use self::leaderless_groups::LeaderlessGroups;
 pub use self::limit_usage::LimitUsage;
 use self::member::Member;
 pub use self::pick::Pick;
 pub use self::pick_error::PickError;
+pub use self::pick_request::PickRequest;
 pub use self::reported_load::ReportedLoad;
 pub use self::unavailable_counts::UnavailableCounts;
 use super::allowed_regions::AllowedRegions;
--- a/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
@@ -8,6 +8,9 @@
     pub fn on_attempt_start(&mut self, pick: &Pick) {
         if let Some(member) = self.picked_member_mut(pick) {
             member.on_attempt_start(pick.urgency);
+            if let Some(group) = self.group_of_mut(&pick.id) {
+                group.on_attempt_start();
+            }
         }
     }
 
@@ -18,6 +21,9 @@
         }
         if let Some(member) = self.picked_member_mut(pick) {
             member.on_attempt_end(pick.urgency, outcome, now_ms);
+            if let Some(group) = self.group_of_mut(&pick.id) {
+                group.on_attempt_end();
+            }
         }
     }
 
--- a/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
@@ -1,7 +1,9 @@
 //! The state of a group of endpoints whose ranks run each step together.
 
-use super::REPORT_LIFETIME_MS;
+use super::admission_share::AdmissionShare;
+use super::{Admission, GroupRunning, PickRequest, REPORT_LIFETIME_MS};
 use crate::direct::group_update::{GroupUpdate, RankUpdate, ReporterRole};
+use crate::hash;
 
 /// How long a group is avoided after one of its ranks reported a fault of another rank, in milliseconds. Its leader has
 /// a better view by then.
@@ -29,6 +31,14 @@
     stalled_at_event: u64,
     /// The names of the ranks, in the order in which their loads are reported.
     roster: Vec<String>,
+    /// Requests that the group may run, by the last report.
+    stream_limit: Option<u64>,
+    /// Requests that the group ran or had queued, by the last report.
+    reported_requests: u64,
+    /// Requests that this box has sent to the group since the last report, less those that have ended.
+    own_change: i64,
+    /// Number of applied reports.
+    reports: u64,
     /// The number of ranks in the last report of loads, if their names are not known to this box.
     unnamed_ranks: usize,
 }
@@ -45,6 +55,10 @@
             observer_reported_ms: None,
             stalled_at_event: 0,
             roster: Vec::new(),
+            stream_limit: None,
+            reported_requests: 0,
+            own_change: 0,
+            reports: 0,
             unnamed_ranks: 0,
         }
     }
@@ -67,9 +81,43 @@
         self.is_serving = update.is_serving;
         self.step_ms = update.step_ms;
         self.reported_ms = now_ms;
+        self.stream_limit = update.stream_limit.filter(|stream_limit| *stream_limit > 0);
+        self.reported_requests = update.requests();
+        self.own_change = 0;
+        self.reports += 1;
         true
     }
 
+    /// Records that this box has sent a request to the group.
+    pub const fn on_attempt_start(&mut self) {
+        self.own_change += 1;
+    }
+
+    /// Records that a request of this box at the group has ended.
+    pub const fn on_attempt_end(&mut self) {
+        self.own_change -= 1;
+    }
+
+    /// Returns how many requests the group runs and may run. The limit holds for as long as the last report is used.
+    pub fn running(&self, now_ms: u64) -> GroupRunning {
+        GroupRunning {
+            running: self.reported_requests.saturating_add_signed(self.own_change),
+            stream_limit: self.stream_limit.filter(|_| !self.is_silent(now_ms)),
+        }
+    }
+
+    /// Returns whether the stream limit admits one more request.
+    pub fn admits(&self, request: &PickRequest, now_ms: u64) -> bool {
+        let GroupRunning { running, stream_limit } = self.running(now_ms);
+        match (stream_limit, request.admission) {
+            (None, _) | (_, Admission::Exempt) => true,
+            (Some(stream_limit), Admission::Drawn(draw)) => {
+                let draw = hash::mix(draw ^ hash::mix(self.reports));
+                AdmissionShare::new(request.urgency, request.level).admits(running, stream_limit, draw)
+            }
+        }
+    }
+
     /// Returns the reported ranks with their names.
     pub fn named_ranks(&mut self, update: &GroupUpdate) -> Vec<RankUpdate> {
         let Some(loads) = &update.loads else {
--- a/crates/ochreyard-core/src/direct/endpoint_pool/groups.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/groups.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::group::Group;
-use super::{EndpointPool, LeaderlessGroups, Member, ReportedLoad};
+use super::{EndpointPool, GroupRunning, LeaderlessGroups, Member, ReportedLoad};
 use crate::direct::endpoint_record::EndpointRecord;
 use crate::direct::group_update::GroupUpdate;
 
@@ -22,6 +22,15 @@
         self.groups.iter().filter(move |(name, _)| is_of_service(name)).map(|(_, group)| group)
     }
 
+    /// Returns the running requests and the stream limit of each group of a service, by the name of the group.
+    pub fn group_running<'a>(&'a self, service: &'a str, now_ms: u64) -> impl Iterator<Item = (&'a str, GroupRunning)> {
+        let of_service = self.groups.iter().filter_map(move |(key, group)| {
+            let name = key.strip_prefix(service)?.strip_prefix('/')?;
+            Some((name, group))
+        });
+        of_service.map(move |(name, group)| (name, group.running(now_ms)))
+    }
+
     /// Applies the report of a group's leader or observer.
     pub fn apply_group_update(&mut self, update: &GroupUpdate, now_ms: u64) {
         let key = group_key(&update.service, &update.group);
--- a/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
@@ -2,9 +2,10 @@
 
 use super::group::Group;
 use super::shuffled_order::ShuffledOrder;
-use super::{EndpointPool, Member, Pick, PickError};
+use super::{Admission, EndpointPool, Member, Pick, PickError, PickRequest};
 use crate::direct::allowed_regions::AllowedRegions;
 use crate::direct::endpoint_incarnation::EndpointIncarnation;
+use crate::direct::priority_level::PriorityLevel;
 use crate::direct::urgency::Urgency;
 
 /// Requests, running or queued, that an endpoint without a group may have per slot. A queued request then starts after
@@ -42,14 +43,11 @@
         self.pick_in_regions(&AllowedRegions::ANY, service, tried, urgency, random, now_ms)
     }
 
-    /// Picks the least loaded of a few randomly sampled endpoints of a service that are in an allowed region and not in
-    /// `tried`. Endpoints that were unreachable, slow or stalled are used only if no other is left. Endpoints that
-    /// asked for a backoff are never used.
+    /// Picks an endpoint for a request of a service whose requests all have one priority.
     ///
     /// # Errors
     ///
-    /// Returns an error if no endpoint takes work, if all have asked for a backoff, are at capacity or have used up the
-    /// share of this box in their rate limits, or if all groups are stalled.
+    /// The same as [`Self::pick_for`].
     pub fn pick_in_regions(
         &self,
         allowed_regions: &AllowedRegions,
@@ -59,6 +57,21 @@
         random: u64,
         now_ms: u64,
     ) -> Result<Pick, PickError> {
+        let (level, admission) = (PriorityLevel::SINGLE, Admission::Drawn(random));
+        let request = PickRequest { service, allowed_regions, tried, urgency, level, admission };
+        self.pick_for(&request, random, now_ms)
+    }
+
+    /// Picks the least loaded of a few randomly sampled endpoints of a service that are in an allowed region, not in
+    /// `tried`, and in no group whose stream limit keeps the request out. Endpoints that were unreachable, slow or
+    /// stalled are used only if no other is left. Endpoints that asked for a backoff are never used.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no endpoint takes work, if all have asked for a backoff, are at capacity, are in groups at
+    /// their stream limit or have used up the share of this box in their rate limits, or if all groups are stalled.
+    pub fn pick_for(&self, request: &PickRequest, random: u64, now_ms: u64) -> Result<Pick, PickError> {
+        let PickRequest { service, allowed_regions, tried, urgency, .. } = *request;
         let is_candidate = |id: &str, member: &Member| {
             member.takes_work()
                 && self.is_in_allowed_region(allowed_regions, member)
@@ -70,7 +83,7 @@
             || all_candidates().filter(|(_, member)| !is_any_reachable || self.is_reachable(member, now_ms));
         let accepting = || candidates().filter(|(_, member)| member.accepts_requests(now_ms));
         let is_healthy = |(_, member): &(&str, &Member)| self.is_healthy(member, now_ms);
-        let has_capacity = |(_, member): &(&str, &Member)| self.has_capacity(member, urgency, now_ms);
+        let has_capacity = |(_, member): &(&str, &Member)| self.has_capacity(member, request, now_ms);
         if let Some(found) = self.least_loaded(accepting().filter(is_healthy).filter(has_capacity), now_ms) {
             return Ok(to_pick(found, urgency));
         }
@@ -147,15 +160,15 @@
         self.members_of_service(service).map(|(_, member)| member.late_in_flight).sum()
     }
 
-    /// Returns whether an endpoint can serve one more request in time.
-    fn has_capacity(&self, member: &Member, urgency: Urgency, now_ms: u64) -> bool {
+    /// Returns whether an endpoint can serve this request in time, beside those that it and its group run.
+    fn has_capacity(&self, member: &Member, request: &PickRequest, now_ms: u64) -> bool {
         let slots = member.record.slots.max(1) as f64;
-        let capacity = if self.group_of(member).is_some() {
-            slots + GROUP_QUEUE_LIMIT
-        } else {
-            slots * UNGROUPED_REQUESTS_PER_SLOT
-        };
-        let limit = match urgency {
+        let group = self.group_of(member);
+        if group.is_some_and(|group| !group.admits(request, now_ms)) {
+            return false;
+        }
+        let capacity = if group.is_some() { slots + GROUP_QUEUE_LIMIT } else { slots * UNGROUPED_REQUESTS_PER_SLOT };
+        let limit = match request.urgency {
             Urgency::Late => capacity * LATE_CAPACITY_FRACTION,
             Urgency::OnTime => capacity,
         };
@@ -184,7 +197,8 @@
     }
 
     /// Returns whether a running request should move to another endpoint: its rank was recently reported as slow, and
-    /// an endpoint that is not slow has capacity.
+    /// an endpoint that is not slow has capacity. A stream limit does not keep it out: it runs already, and it lengthens
+    /// the steps more where it is.
     ///
     /// Every step of a group takes as long as its slowest rank needs for its own requests. If ten requests finish at a
     /// rank that is five times slower than usual, the steps of 600 other requests take 200 ms instead of 65 ms for
@@ -199,7 +213,9 @@
         now_ms: u64,
     ) -> bool {
         let is_slow = |id: &str| self.members.get(id).is_some_and(|member| member.is_slow(now_ms));
-        let alternative = || self.pick_in_regions(allowed_regions, service, tried, Urgency::OnTime, 0, now_ms).ok();
+        let (level, admission) = (PriorityLevel::SINGLE, Admission::Exempt);
+        let request = PickRequest { service, allowed_regions, tried, urgency: Urgency::OnTime, level, admission };
+        let alternative = || self.pick_for(&request, 0, now_ms).ok();
         is_slow(id) && alternative().is_some_and(|pick| pick.id != id && !is_slow(&pick.id))
     }
 }
--- a/crates/ochreyard-core/src/direct/group_update.rs
+++ b/crates/ochreyard-core/src/direct/group_update.rs
@@ -34,12 +34,23 @@
     /// Ranks of the group whose endpoints are known; empty where `loads` is sent instead.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub ranks: Vec<RankUpdate>,
+    /// Number of requests that the whole group may run so that its steps stay within the gap target of its callers;
+    /// `None`: no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stream_limit: Option<u64>,
     /// Loads of the ranks without their names, for boxes that know the names.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub loads: Option<RosterLoads>,
 }
 
 impl GroupUpdate {
+    /// Returns the number of running and waiting requests of all reported ranks.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        let of_ranks = || self.ranks.iter().map(|rank| rank.running + rank.waiting).sum();
+        self.loads.as_ref().map_or_else(of_ranks, RosterLoads::total)
+    }
+
     /// Returns the same update with the loads of the ranks in place of the ranks and their names.
     #[must_use]
     pub fn without_names(&self) -> Self {
--- a/crates/ochreyard-core/src/direct/roster_loads.rs
+++ b/crates/ochreyard-core/src/direct/roster_loads.rs
@@ -53,6 +53,12 @@
         self.loads.is_empty()
     }
 
+    /// Returns the number of running and waiting requests of all ranks.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.loads.bytes().map(number).sum()
+    }
+
     /// Returns the ranks with the names of a roster; `None` where the loads are of another roster.
     #[must_use]
     pub fn named(&self, names: &[String]) -> Option<Vec<RankUpdate>> {
@@ -60,7 +66,6 @@
         if !matches_roster {
             return None;
         }
-        let number = |byte: u8| u64::from(byte.saturating_sub(ZERO));
         let loads = self.loads.as_bytes().chunks_exact(CHARS_PER_RANK);
         let mut ranks: Vec<RankUpdate> = names
             .iter()
@@ -81,6 +86,11 @@
     }
 }
 
+/// Returns the number that a character stands for.
+fn number(byte: u8) -> u64 {
+    u64::from(byte.saturating_sub(ZERO))
+}
+
 /// Returns a digest of names that depends on their order.
 fn digest_of<'a>(names: impl Iterator<Item = &'a str>) -> u64 {
     names.fold(0, |digest, name| hash::mix(digest ^ hash::fnv1a(name.as_bytes())))
--- a/crates/ochreyard-core/src/direct/waiting.rs
+++ b/crates/ochreyard-core/src/direct/waiting.rs
@@ -8,6 +8,7 @@
 //! target is worth several times one that is only late, so requests on time go first. Late
 //! requests get a bounded share of the slots, so that they do not delay newer requests.
 
+mod admission_seed;
 mod arrival;
 mod decaying_count;
 mod dispatch_decision;
--- a/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
+++ b/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
@@ -4,7 +4,7 @@
 use super::{Arrival, Patience, ServiceQueue, Ticket, WaitFacts};
 use crate::direct::allowed_regions::AllowedRegions;
 use crate::direct::endpoint_incarnation::EndpointIncarnation;
-use crate::direct::endpoint_pool::{EndpointPool, Pick, PickError};
+use crate::direct::endpoint_pool::{Admission, EndpointPool, Pick, PickError, PickRequest};
 use crate::direct::priority::Priority;
 use crate::direct::priority_level::PriorityLevel;
 use crate::direct::urgency::Urgency;
@@ -22,6 +22,8 @@
     pub priority: Priority,
     /// Position of that priority among those of the service.
     pub level: PriorityLevel,
+    /// Whether an earlier attempt may have run.
+    pub may_have_run: bool,
     /// What was derived at the arrival of the request.
     pub arrival: Arrival,
     /// Deadline of the request, in milliseconds.
@@ -147,8 +149,11 @@
     }
 
     /// Picks an endpoint if no other request goes first and this box has a slot left for a request of this urgency.
+    ///
+    /// A request that may have run replaces itself among the running requests of the service, so that no stream limit
+    /// keeps it out. The retry budget bounds how many of these there are.
     fn pick_in_turn(
-        &self,
+        &mut self,
         pool: &EndpointPool,
         boxes: u64,
         request: &PendingRequest,
@@ -159,8 +164,13 @@
         if !self.may_go_now(request.ticket, urgency, now_ms) {
             return Err(PickError::Full);
         }
-        let pick =
-            pool.pick_in_regions(request.allowed_regions, request.service, request.tried, urgency, draw, now_ms)?;
+        let admission = match request.may_have_run {
+            true => Admission::Exempt,
+            false => Admission::Drawn(self.admission_seed.of(request.ticket, draw)),
+        };
+        let PendingRequest { service, allowed_regions, tried, level, .. } = *request;
+        let pick_request = PickRequest { service, allowed_regions, tried, urgency, level, admission };
+        let pick = pool.pick_for(&pick_request, draw, now_ms)?;
         let has_no_late_slot = urgency == Urgency::Late
             && pool.late_in_flight(request.service) >= Self::max_late_in_flight(pool.slots(request.service), boxes);
         if has_no_late_slot { Err(PickError::Full) } else { Ok(pick) }
--- a/crates/ochreyard-core/src/direct/waiting/service_queue.rs
+++ b/crates/ochreyard-core/src/direct/waiting/service_queue.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 
+use super::admission_seed::AdmissionSeed;
 use super::limited_turns::LimitedTurns;
 use super::{Arrival, Overload, Patience, ServiceTime, StallHistory, StallOutcomes, Ticket, WaitQueue};
 use crate::direct::urgency::Urgency;
@@ -37,6 +38,8 @@
     pub stall_outcomes: StallOutcomes,
     /// Turns that rate limits leave to this box where all endpoints state limits.
     pub(super) limited_turns: Option<LimitedTurns>,
+    /// Random number of the first waiting request.
+    pub(super) admission_seed: AdmissionSeed,
     /// Longest timeout of a request by route.
     longest_timeout_ms: HashMap<String, u64>,
 }
--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -20,7 +20,11 @@
 mod planner;
 mod selection_counts;
 mod shift_response_times;
+mod shift_skews;
+mod step_model;
+mod step_model_error;
 mod step_times;
+mod stream_limit;
 
 pub use arming_times::ArmingTimes;
 pub use candidacy::{Candidacy, candidate_position};
@@ -36,4 +40,6 @@
 pub use planner::{PlanSettings, PlannedMap, Planner};
 pub use selection_counts::SelectionCounts;
 pub use shift_response_times::{ShiftResponse, ShiftResponseTimes};
+pub use step_model::{StepLoad, StepModel};
 pub use step_times::StepTimes;
+pub use stream_limit::{GroupObservation, StreamLimit};
--- a/crates/ochreyard-core/tests/endpoint_notices.rs
+++ b/crates/ochreyard-core/tests/endpoint_notices.rs
@@ -153,6 +153,7 @@
         service: "tiles",
         allowed_regions: &AllowedRegions::ANY,
         tried: &[],
+        may_have_run: false,
         priority: Priority::LOWEST,
         level: PriorityLevel::SINGLE,
         arrival,
--- a/crates/ochreyard-core/tests/endpoint_pool.rs
+++ b/crates/ochreyard-core/tests/endpoint_pool.rs
@@ -37,6 +37,7 @@
         is_serving,
         step_ms: 0,
         ranks,
+        stream_limit: None,
         loads: None,
     }
 }
--- a/crates/ochreyard-core/tests/stall_load_model/entry_model.rs
+++ b/crates/ochreyard-core/tests/stall_load_model/entry_model.rs
@@ -58,6 +58,7 @@
             service: SERVICE,
             allowed_regions: &AllowedRegions::ANY,
             tried: &[],
+            may_have_run: false,
             priority: Priority::LOWEST,
             level: PriorityLevel::SINGLE,
             arrival: attempt.arrival,
--- a/crates/ochreyard-core/tests/stall_load_model/mod.rs
+++ b/crates/ochreyard-core/tests/stall_load_model/mod.rs
@@ -101,6 +101,7 @@
             is_serving,
             step_ms: 60,
             ranks: (0..ENDPOINTS).map(rank).collect(),
+            stream_limit: None,
             loads: None,
         }
     }
--- a/crates/ochreyard-core/tests/waiting.rs
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -198,6 +198,7 @@
         service: "tiles",
         allowed_regions: &AllowedRegions::ANY,
         tried: &[],
+        may_have_run: false,
         priority: Priority::LOWEST,
         level: PriorityLevel::SINGLE,
         arrival,
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ochreyard_core::direct::{DispatchDecision, EndpointPool, PendingRequest, Pick, PickError, QuarantineDecision};
+use ochreyard_core::direct::{
+    Admission, DispatchDecision, EndpointPool, PendingRequest, Pick, PickError, PickRequest, QuarantineDecision,
+};
 
 use super::Job;
 use crate::dialect::Dialect;
@@ -148,6 +150,7 @@
             tried: &self.tried,
             priority: self.priority,
             level: self.priority_level,
+            may_have_run: self.may_have_run,
             arrival: self.arrival,
             deadline_ms: self.deadline_ms,
             silent_since_ms: self.silent_since_ms,
@@ -170,7 +173,9 @@
 
     fn has_other_endpoint(&self, pool: &EndpointPool, now_ms: u64) -> bool {
         let urgency = self.pending_request().urgency(now_ms);
-        pool.pick_in_regions(&self.allowed_regions, &self.service, &self.tried, urgency, 0, now_ms).is_ok()
+        let PendingRequest { service, allowed_regions, tried, level, .. } = self.pending_request();
+        let admission = Admission::Exempt;
+        pool.pick_for(&PickRequest { service, allowed_regions, tried, urgency, level, admission }, 0, now_ms).is_ok()
     }
 }
 
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use ochreyard_core::direct::GroupRunning;
 use tokio::net::TcpListener;
 
 use crate::dialect::Dialect;
@@ -98,6 +99,13 @@
         gauge("ochreyard_direct_limit_per_second").set(limits.limit_per_s);
         gauge("ochreyard_direct_limit_share_per_second").set(limits.share_per_s);
         gauge("ochreyard_direct_limit_sent_per_second").set(limits.sent_per_s);
+        for (group, GroupRunning { running, stream_limit }) in state.pool.group_running(service, now_ms) {
+            let gauge =
+                |name: &'static str| metrics::gauge!(name, "service" => service.clone(), "group" => group.to_owned());
+            gauge("ochreyard_direct_group_running").set(running as f64);
+            // A gauge can't be absent once it was set; a group without a limit shows 0.
+            gauge("ochreyard_direct_group_stream_limit").set(stream_limit.unwrap_or(0) as f64);
+        }
         metrics::gauge!("ochreyard_direct_waiting", "service" => service.clone()).set(queue.wait_queue.len() as f64);
     }
     handle.render()
--- a/crates/ochreyard-lead/src/leader.rs
+++ b/crates/ochreyard-lead/src/leader.rs
@@ -7,6 +7,7 @@
 mod proposal;
 mod reporting;
 mod round;
+mod stream_limit;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use ochreyard_core::direct::ReporterRole;
 use ochreyard_core::group_map::{
     ArmingTimes, Demand, LeaderId, Leadership, MapController, MapControllerSettings, MeanSkew, Round, SentOrder,
-    ShiftResponseTimes,
+    ShiftResponseTimes, StreamLimit,
 };
 use ochreyard_direct::{Dialect, Entry};
 use ochreyard_rank::{EngineFactory, LeaderRequest};
@@ -51,6 +52,7 @@
     reporter: GroupReporter<D>,
     progress: StepProgress,
     mean_skew: MeanSkew,
+    stream_limit: StreamLimit,
     pace_log: PaceLog,
     is_serving: bool,
     demand: Option<Demand>,
@@ -92,6 +94,7 @@
             sent_map: SentMap::default(),
             progress: StepProgress::default(),
             mean_skew: MeanSkew::default(),
+            stream_limit: StreamLimit::default(),
             pace_log: PaceLog::default(),
             is_serving: true,
             demand: None,
@@ -184,7 +187,8 @@
     fn log_pace(&mut self) {
         let now_ms = self.now_ms();
         let mut pace_log = std::mem::take(&mut self.pace_log);
-        pace_log.log_if_due(&self.members.group, &self.last_round.views, now_ms, || self.current_skew());
+        let stream_limit = self.stream_limit.requests();
+        pace_log.log_if_due(&self.members.group, &self.last_round.views, stream_limit, now_ms, || self.current_skew());
         self.pace_log = pace_log;
     }
 
--- a/crates/ochreyard-lead/src/leader/decision.rs
+++ b/crates/ochreyard-lead/src/leader/decision.rs
@@ -33,6 +33,7 @@
         }
         self.log_waiting_change(now_ms);
         self.record_skew();
+        self.update_stream_limit(now_ms);
         let before = self.controller.phase().clone();
         let round = std::mem::take(&mut self.last_round);
         self.pending_orders = self.controller.on_round(&round, now_ms);
--- a/crates/ochreyard-lead/src/leader/proposal.rs
+++ b/crates/ochreyard-lead/src/leader/proposal.rs
@@ -42,6 +42,7 @@
         if demand.observe(selections, now_ms) {
             self.is_change_outdated = true;
             self.shift_times.on_shift(now_ms);
+            self.stream_limit.on_shift(now_ms);
             log::info!("event=demand_shifted service={} phase={:?}", self.service, self.controller.phase());
         }
     }
@@ -63,11 +64,26 @@
 
     /// The load of the most loaded rank relative to the mean, under the map in use and the current demand.
     pub(super) fn current_skew(&self) -> Option<f64> {
+        self.skew_with(&self.slowdowns())
+    }
+
+    /// The same if the demand is sufficiently known.
+    pub(super) fn known_skew(&self) -> Option<f64> {
+        let figures = self.entry.engine_spec(&self.service)?;
+        self.demand.as_ref().filter(|demand| is_sufficiently_known(demand, &figures))?;
+        self.current_skew()
+    }
+
+    /// The skew if all ranks were as fast as usual.
+    pub(super) fn skew_at_usual_pace(&self) -> Option<f64> {
+        self.skew_with(&vec![1.0; self.last_round.views.len()])
+    }
+
+    fn skew_with(&self, slowdowns: &[f64]) -> Option<f64> {
         let (_, placement) = self.controller.current_map()?;
         let demand = self.demand.as_ref()?;
         let expected_len = placement.experts() * placement.sets().len();
-        let slowdowns = self.slowdowns();
-        (demand.rates().len() == expected_len).then(|| placement.skew(demand.rates(), &slowdowns))
+        (demand.rates().len() == expected_len).then(|| placement.skew(demand.rates(), slowdowns))
     }
 
     /// Records the skew under which the recent steps ran.
@@ -78,12 +94,15 @@
     }
 
     fn step_times(&self) -> StepTimes {
-        let state = self.entry.state.borrow();
-        let target_gap_ms = state.table.as_ref().and_then(|table| table.target_gap_ms(&self.service));
-        let step_ms = self.progress.step_ms();
+        let (step_ms, target_gap_ms) = (self.progress.step_ms(), self.target_gap_ms());
         StepTimes { step_ms, mean_skew: self.mean_skew.mean(), target_gap_ms, utilization: self.utilization() }
     }
 
+    /// The longest gap between events that counts as on time on every route of the service.
+    pub(super) fn target_gap_ms(&self) -> Option<u64> {
+        self.entry.state.borrow().table.as_ref()?.target_gap_ms(&self.service)
+    }
+
     /// Running requests as a share of the request slots of all ranks.
     fn utilization(&self) -> f64 {
         let slots = self.entry.engine_spec(&self.service).map_or(1, |figures| figures.slots.max(1));
--- a/crates/ochreyard-lead/src/leader/reporting.rs
+++ b/crates/ochreyard-lead/src/leader/reporting.rs
@@ -15,7 +15,7 @@
     pub(super) fn report_if_due(&mut self, role: ReporterRole) {
         let now_ms = self.now_ms();
         self.is_serving = self.progress.observe(&self.last_round.views, now_ms);
-        if self.reporter.is_due(self.is_serving, now_ms) {
+        if self.reporter.is_due(self.is_serving, self.is_near_stream_limit(), now_ms) {
             self.report(role);
         }
     }
@@ -49,6 +49,7 @@
             is_serving: self.is_serving,
             step_ms: self.progress.step_ms(),
             ranks,
+            stream_limit: self.stream_limit.requests(),
             loads: None,
         }
     }
--- /dev/null
+++ b/crates/ochreyard-lead/src/leader/stream_limit.rs
@@ -0,0 +1,35 @@
+//! The stream limit of the group.
+
+use ochreyard_core::direct::EngineSpec;
+use ochreyard_core::group_map::{GroupObservation, StepModel};
+use ochreyard_direct::Dialect;
+use ochreyard_rank::EngineFactory;
+
+use super::Leader;
+
+impl<D: Dialect, F: EngineFactory> Leader<D, F> {
+    /// Updates the stream limit after a round.
+    pub(super) fn update_stream_limit(&mut self, now_ms: u64) {
+        let model = self.entry.engine_spec(&self.service).as_ref().map(step_model);
+        let skew = self.known_skew();
+        let demand_skew = skew.and_then(|_| self.skew_at_usual_pace());
+        let group = GroupObservation { views: &self.last_round.views, skew, demand_skew };
+        self.stream_limit.observe(model.as_ref(), self.target_gap_ms(), &group, now_ms);
+    }
+
+    /// Returns whether the boxes should learn of the load and the limit earlier than usual.
+    pub(super) fn is_near_stream_limit(&self) -> bool {
+        let running: u64 = self.last_round.views.iter().flatten().map(|view| view.running).sum();
+        self.reporter.is_near_limit(running, self.stream_limit.requests())
+    }
+}
+
+fn step_model(spec: &EngineSpec) -> StepModel {
+    StepModel {
+        passes: spec.stride as f64,
+        base_ms: spec.step_ms,
+        per_request_ms: spec.per_request_ms,
+        expert_share: spec.expert_share,
+        slots: spec.slots,
+    }
+}
--- a/crates/ochreyard-lead/src/pace_log.rs
+++ b/crates/ochreyard-lead/src/pace_log.rs
@@ -19,6 +19,7 @@
         &mut self,
         group: &str,
         views: &[Option<RankView>],
+        stream_limit: Option<u64>,
         now_ms: u64,
         skew: impl FnOnce() -> Option<f64>,
     ) {
@@ -39,9 +40,10 @@
         let waiting: u64 = known_views().map(|view| view.waiting).sum();
         let slowest = known_views().map(|view| view.pace_permille).max().unwrap_or(0);
         let skew = skew().map_or("-".to_owned(), |skew| format!("{skew:.2}"));
+        let stream_limit = stream_limit.map_or("-".to_owned(), |limit| limit.to_string());
         log::info!(
             "event=group_pace group={group} epoch={} step={} step_ms={step_ms} skew={skew} running={running} \
-             most_running={most_running} waiting={waiting} slowest_permille={slowest}",
+             most_running={most_running} waiting={waiting} slowest_permille={slowest} stream_limit={stream_limit}",
             newest.epoch,
             newest.step
         );
