--- a/crates/ochreyard-core/src/direct/endpoint_pool/admission_share.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/admission_share.rs
@@ -7,11 +7,12 @@
 /// The shares between which the most urgent level is admitted with falling probability. They lie on both sides of the
 /// limit, so that a group with enough requests of this level runs at its limit.
 const MOST_URGENT: AdmissionShare = AdmissionShare { lower: 0.95, upper: 1.05 };
-/// The same for the least urgent of several levels. The distance to the most urgent level is about what arrives
-/// between two reports, so that the least urgent requests are stopped before a more urgent one is.
-const LEAST_URGENT: AdmissionShare = AdmissionShare { lower: 0.75, upper: 0.85 };
+/// The same for the least urgent of several levels. With 0.75 to 0.85 a burst of the least urgent level left a sixth of
+/// the limit unused while its requests waited; with 0.90 to 1.00 the most urgent level lost a tenth in an overload of two
+/// times the limit (`stream_limit_model`).
+const LEAST_URGENT: AdmissionShare = AdmissionShare { lower: 0.85, upper: 0.95 };
 /// The same for requests of any level that are late already. They are worth less than any request that can be on time.
-const LATE: AdmissionShare = AdmissionShare { lower: 0.65, upper: 0.75 };
+const LATE: AdmissionShare = AdmissionShare { lower: 0.75, upper: 0.85 };
 
 /// The bounds of the admission ramp of a request, as shares of the stream limit of a group. Below the lower bound each
 /// request is admitted, above the upper one none is, and between them the probability falls linearly.
--- a/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
+++ b/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
@@ -164,9 +164,10 @@
         if !self.may_go_now(request.ticket, urgency, now_ms) {
             return Err(PickError::Full);
         }
-        let admission = match request.may_have_run {
-            true => Admission::Exempt,
-            false => Admission::Drawn(self.admission_seed.of(request.ticket, draw)),
+        let admission = if request.may_have_run {
+            Admission::Exempt
+        } else {
+            Admission::Drawn(self.admission_seed.of(request.ticket, draw))
         };
         let PendingRequest { service, allowed_regions, tried, level, .. } = *request;
         let pick_request = PickRequest { service, allowed_regions, tried, urgency, level, admission };
