--- a/crates/ochreyard-core/examples/dispatch_cost.rs
+++ b/crates/ochreyard-core/examples/dispatch_cost.rs
@@ -54,6 +54,7 @@
     let workspace = if random % 100 < 28 { 0 } else { 1 + (random >> 8) % (WORKSPACES - 1) };
     let on_time_until_ms = if random.is_multiple_of(2) { NOW_MS / 2 } else { 2 * NOW_MS };
     PendingRequest {
+        may_have_run: false,
         service: "brief",
         allowed_regions: &AllowedRegions::ANY,
         tried: &[],
@@ -70,11 +71,7 @@
     }
 }
 
-fn decide_us<'a>(
-    queue: &mut ServiceQueue,
-    pool: &EndpointPool,
-    request: impl Fn(u64) -> PendingRequest<'a>,
-) -> f64 {
+fn decide_us<'a>(queue: &mut ServiceQueue, pool: &EndpointPool, request: impl Fn(u64) -> PendingRequest<'a>) -> f64 {
     let started = Instant::now();
     for at in 0..DECISIONS {
         let decision = queue.decide(pool, BOXES, &request(at), hash::mix(at), NOW_MS);
@@ -135,7 +132,7 @@
             is_serving: true,
             step_ms: 60,
             ranks: ids.into_iter().map(rank).collect(),
-            loads: None,
+            ..GroupUpdate::default()
         };
         pool.apply_group_update(&update, NOW_MS);
     }
--- a/crates/ochreyard-core/src/direct/waiting.rs
+++ b/crates/ochreyard-core/src/direct/waiting.rs
@@ -10,6 +10,7 @@
 //! Among requests on time, and among late ones, those of a more urgent priority go first,
 //! and workspaces share a priority fairly by work.
 
+mod admission_seed;
 mod arrival;
 mod decaying_count;
 mod dispatch_decision;
--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -22,7 +22,11 @@
 mod round_times;
 mod selection_counts;
 mod shift_response_times;
+mod shift_skews;
+mod step_model;
+mod step_model_error;
 mod step_times;
+mod stream_limit;
 
 pub use arming_times::ArmingTimes;
 pub use candidacy::{Candidacy, candidate_position, successor_candidates};
@@ -42,4 +46,6 @@
 pub use round_times::RoundTimes;
 pub use selection_counts::SelectionCounts;
 pub use shift_response_times::{ShiftResponse, ShiftResponseTimes};
+pub use step_model::{StepLoad, StepModel};
 pub use step_times::StepTimes;
+pub use stream_limit::{GroupObservation, StreamLimit};
--- a/crates/ochreyard-core/tests/endpoint_notices.rs
+++ b/crates/ochreyard-core/tests/endpoint_notices.rs
@@ -155,6 +155,7 @@
         tried: &[],
         workspace: None,
         work_tokens: 1,
+        may_have_run: false,
         priority: Priority::LOWEST,
         level: PriorityLevel::SINGLE,
         arrival,
--- a/crates/ochreyard-core/tests/priorities.rs
+++ b/crates/ochreyard-core/tests/priorities.rs
@@ -135,6 +135,7 @@
         tried: &[],
         workspace: Some(workspace),
         work_tokens,
+        may_have_run: false,
         priority: Priority::new(priority),
         level: PriorityLevel::SINGLE,
         arrival: Arrival { on_time_until_ms, is_caller_retry: false },
--- a/crates/ochreyard-core/tests/stall_load_model/entry_model.rs
+++ b/crates/ochreyard-core/tests/stall_load_model/entry_model.rs
@@ -69,6 +69,7 @@
             tried: &[],
             workspace: None,
             work_tokens: 1,
+            may_have_run: false,
             priority: Priority::LOWEST,
             level: PriorityLevel::SINGLE,
             arrival: attempt.arrival,
--- a/crates/ochreyard-core/tests/waiting.rs
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -200,6 +200,7 @@
         tried: &[],
         workspace: None,
         work_tokens: 1,
+        may_have_run: false,
         priority: Priority::LOWEST,
         level: PriorityLevel::SINGLE,
         arrival,
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use ochreyard_core::direct::PrioritySet;
+use ochreyard_core::direct::{GroupRunning, PrioritySet};
 use tokio::net::TcpListener;
 
 use crate::dialect::Dialect;
@@ -105,6 +105,13 @@
             let labels = [("service", service.clone()), ("priority", priority.to_string())];
             metrics::gauge!("ochreyard_direct_waiting", &labels).set(queue.wait_queue.waiting_at(priority) as f64);
         }
+        for (group, GroupRunning { running, stream_limit }) in state.pool.group_running(service, now_ms) {
+            let gauge =
+                |name: &'static str| metrics::gauge!(name, "service" => service.clone(), "group" => group.to_owned());
+            gauge("ochreyard_direct_group_running").set(running as f64);
+            // A gauge can't be absent once it was set; a group without a limit shows 0.
+            gauge("ochreyard_direct_group_stream_limit").set(stream_limit.unwrap_or(0) as f64);
+        }
     }
     handle.render()
 }
