--- a/crates/ochreyard-core/examples/dispatch_cost.rs
+++ b/crates/ochreyard-core/examples/dispatch_cost.rs
@@ -3,8 +3,8 @@
 //! `cargo run --release -p ochreyard-core --example dispatch_cost`
 //!
 //! The requests have 24 workspaces, of which one sends 28 of 100, and 3 priorities; half of them are late. 62 boxes share
-//! 64 endpoints in two groups. Measured are a new request and one that waits, where all endpoints are full, and the
-//! request that is next, where endpoints have free slots.
+//! 64 endpoints in two groups. Measured are a new request, one that waits and the one that is next, where all endpoints
+//! are full, and the waiting requests in turn, where endpoints have free slots.
 
 use std::hint::black_box;
 use std::net::SocketAddr;
@@ -12,7 +12,7 @@
 
 use ochreyard_core::direct::{
     AllowedRegions, Arrival, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, GroupUpdate,
-    PendingRequest, Priority, PriorityLevel, RankUpdate, ReporterRole, ServiceQueue, Ticket,
+    PendingRequest, Priority, PriorityLevel, RankUpdate, ReporterRole, ServiceQueue, Ticket, Urgency,
 };
 use ochreyard_core::hash;
 
@@ -41,6 +41,10 @@
     print("new request, all endpoints full", decide_us(&mut queue, &full, |at| new[at as usize % new.len()]));
     let waits = |at: u64| waiting[at as usize % waiting.len()];
     print("waiting request, all endpoints full", decide_us(&mut queue, &full, waits));
+    let next = waiting.iter().find(|request| request.ticket.is_some_and(|own| queue.wait_queue.is_next(own, NOW_MS)));
+    let next = *next.expect("one request is next");
+    print("request that is next, all endpoints full", decide_us(&mut queue, &full, |_| next));
+    print("of which picking", pick_us(&full));
     print("waiting request, free endpoints", decide_and_rejoin_us(&mut queue, &free, &waiting));
     print("join and leave", join_and_leave_us(&mut queue, &new));
 }
@@ -70,11 +74,7 @@
     }
 }
 
-fn decide_us<'a>(
-    queue: &mut ServiceQueue,
-    pool: &EndpointPool,
-    request: impl Fn(u64) -> PendingRequest<'a>,
-) -> f64 {
+fn decide_us<'a>(queue: &mut ServiceQueue, pool: &EndpointPool, request: impl Fn(u64) -> PendingRequest<'a>) -> f64 {
     let started = Instant::now();
     for at in 0..DECISIONS {
         let decision = queue.decide(pool, BOXES, &request(at), hash::mix(at), NOW_MS);
@@ -83,6 +83,14 @@
     started.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64
 }
 
+/// Looks for an endpoint where all are full.
+fn pick_us(pool: &EndpointPool) -> f64 {
+    let started = Instant::now();
+    let picked = (0..DECISIONS).filter(|at| pool.pick("brief", &[], Urgency::OnTime, hash::mix(*at), NOW_MS).is_ok());
+    assert_eq!(picked.count(), 0);
+    started.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64
+}
+
 /// Decides on waiting requests, one after the other; those that are sent join the queue again.
 fn decide_and_rejoin_us(queue: &mut ServiceQueue, pool: &EndpointPool, waiting: &[PendingRequest]) -> f64 {
     let mut tickets: Vec<Option<Ticket>> = waiting.iter().map(|request| request.ticket).collect();
