--- a/crates/ochreyard-lead/src/leader/reporting.rs
+++ b/crates/ochreyard-lead/src/leader/reporting.rs
@@ -15,7 +15,7 @@
     pub(super) fn report_if_due(&mut self, role: ReporterRole) {
         let now_ms = self.now_ms();
         self.is_serving = self.progress.observe(&self.last_round.views, now_ms);
-        if self.reporter.is_due(self.is_serving, self.is_near_stream_limit(), now_ms) {
+        if self.reporter.is_due(self.report_facts(), now_ms) {
             self.report(role);
         }
     }
--- a/crates/ochreyard-lead/src/leader/stream_limit.rs
+++ b/crates/ochreyard-lead/src/leader/stream_limit.rs
@@ -1,7 +1,7 @@
 //! The stream limit of the group.
 
 use ochreyard_core::direct::EngineSpec;
-use ochreyard_core::group_map::{GroupObservation, StepModel};
+use ochreyard_core::group_map::{GroupObservation, ReportFacts, StepModel};
 use ochreyard_direct::Dialect;
 use ochreyard_rank::EngineFactory;
 
@@ -17,10 +17,10 @@
         self.stream_limit.observe(model.as_ref(), self.target_gap_ms(), &group, now_ms);
     }
 
-    /// Returns whether the boxes should learn of the load and the limit earlier than usual.
-    pub(super) fn is_near_stream_limit(&self) -> bool {
-        let running: u64 = self.last_round.views.iter().flatten().map(|view| view.running).sum();
-        self.reporter.is_near_limit(running, self.stream_limit.requests())
+    /// What the next report would say that decides how soon it is due.
+    pub(super) fn report_facts(&self) -> ReportFacts {
+        let running = self.last_round.views.iter().flatten().map(|view| view.running).sum();
+        ReportFacts { is_serving: self.is_serving, running, stream_limit: self.stream_limit.requests() }
     }
 }
 
