The model of a group has leaders that stop and hand over

A successor begins with the highest version and the map that a handover states, while holds and armed maps of the former leader are left. In the model a handover may be late by 3 s, lost, doubled, or sent to two candidates. Handovers draw from random numbers of their own, so that the seeds of earlier failures still cause the same faults.

--- a/crates/ochreyard-core/tests/group_map.rs
+++ b/crates/ochreyard-core/tests/group_map.rs
@@ -19,8 +19,7 @@
 const RECOVERY_MS: u64 = 8_000;
 
 /// Runs a group with faults and then without: the map must keep changing after the recovery time.
-fn run_with_faults(seed: u64) -> Result<(), String> {
-    let mut world = World::new(seed);
+fn run_with_faults(mut world: World) -> Result<(), String> {
     world.run(FAULTS_MS)?;
     world.end_faults();
     world.run(RECOVERY_MS)?;
@@ -37,7 +36,7 @@
 #[case::a_leader_that_leads_again_reuses_a_version(1_708_522_711_067_602_136)]
 #[case::a_late_release_matches_a_new_hold_of_the_same_step(16_326_194_671_537_684_374)]
 fn seeds_that_failed_before_pass(#[case] seed: u64) {
-    run_with_faults(seed).unwrap();
+    run_with_faults(World::new(seed)).unwrap();
 }
 
 proptest! {
@@ -45,8 +44,26 @@
 
     #[test]
     fn no_step_uses_two_maps_and_no_group_stalls_forever(seed in any::<u64>()) {
-        run_with_faults(seed).map_err(TestCaseError::fail)?;
+        run_with_faults(World::new(seed)).map_err(TestCaseError::fail)?;
     }
+
+    /// The successor begins while holds and armed maps of the former leader are left, with the map that was in use when
+    /// the handover was sent, which may be seconds ago.
+    #[test]
+    fn no_step_uses_two_maps_where_leaders_stop_and_hand_over(seed in any::<u64>()) {
+        run_with_faults(World::with_handovers(seed)).map_err(TestCaseError::fail)?;
+    }
+}
+
+#[test]
+fn the_model_has_successors_that_lead_by_a_handover() {
+    let successions = |seed| {
+        let mut world = World::with_handovers(seed);
+        world.run(FAULTS_MS).unwrap();
+        world.successions
+    };
+    let successions: Vec<u64> = (0..20).map(successions).collect();
+    assert!(successions.iter().sum::<u64>() > 20, "{successions:?}");
 }
 
 #[test]
--- a/crates/ochreyard-core/tests/group_map_model/mod.rs
+++ b/crates/ochreyard-core/tests/group_map_model/mod.rs
@@ -16,6 +16,8 @@
 const COPY_MS: u64 = 80;
 /// Mean number of rounds after which a leader wants to replace a change in progress.
 const PREEMPTION_ONE_IN: u64 = 12;
+/// Mean number of rounds after which a leader stops and hands over.
+const HANDOVER_ONE_IN: u64 = 80;
 
 /// Uniform random numbers from a seed.
 pub struct Random(u64);
@@ -77,6 +79,15 @@
     proposals: u64,
     retry_at_ms: u64,
     is_leading: bool,
+    /// Until when the candidate asks for the leadership without waiting for its turn, since it was handed over.
+    succeeds_until_ms: u64,
+}
+
+/// What a leader that stops hands over.
+#[derive(Clone)]
+struct Handover {
+    highest_version: u64,
+    map: Option<(u64, GroupPlacement)>,
 }
 
 impl Candidate {
@@ -91,6 +102,7 @@
             proposals: 0,
             retry_at_ms: 0,
             is_leading: false,
+            succeeds_until_ms: 0,
         }
     }
 }
@@ -107,6 +119,13 @@
     agents: Vec<Agent>,
     candidates: Vec<Candidate>,
     late_orders: Vec<(u64, usize, SentOrder)>,
+    /// Handovers by the time of their arrival and the candidate that they are for.
+    handovers: Vec<(u64, usize, Handover)>,
+    /// Random numbers for handovers; `None` if leaders that stop do not hand over. They are separate so that the seeds
+    /// of earlier failures still cause the same faults.
+    handover_random: Option<Random>,
+    /// Number of candidates that began to lead by a handover.
+    pub successions: u64,
     last_incarnation: u64,
     /// Longest time that a hold has stalled the group, in milliseconds.
     pub max_stall_ms: u64,
@@ -134,6 +153,9 @@
             agents,
             candidates,
             late_orders: Vec::new(),
+            handovers: Vec::new(),
+            handover_random: None,
+            successions: 0,
             last_incarnation: RANKS as u64,
             max_stall_ms: 0,
             stalled_since_ms: None,
@@ -143,6 +165,11 @@
         }
     }
 
+    /// A group whose leaders also stop at random, and hand over.
+    pub fn with_handovers(seed: u64) -> Self {
+        Self { handover_random: Some(Random(hash::mix(seed))), ..Self::new(seed) }
+    }
+
     /// Ends all faults; late orders may still be carried out.
     pub fn end_faults(&mut self) {
         self.has_faults = false;
@@ -158,6 +185,7 @@
                 self.inject_faults();
             }
             self.carry_out_late_orders();
+            self.receive_handovers();
             self.complete_copies();
             self.advance_steps()?;
             for at in 0..RANKS {
@@ -359,6 +387,11 @@
             self.resign(at);
             return;
         }
+        let may_stop = self.has_faults && self.candidates[at].is_leading;
+        if may_stop && self.handover_random.as_mut().is_some_and(|random| random.one_in(HANDOVER_ONE_IN)) {
+            self.hand_over(at);
+            return;
+        }
         let is_led_by_other = self.agents[at].grant.holder(now_ms).is_some_and(|holder| *holder != leader_id);
         let pending = std::mem::take(&mut self.candidates[at].pending);
         for (rank, order) in pending {
@@ -368,7 +401,9 @@
         // Candidates ask in turn, so that one of them gets a majority of the grants.
         let is_own_turn = now_ms / TICK_MS % (2 * RANKS as u64) == 2 * at as u64;
         let is_leading = self.candidates[at].leadership.has_majority(RANKS, now_ms, 0);
-        if !is_leading && (is_led_by_other || !is_own_turn || now_ms < self.candidates[at].retry_at_ms) {
+        let is_successor = now_ms < self.candidates[at].succeeds_until_ms;
+        let waits = is_led_by_other || !is_own_turn || now_ms < self.candidates[at].retry_at_ms;
+        if !is_leading && waits && !is_successor {
             return;
         }
         let must_reach_all = self.candidates[at].controller.must_reach_all();
@@ -408,6 +443,9 @@
             }
             return;
         }
+        if !candidate.is_leading && now_ms < candidate.succeeds_until_ms {
+            self.successions += 1;
+        }
         candidate.is_leading = true;
         let is_map_known = candidate.controller.current_map().is_some_and(|(version, _)| *version == epoch_map.0);
         let all_maps_equal = self.engines.iter().all(|engine| engine.map == epoch_map);
@@ -444,4 +482,45 @@
         let leader_id = LeaderId { life: candidate.incarnation };
         self.agents.iter_mut().for_each(|agent| agent.grant.release(&leader_id));
     }
+
+    /// Stops a leader, which restarts as a new box, and sends a handover to one or two other candidates: the first
+    /// one's answer may be late. Each handover may be lost, late or doubled.
+    fn hand_over(&mut self, at: usize) {
+        let Some(mut random) = self.handover_random.take() else { return };
+        let controller = &self.candidates[at].controller;
+        let handover =
+            Handover { highest_version: controller.highest_version(), map: controller.current_map().cloned() };
+        self.resign(at);
+        for _ in 0..=random.below(2) {
+            let to = (at + 1 + random.below(RANKS as u64 - 1) as usize) % RANKS;
+            for _ in 0..random.below(3) {
+                let late_ms = if random.one_in(4) { random.below(3_000) } else { TICK_MS };
+                self.handovers.push((self.now_ms + late_ms, to, handover.clone()));
+            }
+        }
+        self.last_incarnation += 1;
+        self.candidates[at] = Candidate::new(at, self.last_incarnation);
+        self.candidates[at].frozen_until_ms = self.now_ms + 50 + random.below(1_500);
+        self.handover_random = Some(random);
+    }
+
+    /// Makes the candidates that a handover reaches begin a new term, unless they lead already.
+    fn receive_handovers(&mut self) {
+        let now_ms = self.now_ms;
+        let arrived: Vec<_> = self.handovers.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms).collect();
+        for (_, to, handover) in arrived {
+            if self.candidates[to].is_leading || now_ms < self.candidates[to].frozen_until_ms {
+                continue;
+            }
+            self.resign(to);
+            self.last_incarnation += 1;
+            let mut successor = Candidate::new(to, self.last_incarnation);
+            successor.controller.raise_highest_version(handover.highest_version);
+            if let Some((version, placement)) = handover.map {
+                successor.controller.set_current_map(version, placement);
+            }
+            successor.succeeds_until_ms = now_ms + LEASE_MS;
+            self.candidates[to] = successor;
+        }
+    }
 }
