--- a/crates/ochreyard-core/tests/group_admission.rs
+++ b/crates/ochreyard-core/tests/group_admission.rs
@@ -48,7 +48,7 @@
         step_ms: 70,
         ranks: (0..2).map(rank_update).collect(),
         stream_limit,
-        loads: None,
+        ..GroupUpdate::default()
     }
 }
 
@@ -81,6 +81,8 @@
         service: SERVICE,
         allowed_regions: &AllowedRegions::ANY,
         tried: &[],
+        workspace: None,
+        work_tokens: 1,
         may_have_run,
         priority: Priority::new(level.index as u64),
         level,
@@ -272,7 +274,7 @@
         let mut pool = pool(&[10], Some(LIMIT));
         let mut queue = ServiceQueue::default();
         queue.service_time.record(1_600);
-        let ticket = Some(queue.wait_queue.join(200, 8_000));
+        let ticket = Some(queue.wait_queue.join(&pending(level(0), false)));
         let waiting = PendingRequest { ticket, ..pending(level(0), false) };
         let mut is_sent = |pool: &EndpointPool, attempt: u64| {
             matches!(queue.decide(pool, 1, &waiting, draw * 100 + attempt, 0), DispatchDecision::Send(_))
