--- a/crates/ochreyard-core/src/group_map/report_schedule.rs
+++ b/crates/ochreyard-core/src/group_map/report_schedule.rs
@@ -38,6 +38,12 @@
         last.is_serving != facts.is_serving || now_ms >= reported_ms + interval_ms
     }
 
+    /// Returns the time since the last report, in milliseconds; `None` before the first one.
+    #[must_use]
+    pub fn report_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.last.map(|(reported_ms, _)| now_ms.saturating_sub(reported_ms))
+    }
+
     /// Records a report. Returns whether it differs from the last one in whether the group makes progress.
     pub fn on_report(&mut self, facts: ReportFacts, now_ms: u64) -> bool {
         let last = self.last.replace((now_ms, facts));
--- a/crates/ochreyard-lead/src/group_reporter.rs
+++ b/crates/ochreyard-lead/src/group_reporter.rs
@@ -31,9 +31,10 @@
         Self { entry, schedule: ReportSchedule::default(), last_names: None }
     }
 
-    /// Time since the last report, in milliseconds.
+    /// Time since the last report, in milliseconds; as long as the process runs if there was none.
     pub fn report_age_ms(&self) -> u64 {
-        self.entry.clock.now_ms().saturating_sub(self.reported_ms)
+        let now_ms = self.entry.clock.now_ms();
+        self.schedule.report_age_ms(now_ms).unwrap_or(now_ms)
     }
 
     /// Whether a report is due.
