--- a/crates/ochreyard-core/tests/priority_load_model/mod.rs
+++ b/crates/ochreyard-core/tests/priority_load_model/mod.rs
@@ -53,6 +53,7 @@
 
     fn pending<'a>(&'a self, load: &Load) -> PendingRequest<'a> {
         PendingRequest {
+            may_have_run: false,
             service: SERVICE,
             allowed_regions: &AllowedRegions::ANY,
             tried: &[],
@@ -157,7 +158,7 @@
         is_serving: true,
         step_ms: 60,
         ranks: (0..ENDPOINTS).map(|at| rank(format!("e{at}"))).collect(),
-        loads: None,
+        ..GroupUpdate::default()
     }
 }
 
