--- a/crates/ochreyard-core/tests/priorities.rs
+++ b/crates/ochreyard-core/tests/priorities.rs
@@ -344,6 +344,44 @@
         prop_assert!(queue.is_empty());
     }
 
+    /// Requests join, are sent and leave in any order while time passes. Guards against a next request that is out of
+    /// date: it always has the most urgent priority of those that can be on time, or else of all, and the earliest
+    /// deadline of its workspace.
+    #[test]
+    fn the_next_request_is_known_whatever_happened_before(
+        steps in proptest::collection::vec((0..4u8, any::<usize>(), 0..40u64), 1..120),
+        samples in samples(4, 3),
+    ) {
+        let mut queue = WaitQueue::default();
+        let mut waiting: Vec<(Ticket, Sample)> = Vec::new();
+        let mut now_ms = 0;
+        for (turn, (step, pick, passed_ms)) in steps.into_iter().enumerate() {
+            now_ms += passed_ms;
+            if step < 2 {
+                let sample = samples[turn % samples.len()];
+                let sample = (sample.0, sample.1, now_ms + sample.2 / 4, sample.3, sample.4);
+                waiting.push((join_all(&mut queue, &[sample])[0], sample));
+            } else if step == 2 && !waiting.is_empty() {
+                queue.leave(waiting.swap_remove(pick % waiting.len()).0);
+            }
+            let class = |sample: &Sample| (sample.2 <= now_ms, sample.1);
+            let next: Vec<usize> = (0..waiting.len()).filter(|at| queue.is_next(waiting[*at].0, now_ms)).collect();
+            prop_assert_eq!(next.len(), waiting.len().min(1));
+            prop_assert_eq!(queue.len(), waiting.len());
+            let by_priority = |number| waiting.iter().filter(|(_, sample)| sample.1 == number).count();
+            prop_assert!((0..3).all(|number| queue.waiting_at(Priority::new(number)) == by_priority(number)));
+            let Some(at) = next.first().copied() else { continue };
+            let (ticket, sample) = waiting[at];
+            prop_assert!(waiting.iter().all(|(_, other)| class(&sample) <= class(other)));
+            let rivals = waiting.iter().filter(|(_, other)| other.0 == sample.0 && class(other) == class(&sample));
+            prop_assert_eq!(rivals.map(|(_, other)| other.3).min(), Some(sample.3));
+            if step == 3 {
+                queue.on_sent(ticket);
+                waiting.swap_remove(at);
+            }
+        }
+    }
+
     /// While two workspaces of a priority both wait, neither gets more than one request of work more than the other.
     #[test]
     fn workspaces_that_wait_get_equal_work(samples in samples(4, 1)) {
