A removed record no longer hides the crash of its endpoint

Cause: the platform removes the record of an endpoint that has crashed. An entry that applied the removal between the break of the connection and its crash check took the crash for a planned end and did not count it. So the request was tried again, or no verdict was made.

Change: an endpoint that had not announced that it leaves ended as planned only if its record had been removed more than 0.5 s before the connection broke. Otherwise its address is checked, as while the record is there.

--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -20,6 +20,7 @@
 mod selection;
 mod shuffled_order;
 mod slow_start;
+mod sudden_removals;
 mod unavailable_counts;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -36,6 +37,7 @@
 pub use self::pick::Pick;
 pub use self::pick_error::PickError;
 pub use self::reported_load::ReportedLoad;
+use self::sudden_removals::SuddenRemovals;
 pub use self::unavailable_counts::UnavailableCounts;
 use super::allowed_regions::AllowedRegions;
 use super::catalog::EndpointChange;
@@ -55,6 +57,7 @@
     /// What endpoint incarnations without a record have asked for. The record of a running endpoint may expire and come
     /// back.
     departed: HashMap<EndpointIncarnation, Departed>,
+    sudden_removals: SuddenRemovals,
     /// The boxes that share rate limits.
     sharing_boxes: SharingBoxes,
     cold_quotas: ColdQuotas,
--- a/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
@@ -1,6 +1,7 @@
 //! Updates of the pool from attempts: when they start, how they end, and what the responses report about the endpoint.
 
 use super::{AttemptOutcome, AvailabilityNotice, EndpointPool, Member, Pick, UnavailableCounts};
+use crate::direct::EndpointIncarnation;
 use crate::direct::endpoint_signals::EndpointSignals;
 
 impl EndpointPool {
@@ -94,6 +95,21 @@
         self.picked_member(pick).is_none_or(Member::is_leaving)
     }
 
+    /// Records that the record of an endpoint is about to be removed.
+    pub fn on_removal(&mut self, id: &str, now_ms: u64) {
+        let Some(member) = self.members.get(id).filter(|member| !member.is_leaving()) else { return };
+        let incarnation = EndpointIncarnation { id: id.to_owned(), started_ms: member.record.started_ms };
+        self.sudden_removals.record(incarnation, now_ms);
+    }
+
+    /// Returns whether the endpoint that was picked, a connection to which broke at `broke_ms`, is leaving or had been
+    /// removed before. The removal of a record does not count if it was not announced and came with the break: the
+    /// platform removes the record of an endpoint that has crashed, too.
+    #[must_use]
+    pub fn ended_as_planned(&self, pick: &Pick, broke_ms: u64) -> bool {
+        self.is_gone_or_leaving(pick) && !self.sudden_removals.may_share_cause(&pick.incarnation(), broke_ms)
+    }
+
     /// Counts the endpoints of a service that currently accept no new requests from this box.
     #[must_use]
     pub fn unavailable_counts(&self, service: &str, now_ms: u64) -> UnavailableCounts {
--- a/crates/ochreyard-direct/src/crash_check.rs
+++ b/crates/ochreyard-direct/src/crash_check.rs
@@ -28,7 +28,7 @@
     Crashed,
     /// It accepts connections.
     Alive,
-    /// It is leaving, or its record has been removed: it ends as planned.
+    /// It is leaving, or its record had been removed before: it ends as planned.
     Leaving,
     /// It does not answer: it is cut off, frozen or without power.
     Unknown,
@@ -51,9 +51,9 @@
     }
 }
 
-/// Checks whether an endpoint that broke a connection has crashed.
-pub async fn check<D: Dialect>(entry: &Rc<Entry<D>>, pick: &Pick) -> CrashCheck {
-    if is_gone_or_leaving(entry, pick) {
+/// Checks whether an endpoint that broke a connection at `broke_ms` has crashed.
+pub async fn check<D: Dialect>(entry: &Rc<Entry<D>>, pick: &Pick, broke_ms: u64) -> CrashCheck {
+    if entry.state.borrow().pool.ended_as_planned(pick, broke_ms) {
         return CrashCheck::Leaving;
     }
     let now_ms = entry.clock.now_ms();
@@ -62,10 +62,6 @@
     check.await
 }
 
-fn is_gone_or_leaving<D: Dialect>(entry: &Entry<D>, pick: &Pick) -> bool {
-    entry.state.borrow().pool.is_gone_or_leaving(pick)
-}
-
 async fn probe<D: Dialect>(entry: Rc<Entry<D>>, pick: Pick) -> CrashCheck {
     let started_ms = entry.clock.now_ms();
     let found = match Connection::open(pick.addr, CHECK_TIMEOUT).await {
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -223,6 +223,9 @@
             };
             let now_ms = self.clock.now_ms();
             let mut state = self.state.borrow_mut();
+            if let EndpointChange::Removed(id) = &change {
+                state.pool.on_removal(id, now_ms);
+            }
             state.pool.apply(change);
             if let Some((id, cold_ms)) = cold {
                 state.pool.on_cold(&id, cold_ms, now_ms);
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -275,7 +275,7 @@
         let lost_ms = entry.clock.now_ms();
         let lost = LostRequest { fingerprint: self.fingerprint(), ran_ms: self.ran_ms(lost_ms) };
         let check = tokio::task::spawn_local(async move {
-            let found = crash_check::check(&entry, &pick).await;
+            let found = crash_check::check(&entry, &pick, lost_ms).await;
             log::info!(
                 "event=request_lost fingerprint={} endpoint={} found={found:?} ran_ms={:?}",
                 lost.fingerprint,
