A late stream passes on the events that have arrived

Cause: a relay ended a stream as soon as it noticed that its deadline had passed, without reading events that were in its socket. All streams of an entry whose process had not run for a while were cut at once.

Change: after the deadline was noticed, a stream goes on for as long as events are there to be read, for 50 ms at most.

--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -21,6 +21,9 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Gap between events that is assumed if the route names no target.
 const DEFAULT_GAP_MS: u64 = 150;
+/// How long after its deadline was noticed a stream still passes on events that have arrived, in milliseconds. A process
+/// that was stopped notices the deadline late. Below the shortest gap between events, so that no later event is awaited.
+const LATE_EVENTS_MS: u64 = 50;
 
 /// Starts the answer to the caller. The events follow as they arrive.
 pub fn stream<D: Dialect>(job: Job<D>, answer: Answer<D>) -> Response<AnswerBody> {
@@ -28,7 +31,7 @@
     let seen = job.request.headers.get(last_event).and_then(|value| value.to_str().ok()).map(str::to_owned);
     let head = answer.head.clone();
     meters::on_stream_start(&job.service, job.elapsed_ms());
-    let relay = Relay { job, answer: Some(answer), splitter: EventSplitter::new(seen) };
+    let relay = Relay { job, answer: Some(answer), splitter: EventSplitter::new(seen), late_since_ms: None };
     let pieces = futures::stream::unfold(relay, |mut relay| async move {
         let piece = relay.next_events().await?;
         Some((piece, relay))
@@ -40,6 +43,8 @@
     job: Job<D>,
     answer: Option<Answer<D>>,
     splitter: EventSplitter,
+    /// When the relay first noticed that the deadline has passed.
+    late_since_ms: Option<u64>,
 }
 
 enum Step {
@@ -86,8 +91,9 @@
             return Step::Broken { cause: SLOW_ENDPOINT.to_owned(), is_lost: false };
         }
         let Some(answer) = self.answer.as_mut() else { return Step::End };
-        let left_ms = self.job.deadline_ms.saturating_sub(self.job.entry.clock.now_ms());
-        if left_ms == 0 {
+        let now_ms = self.job.entry.clock.now_ms();
+        let left_ms = self.job.deadline_ms.saturating_sub(now_ms);
+        if left_ms == 0 && now_ms >= *self.late_since_ms.get_or_insert(now_ms) + LATE_EVENTS_MS {
             return Step::TimeUp;
         }
         let silence_timeout_ms = self.job.route.target_gap_ms.unwrap_or(DEFAULT_GAP_MS) * SILENCE_TIMEOUT_GAPS;
