--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -26,6 +26,7 @@
 mod selection;
 mod shuffled_order;
 mod slow_start;
+mod sudden_removals;
 mod unavailable_counts;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -47,6 +48,7 @@
 pub use self::pick_error::PickError;
 pub use self::pick_request::PickRequest;
 pub use self::reported_load::ReportedLoad;
+use self::sudden_removals::SuddenRemovals;
 pub use self::unavailable_counts::UnavailableCounts;
 use super::allowed_regions::AllowedRegions;
 use super::catalog::EndpointChange;
@@ -66,6 +68,7 @@
     /// What endpoint incarnations without a record have asked for. The record of a running endpoint may expire and come
     /// back.
     departed: HashMap<EndpointIncarnation, Departed>,
+    sudden_removals: SuddenRemovals,
     /// The boxes that share rate limits.
     sharing_boxes: SharingBoxes,
     cold_quotas: ColdQuotas,
