A standby leader takes over from a leader that is gone

Cause: after the box of a leader was killed, its group had no leader for 1.3 to 1.7 s. Entries wait until three reports are overdue (0.9 s), check every 150 ms, search for the ranks in the order of candidates, and pause for 0.8 s after a search that finds the former leader's grants still valid.

Change: each second a leader posts the handover without the map to `/standby` of the strongest box of another data centre (of its own, if there is no other); the next one is asked after a refusal. That box queries the agents every 50 ms from the moment at which the next report is overdue by 0.3 s, and begins when a majority of them says that no leader holds its grant. After 12 queries (0.6 s) the grants of a leader that is gone have expired, so it queries every 0.8 s, and ends 5 s after the last notice, or when another leader reports. If its leader stands down, it queries the agents at once.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
@@ -117,10 +117,15 @@
         self.leader_reported_ms.is_some_and(|leader_reported_ms| now_ms < leader_reported_ms + LEADER_TIMEOUT_MS)
     }
 
+    /// Returns the last report of the group's leader, unless that leader has stood down.
+    pub fn last_leader_report(&self, now_ms: u64) -> Option<LeaderReport> {
+        let age_ms = now_ms.saturating_sub(self.leader_reported_ms?);
+        Some(LeaderReport { age_ms, leader_tag: self.leader_tag })
+    }
+
     /// Returns the last report of the group's leader, if it is recent enough for the leader to count as such.
     pub fn leader_report(&self, now_ms: u64) -> Option<LeaderReport> {
-        let age_ms = now_ms.saturating_sub(self.leader_reported_ms?);
-        (age_ms < LEADER_TIMEOUT_MS).then_some(LeaderReport { age_ms, leader_tag: self.leader_tag })
+        self.last_leader_report(now_ms).filter(|report| report.age_ms < LEADER_TIMEOUT_MS)
     }
 
     /// Returns whether the group is neither led nor watched by an observer that checks whether it can be led.
--- a/crates/ochreyard-core/src/direct/endpoint_pool/groups.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/groups.rs
@@ -61,6 +61,12 @@
         self.groups.get(&group_key(service, group))?.leader_report(now_ms)
     }
 
+    /// Returns the last report of a group's leader, unless that leader has stood down.
+    #[must_use]
+    pub fn last_leader_report(&self, service: &str, group: &str, now_ms: u64) -> Option<LeaderReport> {
+        self.groups.get(&group_key(service, group))?.last_leader_report(now_ms)
+    }
+
     /// Returns the groups of a service without a known leader.
     #[must_use]
     pub fn leaderless_groups(&self, service: &str, now_ms: u64) -> LeaderlessGroups {
--- a/crates/ochreyard-core/src/group_map.rs
+++ b/crates/ochreyard-core/src/group_map.rs
@@ -25,11 +25,11 @@
 mod step_times;
 
 pub use arming_times::ArmingTimes;
-pub use candidacy::{Candidacy, candidate_position, successor_candidates};
+pub use candidacy::{Candidacy, candidate_position, standby_candidates, successor_candidates};
 pub use controller::{ChangePhase, MapController, MapControllerSettings, Round};
 pub use demand::{Demand, selections_between};
 pub use handover::{
-    FirstGrants, HandoverAnswer, HandoverAttempts, HandoverRefusal, LeadershipHandover, SuccessorState,
+    FirstGrants, HandoverAnswer, HandoverAttempts, HandoverRefusal, LeadershipHandover, StandbyWatch, SuccessorState,
 };
 pub use leader_grant::LeaderGrant;
 pub use leader_id::LeaderId;
--- a/crates/ochreyard-core/src/group_map/candidacy.rs
+++ b/crates/ochreyard-core/src/group_map/candidacy.rs
@@ -101,6 +101,17 @@
     candidates.into_iter().map(|(_, record)| record.addr).collect()
 }
 
+/// The other boxes that answered recently, in the order in which they are asked to be the standby leader of a group that
+/// is led from `data_centre`: those of other data centres first, since a data centre may fail as a whole.
+#[must_use]
+pub fn standby_candidates(service: &str, data_centre: &str, others: &BoxList, now_ms: u64) -> Vec<SocketAddr> {
+    let mut candidates: Vec<_> = others.responsive(now_ms).collect();
+    candidates.sort_by_cached_key(|(name, record)| {
+        (record.data_centre == data_centre, candidate_key(service, (*name, *record)))
+    });
+    candidates.into_iter().map(|(_, record)| record.addr).collect()
+}
+
 /// The key by which candidates are sorted.
 fn candidate_key(service: &str, (name, record): (&str, &BoxRecord)) -> (Reverse<u64>, Reverse<u64>, u64) {
     let tie_breaker = hash::mix(hash::fnv1a(service.as_bytes()) ^ hash::fnv1a(name.as_bytes()));
--- a/crates/ochreyard-core/src/group_map/handover.rs
+++ b/crates/ochreyard-core/src/group_map/handover.rs
@@ -9,6 +9,7 @@
 mod handover_attempts;
 mod handover_refusal;
 mod leadership_handover;
+mod standby_watch;
 mod successor_state;
 
 pub use first_grants::FirstGrants;
@@ -16,4 +17,5 @@
 pub use handover_attempts::HandoverAttempts;
 pub use handover_refusal::HandoverRefusal;
 pub use leadership_handover::LeadershipHandover;
+pub use standby_watch::StandbyWatch;
 pub use successor_state::SuccessorState;
--- a/crates/ochreyard-core/src/group_map/handover/leadership_handover.rs
+++ b/crates/ochreyard-core/src/group_map/handover/leadership_handover.rs
@@ -14,6 +14,11 @@
 /// Largest readable map version: greater ones are not exact in JSON.
 const MAX_VERSION: u64 = 1 << 53;
 
+/// Most ranks in a notice, at up to 30 bytes each, and most bytes of its demand: a notice has at most 8 KB. The standby
+/// leader discovers the other ranks when it leads.
+const MAX_NOTICE_MEMBERS: usize = 128;
+const MAX_NOTICE_DEMAND_BYTES: usize = 3_800;
+
 /// What a leader hands over to its successor.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeadershipHandover {
@@ -52,6 +57,15 @@
 }
 
 impl LeadershipHandover {
+    /// Returns the handover as it is sent to the standby leader every second: without the map, which that leader reads
+    /// from the ranks when it leads.
+    #[must_use]
+    pub fn into_notice(self) -> Self {
+        let members = self.members.into_iter().take(MAX_NOTICE_MEMBERS).collect();
+        let demand = self.demand.filter(|demand| demand.encoded_bytes() <= MAX_NOTICE_DEMAND_BYTES);
+        Self { members, demand, map_version: None, map: Vec::new(), ..self }
+    }
+
     /// Returns whether the values are possible and consistent.
     #[must_use]
     pub fn is_consistent(&self) -> bool {
--- a/crates/ochreyard-core/src/group_map/selection_counts.rs
+++ b/crates/ochreyard-core/src/group_map/selection_counts.rs
@@ -28,6 +28,12 @@
         Self { unit, multiples: BASE64_STANDARD_NO_PAD.encode(multiples) }
     }
 
+    /// The number of bytes that the counts take in a message.
+    #[must_use]
+    pub const fn encoded_bytes(&self) -> usize {
+        self.multiples.len()
+    }
+
     /// Adds the counts to `sums`, which is resized to their number if it is empty. Returns
     /// `false`, and adds nothing, if the counts cannot be decoded or their number differs.
     pub fn add_to(&self, sums: &mut Vec<f64>) -> bool {
--- a/crates/ochreyard-core/tests/leadership_handover.rs
+++ b/crates/ochreyard-core/tests/leadership_handover.rs
@@ -5,8 +5,8 @@
 use ochreyard_core::direct::{BoxList, BoxRecord, EndpointPool, GroupUpdate, LeaderReport, ReporterRole};
 use ochreyard_core::group_map::{
     Demand, FirstGrants, GroupPlacement, HandoverAnswer, HandoverAttempts, HandoverRefusal, LeaderGrant, LeaderId,
-    Leadership, LeadershipHandover, MapController, MapControllerSettings, SelectionCounts, SuccessorState,
-    successor_candidates,
+    Leadership, LeadershipHandover, MapController, MapControllerSettings, SelectionCounts, StandbyWatch,
+    SuccessorState, standby_candidates, successor_candidates,
 };
 use rstest::rstest;
 
@@ -272,3 +272,112 @@
     assert!(first_grants.retry_pause_ms(&[other; SIZE / 2], SIZE, 9, 1_100).is_some());
     assert!(first_grants.retry_pause_ms(&[other; SIZE / 2 + 1], SIZE, 9, 1_100).is_none());
 }
+
+/// Interval of the leader's reports and rounds, and of the checks of the standby leader, in milliseconds.
+const REPORT_MS: u64 = 300;
+const ROUND_MS: u64 = 100;
+const CHECK_MS: u64 = 50;
+
+/// What a standby leader does about a leader that reports until `reports_until_ms` and renews its grants until
+/// `renews_until_ms`: the time at which it takes over, and the number of its queries.
+fn stand_by(reports_until_ms: u64, renews_until_ms: u64, for_ms: u64) -> (Option<u64>, u32) {
+    let mut grants = vec![LeaderGrant::new(LEASE_MS, 0); SIZE];
+    let mut watch = StandbyWatch::new(FORMER, 1_000);
+    let mut reported_ms = 1_000;
+    let mut queries = 0;
+    for now_ms in 1_000..1_000 + for_ms {
+        if now_ms <= renews_until_ms && now_ms % ROUND_MS == 0 {
+            grants.iter_mut().for_each(|grant| assert!(grant.try_grant(&FORMER, LEASE_MS, now_ms)));
+        }
+        if now_ms <= reports_until_ms && now_ms % REPORT_MS == 100 {
+            reported_ms = now_ms;
+            watch.on_notice(FORMER, now_ms);
+        }
+        let report = Some(LeaderReport { age_ms: now_ms - reported_ms, leader_tag: Some(FORMER.tag()) });
+        if now_ms % CHECK_MS != 0 || !watch.is_current(report, now_ms) || !watch.is_query_due(report, now_ms) {
+            continue;
+        }
+        queries += 1;
+        let free = grants.iter().filter(|grant| grant.holder(now_ms).is_none()).count();
+        if StandbyWatch::takes_over(free, SIZE) {
+            return (Some(now_ms), queries);
+        }
+    }
+    (None, queries)
+}
+
+/// A second leader beside one whose grants are valid would give orders at the same time.
+#[rstest]
+fn a_standby_leader_takes_over_once_reports_are_overdue_and_the_grants_have_expired(
+    #[values(0, 40, 90, 130, 210, 299)] killed_after_ms: u64,
+) {
+    let killed_ms = 4_000 + killed_after_ms;
+    let (taken_over_ms, _) = stand_by(killed_ms, killed_ms, 10_000);
+    let expired_ms = killed_ms / ROUND_MS * ROUND_MS + LEASE_MS;
+    let reported_ms = (killed_ms - 100) / REPORT_MS * REPORT_MS + 100;
+    let taken_over_ms = taken_over_ms.unwrap();
+    assert!(taken_over_ms >= expired_ms, "{taken_over_ms} before {expired_ms}");
+    assert!(taken_over_ms <= expired_ms.max(reported_ms + REPORT_MS + 400), "{taken_over_ms} after {expired_ms}");
+}
+
+#[test]
+fn a_standby_leader_waits_for_a_leader_that_is_slow_or_that_it_does_not_hear() {
+    let (taken_over_ms, queries) = stand_by(u64::MAX, u64::MAX, 30_000);
+    assert_eq!((taken_over_ms, queries), (None, 0), "a leader that is well is not asked about");
+    // Cut off from the leader: its agents still hold grants, and the leader's notices stop.
+    let (taken_over_ms, queries) = stand_by(2_000, u64::MAX, 30_000);
+    assert_eq!(taken_over_ms, None);
+    assert!((12..20).contains(&queries), "{queries} queries until the standby ends");
+}
+
+#[test]
+fn a_standby_ends_with_another_leader_and_queries_at_once_when_its_leader_stands_down() {
+    let mut watch = StandbyWatch::new(FORMER, 1_000);
+    let report = |life: u64| Some(LeaderReport { age_ms: 100, leader_tag: Some(LeaderId { life }.tag()) });
+    assert!(watch.is_current(report(FORMER.life), 1_100));
+    assert!(!watch.is_query_due(report(FORMER.life), 1_100));
+    assert!(!watch.is_current(report(8), 1_100), "another leader reports");
+    assert!(!watch.on_notice(LeaderId { life: 8 }, 1_100), "a late notice of a former leader");
+    assert!(watch.is_current(None, 1_100) && watch.is_query_due(None, 1_100));
+    assert!(!watch.is_query_due(None, 1_149), "the agents are not queried more often than their answers change");
+    assert!(!watch.is_current(None, 6_000), "the notices stopped");
+    let older = Some(LeaderReport { age_ms: 600, leader_tag: None });
+    assert!(watch.is_current(older, 1_200) && watch.is_query_due(older, 1_200), "reports of an older version");
+}
+
+#[test]
+fn the_standby_leader_is_the_strongest_box_of_another_data_centre() {
+    let record = |number: u16, data_centre: &str, cores_permille: u64| BoxRecord {
+        addr: addr(number),
+        data_centre: data_centre.to_owned(),
+        cores_permille,
+        link_mbps: 100,
+    };
+    let mut others = BoxList::default();
+    for (name, record) in [("a", record(1, "x", 500)), ("b", record(2, "y", 250)), ("c", record(3, "z", 400))] {
+        others.insert(name, record);
+    }
+    assert_eq!(standby_candidates("tiles", "x", &others, 0), [addr(3), addr(2), addr(1)]);
+    assert_eq!(standby_candidates("tiles", "z", &others, 0), [addr(1), addr(2), addr(3)]);
+}
+
+/// Links carry 28 megabits a second, of which all messages between boxes may use 3 KB/s.
+#[rstest]
+#[case::two_hundred_ranks(200, 16, 96)]
+#[case::most_experts(128, 28, 100)]
+#[case::too_many_experts_for_a_notice(64, 61, 256)]
+#[case::twenty_four_ranks(24, 16, 96)]
+#[case::thirty_two_ranks(32, 12, 128)]
+fn a_notice_has_at_most_eight_kilobytes(#[case] ranks: usize, #[case] sets: usize, #[case] experts: usize) {
+    let selections: Vec<u64> = (0..sets * experts).map(|at| at as u64 * 977 % 4_001).collect();
+    let members = (0..ranks).map(|rank| (rank, SocketAddr::from(([210, 212, 131, rank as u8], 18_080)))).collect();
+    let map = GroupPlacement::round_robin(sets, experts, ranks).sets().to_vec();
+    let demand = Some(SelectionCounts::new(&selections));
+    let handover = LeadershipHandover { size: ranks, members, demand, map, ..handover() };
+    assert!(handover.is_consistent());
+    let notice = handover.clone().into_notice();
+    let bytes = |message: &LeadershipHandover| serde_json::to_vec(message).unwrap().len();
+    println!("ranks={ranks} handover_bytes={} notice_bytes={}", bytes(&handover), bytes(&notice));
+    assert!(bytes(&notice) <= 8_192, "{}", bytes(&notice));
+    assert!(notice.is_consistent() && notice.members.len() * 2 > ranks);
+}
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -55,5 +55,5 @@
 pub use http_client::HttpClient;
 pub use keyed_log::{KeyedLog, KeyedLogError, KeyedPage, KeyedRecord, Topic};
 pub use operator_api::{QUARANTINE_PATH, RELEASE_PATH};
-pub use peers::{HANDOVER_PATH, HandoverHandler, PeerUpdate, StateQuery, broadcast};
+pub use peers::{HANDOVER_PATH, HandoverHandler, HandoverRole, PeerUpdate, STANDBY_PATH, StateQuery, broadcast};
 pub use sync_cursor::SyncCursor;
--- a/crates/ochreyard-direct/src/peers.rs
+++ b/crates/ochreyard-direct/src/peers.rs
@@ -16,7 +16,7 @@
 
 pub use broadcast::{PeerUpdate, UnreachablePeers, broadcast, broadcast_to_data_centre, receive_update};
 pub use full_sync_limiter::FullSyncLimiter;
-pub use handover::{HANDOVER_PATH, HandoverHandler, receive_handover};
+pub use handover::{HANDOVER_PATH, HandoverHandler, HandoverRole, STANDBY_PATH, receive_handover};
 pub use peer_endpoint::PeerEndpoint;
 pub use poll::poll_peers;
 pub use state_answer::answer_state_query;
--- a/crates/ochreyard-direct/src/peers/handover.rs
+++ b/crates/ochreyard-direct/src/peers/handover.rs
@@ -1,4 +1,4 @@
-//! Handovers of the leadership of a group, which one box sends to one other box.
+//! Handovers of the leadership of a group, and notices to its standby leader, which one box sends to one other box.
 
 use std::rc::Rc;
 
@@ -16,11 +16,27 @@
 /// Largest handover that is accepted.
 const MAX_HANDOVER_BYTES: usize = 1 << 20;
 
-/// Decides on a handover and begins to lead if it is accepted.
-pub type HandoverHandler = Rc<dyn Fn(LeadershipHandover) -> Result<(), HandoverRefusal>>;
+/// HTTP path to which a leader posts the same message for its standby leader. Boxes that do not know it answer 404.
+pub const STANDBY_PATH: &str = "/standby";
+
+/// What the receiver of a [`LeadershipHandover`] is to become.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HandoverRole {
+    /// The leader, at once.
+    Successor,
+    /// The leader, once the sender is silent and its grants have expired.
+    Standby,
+}
+
+/// Decides on a handover; if it is accepted, begins to lead or to stand by.
+pub type HandoverHandler = Rc<dyn Fn(HandoverRole, LeadershipHandover) -> Result<(), HandoverRefusal>>;
 
 /// Answers a handover from another box.
-pub async fn receive_handover<D: Dialect>(entry: &Rc<Entry<D>>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub async fn receive_handover<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    role: HandoverRole,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::complete(""));
     let Ok(body) = Limited::new(request.into_body(), MAX_HANDOVER_BYTES).collect().await else {
         *response.status_mut() = StatusCode::BAD_REQUEST;
@@ -35,7 +51,7 @@
         }
     };
     let handler = entry.handover_handler.borrow().clone();
-    let decision = handler.map_or(Err(HandoverRefusal::NotReady), |handler| handler(handover));
+    let decision = handler.map_or(Err(HandoverRefusal::NotReady), |handler| handler(role, handover));
     match serde_json::to_vec(&HandoverAnswer::from(decision)) {
         Ok(answer) => *response.body_mut() = AnswerBody::complete(answer),
         Err(error) => {
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -19,7 +19,7 @@
 use crate::entry::Entry;
 use crate::log_updates::{LeavingUpdate, OperatorUpdate};
 use crate::operator_api::{self, QUARANTINE_PATH, RELEASE_PATH};
-use crate::peers::PeerUpdate;
+use crate::peers::{HandoverRole, PeerUpdate};
 use crate::{connection, forward, meters, peers};
 
 /// Least size of the buffer for a request head; hyper requires this much.
@@ -158,7 +158,12 @@
         (ListenerKind::Peers, &Method::POST, LeavingUpdate::PATH) => {
             empty_response(peers::receive_update::<D, LeavingUpdate>(entry, request).await)
         }
-        (ListenerKind::Peers, &Method::POST, peers::HANDOVER_PATH) => peers::receive_handover(entry, request).await,
+        (ListenerKind::Peers, &Method::POST, peers::HANDOVER_PATH) => {
+            peers::receive_handover(entry, HandoverRole::Successor, request).await
+        }
+        (ListenerKind::Peers, &Method::POST, peers::STANDBY_PATH) => {
+            peers::receive_handover(entry, HandoverRole::Standby, request).await
+        }
         (ListenerKind::Peers, &Method::GET, QUARANTINE_PATH) => json_response(&operator_api::list_quarantined(entry)),
         (ListenerKind::Peers, &Method::POST, RELEASE_PATH) => {
             empty_response(operator_api::release(entry, request).await)
--- a/crates/ochreyard-lead/src/leader.rs
+++ b/crates/ochreyard-lead/src/leader.rs
@@ -4,6 +4,7 @@
 mod discovery;
 mod handing_over;
 mod hold_rank;
+mod informing;
 mod observation;
 mod proposal;
 mod reporting;
@@ -22,6 +23,7 @@
 use ochreyard_rank::{EngineFactory, LeaderRequest};
 
 use self::discovery::Discovery;
+use self::informing::StandbyChoice;
 use crate::group_reporter::GroupReporter;
 use crate::members::Members;
 use crate::pace_log::PaceLog;
@@ -75,6 +77,7 @@
     other_holders: Vec<LeaderId>,
     /// The handover by which this leader began.
     predecessor: Option<Predecessor>,
+    standby: StandbyChoice,
 }
 
 /// What a leader knows about the one that handed over to it.
@@ -136,6 +139,7 @@
             round_times: RoundTimes::default(),
             other_holders: Vec::new(),
             predecessor: None,
+            standby: StandbyChoice::default(),
         }
     }
 
@@ -236,6 +240,7 @@
         }
         self.log_pace();
         self.report_if_due(ReporterRole::Leads);
+        self.inform_standby_if_due();
     }
 
     /// Logs the pace of the group's steps when the log line is due.
--- a/crates/ochreyard-lead/src/leader/handing_over.rs
+++ b/crates/ochreyard-lead/src/leader/handing_over.rs
@@ -50,7 +50,7 @@
         let group = &self.members.group;
         while let Some(candidate) = attempts.next_candidate(self.now_ms()) {
             let handover = self.handover();
-            match ask_to_succeed(candidate, &handover).await {
+            match ask_to_succeed(candidate, HANDOVER_PATH, &handover).await {
                 Some(answer) if answer.accepted => {
                     let took_ms = self.now_ms() - started_ms;
                     log::info!("event=leadership_handed_over group={group} to={candidate} took_ms={took_ms}");
@@ -69,7 +69,7 @@
         false
     }
 
-    fn handover(&self) -> LeadershipHandover {
+    pub(super) fn handover(&self) -> LeadershipHandover {
         let map = self.controller.current_map();
         LeadershipHandover {
             service: self.service.clone(),
@@ -102,11 +102,15 @@
 
 /// Sends a handover to one box; `None` if no readable answer arrives in time. Boxes of older versions answer that they
 /// do not know the path.
-async fn ask_to_succeed(candidate: SocketAddr, handover: &LeadershipHandover) -> Option<HandoverAnswer> {
+pub(super) async fn ask_to_succeed(
+    candidate: SocketAddr,
+    path: &str,
+    handover: &LeadershipHandover,
+) -> Option<HandoverAnswer> {
     // The kept connection to the box may be waiting for the answer to another message.
     let client = HttpClient::new(candidate);
     let timeout = Duration::from_millis(HandoverAttempts::ANSWER_TIMEOUT_MS);
-    match client.post(HANDOVER_PATH, handover, timeout).await {
+    match client.post(path, handover, timeout).await {
         Ok(response) => serde_json::from_slice(response.body()).ok(),
         Err(error) => {
             log::debug!("event=handover_send_failed addr={candidate} error=\"{error}\"");
--- a/crates/ochreyard-lead/src/leader_spawner.rs
+++ b/crates/ochreyard-lead/src/leader_spawner.rs
@@ -6,13 +6,14 @@
 use std::rc::Rc;
 
 use ochreyard_core::group_map::{HandoverRefusal, LeadershipHandover, SuccessorState};
-use ochreyard_direct::{Dialect, Entry, HttpClient};
+use ochreyard_direct::{Dialect, Entry, HandoverRole, HttpClient};
 use ochreyard_rank::EngineFactory;
 
 use crate::engine_location::EngineLocation;
 use crate::leader::Leader;
 use crate::members::Members;
 use crate::settings::LeaderSettings;
+use crate::standby::Standby;
 
 /// Time for which a box that was too slow to lead comes after all other candidates, in milliseconds.
 const SLOW_BOX_DEFERRAL_MS: u64 = 10_000;
@@ -41,6 +42,7 @@
                 settings: self.settings,
                 led_groups: RefCell::default(),
                 slow_until_ms: Cell::default(),
+                standby: RefCell::default(),
             })
         };
         Rc::clone(self.by_service.borrow_mut().entry(service.to_owned()).or_insert_with(new_spawner))
@@ -50,12 +52,16 @@
     pub fn accept_handovers(self: &Rc<Self>) {
         // The entry outlives its tasks, so the handler must not keep the spawners, which keep the entry.
         let spawners = Rc::downgrade(self);
-        let handler = move |handover: LeadershipHandover| {
+        let handler = move |role: HandoverRole, handover: LeadershipHandover| {
             let spawners = spawners.upgrade().ok_or(HandoverRefusal::NotReady)?;
             if !spawners.entry.grouped_services().contains(&handover.service) {
                 return Err(HandoverRefusal::NotReady);
             }
-            spawners.of(&handover.service).on_handover(&handover)
+            let spawner = spawners.of(&handover.service);
+            match role {
+                HandoverRole::Successor => spawner.on_handover(&handover),
+                HandoverRole::Standby => spawner.on_standby_notice(handover),
+            }
         };
         self.entry.handover_handler.replace(Some(Rc::new(handler)));
     }
@@ -63,13 +69,15 @@
 
 /// Starts leaders for the groups of one service.
 pub struct LeaderSpawner<D, F> {
-    entry: Rc<Entry<D>>,
+    pub(crate) entry: Rc<Entry<D>>,
     engine_factory: F,
     service: String,
     settings: LeaderSettings,
     /// Names of the groups that this entry leads or is attempting to lead.
     led_groups: RefCell<BTreeSet<String>>,
     slow_until_ms: Cell<u64>,
+    /// The group of the service for which this entry is the standby leader.
+    pub(crate) standby: RefCell<Option<Standby>>,
 }
 
 impl<D: Dialect, F: EngineFactory> LeaderSpawner<D, F> {
@@ -96,17 +104,7 @@
     /// Decides on a handover, and begins to lead if it is accepted.
     fn on_handover(self: &Rc<Self>, handover: &LeadershipHandover) -> Result<(), HandoverRefusal> {
         let members = self.members_of(handover);
-        let now_ms = self.entry.clock.now_ms();
-        let leads_group = self.leads(&handover.group);
-        let state = SuccessorState {
-            is_stopping: self.entry.is_stopping.get(),
-            is_ready: members.len() * 2 > handover.size,
-            is_slow: self.is_slow(),
-            leads_group,
-            leads_other: !leads_group && self.led_count() > 0,
-            leader_report: self.entry.state.borrow().pool.leader_report(&self.service, &handover.group, now_ms),
-        };
-        let decision = state.decide(handover);
+        let decision = self.successor_state(handover, &members).decide(handover);
         log::info!(
             "event=handover_received group={} from={} members={} accepted={} refusal={:?}",
             handover.group,
@@ -121,9 +119,23 @@
         decision
     }
 
+    /// What this entry knows when it is asked to lead the ranks `members` of a handover.
+    pub(crate) fn successor_state(&self, handover: &LeadershipHandover, members: &Members) -> SuccessorState {
+        let now_ms = self.entry.clock.now_ms();
+        let leads_group = self.leads(&handover.group);
+        SuccessorState {
+            is_stopping: self.entry.is_stopping.get(),
+            is_ready: members.len() * 2 > handover.size,
+            is_slow: self.is_slow(),
+            leads_group,
+            leads_other: !leads_group && self.led_count() > 0,
+            leader_report: self.entry.state.borrow().pool.leader_report(&self.service, &handover.group, now_ms),
+        }
+    }
+
     /// The ranks of a handover whose engines this entry knows as endpoints of the service. The leader discovers the
     /// others.
-    fn members_of(&self, handover: &LeadershipHandover) -> Members {
+    pub(crate) fn members_of(&self, handover: &LeadershipHandover) -> Members {
         let state = self.entry.state.borrow();
         let data_centre = &self.entry.identity.data_centre;
         let known: BTreeMap<SocketAddr, EngineLocation> = state
--- a/crates/ochreyard-lead/src/lib.rs
+++ b/crates/ochreyard-lead/src/lib.rs
@@ -19,6 +19,7 @@
 mod sent_map;
 mod service_watch;
 mod settings;
+mod standby;
 mod step_progress;
 
 use std::rc::Rc;
