A report without some ranks carries their part of the stream limit

Cause: a round in which agents do not answer in time reports fewer ranks and thus fewer running requests; compared with the limit of the whole group, boxes would see room that does not exist.

Change: the leader reports the limit in proportion to the reported ranks.

--- a/crates/ochreyard-core/src/direct/group_update.rs
+++ b/crates/ochreyard-core/src/direct/group_update.rs
@@ -34,8 +34,8 @@
     /// Ranks of the group whose endpoints are known; empty where `loads` is sent instead.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub ranks: Vec<RankUpdate>,
-    /// Number of requests that the whole group may run so that its steps stay within the gap target of its callers;
-    /// `None`: no limit.
+    /// Number of requests that the reported ranks may run so that the steps of the group stay within the gap target of
+    /// its callers; `None`: no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stream_limit: Option<u64>,
     /// Loads of the ranks without their names, for boxes that know the names.
--- a/crates/ochreyard-core/src/group_map/stream_limit.rs
+++ b/crates/ochreyard-core/src/group_map/stream_limit.rs
@@ -42,6 +42,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct StreamLimit {
     epoch: Option<u64>,
+    ranks: usize,
     first_step: Option<u64>,
     has_run_steps: bool,
     skew: Option<f64>,
@@ -74,6 +75,7 @@
         };
         let Some(round) = RoundLoad::of(group.views) else { return };
         self.start_epoch_if_new(round.epoch);
+        self.ranks = round.ranks;
         let first_step = *self.first_step.get_or_insert(round.step);
         self.has_run_steps |= round.step > first_step;
         self.skew = group.skew.or(self.skew);
@@ -94,6 +96,14 @@
         self.limit.map(|limit| limit.round() as u64)
     }
 
+    /// Returns the part of the limit for this many ranks of the group. A report in which ranks are missing lacks the
+    /// requests that they run; compared with the whole limit, the group would appear to have room.
+    #[must_use]
+    pub fn requests_of(&self, reported_ranks: usize) -> Option<u64> {
+        let share = reported_ranks as f64 / self.ranks.max(1) as f64;
+        self.limit.map(|limit| (limit * share.min(1.0)).round() as u64)
+    }
+
     /// Returns the part of the gap target that modelled steps leave free, as a share of it.
     #[must_use]
     pub fn headroom(&self) -> f64 {
--- a/crates/ochreyard-core/tests/stream_limit.rs
+++ b/crates/ochreyard-core/tests/stream_limit.rs
@@ -333,3 +333,13 @@
     assert!(schedule.is_due(facts, 1_000 + interval_ms));
     assert!(schedule.is_due(ReportFacts { is_serving: false, ..facts }, 1_001), "a stall is reported immediately");
 }
+
+/// Guards against boxes that take a report in which ranks are missing for that of a group with room.
+#[test]
+fn a_report_without_some_ranks_has_their_part_of_the_limit() {
+    let mut group = Group::new(7);
+    group.shift_every(2_000, 2);
+    let whole = group.limit.requests().unwrap();
+    assert_eq!(group.limit.requests_of(RANKS), Some(whole));
+    assert!(group.limit.requests_of(RANKS * 3 / 4).unwrap().abs_diff(whole * 3 / 4) <= 1);
+}
--- a/crates/ochreyard-lead/src/leader/reporting.rs
+++ b/crates/ochreyard-lead/src/leader/reporting.rs
@@ -41,15 +41,15 @@
             let (running, waiting, pace_permille) = (view.running, view.waiting, view.pace_permille);
             Some(RankUpdate { endpoint, running, waiting, pace_permille })
         };
-        let ranks = self.last_round.views.iter().enumerate().filter_map(rank_update).collect();
+        let ranks: Vec<RankUpdate> = self.last_round.views.iter().enumerate().filter_map(rank_update).collect();
         GroupUpdate {
             service: self.service.clone(),
             group: self.members.group.clone(),
             reporter_role,
             is_serving: self.is_serving,
             step_ms: self.progress.step_ms(),
+            stream_limit: self.stream_limit.requests_of(ranks.len()),
             ranks,
-            stream_limit: self.stream_limit.requests(),
             loads: None,
         }
     }
--- a/crates/ochreyard-lead/src/leader/stream_limit.rs
+++ b/crates/ochreyard-lead/src/leader/stream_limit.rs
@@ -19,8 +19,10 @@
 
     /// What the next report would say that decides how soon it is due.
     pub(super) fn report_facts(&self) -> ReportFacts {
-        let running = self.last_round.views.iter().flatten().map(|view| view.running).sum();
-        ReportFacts { is_serving: self.is_serving, running, stream_limit: self.stream_limit.requests() }
+        let known = || self.last_round.views.iter().flatten();
+        let running = known().map(|view| view.running).sum();
+        let stream_limit = self.stream_limit.requests_of(known().count());
+        ReportFacts { is_serving: self.is_serving, running, stream_limit }
     }
 }
 
