No slots are set aside where a stall follows the last one within two service times

Change: slots are set aside only where the service ran for at least two service times before the stall.

--- a/crates/ochreyard-core/src/direct/waiting/service_queue.rs
+++ b/crates/ochreyard-core/src/direct/waiting/service_queue.rs
@@ -15,6 +15,9 @@
 /// Share of the latency target within which a request must be sent to meet the target: the first event takes nearly
 /// half of it.
 const ON_TIME_SEND_SHARE: f64 = 0.5;
+/// Service times for which the service must have run before a stall for slots to be set aside after it. Where stalls of
+/// 2.6 s recur every 4 s, only what is sent as soon as the service resumes is served before the next one.
+const MIN_SERVICE_TIMES: u64 = 2;
 /// Late requests that a box may always have in flight, for services with fewer slots than boxes.
 const MIN_LATE: u64 = 2;
 
@@ -65,7 +68,10 @@
         self.stalls.record(is_stalled, now_ms);
         if is_stalled {
             self.late_slots.take_if(|late_slots| late_slots.has_recovered(0, now_ms));
-            self.late_slots.get_or_insert_with(|| LateSlots::new(draw));
+            let service_ms = self.service_time.estimate_after_wait_ms().unwrap_or(0);
+            if !self.stalls.has_recurred_within(service_ms * MIN_SERVICE_TIMES) {
+                self.late_slots.get_or_insert_with(|| LateSlots::new(draw));
+            }
         } else if let Some(late_slots) = &mut self.late_slots {
             late_slots.on_resumed(now_ms);
         }
--- a/crates/ochreyard-core/src/direct/waiting/stall_history.rs
+++ b/crates/ochreyard-core/src/direct/waiting/stall_history.rs
@@ -43,6 +43,13 @@
         self.since_ms.is_some()
     }
 
+    /// Returns whether the present stall began less than `within_ms` after the end of the one before.
+    #[must_use]
+    pub fn has_recurred_within(&self, within_ms: u64) -> bool {
+        let last_end_ms = self.past.back().map(|(_, ended_ms)| *ended_ms);
+        self.since_ms.zip(last_end_ms).is_some_and(|(since_ms, ended_ms)| since_ms < ended_ms + within_ms)
+    }
+
     fn begin(&mut self, now_ms: u64) {
         let is_same_stall = self.past.back().is_some_and(|(_, ended_ms)| now_ms < ended_ms + MIN_GAP_MS);
         let earlier_start_ms = if is_same_stall { self.past.pop_back().map(|(began_ms, _)| began_ms) } else { None };
--- a/crates/ochreyard-core/tests/waiting.rs
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -68,6 +68,18 @@
     assert_eq!(stalls.expected_remaining_ms(90_400), 100, "the earlier stalls are too old");
 }
 
+/// Slots are set aside after a stall only if requests that are sent then can be served before the next one.
+#[test]
+fn a_stall_recurs_where_the_service_ran_for_a_short_time_before_it() {
+    let mut stalls = StallHistory::default();
+    stalls.record(true, 1_000);
+    assert!(!stalls.has_recurred_within(u64::MAX / 2), "there was no stall before");
+    stalls.record(false, 3_000);
+    assert!(!stalls.has_recurred_within(5_000), "the service is not stalled");
+    stalls.record(true, 5_000);
+    assert!(stalls.has_recurred_within(2_001) && !stalls.has_recurred_within(2_000));
+}
+
 #[test]
 fn a_short_gap_is_part_of_the_stall() {
     let mut stalls = StallHistory::default();
