Usual terms for requests without an endpoint: stalled, no endpoint, expected stall time

PickError::Stands and ::Nobody become ::Stalled and ::NoEndpoint, GiveUpReason::Stands becomes ::Stalled; of WaitFacts, no_pick becomes pick_error, stands_for_ms expected_stall_ms, is_worth_it is_holding_worthwhile, has_come_back is_caller_retry. No behaviour changes.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/pick_error.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/pick_error.rs
@@ -4,7 +4,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PickError {
     /// No endpoint that takes work is left.
-    Nobody,
+    NoEndpoint,
     /// The endpoints that take work have as many requests as they can serve in time.
     Full,
     /// All endpoints that take work have asked for a backoff.
@@ -18,5 +18,5 @@
         until_ms: u64,
     },
     /// All groups of the service are known to be stalled or broken.
-    Stands,
+    Stalled,
 }
--- a/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
@@ -75,7 +75,7 @@
             return Ok(to_pick(found, urgency));
         }
         if self.is_down(service, now_ms) {
-            return Err(PickError::Stands);
+            return Err(PickError::Stalled);
         }
         let full_or_limited =
             |until_ms: Option<u64>| until_ms.map_or(PickError::Full, |until_ms| PickError::Limited { until_ms });
@@ -91,7 +91,7 @@
             return Err(full_or_limited(Self::earliest_send_ms(all, now_ms)));
         }
         let first_backoff_end_ms = candidates().filter_map(|(_, member)| member.notice.backoff_until_ms(now_ms)).min();
-        Err(first_backoff_end_ms.map_or(PickError::Nobody, |until_ms| PickError::Paused { until_ms }))
+        Err(first_backoff_end_ms.map_or(PickError::NoEndpoint, |until_ms| PickError::Paused { until_ms }))
     }
 
     /// Iterates over the endpoints of a service in a random order that depends on `random`. Most requests get one of
--- a/crates/ochreyard-core/src/direct/waiting.rs
+++ b/crates/ochreyard-core/src/direct/waiting.rs
@@ -44,7 +44,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WaitFacts {
     /// Why no endpoint was picked.
-    pub no_pick: PickError,
+    pub pick_error: PickError,
     /// Time left until the deadline of the request, in milliseconds.
     pub left_ms: u64,
     /// Expected time to serve the request once it is sent, in milliseconds.
@@ -52,10 +52,10 @@
     /// Whether the service has completed any request of this box; one that never has may be stalled for good.
     pub has_served: bool,
     /// Whether holding requests serves as many of them as sending callers back, judged by recent attempts.
-    pub is_worth_it: bool,
+    pub is_holding_worthwhile: bool,
     /// How much longer the service is expected to be stalled, or the time until the first pause of an endpoint ends, in
     /// milliseconds; 0 where the service is not stalled.
-    pub stands_for_ms: u64,
+    pub expected_stall_ms: u64,
     /// Expected wait for a free slot, during a stall after its end, in milliseconds; 0 where that is unknown.
     pub queue_ms: u64,
     /// How long the caller has received nothing, in milliseconds.
@@ -63,7 +63,7 @@
     /// How long callers wait without receiving anything before they disconnect, in milliseconds, where that is known.
     pub patience_ms: Option<u64>,
     /// Whether the request is a retry by its caller.
-    pub has_come_back: bool,
+    pub is_caller_retry: bool,
 }
 
 impl WaitFacts {
@@ -71,19 +71,19 @@
     /// request can still be served and its caller is still connected.
     #[must_use]
     pub fn may_wait(&self) -> bool {
-        let wait_ms = self.stands_for_ms.saturating_add(self.queue_ms);
+        let wait_ms = self.expected_stall_ms.saturating_add(self.queue_ms);
         // Where the request would never get a turn, `wait_ms` is close to `u64::MAX`.
         let has_time = self.left_ms >= self.needed_ms.saturating_add(wait_ms);
         let is_patient = |patience_ms| self.silent_ms.saturating_add(wait_ms) < patience_ms;
         // The expected length of a stall may be too high; the end of a pause and the turn in the queue are known.
-        let is_wait_known = self.no_pick != PickError::Stands && wait_ms > 0;
+        let is_wait_known = self.pick_error != PickError::Stalled && wait_ms > 0;
         let assumed = is_wait_known.then_some(ASSUMED_PATIENCE_MS);
         let caller_stays = self.patience_ms.or(assumed).is_none_or(is_patient);
-        let may_get_endpoint = match self.no_pick {
-            PickError::Nobody => false,
+        let may_get_endpoint = match self.pick_error {
+            PickError::NoEndpoint => false,
             PickError::Full | PickError::Limited { .. } | PickError::Paused { .. } => true,
-            PickError::Stands => self.has_served,
+            PickError::Stalled => self.has_served,
         };
-        may_get_endpoint && has_time && caller_stays && self.is_worth_it
+        may_get_endpoint && has_time && caller_stays && self.is_holding_worthwhile
     }
 }
--- a/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
+++ b/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
@@ -91,25 +91,25 @@
             self.overload.on_full(now_ms);
         }
         let facts = WaitFacts {
-            no_pick: pick_error,
+            pick_error,
             left_ms: request.deadline_ms.saturating_sub(now_ms),
             needed_ms: self.service_time.estimate_after_wait_ms().unwrap_or(request.target_latency_ms),
             has_served: self.service_time.estimate_after_wait_ms().is_some(),
-            is_worth_it: !is_down || request.ticket.is_some() || self.is_holding_worth_it(now_ms),
-            stands_for_ms: match pick_error {
+            is_holding_worthwhile: !is_down || request.ticket.is_some() || self.is_holding_worthwhile(now_ms),
+            expected_stall_ms: match pick_error {
                 PickError::Paused { until_ms } => until_ms.saturating_sub(now_ms),
                 // A request that waits already was admitted by the estimate of that time.
                 _ if request.ticket.is_some() => 0,
                 _ => self.stalls.expected_remaining_ms(now_ms),
             },
             queue_ms: match pick_error {
-                PickError::Full | PickError::Stands => self.queue_ms(pool, boxes, request, now_ms),
+                PickError::Full | PickError::Stalled => self.queue_ms(pool, boxes, request, now_ms),
                 PickError::Limited { until_ms } => until_ms.saturating_sub(now_ms),
                 _ => 0,
             },
             silent_ms: now_ms.saturating_sub(request.silent_since_ms),
             patience_ms: self.hold_limit_ms(request),
-            has_come_back: request.arrival.is_caller_retry,
+            is_caller_retry: request.arrival.is_caller_retry,
         };
         if facts.may_wait() { DispatchDecision::Wait(facts) } else { DispatchDecision::GiveUp(facts) }
     }
@@ -167,8 +167,8 @@
     /// Returns whether holding requests serves as many as sending callers back, as far as known. During a first stall,
     /// requests that were held in vain at its start do not predict those that arrive near its end; where stalls recur,
     /// they do.
-    fn is_holding_worth_it(&self, now_ms: u64) -> bool {
-        !self.stalls.has_recent(now_ms) || self.stall_outcomes.is_holding_worth_it(now_ms)
+    fn is_holding_worthwhile(&self, now_ms: u64) -> bool {
+        !self.stalls.has_recent(now_ms) || self.stall_outcomes.is_holding_worthwhile(now_ms)
     }
 
     /// Picks an endpoint if no other request goes first and this box has a slot left for a request of this urgency.
--- a/crates/ochreyard-core/src/direct/waiting/stall_outcomes.rs
+++ b/crates/ochreyard-core/src/direct/waiting/stall_outcomes.rs
@@ -70,7 +70,7 @@
     /// Returns whether at least half of the held requests are served, and no smaller share than of the retries of
     /// callers that were sent back, as far as known.
     #[must_use]
-    pub fn is_holding_worth_it(&self, now_ms: u64) -> bool {
+    pub fn is_holding_worthwhile(&self, now_ms: u64) -> bool {
         let Some(held) = self.held.share(now_ms) else { return true };
         let sent_back = self.sent_back.share(now_ms).unwrap_or(0.0);
         held >= sent_back.max(MIN_HELD_SHARE)
--- a/crates/ochreyard-core/tests/allowed_regions.rs
+++ b/crates/ochreyard-core/tests/allowed_regions.rs
@@ -83,7 +83,7 @@
                         && !tried.iter().any(|incarnation| incarnation.id == format!("i-{at}"))
                 };
                 prop_assert!(!data_centres.iter().enumerate().any(is_left));
-                prop_assert_eq!(pick_error, PickError::Nobody);
+                prop_assert_eq!(pick_error, PickError::NoEndpoint);
             }
         }
     }
--- a/crates/ochreyard-core/tests/cut_data_centre.rs
+++ b/crates/ochreyard-core/tests/cut_data_centre.rs
@@ -52,7 +52,7 @@
         pool.on_attempt_end(&pick, AttemptOutcome::Unreachable, now_ms);
         tried.push(pick.incarnation());
     }
-    (Err(PickError::Nobody), tried.len())
+    (Err(PickError::NoEndpoint), tried.len())
 }
 
 #[test]
@@ -119,7 +119,7 @@
     };
     pool.apply_group_update(&update, 0);
     let (got, _) = send(&mut pool, 3, 10);
-    assert_eq!(got, Err(PickError::Stands));
+    assert_eq!(got, Err(PickError::Stalled));
     assert!(pool.is_down("tiles", 10));
 }
 
--- a/crates/ochreyard-core/tests/endpoint_notices.rs
+++ b/crates/ochreyard-core/tests/endpoint_notices.rs
@@ -110,7 +110,7 @@
     pool.apply(EndpointChange::Removed("a".into()));
     pool.on_signals(&picked, &LEAVING, 1);
     add_record(&mut pool, "a", record(1));
-    assert_eq!(pick(&pool, 2), Err(PickError::Nobody));
+    assert_eq!(pick(&pool, 2), Err(PickError::NoEndpoint));
 }
 
 #[test]
--- a/crates/ochreyard-core/tests/endpoint_pool.rs
+++ b/crates/ochreyard-core/tests/endpoint_pool.rs
@@ -47,7 +47,7 @@
     pool.on_attempt_start(&pick_of("e1", Urgency::OnTime));
     assert_eq!(pool.pick("tiles", &[], Urgency::OnTime, 0, 0).unwrap().id, "e2");
     assert_eq!(pool.pick("tiles", &[first_incarnation("e2")], Urgency::OnTime, 0, 0).unwrap().id, "e1");
-    assert_eq!(pool.pick("other", &[], Urgency::OnTime, 0, 0), Err(PickError::Nobody));
+    assert_eq!(pool.pick("other", &[], Urgency::OnTime, 0, 0), Err(PickError::NoEndpoint));
 }
 
 #[rstest]
@@ -98,7 +98,7 @@
 fn a_leaving_endpoint_gets_no_more_requests() {
     let mut pool = pool([1]);
     pool.apply(EndpointChange::Updated("e1".into(), EndpointRecord { is_leaving: true, ..endpoint(1) }));
-    assert_eq!(pool.pick("tiles", &[], Urgency::OnTime, 0, 0), Err(PickError::Nobody));
+    assert_eq!(pool.pick("tiles", &[], Urgency::OnTime, 0, 0), Err(PickError::NoEndpoint));
 }
 
 #[test]
@@ -277,7 +277,7 @@
     pool.apply_group_update(&update(false, &[1, 2], 0), 0);
     assert_eq!(pool.leaderless_groups("tiles", 0).min_group_size, Some(2));
     for urgency in [Urgency::OnTime, Urgency::Late] {
-        assert_eq!(pool.pick("tiles", &[], urgency, 0, 1), Err(PickError::Stands));
+        assert_eq!(pool.pick("tiles", &[], urgency, 0, 1), Err(PickError::Stalled));
     }
     assert!(
         pool.pick("tiles", &[], Urgency::OnTime, 0, 2_000).is_ok(),
@@ -346,7 +346,7 @@
     pool.apply_group_update(&update(true, &[1], 3), 0);
     pool.apply_group_update(&update(false, &[1], 3), 10);
     pool.apply(EndpointChange::Updated("e2".into(), endpoint(2)));
-    assert_eq!(pool.pick("tiles", &[], Urgency::OnTime, 0, 20), Err(PickError::Stands));
+    assert_eq!(pool.pick("tiles", &[], Urgency::OnTime, 0, 20), Err(PickError::Stalled));
     pool.apply_group_update(&update(true, &[1], 1), 30);
     assert!((0..20).any(|draw| pool.pick("tiles", &[], Urgency::OnTime, draw, 40).unwrap().id == "e2"));
     pool.apply_group_update(&update(false, &[1], 3), 50);
--- a/crates/ochreyard-core/tests/evacuation.rs
+++ b/crates/ochreyard-core/tests/evacuation.rs
@@ -173,5 +173,5 @@
 fn no_endpoint_is_left_where_all_data_centres_are_evacuated() {
     let mut pool = pool();
     pool.set_evacuated_data_centres(["a", "b"].into_iter());
-    assert_eq!(pick(&pool, 0), Err(PickError::Nobody));
+    assert_eq!(pick(&pool, 0), Err(PickError::NoEndpoint));
 }
--- a/crates/ochreyard-core/tests/waiting.rs
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -14,40 +14,40 @@
 /// received nothing for 0.3 s, and disconnects after 1.9 s.
 fn facts() -> WaitFacts {
     WaitFacts {
-        no_pick: PickError::Stands,
+        pick_error: PickError::Stalled,
         left_ms: 5_000,
         needed_ms: 2_000,
         has_served: true,
-        is_worth_it: true,
-        stands_for_ms: 1_500,
+        is_holding_worthwhile: true,
+        expected_stall_ms: 1_500,
         queue_ms: 0,
         silent_ms: 300,
         patience_ms: Some(1_900),
-        has_come_back: false,
+        is_caller_retry: false,
     }
 }
 
 /// The same request once it waits: it was admitted by the estimate of that time.
 fn waiting() -> WaitFacts {
-    WaitFacts { stands_for_ms: 0, silent_ms: 1_800, ..facts() }
+    WaitFacts { expected_stall_ms: 0, silent_ms: 1_800, ..facts() }
 }
 
 #[rstest]
 #[case::served_in_time(facts(), true)]
-#[case::stalled_for_too_long(WaitFacts { stands_for_ms: 3_001, patience_ms: None, ..facts() }, false)]
+#[case::stalled_for_too_long(WaitFacts { expected_stall_ms: 3_001, patience_ms: None, ..facts() }, false)]
 #[case::too_little_time_left(WaitFacts { left_ms: 3_499, ..facts() }, false)]
 #[case::group_has_never_served(WaitFacts { has_served: false, ..facts() }, false)]
-#[case::full_group_that_has_never_served(WaitFacts { has_served: false, no_pick: PickError::Full, ..facts() }, true)]
-#[case::holding_serves_fewer_than_sending_back(WaitFacts { is_worth_it: false, ..facts() }, false)]
+#[case::full_group_that_has_never_served(WaitFacts { has_served: false, pick_error: PickError::Full, ..facts() }, true)]
+#[case::holding_serves_fewer_than_sending_back(WaitFacts { is_holding_worthwhile: false, ..facts() }, false)]
 #[case::caller_would_disconnect_before(WaitFacts { silent_ms: 400, ..facts() }, false)]
 #[case::retrying_caller_would_disconnect_before(
-    WaitFacts { silent_ms: 400, has_come_back: true, ..facts() }, false)]
+    WaitFacts { silent_ms: 400, is_caller_retry: true, ..facts() }, false)]
 #[case::caller_is_still_connected(waiting(), true)]
 #[case::caller_is_about_to_disconnect(WaitFacts { silent_ms: 1_900, ..waiting() }, false)]
 #[case::retrying_caller_is_about_to_disconnect(
-    WaitFacts { silent_ms: 1_900, has_come_back: true, ..waiting() }, false)]
+    WaitFacts { silent_ms: 1_900, is_caller_retry: true, ..waiting() }, false)]
 #[case::patience_is_unknown(WaitFacts { silent_ms: 1_900, patience_ms: None, ..facts() }, true)]
-#[case::no_endpoint_at_all(WaitFacts { no_pick: PickError::Nobody, ..facts() }, false)]
+#[case::no_endpoint_at_all(WaitFacts { pick_error: PickError::NoEndpoint, ..facts() }, false)]
 fn a_request_waits_only_where_it_may_still_be_served(#[case] facts: WaitFacts, #[case] waits: bool) {
     assert_eq!(facts.may_wait(), waits);
 }
@@ -93,15 +93,15 @@
 #[test]
 fn holding_stops_where_it_serves_fewer_than_half_or_than_sending_back_and_resumes_later() {
     let mut outcomes = StallOutcomes::default();
-    assert!(outcomes.is_holding_worth_it(0), "no outcomes are known");
+    assert!(outcomes.is_holding_worthwhile(0), "no outcomes are known");
     (0..20).for_each(|n| outcomes.record(StallHandling::Held, n % 4 != 0, 1_000));
-    assert!(outcomes.is_holding_worth_it(1_000), "three of four held requests were served");
+    assert!(outcomes.is_holding_worthwhile(1_000), "three of four held requests were served");
     (0..20).for_each(|n| outcomes.record(StallHandling::CallerRetried, n % 10 != 0, 1_000));
-    assert!(!outcomes.is_holding_worth_it(1_000), "nine of ten retries of callers were served");
+    assert!(!outcomes.is_holding_worthwhile(1_000), "nine of ten retries of callers were served");
     let mut outcomes = StallOutcomes::default();
     (0..20).for_each(|n| outcomes.record(StallHandling::Held, n % 4 == 0, 1_000));
-    assert!(!outcomes.is_holding_worth_it(1_000), "one of four held requests was served");
-    assert!(outcomes.is_holding_worth_it(61_000), "the outcomes are a minute old");
+    assert!(!outcomes.is_holding_worthwhile(1_000), "one of four held requests was served");
+    assert!(outcomes.is_holding_worthwhile(61_000), "the outcomes are a minute old");
 }
 
 #[test]
--- a/crates/ochreyard-direct/src/give_up_reason.rs
+++ b/crates/ochreyard-direct/src/give_up_reason.rs
@@ -18,7 +18,7 @@
         left_ms: u64,
     },
     /// All groups of the service are stalled.
-    Stands,
+    Stalled,
     /// The box is shutting down.
     Leaving,
     /// The retry budget is used up.
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -114,7 +114,7 @@
             }
             DispatchDecision::GiveUp(facts) => {
                 self.last_wait_facts = Some(facts);
-                Err(give_up_reason(facts.no_pick, last, now_ms).into())
+                Err(give_up_reason(facts.pick_error, last, now_ms).into())
             }
         }
     }
@@ -177,10 +177,10 @@
 /// Returns why a request that found no endpoint is given up; `last` says how its last attempt ended.
 const fn give_up_reason(error: PickError, last: GiveUpReason, now_ms: u64) -> GiveUpReason {
     match error {
-        PickError::Nobody => last,
+        PickError::NoEndpoint => last,
         PickError::Full => GiveUpReason::Full,
         PickError::Paused { until_ms } => GiveUpReason::Paused { left_ms: until_ms.saturating_sub(now_ms) },
         PickError::Limited { until_ms } => GiveUpReason::Limited { left_ms: until_ms.saturating_sub(now_ms) },
-        PickError::Stands => GiveUpReason::Stands,
+        PickError::Stalled => GiveUpReason::Stalled,
     }
 }
--- a/crates/ochreyard-direct/src/job/ending.rs
+++ b/crates/ochreyard-direct/src/job/ending.rs
@@ -51,7 +51,7 @@
             GiveUpReason::Budget => ErrorKind::RetryBudgetSpent,
             GiveUpReason::Leaving => ErrorKind::Leaving,
             GiveUpReason::Quarantined { .. } => ErrorKind::Quarantined,
-            GiveUpReason::NoEndpoint | GiveUpReason::Stands | GiveUpReason::Failed | GiveUpReason::TimeUp => {
+            GiveUpReason::NoEndpoint | GiveUpReason::Stalled | GiveUpReason::Failed | GiveUpReason::TimeUp => {
                 ErrorKind::NoEndpoint
             }
         };
--- a/crates/ochreyard-operator/tests/timeline.rs
+++ b/crates/ochreyard-operator/tests/timeline.rs
@@ -62,12 +62,12 @@
     let entry = log(
         "edge-3",
         (line(1_000, "event=group_state group=g0 serving=false teller=Leads")
-            + &line(2_000, "event=request_failed request=r1 kind=no_endpoint why=Stands sent=0")
+            + &line(2_000, "event=request_failed request=r1 kind=no_endpoint why=Stalled sent=0")
             + &line(60_000, "event=group_state group=g0 serving=true teller=Leads"))
             .as_bytes(),
     );
     let timeline = RequestTimeline::read("r1", &[entry]).unwrap();
-    assert_in_order(&timeline, &["serving=false", "why=Stands"]);
+    assert_in_order(&timeline, &["serving=false", "why=Stalled"]);
     assert!(!timeline.to_string().contains("serving=true"), "a line that was written long after the request");
 }
 
