--- a/crates/ochreyard-core/src/direct/waiting.rs
+++ b/crates/ochreyard-core/src/direct/waiting.rs
@@ -7,6 +7,7 @@
 //! sent first takes a slot from another one. A request that can still meet its latency
 //! target is worth several times one that is only late, so requests on time go first. Late
 //! requests get a bounded share of the slots, so that they do not delay newer requests.
+//! After a stall they get those that the requests expected next do not need (`LateSlots`).
 
 mod arrival;
 mod arrival_rate;
