--- a/crates/ochreyard-core/tests/group_admission.rs
+++ b/crates/ochreyard-core/tests/group_admission.rs
@@ -160,7 +160,7 @@
     let mut queue = ServiceQueue::default();
     queue.service_time.record(1_600);
     let decision = queue.decide(&pool, 1, &pending(level(0), false), 0, 0);
-    assert!(matches!(decision, DispatchDecision::Wait(facts) if facts.no_pick == PickError::Full), "{decision:?}");
+    assert!(matches!(decision, DispatchDecision::Wait(facts) if facts.pick_error == PickError::Full), "{decision:?}");
 }
 
 /// Guards against a box that sends until the next report as if it had sent nothing since the last one.
--- a/crates/ochreyard-core/tests/stall_load.rs
+++ b/crates/ochreyard-core/tests/stall_load.rs
@@ -218,24 +218,3 @@
     let counts = [Outcome::OnTime, Outcome::Late, Outcome::Refused, Outcome::Unanswered].map(count);
     assert_eq!(counts, [626, 732, 178, 264], "the counts of the code before late requests depended on arrivals");
 }
-
-/// Prints the figures of a return by load and number of boxes, for `--ignored --nocapture`.
-#[rstest]
-#[ignore = "prints figures and takes a minute; the tests above assert them on a quarter of this deployment"]
-fn figures_of_a_return(#[values(240, 360)] per_s: u64, #[values(8, 38, 62)] entries: usize) {
-    let callers = Callers { per_s, ..SPARSE_CALLERS };
-    let group = Group { entries, endpoints: 64, stall_ms: 10_000..17_000, ..group_of_sparse_callers() };
-    let results = simulate(callers, group);
-    let (affected, after) = (10_000..22_500, 17_500..22_500);
-    let count = |outcome| results.count(outcome, affected.clone());
-    println!(
-        "{per_s} requests/s, {entries} boxes: on time after the return {:.3}, late {}, refused twice {}, unanswered {}, \
-         held in vain {}, worth {}",
-        results.on_time_share(after),
-        count(Outcome::Late),
-        count(Outcome::Refused),
-        count(Outcome::Unanswered),
-        results.held_in_vain(affected.clone()),
-        worth(&results, affected.clone())
-    );
-}
