A leader whose rounds take much longer than its predecessor's steps down

Cause: a handover may reach a weak box while a strong one is there, for example because the strong ones are being restarted; it would lead until it stops.

Change: a leader states the mean duration of its rounds in which all ranks answered. Its successor, or standby leader, steps down where its own, after 30 rounds, take more than three times as long and more than 0.1 s, the pause between rounds; it hands over and comes after all other candidates for 10 s, as a box whose search took longer than the lease. Rounds in which a rank did not answer take as long as the timeout on any box, and don't count.

--- a/crates/ochreyard-core/tests/leadership_handover.rs
+++ b/crates/ochreyard-core/tests/leadership_handover.rs
@@ -5,7 +5,7 @@
 use ochreyard_core::direct::{BoxList, BoxRecord, EndpointPool, GroupUpdate, LeaderReport, ReporterRole};
 use ochreyard_core::group_map::{
     Demand, FirstGrants, GroupPlacement, HandoverAnswer, HandoverAttempts, HandoverRefusal, LeaderGrant, LeaderId,
-    Leadership, LeadershipHandover, MapController, MapControllerSettings, SelectionCounts, StandbyWatch,
+    Leadership, LeadershipHandover, MapController, MapControllerSettings, RoundTimes, SelectionCounts, StandbyWatch,
     SuccessorState, standby_candidates, successor_candidates,
 };
 use rstest::rstest;
@@ -381,3 +381,34 @@
     assert!(bytes(&notice) <= 8_192, "{}", bytes(&notice));
     assert!(notice.is_consistent() && notice.members.len() * 2 > ranks);
 }
+
+/// Whether rounds that take `round_ms` are too long after a predecessor whose rounds took `predecessor_ms`.
+#[rstest]
+#[case::as_long(40, 40, false)]
+#[case::three_times_as_long(150, 50, false)]
+#[case::longer(160, 50, true)]
+#[case::short_on_both_boxes(90, 5, false)]
+#[case::unknown_predecessor(5_000, 0, false)]
+#[case::predecessor_that_states_an_absurd_time(5_000, u64::MAX, false)]
+fn a_box_that_is_much_weaker_than_its_predecessor_is_too_slow(
+    #[case] round_ms: u64,
+    #[case] predecessor_ms: u64,
+    #[case] is_too_slow: bool,
+) {
+    let mut rounds = RoundTimes::default();
+    (0..29).for_each(|_| rounds.observe(round_ms));
+    assert!(!rounds.are_too_long(predecessor_ms), "the first rounds open connections");
+    rounds.observe(round_ms);
+    assert_eq!(rounds.are_too_long(predecessor_ms), is_too_slow);
+}
+
+/// A box that has paused once is not weak.
+#[test]
+fn a_single_long_round_does_not_make_a_box_too_slow() {
+    let mut rounds = RoundTimes::default();
+    (0..30).for_each(|_| rounds.observe(50));
+    rounds.observe(700);
+    assert!(!rounds.are_too_long(50), "{}", rounds.mean_ms());
+    (0..10).for_each(|_| rounds.observe(300));
+    assert!(rounds.are_too_long(50), "{}", rounds.mean_ms());
+}
--- a/crates/ochreyard-lead/src/leader.rs
+++ b/crates/ochreyard-lead/src/leader.rs
@@ -85,6 +85,8 @@
     first_grants: FirstGrants,
     /// Time of the predecessor's last report, in milliseconds.
     reported_ms: u64,
+    /// Mean duration of the predecessor's rounds, in milliseconds; 0 if it is not known.
+    round_ms: u64,
 }
 
 /// Why a leader no longer leads.
@@ -161,10 +163,12 @@
         false
     }
 
-    /// Whether the last search for a map took longer than the lease. Boxes become slow for seconds at a time,
-    /// and the grants of a slow one would expire during its next search: another entry leads instead.
-    const fn is_too_slow(&self) -> bool {
-        self.search_ms > self.settings.lease_ms
+    /// Whether the last search for a map took longer than the lease, or the rounds take much longer than those of the
+    /// predecessor. Boxes become slow for seconds at a time, and the grants of a slow one would expire during its next
+    /// search: another entry leads instead.
+    fn is_too_slow(&self) -> bool {
+        let predecessor_round_ms = self.predecessor.as_ref().map_or(0, |predecessor| predecessor.round_ms);
+        self.search_ms > self.settings.lease_ms || self.round_times.are_too_long(predecessor_round_ms)
     }
 
     fn now_ms(&self) -> u64 {
@@ -191,13 +195,16 @@
                 log::info!("event=leading_ended group={group} holder={holder:?}");
                 return LeadEnd::NotGranted;
             }
-            self.round_times.observe(self.now_ms() - round_started_ms);
+            if self.last_round.views.iter().all(Option::is_some) {
+                self.round_times.observe(self.now_ms().saturating_sub(round_started_ms));
+            }
             if !self.is_leading {
                 self.on_leading();
             }
             self.act_on_round().await;
             if self.is_too_slow() {
-                log::info!("event=leading_too_slow group={group} search_ms={}", self.search_ms);
+                let (search_ms, round_ms) = (self.search_ms, self.round_times.mean_ms());
+                log::info!("event=leading_too_slow group={group} search_ms={search_ms} round_ms={round_ms}");
                 return LeadEnd::TooSlow;
             }
             self.sleep_before_next_round(round_started_ms).await;
--- a/crates/ochreyard-lead/src/leader/handing_over.rs
+++ b/crates/ochreyard-lead/src/leader/handing_over.rs
@@ -28,6 +28,7 @@
         leader.predecessor = Some(Predecessor {
             first_grants: FirstGrants::new(handover.from, settings.lease_ms, now_ms),
             reported_ms: now_ms.saturating_sub(handover.report_age_ms),
+            round_ms: handover.round_ms,
         });
         leader.arming_times = ArmingTimes::handed_over(handover.arming_ms);
         leader.controller.raise_highest_version(handover.highest_version);
