--- a/crates/ochreyard-core/src/group_map/controller/orders.rs
+++ b/crates/ochreyard-core/src/group_map/controller/orders.rs
@@ -13,8 +13,12 @@
         if orders.is_empty() {
             return Vec::new();
         }
-        let has_resend_pause = matches!(self.phase, ChangePhase::Preparing { .. } | ChangePhase::Undoing);
-        self.next_send_ms = if has_resend_pause { now_ms + self.settings.resend_ms } else { now_ms };
+        self.next_send_ms = now_ms
+            + match self.phase {
+                ChangePhase::Preparing { .. } => self.settings.prepare_resend_ms,
+                ChangePhase::Undoing => self.settings.resend_ms,
+                _ => 0,
+            };
         let to_sent_order = |(rank, order): (usize, Order)| {
             let view = views[rank];
             (rank, SentOrder { order, epoch: view.epoch, expected_sequence: view.sequence })
--- a/crates/ochreyard-core/src/group_map/controller/settings.rs
+++ b/crates/ochreyard-core/src/group_map/controller/settings.rs
@@ -16,6 +16,8 @@
     pub prepare_slack_ms: u64,
     /// Pause before an order whose outcome is unknown is sent again, in milliseconds.
     pub resend_ms: u64,
+    /// The same for orders to prepare a map, in milliseconds. A rank that copies already gets no second one.
+    pub prepare_resend_ms: u64,
     /// Pause after a change that was dropped, in milliseconds.
     pub failure_pause_ms: u64,
 }
@@ -31,6 +33,7 @@
             timeout_per_copy_ms: 400.0,
             prepare_slack_ms: 2_000,
             resend_ms: 250,
+            prepare_resend_ms: 60,
             failure_pause_ms: 500,
         }
     }
