--- a/crates/ochreyard-core/src/direct/endpoint_pool/admission_share.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/admission_share.rs
@@ -11,9 +11,9 @@
 /// the limit unused while its requests waited; with 0.90 to 1.00 the most urgent level lost a tenth in an overload of two
 /// times the limit (`stream_limit_model`).
 const LEAST_URGENT: AdmissionShare = AdmissionShare { lower: 0.85, upper: 0.95 };
-/// The same for requests of any level that are late already. They are worth less than any request that can be on time,
-/// and what arrives within one service time needs more than a third of the limit: with 0.75 to 0.85 a group went on at its
-/// limit for 10 s after a burst, served late requests first to last, and each shift of demand made all of them late.
+/// The same for requests of any level that are late already. They are worth less than any request that can be on time.
+/// With 0.75 to 0.85, late requests kept a group at its limit for 10 s after a burst, and each shift of demand in that
+/// time made all of its streams late.
 const LATE: AdmissionShare = AdmissionShare { lower: 0.5, upper: 0.65 };
 
 /// The bounds of the admission ramp of a request, as shares of the stream limit of a group. Below the lower bound each
--- a/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
@@ -18,10 +18,6 @@
 /// of the reports, and longer than a lease.
 const LEADER_TIMEOUT_MS: u64 = 900;
 
-/// Factor on the share of each box in the room of a group, since not all boxes have a request to send between two
-/// reports.
-const ROOM_OVERCOMMIT: f64 = 2.0;
-
 /// One group, as reported by its leader and its ranks.
 #[derive(Debug, Clone)]
 pub struct Group {
@@ -126,23 +122,11 @@
             (None, _) | (_, Admission::Exempt) => true,
             (Some(stream_limit), Admission::Drawn(draw)) => {
                 let draw = hash::mix(draw ^ hash::mix(self.reports));
-                let share = AdmissionShare::new(request.urgency, request.level);
-                let room = share.upper * stream_limit as f64 - self.reported_requests as f64;
-                share.admits(running, stream_limit, draw) && self.has_share_of(room, request.boxes, draw)
+                AdmissionShare::new(request.urgency, request.level).admits(running, stream_limit, draw)
             }
         }
     }
 
-    /// Returns whether this box may take one more of the `room` that the last report showed to `boxes` boxes. The
-    /// fraction of a request is rounded by the draw.
-    ///
-    /// All boxes with waiting requests see the same room. When each of 37 boxes took it as its own, a group that showed
-    /// room for ten requests got 60.
-    fn has_share_of(&self, room: f64, boxes: u64, draw: u64) -> bool {
-        let share = ROOM_OVERCOMMIT * room / boxes.max(1) as f64;
-        self.own_change as f64 + hash::mix(draw) as f64 / u64::MAX as f64 <= share
-    }
-
     /// Returns the reported ranks with their names.
     pub fn named_ranks(&mut self, update: &GroupUpdate) -> Vec<RankUpdate> {
         let Some(loads) = &update.loads else {
--- a/crates/ochreyard-core/src/direct/endpoint_pool/pick_request.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/pick_request.rs
@@ -21,6 +21,4 @@
     pub level: PriorityLevel,
     /// How the request is admitted to groups with a stream limit.
     pub admission: Admission,
-    /// Number of boxes that send requests to the service.
-    pub boxes: u64,
 }
--- a/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
@@ -59,7 +59,7 @@
         now_ms: u64,
     ) -> Result<Pick, PickError> {
         let (level, admission) = (PriorityLevel::SINGLE, Admission::Drawn(random));
-        let request = PickRequest { service, allowed_regions, tried, urgency, level, admission, boxes: 1 };
+        let request = PickRequest { service, allowed_regions, tried, urgency, level, admission };
         self.pick_for(&request, random, now_ms)
     }
 
@@ -226,8 +226,7 @@
     ) -> bool {
         let is_slow = |id: &str| self.members.get(id).is_some_and(|member| member.is_slow(now_ms));
         let (level, admission) = (PriorityLevel::SINGLE, Admission::Exempt);
-        let request =
-            PickRequest { service, allowed_regions, tried, urgency: Urgency::OnTime, level, admission, boxes: 1 };
+        let request = PickRequest { service, allowed_regions, tried, urgency: Urgency::OnTime, level, admission };
         let alternative = || self.pick_for(&request, 0, now_ms).ok();
         is_slow(id) && alternative().is_some_and(|pick| pick.id != id && !is_slow(&pick.id))
     }
--- a/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
+++ b/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
@@ -202,7 +202,7 @@
             Admission::Drawn(self.admission_seed.of(request.ticket, draw))
         };
         let PendingRequest { service, allowed_regions, tried, level, .. } = *request;
-        let pick_request = PickRequest { service, allowed_regions, tried, urgency, level, admission, boxes };
+        let pick_request = PickRequest { service, allowed_regions, tried, urgency, level, admission };
         let pick = pool.pick_for(&pick_request, draw, now_ms)?;
         let may_send = urgency == Urgency::OnTime || self.has_late_slot(pool, boxes, request, now_ms);
         if may_send { Ok(pick) } else { Err(PickError::Full) }
--- a/crates/ochreyard-core/tests/group_admission.rs
+++ b/crates/ochreyard-core/tests/group_admission.rs
@@ -60,7 +60,6 @@
         urgency: Urgency::OnTime,
         level,
         admission: Admission::Drawn(draw),
-        boxes: 1,
     }
 }
 
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -187,8 +187,7 @@
         let urgency = self.pending_request().urgency(now_ms);
         let PendingRequest { service, allowed_regions, tried, level, .. } = self.pending_request();
         let admission = Admission::Exempt;
-        pool.pick_for(&PickRequest { service, allowed_regions, tried, urgency, level, admission, boxes: 1 }, 0, now_ms)
-            .is_ok()
+        pool.pick_for(&PickRequest { service, allowed_regions, tried, urgency, level, admission }, 0, now_ms).is_ok()
     }
 }
 
