Requests are spread over the groups of a service in proportion to their free shares

Change: a pick first draws the group with a probability in proportion to its endpoints and its free share, then compares endpoints of that group. Services with one group, or without groups, are picked as before.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/admission_share.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/admission_share.rs
@@ -14,7 +14,7 @@
 /// The same for requests of any level that are late already. They are worth less than any request that can be on time.
 /// With 0.75 to 0.85, late requests kept a group at its limit for 10 s after a burst, and each shift of demand in that
 /// time made all of its streams late.
-const LATE: AdmissionShare = AdmissionShare { lower: 0.5, upper: 0.65 };
+const LATE: AdmissionShare = AdmissionShare { lower: 0.6, upper: 0.75 };
 
 /// The bounds of the admission ramp of a request, as shares of the stream limit of a group. Below the lower bound each
 /// request is admitted, above the upper one none is, and between them the probability falls linearly.
--- a/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
@@ -115,6 +115,14 @@
         }
     }
 
+    /// Returns the share of the requests that the group may run which it does not run, where each rank has `slots` slots.
+    pub fn free_share(&self, slots: u64, now_ms: u64) -> f64 {
+        let GroupRunning { running, stream_limit } = self.running(now_ms);
+        let all_slots = (self.size() as u64 * slots).max(1);
+        let usable = stream_limit.map_or(all_slots, |stream_limit| stream_limit.min(all_slots));
+        (1.0 - running as f64 / usable as f64).max(0.0)
+    }
+
     /// Returns whether the stream limit admits one more request.
     pub fn admits(&self, request: &PickRequest, now_ms: u64) -> bool {
         let GroupRunning { running, stream_limit } = self.running(now_ms);
--- a/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
@@ -8,6 +8,7 @@
 use crate::direct::endpoint_incarnation::EndpointIncarnation;
 use crate::direct::priority_level::PriorityLevel;
 use crate::direct::urgency::Urgency;
+use crate::hash;
 
 /// Requests, running or queued, that an endpoint without a group may have per slot. A queued request then starts after
 /// about as many runs.
@@ -22,6 +23,9 @@
 /// milliseconds old and the same at all boxes. If each box picked the least loaded of all endpoints, all boxes would
 /// send to it at once.
 const SAMPLED_ENDPOINTS: usize = 3;
+/// Number of randomly sampled endpoints whose groups are considered. With three groups of which one is free, two in a
+/// hundred requests find none of it among them.
+const MAX_GROUP_DRAWS: usize = 10;
 /// The step duration assumed for a group that has not reported one, in milliseconds: the duration under usual load.
 const DEFAULT_STEP_MS: u64 = 70;
 /// Factor on the load score of a group whose leader is silent.
@@ -87,7 +91,10 @@
         let admitting = || accepting().filter(|(_, member)| admissions.admits(member));
         let is_healthy = |(_, member): &(&str, &Member)| self.is_healthy(member, now_ms);
         let has_capacity = |(_, member): &(&str, &Member)| self.has_capacity(member, urgency, now_ms);
-        if let Some(found) = self.least_loaded(admitting().filter(is_healthy).filter(has_capacity), now_ms) {
+        let available = || admitting().filter(is_healthy).filter(has_capacity);
+        let group = self.draw_group(available().map(|(_, member)| member), service, random, now_ms);
+        let in_group = available().filter(|(_, member)| group.is_none() || member.group.as_deref() == group);
+        if let Some(found) = self.least_loaded(in_group, now_ms) {
             return Ok(to_pick(found, urgency));
         }
         if self.is_down(service, now_ms) {
@@ -118,6 +125,33 @@
         order.filter_map(|at| self.members.get(&ids[at]).map(|member| (ids[at].as_str(), member)))
     }
 
+    /// Draws the group in which an endpoint is picked: each group of a service with a probability in proportion to its
+    /// number of endpoints and its free share. Returns `None` if the service has at most one group, or the draws failed.
+    ///
+    /// Reports are some hundred milliseconds old and the same at all boxes. When all boxes preferred the group with the
+    /// least load, 170 requests ran in one group of 240 slots while 115 ran in each of the others, and the next report
+    /// reversed it.
+    fn draw_group<'a>(
+        &'a self,
+        available: impl Iterator<Item = &'a Member>,
+        service: &str,
+        random: u64,
+        now_ms: u64,
+    ) -> Option<&'a str> {
+        let mut groups = available.filter_map(|member| Some((member.group.as_deref()?, member))).peekable();
+        let slots = groups.peek()?.1.record.slots;
+        let free_shares = self.groups_of(service).map(|group| group.free_share(slots, now_ms));
+        let (count, largest) = free_shares.fold((0, 0.0), |(count, most), share| (count + 1, f64::max(most, share)));
+        if count < 2 {
+            return None;
+        }
+        groups.take(MAX_GROUP_DRAWS).enumerate().find_map(|(attempt, (name, member))| {
+            let draw = hash::mix(random.rotate_left(16) ^ attempt as u64) as f64 / u64::MAX as f64;
+            let free_share = self.group_of(member)?.free_share(slots, now_ms);
+            (draw * largest <= free_share).then_some(name)
+        })
+    }
+
     /// Returns the least loaded of the first [`SAMPLED_ENDPOINTS`] endpoints.
     fn least_loaded<'a>(
         &self,
