--- a/crates/ochreyard-core/examples/dispatch_cost.rs
+++ b/crates/ochreyard-core/examples/dispatch_cost.rs
@@ -11,8 +11,8 @@
 use std::time::Instant;
 
 use ochreyard_core::direct::{
-    AllowedRegions, Arrival, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, GroupUpdate,
-    PendingRequest, Priority, PriorityLevel, RankUpdate, ReporterRole, ServiceQueue, Ticket, Urgency,
+    Arrival, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, GroupUpdate, PendingRequest,
+    PermittedRegions, Priority, PriorityLevel, RankUpdate, ReporterRole, ServiceQueue, Ticket, Urgency,
 };
 use ochreyard_core::hash;
 
@@ -60,7 +60,7 @@
     PendingRequest {
         may_have_run: false,
         service: "brief",
-        allowed_regions: &AllowedRegions::ANY,
+        permitted_regions: &PermittedRegions::ANY,
         tried: &[],
         workspace: Some(&names[workspace as usize]),
         work_tokens: 50 + (random >> 16) % 1_000,
--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -4,7 +4,6 @@
 //! identity, so no other process keeps state of an attempt: all of it is in the
 //! entry that accepted the request from the caller.
 
-mod allowed_regions;
 mod box_list;
 mod box_record;
 mod catalog;
@@ -18,6 +17,7 @@
 mod group_update;
 mod log_progress;
 mod log_retry_backoff;
+mod permitted_regions;
 mod poll_schedule;
 mod position;
 mod priority;
@@ -33,7 +33,6 @@
 mod urgency;
 mod waiting;
 
-pub use allowed_regions::AllowedRegions;
 pub use box_list::BoxList;
 pub use box_record::BoxRecord;
 pub use catalog::{Catalog, EndpointChange};
@@ -50,6 +49,7 @@
 pub use group_update::{GroupUpdate, RankUpdate, ReporterRole};
 pub use log_progress::LogProgress;
 pub use log_retry_backoff::LogRetryBackoff;
+pub use permitted_regions::PermittedRegions;
 pub use poll_schedule::{PollSchedule, PollTargets};
 pub use position::{ParsePositionError, Position};
 pub use priority::Priority;
--- a/crates/ochreyard-core/src/direct/endpoint_pool.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool.rs
@@ -50,10 +50,10 @@
 pub use self::reported_load::ReportedLoad;
 use self::sudden_removals::SuddenRemovals;
 pub use self::unavailable_counts::UnavailableCounts;
-use super::allowed_regions::AllowedRegions;
 use super::catalog::EndpointChange;
 use super::endpoint_incarnation::EndpointIncarnation;
 use super::endpoint_record::EndpointRecord;
+use super::permitted_regions::PermittedRegions;
 use super::shared_limit::SharingBoxes;
 
 /// How long a leader's report about its group is used, in milliseconds.
@@ -134,14 +134,14 @@
 
     /// Returns the number of endpoints of a service that lie outside the regions in which a request may run.
     #[must_use]
-    pub fn endpoints_outside_regions(&self, service: &str, allowed_regions: &AllowedRegions) -> usize {
+    pub fn endpoints_outside_regions(&self, service: &str, permitted_regions: &PermittedRegions) -> usize {
         self.members_of_service(service)
-            .filter(|(_, member)| !self.is_in_allowed_region(allowed_regions, member))
+            .filter(|(_, member)| !self.is_in_allowed_region(permitted_regions, member))
             .count()
     }
 
-    fn is_in_allowed_region(&self, allowed_regions: &AllowedRegions, member: &Member) -> bool {
-        allowed_regions.allows(self.regions.get(&member.record.data_centre).map(String::as_str))
+    fn is_in_allowed_region(&self, permitted_regions: &PermittedRegions, member: &Member) -> bool {
+        permitted_regions.allows(self.regions.get(&member.record.data_centre).map(String::as_str))
     }
 
     /// The evacuated data centres, sorted by name.
--- a/crates/ochreyard-core/src/direct/endpoint_pool/pick_request.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/pick_request.rs
@@ -1,8 +1,8 @@
 //! A request for which an endpoint is picked.
 
 use super::admission::Admission;
-use crate::direct::allowed_regions::AllowedRegions;
 use crate::direct::endpoint_incarnation::EndpointIncarnation;
+use crate::direct::permitted_regions::PermittedRegions;
 use crate::direct::priority_level::PriorityLevel;
 use crate::direct::urgency::Urgency;
 
@@ -12,7 +12,7 @@
     /// Service that the request is for.
     pub service: &'a str,
     /// Regions in which the request may run.
-    pub allowed_regions: &'a AllowedRegions,
+    pub permitted_regions: &'a PermittedRegions,
     /// Endpoints that the request has been sent to already.
     pub tried: &'a [EndpointIncarnation],
     /// Whether the request can still be on time.
--- a/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
@@ -4,8 +4,8 @@
 use super::group_admissions::GroupAdmissions;
 use super::shuffled_order::ShuffledOrder;
 use super::{Admission, EndpointPool, Member, Pick, PickError, PickRequest};
-use crate::direct::allowed_regions::AllowedRegions;
 use crate::direct::endpoint_incarnation::EndpointIncarnation;
+use crate::direct::permitted_regions::PermittedRegions;
 use crate::direct::priority_level::PriorityLevel;
 use crate::direct::urgency::Urgency;
 use crate::hash;
@@ -45,7 +45,7 @@
         random: u64,
         now_ms: u64,
     ) -> Result<Pick, PickError> {
-        self.pick_in_regions(&AllowedRegions::ANY, service, tried, urgency, random, now_ms)
+        self.pick_in_regions(&PermittedRegions::ANY, service, tried, urgency, random, now_ms)
     }
 
     /// Picks an endpoint for a request of a service whose requests all have one priority.
@@ -55,7 +55,7 @@
     /// The same as [`Self::pick_for`].
     pub fn pick_in_regions(
         &self,
-        allowed_regions: &AllowedRegions,
+        permitted_regions: &PermittedRegions,
         service: &str,
         tried: &[EndpointIncarnation],
         urgency: Urgency,
@@ -63,7 +63,7 @@
         now_ms: u64,
     ) -> Result<Pick, PickError> {
         let (level, admission) = (PriorityLevel::SINGLE, Admission::Drawn(random));
-        let request = PickRequest { service, allowed_regions, tried, urgency, level, admission };
+        let request = PickRequest { service, permitted_regions, tried, urgency, level, admission };
         self.pick_for(&request, random, now_ms)
     }
 
@@ -76,10 +76,10 @@
     /// Returns an error if no endpoint takes work, if all have asked for a backoff, are at capacity, are in groups at
     /// their stream limit or have used up the share of this box in their rate limits, or if all groups are stalled.
     pub fn pick_for(&self, request: &PickRequest, random: u64, now_ms: u64) -> Result<Pick, PickError> {
-        let PickRequest { service, allowed_regions, tried, urgency, .. } = *request;
+        let PickRequest { service, permitted_regions, tried, urgency, .. } = *request;
         let is_candidate = |id: &str, member: &Member| {
             member.takes_work()
-                && self.is_in_allowed_region(allowed_regions, member)
+                && self.is_in_allowed_region(permitted_regions, member)
                 && !tried.iter().any(|incarnation| member.is_incarnation(id, incarnation))
         };
         let all_candidates = || self.shuffled(service, random).filter(|(id, member)| is_candidate(id, member));
@@ -250,14 +250,14 @@
     pub fn should_migrate(
         &self,
         id: &str,
-        allowed_regions: &AllowedRegions,
+        permitted_regions: &PermittedRegions,
         service: &str,
         tried: &[EndpointIncarnation],
         now_ms: u64,
     ) -> bool {
         let is_slow = |id: &str| self.members.get(id).is_some_and(|member| member.is_slow(now_ms));
         let (level, admission) = (PriorityLevel::SINGLE, Admission::Exempt);
-        let request = PickRequest { service, allowed_regions, tried, urgency: Urgency::OnTime, level, admission };
+        let request = PickRequest { service, permitted_regions, tried, urgency: Urgency::OnTime, level, admission };
         let alternative = || self.pick_for(&request, 0, now_ms).ok();
         is_slow(id) && alternative().is_some_and(|pick| pick.id != id && !is_slow(&pick.id))
     }
--- a/crates/ochreyard-core/src/direct/allowed_regions.rs
+++ b/crates/ochreyard-core/src/direct/permitted_regions.rs
@@ -6,12 +6,12 @@
 
 /// The regions in which requests may run.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct AllowedRegions {
+pub struct PermittedRegions {
     /// Names of the allowed regions; `None` where all are allowed.
     regions: Option<BTreeSet<String>>,
 }
 
-impl AllowedRegions {
+impl PermittedRegions {
     /// All regions are allowed.
     pub const ANY: Self = Self { regions: None };
 
--- a/crates/ochreyard-core/src/direct/route_table/route.rs
+++ b/crates/ochreyard-core/src/direct/route_table/route.rs
@@ -4,7 +4,7 @@
 
 use super::route_kind::RouteKind;
 use super::weighted_service::WeightedService;
-use crate::direct::allowed_regions::AllowedRegions;
+use crate::direct::permitted_regions::PermittedRegions;
 
 /// One route of the configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,7 +38,7 @@
     pub public: bool,
     /// Regions in which requests of the route may run.
     #[serde(default, rename = "homes")]
-    pub allowed_regions: AllowedRegions,
+    pub permitted_regions: PermittedRegions,
 }
 
 impl Route {
--- a/crates/ochreyard-core/src/direct/route_table/workspace.rs
+++ b/crates/ochreyard-core/src/direct/route_table/workspace.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::direct::allowed_regions::AllowedRegions;
+use crate::direct::permitted_regions::PermittedRegions;
 
 /// A workspace with its priority and allowed regions.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,5 +13,5 @@
     pub priority: Option<u64>,
     /// Regions in which requests of the workspace may run.
     #[serde(default, rename = "homes")]
-    pub allowed_regions: AllowedRegions,
+    pub permitted_regions: PermittedRegions,
 }
--- a/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
+++ b/crates/ochreyard-core/src/direct/waiting/dispatch_decision.rs
@@ -2,9 +2,9 @@
 
 use super::limited_turns::LimitedTurns;
 use super::{Arrival, Patience, ServiceQueue, Ticket, WaitFacts};
-use crate::direct::allowed_regions::AllowedRegions;
 use crate::direct::endpoint_incarnation::EndpointIncarnation;
 use crate::direct::endpoint_pool::{Admission, EndpointPool, Pick, PickError, PickRequest};
+use crate::direct::permitted_regions::PermittedRegions;
 use crate::direct::priority::Priority;
 use crate::direct::priority_level::PriorityLevel;
 use crate::direct::urgency::Urgency;
@@ -15,7 +15,7 @@
     /// Service that the request is for.
     pub service: &'a str,
     /// Regions in which the request may run.
-    pub allowed_regions: &'a AllowedRegions,
+    pub permitted_regions: &'a PermittedRegions,
     /// Endpoints that the request has been sent to already.
     pub tried: &'a [EndpointIncarnation],
     /// Workspace that the request belongs to, if it has one.
@@ -201,8 +201,8 @@
         } else {
             Admission::Drawn(self.admission_seed.of(request.ticket, draw))
         };
-        let PendingRequest { service, allowed_regions, tried, level, .. } = *request;
-        let pick_request = PickRequest { service, allowed_regions, tried, urgency, level, admission };
+        let PendingRequest { service, permitted_regions, tried, level, .. } = *request;
+        let pick_request = PickRequest { service, permitted_regions, tried, urgency, level, admission };
         let pick = pool.pick_for(&pick_request, draw, now_ms)?;
         let may_send = urgency == Urgency::OnTime || self.has_late_slot(pool, boxes, request, now_ms);
         if may_send { Ok(pick) } else { Err(PickError::Full) }
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -7,8 +7,9 @@
 
 use direct_fixture::{addr, endpoint};
 use ochreyard_core::direct::{
-    AllowedRegions, BoxList, BoxRecord, Catalog, EndpointChange, EndpointRecord, EventSplitter, LocalBox, LogProgress,
-    Position, RetryBudgetLimits, Route, RouteKind, RouteTable, SharedRetryBudget, WeightedService, Workspace,
+    BoxList, BoxRecord, Catalog, EndpointChange, EndpointRecord, EventSplitter, LocalBox, LogProgress,
+    PermittedRegions, Position, RetryBudgetLimits, Route, RouteKind, RouteTable, SharedRetryBudget, WeightedService,
+    Workspace,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -32,7 +33,7 @@
         services: vec![WeightedService { service: service.to_owned(), weight: 1 }],
         max_attempts: 2,
         public: false,
-        allowed_regions: AllowedRegions::ANY,
+        permitted_regions: PermittedRegions::ANY,
     }
 }
 #[rstest]
@@ -60,7 +61,7 @@
 fn keys_map_to_workspaces_and_are_required_once_one_is_configured() {
     let table = RouteTable::new(1);
     assert!(!table.needs_key());
-    let workspace = Workspace { name: "resort".into(), priority: None, allowed_regions: AllowedRegions::ANY };
+    let workspace = Workspace { name: "resort".into(), priority: None, permitted_regions: PermittedRegions::ANY };
     let table = table.with_workspace(workspace, ["k1".to_owned()]);
     assert!(table.needs_key());
     assert_eq!(table.workspace_of("k1").map(|workspace| workspace.name.as_str()), Some("resort"));
--- a/crates/ochreyard-core/tests/endpoint_notices.rs
+++ b/crates/ochreyard-core/tests/endpoint_notices.rs
@@ -4,7 +4,7 @@
 
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
-    AllowedRegions, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, EndpointSignals, PendingRequest,
+    DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, EndpointSignals, PendingRequest, PermittedRegions,
     Pick, PickError, Priority, PriorityLevel, ReportedLimit, ServiceQueue, Urgency,
 };
 use proptest::prelude::*;
@@ -151,7 +151,7 @@
     let arrival = ochreyard_core::direct::Arrival { on_time_until_ms: 200, is_caller_retry: false };
     PendingRequest {
         service: "tiles",
-        allowed_regions: &AllowedRegions::ANY,
+        permitted_regions: &PermittedRegions::ANY,
         tried: &[],
         workspace: None,
         work_tokens: 1,
--- a/crates/ochreyard-core/tests/endpoint_pool.rs
+++ b/crates/ochreyard-core/tests/endpoint_pool.rs
@@ -4,7 +4,7 @@
 
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
-    AllowedRegions, AttemptOutcome, EndpointChange, EndpointIncarnation, EndpointPool, EndpointRecord, GroupUpdate,
+    AttemptOutcome, EndpointChange, EndpointIncarnation, EndpointPool, EndpointRecord, GroupUpdate, PermittedRegions,
     Pick, PickError, RankUpdate, ReporterRole, Urgency,
 };
 use rstest::rstest;
@@ -207,17 +207,17 @@
         update
     };
     pool.apply_group_update(&with_paces([1_000, 1_000]), 0);
-    assert!(!pool.should_migrate("e1", &AllowedRegions::ANY, "tiles", &[], 1), "it is not slow");
+    assert!(!pool.should_migrate("e1", &PermittedRegions::ANY, "tiles", &[], 1), "it is not slow");
     pool.apply_group_update(&with_paces([4_000, 1_000]), 100);
-    assert!(pool.should_migrate("e1", &AllowedRegions::ANY, "tiles", &[], 101));
-    assert!(!pool.should_migrate("e2", &AllowedRegions::ANY, "tiles", &[], 101));
+    assert!(pool.should_migrate("e1", &PermittedRegions::ANY, "tiles", &[], 101));
+    assert!(!pool.should_migrate("e2", &PermittedRegions::ANY, "tiles", &[], 101));
     assert!(
-        !pool.should_migrate("e1", &AllowedRegions::ANY, "tiles", &[first_incarnation("e2")], 101),
+        !pool.should_migrate("e1", &PermittedRegions::ANY, "tiles", &[first_incarnation("e2")], 101),
         "the other one was tried"
     );
-    assert!(!pool.should_migrate("e1", &AllowedRegions::ANY, "tiles", &[], 5_000), "the report is too old");
+    assert!(!pool.should_migrate("e1", &PermittedRegions::ANY, "tiles", &[], 5_000), "the report is too old");
     pool.apply_group_update(&with_paces([4_000, 4_000]), 5_000);
-    assert!(!pool.should_migrate("e1", &AllowedRegions::ANY, "tiles", &[], 5_001), "the other one is as slow");
+    assert!(!pool.should_migrate("e1", &PermittedRegions::ANY, "tiles", &[], 5_001), "the other one is as slow");
 }
 
 #[test]
--- a/crates/ochreyard-core/tests/group_admission.rs
+++ b/crates/ochreyard-core/tests/group_admission.rs
@@ -4,8 +4,8 @@
 
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
-    Admission, AdmissionShare, AllowedRegions, Arrival, AttemptOutcome, DispatchDecision, EndpointChange, EndpointPool,
-    EndpointRecord, GroupRunning, GroupUpdate, PendingRequest, Pick, PickError, PickRequest, Priority, PriorityLevel,
+    Admission, AdmissionShare, Arrival, AttemptOutcome, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord,
+    GroupRunning, GroupUpdate, PendingRequest, PermittedRegions, Pick, PickError, PickRequest, Priority, PriorityLevel,
     RankUpdate, ReporterRole, ServiceQueue, Urgency,
 };
 use rstest::rstest;
@@ -55,7 +55,7 @@
 fn request(level: PriorityLevel, draw: u64) -> PickRequest<'static> {
     PickRequest {
         service: SERVICE,
-        allowed_regions: &AllowedRegions::ANY,
+        permitted_regions: &PermittedRegions::ANY,
         tried: &[],
         urgency: Urgency::OnTime,
         level,
@@ -79,7 +79,7 @@
 fn pending(level: PriorityLevel, may_have_run: bool) -> PendingRequest<'static> {
     PendingRequest {
         service: SERVICE,
-        allowed_regions: &AllowedRegions::ANY,
+        permitted_regions: &PermittedRegions::ANY,
         tried: &[],
         workspace: None,
         work_tokens: 1,
@@ -248,7 +248,7 @@
     let mut slow = update(0, 12, Some(LIMIT));
     slow.ranks[0].pace_permille = 4_000;
     pool.apply_group_update(&slow, 100);
-    assert!(pool.should_migrate(&endpoint_id(0, 0), &AllowedRegions::ANY, SERVICE, &[], 100));
+    assert!(pool.should_migrate(&endpoint_id(0, 0), &PermittedRegions::ANY, SERVICE, &[], 100));
 }
 
 /// Guards against requests that wait while their group runs fewer than the lower bound of their level.
--- a/crates/ochreyard-core/tests/late_slots.rs
+++ b/crates/ochreyard-core/tests/late_slots.rs
@@ -4,8 +4,8 @@
 
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
-    AllowedRegions, Arrival, ArrivalRate, DispatchDecision, EndpointChange, EndpointIncarnation, EndpointPool,
-    EndpointRecord, GroupUpdate, LateSlots, PendingRequest, Priority, PriorityLevel, RankUpdate, ServiceQueue,
+    Arrival, ArrivalRate, DispatchDecision, EndpointChange, EndpointIncarnation, EndpointPool, EndpointRecord,
+    GroupUpdate, LateSlots, PendingRequest, PermittedRegions, Priority, PriorityLevel, RankUpdate, ServiceQueue,
     SlotDemand,
 };
 use proptest::prelude::*;
@@ -138,7 +138,7 @@
 fn retry() -> PendingRequest<'static> {
     PendingRequest {
         service: "tiles",
-        allowed_regions: &AllowedRegions::ANY,
+        permitted_regions: &PermittedRegions::ANY,
         tried: &[],
         workspace: None,
         work_tokens: 1,
--- a/crates/ochreyard-core/tests/allowed_regions.rs
+++ b/crates/ochreyard-core/tests/permitted_regions.rs
@@ -6,13 +6,13 @@
 
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
-    AllowedRegions, EndpointChange, EndpointIncarnation, EndpointPool, EndpointRecord, PickError, Urgency,
+    EndpointChange, EndpointIncarnation, EndpointPool, EndpointRecord, PermittedRegions, PickError, Urgency,
 };
 use proptest::prelude::*;
 use rstest::rstest;
 
-fn allowed_regions(regions: &[&str]) -> AllowedRegions {
-    AllowedRegions::of(regions.iter().map(|region| (*region).to_owned()))
+fn permitted_regions(regions: &[&str]) -> PermittedRegions {
+    PermittedRegions::of(regions.iter().map(|region| (*region).to_owned()))
 }
 
 #[rstest]
@@ -29,13 +29,13 @@
     #[case] region: &str,
     #[case] wanted: bool,
 ) {
-    assert_eq!(allowed_regions(route).intersect(&allowed_regions(workspace)).allows(Some(region)), wanted);
+    assert_eq!(permitted_regions(route).intersect(&permitted_regions(workspace)).allows(Some(region)), wanted);
 }
 
 #[test]
 fn an_unknown_region_is_allowed_only_where_all_are() {
-    assert!(!allowed_regions(&["north"]).allows(None));
-    assert!(AllowedRegions::ANY.allows(None));
+    assert!(!permitted_regions(&["north"]).allows(None));
+    assert!(PermittedRegions::ANY.allows(None));
 }
 
 const REGIONS: [&str; 3] = ["north", "south", "east"];
@@ -55,7 +55,7 @@
     /// First attempts and retries stay in the allowed regions, whichever endpoints were tried or evacuated; where no
     /// endpoint is left, none is picked.
     #[test]
-    fn no_request_leaves_its_allowed_regions(
+    fn no_request_leaves_its_permitted_regions(
         data_centres in prop::collection::vec(0usize..3, 1..8),
         allowed in prop::collection::btree_set(0usize..3, 1..3),
         tried in prop::collection::vec(0usize..8, 0..4),
@@ -67,10 +67,10 @@
             let name = format!("dc-{at}");
             pool.set_evacuated_data_centres([name.as_str()].into_iter());
         }
-        let allowed_regions = AllowedRegions::of(allowed.iter().map(|at| REGIONS[*at].to_owned()));
+        let permitted_regions = PermittedRegions::of(allowed.iter().map(|at| REGIONS[*at].to_owned()));
         let tried: Vec<EndpointIncarnation> =
             tried.iter().map(|at| EndpointIncarnation { id: format!("i-{at}"), started_ms: 0 }).collect();
-        match pool.pick_in_regions(&allowed_regions, "tiles", &tried, Urgency::OnTime, draw, 0) {
+        match pool.pick_in_regions(&permitted_regions, "tiles", &tried, Urgency::OnTime, draw, 0) {
             Ok(pick) => {
                 let at: usize = pick.id[2..].parse().unwrap();
                 prop_assert!(allowed.contains(&data_centres[at]));
--- a/crates/ochreyard-core/tests/priorities.rs
+++ b/crates/ochreyard-core/tests/priorities.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use ochreyard_core::direct::{
-    AllowedRegions, Arrival, EngineSpec, PendingRequest, Priority, PriorityLevel, RequestSize, Route, RouteKind,
+    Arrival, EngineSpec, PendingRequest, PermittedRegions, Priority, PriorityLevel, RequestSize, Route, RouteKind,
     RouteTable, Ticket, Urgency, UsualWork, WaitQueue, WeightedService, Workspace,
 };
 use proptest::prelude::*;
@@ -25,12 +25,12 @@
         services: services.iter().map(weighted).collect(),
         max_attempts: 2,
         public,
-        allowed_regions: AllowedRegions::ANY,
+        permitted_regions: PermittedRegions::ANY,
     }
 }
 
 fn workspace(name: &str, priority: Option<u64>) -> Workspace {
-    Workspace { name: name.to_owned(), priority, allowed_regions: AllowedRegions::ANY }
+    Workspace { name: name.to_owned(), priority, permitted_regions: PermittedRegions::ANY }
 }
 
 /// A table of routes to the service `tiles` with these priorities, and of workspaces with these.
@@ -131,7 +131,7 @@
 ) -> PendingRequest<'_> {
     PendingRequest {
         service: "tiles",
-        allowed_regions: &AllowedRegions::ANY,
+        permitted_regions: &PermittedRegions::ANY,
         tried: &[],
         workspace: Some(workspace),
         work_tokens,
--- a/crates/ochreyard-core/tests/priority_load_model/mod.rs
+++ b/crates/ochreyard-core/tests/priority_load_model/mod.rs
@@ -4,8 +4,8 @@
 use std::ops::Range;
 
 use ochreyard_core::direct::{
-    AllowedRegions, AttemptOutcome, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, GroupUpdate,
-    PendingRequest, Pick, Priority, PriorityLevel, RankUpdate, ReporterRole, ServiceQueue, Ticket,
+    AttemptOutcome, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, GroupUpdate, PendingRequest,
+    PermittedRegions, Pick, Priority, PriorityLevel, RankUpdate, ReporterRole, ServiceQueue, Ticket,
 };
 use ochreyard_core::hash;
 
@@ -55,7 +55,7 @@
         PendingRequest {
             may_have_run: false,
             service: SERVICE,
-            allowed_regions: &AllowedRegions::ANY,
+            permitted_regions: &PermittedRegions::ANY,
             tried: &[],
             workspace: Some(&self.workspace),
             work_tokens: 100,
--- a/crates/ochreyard-core/tests/stall_load_model/entry_model.rs
+++ b/crates/ochreyard-core/tests/stall_load_model/entry_model.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use ochreyard_core::direct::{
-    AllowedRegions, Arrival, AttemptOutcome, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord,
-    GroupUpdate, PendingRequest, Pick, Priority, PriorityLevel, ServiceQueue, StallHandling, Ticket, WaitFacts,
+    Arrival, AttemptOutcome, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, GroupUpdate,
+    PendingRequest, PermittedRegions, Pick, Priority, PriorityLevel, ServiceQueue, StallHandling, Ticket, WaitFacts,
 };
 
 use super::{Callers, Group, SERVICE};
@@ -99,7 +99,7 @@
     fn request(callers: &Callers, attempt: &Attempt) -> PendingRequest<'static> {
         PendingRequest {
             service: SERVICE,
-            allowed_regions: &AllowedRegions::ANY,
+            permitted_regions: &PermittedRegions::ANY,
             tried: &[],
             workspace: None,
             work_tokens: 1,
--- a/crates/ochreyard-core/tests/step_times.rs
+++ b/crates/ochreyard-core/tests/step_times.rs
@@ -1,6 +1,6 @@
 //! Tests when shorter steps of a group benefit its callers.
 
-use ochreyard_core::direct::{AllowedRegions, Route, RouteKind, RouteTable, WeightedService};
+use ochreyard_core::direct::{PermittedRegions, Route, RouteKind, RouteTable, WeightedService};
 use ochreyard_core::group_map::StepTimes;
 use rstest::rstest;
 
@@ -68,7 +68,7 @@
         services: services.iter().map(weighted).collect(),
         max_attempts: 2,
         public: false,
-        allowed_regions: AllowedRegions::ANY,
+        permitted_regions: PermittedRegions::ANY,
     }
 }
 
--- a/crates/ochreyard-core/tests/stream_limit_model/mod.rs
+++ b/crates/ochreyard-core/tests/stream_limit_model/mod.rs
@@ -5,8 +5,8 @@
 use std::ops::Range;
 
 use ochreyard_core::direct::{
-    AllowedRegions, DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, GroupUpdate, PendingRequest, Pick,
-    Priority, PriorityLevel, RankUpdate, ReporterRole, ServiceQueue, Ticket,
+    DispatchDecision, EndpointChange, EndpointPool, EndpointRecord, GroupUpdate, PendingRequest, PermittedRegions,
+    Pick, Priority, PriorityLevel, RankUpdate, ReporterRole, ServiceQueue, Ticket,
 };
 use ochreyard_core::hash;
 
@@ -227,7 +227,7 @@
         for mut request in waiting {
             let pending = PendingRequest {
                 service: "brief",
-                allowed_regions: &AllowedRegions::ANY,
+                permitted_regions: &PermittedRegions::ANY,
                 tried: &[],
                 workspace: None,
                 work_tokens: 1,
--- a/crates/ochreyard-core/tests/waiting.rs
+++ b/crates/ochreyard-core/tests/waiting.rs
@@ -4,9 +4,9 @@
 
 use direct_fixture::endpoint;
 use ochreyard_core::direct::{
-    AllowedRegions, Arrival, DispatchDecision, EndpointChange, EndpointLimit, EndpointPool, GroupUpdate, LimitUpdate,
-    Patience, PendingRequest, PickError, Priority, PriorityLevel, RankUpdate, RequestRate, ServiceQueue, ServiceTime,
-    StallHandling, StallHistory, StallOutcomes, Urgency, WaitFacts, WaitQueue,
+    Arrival, DispatchDecision, EndpointChange, EndpointLimit, EndpointPool, GroupUpdate, LimitUpdate, Patience,
+    PendingRequest, PermittedRegions, PickError, Priority, PriorityLevel, RankUpdate, RequestRate, ServiceQueue,
+    ServiceTime, StallHandling, StallHistory, StallOutcomes, Urgency, WaitFacts, WaitQueue,
 };
 use rstest::rstest;
 
@@ -208,7 +208,7 @@
     let arrival = Arrival { on_time_until_ms: 0, is_caller_retry: false };
     PendingRequest {
         service: "tiles",
-        allowed_regions: &AllowedRegions::ANY,
+        permitted_regions: &PermittedRegions::ANY,
         tried: &[],
         workspace: None,
         work_tokens: 1,
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -89,9 +89,9 @@
     if table.needs_key() && !route.public && workspace.is_none() {
         return Err(ErrorKind::Unauthenticated);
     }
-    let allowed_regions = workspace.map_or_else(
-        || route.allowed_regions.clone(),
-        |workspace| route.allowed_regions.intersect(&workspace.allowed_regions),
+    let permitted_regions = workspace.map_or_else(
+        || route.permitted_regions.clone(),
+        |workspace| route.permitted_regions.intersect(&workspace.permitted_regions),
     );
     let service = route.service_for(entry.next_random()).ok_or(ErrorKind::NoEndpoint)?.to_owned();
     let caller_ms = header_text(&head.headers, &names.deadline_ms).and_then(|value| value.trim().parse::<u64>().ok());
@@ -117,7 +117,7 @@
         entry: Rc::clone(entry),
         route: Arc::clone(route),
         workspace: workspace.cloned(),
-        allowed_regions,
+        permitted_regions,
         _buffered_body: BufferedBytes::none(entry),
         request,
         deadline_ms: started_ms + timeout_ms,
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -10,7 +10,7 @@
 
 use http::Response;
 use ochreyard_core::direct::{
-    AllowedRegions, Arrival, AttemptOutcome, EndpointIncarnation, Fingerprint, LostRequest, Pick, Priority,
+    Arrival, AttemptOutcome, EndpointIncarnation, Fingerprint, LostRequest, PermittedRegions, Pick, Priority,
     PriorityLevel, Route, RouteKind, WaitFacts, Workspace,
 };
 
@@ -50,7 +50,7 @@
     /// The workspace that the request belongs to, if it has one.
     pub workspace: Option<Arc<Workspace>>,
     /// Regions in which the request may run.
-    pub allowed_regions: AllowedRegions,
+    pub permitted_regions: PermittedRegions,
     /// Accounts for the bytes of the request body.
     pub _buffered_body: BufferedBytes<D>,
     /// The request as it is sent to endpoints.
@@ -193,7 +193,7 @@
     pub fn should_migrate(&self, pick: &Pick) -> bool {
         let now_ms = self.entry.clock.now_ms();
         let state = self.entry.state.borrow();
-        state.pool.should_migrate(&pick.id, &self.allowed_regions, &self.service, &self.tried, now_ms)
+        state.pool.should_migrate(&pick.id, &self.permitted_regions, &self.service, &self.tried, now_ms)
             && state.budget.has_retry(&self.service, now_ms)
     }
 
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -156,7 +156,7 @@
     fn pending_request(&self) -> PendingRequest<'_> {
         PendingRequest {
             service: &self.service,
-            allowed_regions: &self.allowed_regions,
+            permitted_regions: &self.permitted_regions,
             tried: &self.tried,
             workspace: self.workspace_name(),
             work_tokens: self.work_tokens,
@@ -185,9 +185,9 @@
 
     fn has_other_endpoint(&self, pool: &EndpointPool, now_ms: u64) -> bool {
         let urgency = self.pending_request().urgency(now_ms);
-        let PendingRequest { service, allowed_regions, tried, level, .. } = self.pending_request();
+        let PendingRequest { service, permitted_regions, tried, level, .. } = self.pending_request();
         let admission = Admission::Exempt;
-        pool.pick_for(&PickRequest { service, allowed_regions, tried, urgency, level, admission }, 0, now_ms).is_ok()
+        pool.pick_for(&PickRequest { service, permitted_regions, tried, urgency, level, admission }, 0, now_ms).is_ok()
     }
 }
 
--- a/crates/ochreyard-direct/src/job/ending.rs
+++ b/crates/ochreyard-direct/src/job/ending.rs
@@ -97,7 +97,7 @@
         let state = self.entry.state.borrow();
         let evacuated: Vec<&str> = state.pool.evacuated_data_centres().collect();
         let cold = state.pool.cold_endpoints(&self.service, now_ms);
-        let away = state.pool.endpoints_outside_regions(&self.service, &self.allowed_regions);
+        let away = state.pool.endpoints_outside_regions(&self.service, &self.permitted_regions);
         format!("evacuated=\"{}\" cold={cold} not_at_home={away}", evacuated.join(","))
     }
 
