--- a/crates/ochreyard-core/tests/map_change.rs
+++ b/crates/ochreyard-core/tests/map_change.rs
@@ -57,6 +57,22 @@
     assert!(prepared_version(&orders).is_some_and(|version| version > first));
 }
 
+/// One rank left the order to prepare the map unanswered and does not copy, as some do for seconds at a time. All streams
+/// of the group are late until it has copied, so the order must be sent again within about one step of 50 to 100 ms.
+#[test]
+fn an_unanswered_prepare_order_is_sent_again_within_a_step_and_only_to_its_rank() {
+    let mut controller = ready_controller();
+    controller.propose(placement(), 1, 100);
+    let version = prepared_version(&controller.on_round(&round(&view_at_step(10)), 100)).expect("copies begin");
+    let mut waiting = round(&RankView { is_busy: true, ..view_at_step(10) });
+    waiting.views[1] = waiting.views[1].take().map(|view| RankView { is_busy: false, ..view });
+    waiting.views[2] = waiting.views[2].take().map(|view| RankView { prepared: Some(version), is_busy: false, ..view });
+    assert!(controller.on_round(&waiting, 125).is_empty(), "the answer may still be on its way");
+    let orders = controller.on_round(&waiting, 175);
+    assert_eq!(orders.iter().map(|(rank, _)| *rank).collect::<Vec<_>>(), [1]);
+    assert_eq!(prepared_version(&orders), Some(version), "the same map: ranks that copy already are not disturbed");
+}
+
 #[test]
 fn a_change_is_preemptible_only_while_it_copies() {
     let mut controller = ready_controller();
