--- a/crates/ochreyard-direct/src/timeout.rs
+++ b/crates/ochreyard-direct/src/timeout.rs
@@ -1,7 +1,7 @@
 //! Timeouts that count only after the sockets have been read.
 //!
-//! When a stopped process continues, its `epoll_wait` is interrupted and reports no sockets, but all timers that expired
-//! meanwhile fire. A bare timeout would then discard an answer that has arrived, and what the endpoint reports in it.
+//! When a stopped process continues, timers that expired meanwhile fire before its sockets are read. A bare timeout would
+//! then discard an answer that has arrived, and what the endpoint reports in it.
 
 use std::pin::Pin;
 use std::time::Duration;
