--- a/crates/ochreyard-stand-ins/src/cluster.rs
+++ b/crates/ochreyard-stand-ins/src/cluster.rs
@@ -15,6 +15,7 @@
 use serde_json::Value;
 use tokio::process::{Child, Command};
 
+use crate::built_program::built_program;
 use crate::rank_group::GroupConfig;
 
 /// Token with which entries and agents authenticate to each other.
@@ -54,7 +55,6 @@
 pub struct Cluster {
     ip: Ipv4Addr,
     dir: PathBuf,
-    programs_dir: PathBuf,
     next_port: u16,
     entry_peers: Vec<String>,
     processes: BTreeMap<String, Process>,
@@ -84,15 +84,7 @@
         std::fs::write(dir.join("peer-token"), PEER_TOKEN).expect("the token file must be written");
         std::fs::write(dir.join("operator-token"), OPERATOR_TOKEN).expect("the token file must be written");
         let http = reqwest::Client::builder().no_proxy().build().expect("the HTTP client must be built");
-        Self {
-            ip,
-            dir,
-            programs_dir: programs_dir(),
-            next_port: 7000,
-            entry_peers: Vec::new(),
-            processes: BTreeMap::new(),
-            http,
-        }
+        Self { ip, dir, next_port: 7000, entry_peers: Vec::new(), processes: BTreeMap::new(), http }
     }
 
     /// Returns an HTTP client that uses no proxy.
@@ -113,12 +105,6 @@
         format!("{}:{}", self.ip, self.next_port)
     }
 
-    /// Returns the path of a program or, with the prefix `examples/`, of a stand-in.
-    #[must_use]
-    pub fn program_path(&self, name: &str) -> PathBuf {
-        self.programs_dir.join(name)
-    }
-
     /// Starts the platform stand-in and returns its URL.
     pub async fn start_platform(&mut self) -> String {
         let addr = self.new_addr();
@@ -150,7 +136,7 @@
 
     async fn start_stand_in(&mut self, name: &str, example: &str, args: Vec<String>) {
         let addr = args[0].clone();
-        self.spawn(name, self.program_path(&format!("examples/{example}")), args);
+        self.spawn(name, built_program(&format!("examples/{example}")), args);
         wait_for_port(&addr).await;
     }
 
@@ -198,7 +184,7 @@
         let path = self.dir.join(format!("{name}.yaml"));
         std::fs::write(&path, settings).expect("the settings file must be written");
         let args = vec!["serve".to_owned(), path.display().to_string()];
-        self.spawn(name, self.program_path(program), args);
+        self.spawn(name, built_program(program), args);
     }
 
     fn spawn(&mut self, name: &str, program: PathBuf, args: Vec<String>) {
@@ -206,9 +192,7 @@
         let mut command = Command::new(&program);
         command.args(&args).kill_on_drop(true).stdin(std::process::Stdio::null());
         command.stderr(log.expect("the log file must be opened"));
-        let child = command.spawn().unwrap_or_else(|error| {
-            panic!("{} cannot be started ({error}); run `cargo test --workspace`", program.display())
-        });
+        let child = command.spawn().unwrap_or_else(|error| panic!("{} cannot be started: {error}", program.display()));
         let pid = child.id().expect("a running process has an id");
         self.processes.insert(name.to_owned(), Process { child, program, args, pid });
     }
@@ -332,13 +316,6 @@
     }
 }
 
-/// Returns the folder of the built programs, found from the path of the running test or example.
-fn programs_dir() -> PathBuf {
-    let own_path = std::env::current_exe().expect("the running program must have a path");
-    let folder = own_path.parent().expect("the path of a program has a parent");
-    folder.parent().unwrap_or(folder).to_path_buf()
-}
-
 /// Checks a condition until it holds.
 ///
 /// # Panics
--- a/crates/ochreyard-stand-ins/src/lib.rs
+++ b/crates/ochreyard-stand-ins/src/lib.rs
@@ -5,6 +5,7 @@
 //! that a test can change them while the stand-in runs.
 
 pub mod args;
+pub mod built_program;
 pub mod cluster;
 pub mod load;
 pub mod log_store;
--- a/crates/ochreyard-stand-ins/tests/command_line.rs
+++ b/crates/ochreyard-stand-ins/tests/command_line.rs
@@ -2,6 +2,7 @@
 
 use std::process::Output;
 
+use ochreyard_stand_ins::built_program::built_program;
 use ochreyard_stand_ins::load::{self, RequestOutcome};
 use ochreyard_stand_ins::site::{PLAIN, Site, SiteSpec, WORKSPACES};
 use tokio::process::Command;
@@ -10,7 +11,7 @@
 
 async fn ochreyard(site: &Site, args: &[&str]) -> Output {
     let token = site.cluster.dir().join("operator-token");
-    let mut command = Command::new(site.cluster.program_path("ochreyard"));
+    let mut command = Command::new(built_program("ochreyard"));
     command.args(args).arg("--token-file").arg(token);
     command.output().await.unwrap()
 }
