Measure how late the runtime runs its tasks, and say so where a stream is cut

Change: RuntimeLagDetector compares the wake-ups of a task that sleeps for 100 ms with the time that it asked for, and reads from the scheduler for how long the thread ran and waited for a processor. A delay of 50 ms or more is logged (runtime_late) and measured (ochreyard_direct_runtime_late_seconds). stream_broken names the events that the caller got, for how long it had got none, how long the deadline had passed and how late the runtime was; stream_abandoned is logged for a stream that ends because its caller closed the connection or the process exits; attempt_failed names the delay, too.

--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -22,6 +22,7 @@
 use crate::dialect::Dialect;
 use crate::http_client::HttpClient;
 use crate::peers::{FullSyncLimiter, HandoverHandler, PeerEndpoint, UnreachablePeers};
+use crate::recent_lag::RecentLag;
 use crate::sync_cursor::SyncCursor;
 
 /// How long a box that has just started waits for the state of other boxes, in milliseconds: long enough to poll a few
@@ -66,6 +67,8 @@
     pub max_buffered_bytes: Cell<usize>,
     /// Limits the boxes that get the full state at a time.
     pub full_sync_limiter: RefCell<FullSyncLimiter>,
+    /// How late the runtime was of late.
+    pub recent_lag: RecentLag,
     /// Other boxes that recently failed to accept an update.
     pub unreachable_peers: UnreachablePeers,
     random_counter: Cell<u64>,
@@ -98,6 +101,7 @@
             buffered_bytes: Cell::new(0),
             max_buffered_bytes: Cell::new(usize::MAX),
             full_sync_limiter: RefCell::default(),
+            recent_lag: RecentLag::default(),
             unreachable_peers: UnreachablePeers::default(),
             random_counter,
             peer_clients: RefCell::default(),
--- a/crates/ochreyard-direct/src/job/ending.rs
+++ b/crates/ochreyard-direct/src/job/ending.rs
@@ -37,12 +37,14 @@
     pub(super) fn log_failed_attempt(&self, pick: &Pick, cause: &str) {
         meters::on_failed_attempt(&self.service);
         log::info!(
-            "event=attempt_failed request={} service={} endpoint={} attempt={} left_ms={} cause=\"{cause}\"",
+            "event=attempt_failed request={} service={} endpoint={} attempt={} left_ms={} runtime_late_ms={} \
+             cause=\"{cause}\"",
             self.id(),
             self.service,
             pick.id,
             self.sent,
-            self.time_left_ms()
+            self.time_left_ms(),
+            self.entry.recent_lag.late_ms(self.entry.clock.now_ms())
         );
     }
 
@@ -128,17 +130,42 @@
         left_ms + self.entry.next_random() % (left_ms / PAUSE_JITTER_DIVISOR).max(MIN_JITTER_MS)
     }
 
-    /// Records that a stream was broken off without a replacement.
-    pub fn record_broken_stream(&self, pick: &Pick, cause: &str) {
+    /// Records that a stream was broken off without a replacement, after the caller got `event_count` events.
+    pub fn record_broken_stream(&self, pick: &Pick, event_count: usize, cause: &str) {
         meters::on_answer(&self.service, "broken_off", self.elapsed_ms());
         log::info!(
-            "event=stream_broken request={} route={} service={} endpoint={} sent={} elapsed_ms={} cause=\"{cause}\"",
+            "event=stream_broken request={} route={} service={} endpoint={} sent={} elapsed_ms={} cause=\"{cause}\" {}",
             self.id(),
             self.route.name,
             self.service,
             pick.id,
             self.sent,
-            self.elapsed_ms()
+            self.elapsed_ms(),
+            self.stream_progress(event_count)
+        );
+    }
+
+    /// Logs that a stream ends because its caller has closed the connection, or because this process exits.
+    pub fn log_abandoned_stream(&self, pick: &Pick, event_count: usize) {
+        log::info!(
+            "event=stream_abandoned request={} service={} endpoint={} elapsed_ms={} stopping={} {}",
+            self.id(),
+            self.service,
+            pick.id,
+            self.elapsed_ms(),
+            self.entry.is_stopping.get(),
+            self.stream_progress(event_count)
         );
     }
+
+    /// Describes for the log how far a stream has come, and whether a delay of this process may have ended it.
+    fn stream_progress(&self, event_count: usize) -> String {
+        let now_ms = self.entry.clock.now_ms();
+        format!(
+            "events={event_count} silent_ms={} overdue_ms={} runtime_late_ms={}",
+            now_ms.saturating_sub(self.silent_since_ms),
+            now_ms.saturating_sub(self.deadline_ms),
+            self.entry.recent_lag.late_ms(now_ms)
+        )
+    }
 }
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -37,6 +37,7 @@
 mod peers;
 mod queue_slot;
 mod read_role;
+mod recent_lag;
 mod refusal;
 mod relay;
 mod send_failure;
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -4,6 +4,7 @@
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use ochreyard_core::direct::{GroupRunning, PrioritySet};
+use ochreyard_process::RuntimeLag;
 use tokio::net::TcpListener;
 
 use crate::dialect::Dialect;
@@ -60,6 +61,11 @@
     metrics::counter!("ochreyard_direct_repeats_total", "service" => service.to_owned()).increment(1);
 }
 
+/// Records that the tasks of this process ran late.
+pub fn on_runtime_lag(lag: &RuntimeLag) {
+    metrics::histogram!("ochreyard_direct_runtime_late_seconds").record(lag.late_ms as f64 / MS_PER_S);
+}
+
 /// Records that the platform's log was restored from an older copy.
 pub fn on_log_restored() {
     metrics::counter!("ochreyard_direct_log_returns_total").increment(1);
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -31,7 +31,8 @@
     let seen = job.request.headers.get(last_event).and_then(|value| value.to_str().ok()).map(str::to_owned);
     let head = answer.head.clone();
     meters::on_stream_start(&job.service, job.elapsed_ms());
-    let relay = Relay { job, answer: Some(answer), splitter: EventSplitter::new(seen), late_since_ms: None };
+    let relay =
+        Relay { job, answer: Some(answer), splitter: EventSplitter::new(seen), late_since_ms: None, event_count: 0 };
     let pieces = futures::stream::unfold(relay, |mut relay| async move {
         let piece = relay.next_events().await?;
         Some((piece, relay))
@@ -45,6 +46,8 @@
     splitter: EventSplitter,
     /// When the relay first noticed that the deadline has passed.
     late_since_ms: Option<u64>,
+    /// Number of complete events that the caller got.
+    event_count: usize,
 }
 
 enum Step {
@@ -106,6 +109,7 @@
                 if self.splitter.partial_event_bytes() > MAX_EVENT_BYTES {
                     return Step::Broken { cause: "event exceeds the size limit".to_owned(), is_lost: false };
                 }
+                self.event_count += complete.count;
                 if complete.count == 0 { Step::Partial } else { Step::Events(complete.bytes) }
             }
             Some(Some(Err(error))) => Step::Broken { cause: error.to_string(), is_lost: true },
@@ -163,7 +167,16 @@
     }
 
     fn abort_stream(&self, pick: &Pick, cause: &str) -> Option<Result<Bytes, AnswerAborted>> {
-        self.job.record_broken_stream(pick, cause);
+        self.job.record_broken_stream(pick, self.event_count, cause);
         Some(Err(AnswerAborted))
     }
 }
+
+impl<D: Dialect> Drop for Relay<D> {
+    /// Logs a stream that ends with neither its last event nor a failure.
+    fn drop(&mut self) {
+        if let Some(answer) = &self.answer {
+            self.job.log_abandoned_stream(&answer.pick, self.event_count);
+        }
+    }
+}
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -7,7 +7,8 @@
 use miette::{Context, IntoDiagnostic, Result};
 use ochreyard_core::direct::{BoxRecord, RetryBudgetLimits};
 use ochreyard_process::{
-    Clock, Settings, SuspensionDetector, new_incarnation, run_metrics_upkeep, start_logging, start_metrics,
+    Clock, RuntimeLagDetector, Settings, SuspensionDetector, new_incarnation, run_metrics_upkeep, start_logging,
+    start_metrics,
 };
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -21,9 +22,11 @@
 
 /// How often idle connections to endpoints are checked for expiry.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// How often the process checks whether the machine was suspended: a few times within the shortest wait for another
-/// box.
+/// How often the process checks whether the machine was suspended, or its own tasks run late: a few times within the
+/// shortest wait for another box.
 const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shorter delays of the process's own tasks are not reported: they are within a gap between events.
+const MIN_REPORTED_LAG: Duration = Duration::from_millis(50);
 /// How long a stopping box accepts requests, in milliseconds: the load balancer checks readiness every second and drops
 /// a box after two failed checks. Later requests are refused as not run, since they might not end within the grace
 /// period.
@@ -169,12 +172,24 @@
     }
 }
 
-/// Detects that the machine was suspended. State with an age has grown older by that time and is judged accordingly.
+/// Detects that the machine was suspended, or that the process ran late. State with an age has grown older by that time and is judged accordingly.
 /// Connections have no age and are dropped, since their peers may have closed them.
 async fn watch_suspensions<D: Dialect>(entry: Rc<Entry<D>>) {
     let mut detector = SuspensionDetector::start();
+    let mut lag_detector = RuntimeLagDetector::start(SUSPENSION_CHECK_INTERVAL, MIN_REPORTED_LAG);
     loop {
+        entry.recent_lag.expect_wake_up(entry.clock.now_ms() + SUSPENSION_CHECK_INTERVAL.as_millis() as u64);
         tokio::time::sleep(SUSPENSION_CHECK_INTERVAL).await;
+        if let Some(lag) = lag_detector.poll() {
+            entry.recent_lag.record(lag.late_ms, entry.clock.now_ms());
+            meters::on_runtime_lag(&lag);
+            log::warn!(
+                "event=runtime_late late_ms={} on_processor_ms={} runnable_ms={}",
+                lag.late_ms,
+                lag.on_processor_ms,
+                lag.runnable_ms
+            );
+        }
         if let Some(suspended) = detector.poll() {
             log::warn!("event=suspended for_ms={}", suspended.as_millis());
             entry.drop_connections();
--- a/crates/ochreyard-operator/src/timeline.rs
+++ b/crates/ochreyard-operator/src/timeline.rs
@@ -31,8 +31,15 @@
 ];
 /// Events of whole groups, of limits that may have affected a request without an endpoint, or of the box itself. They
 /// are included for every request.
-const CONTEXT_EVENTS: [&str; 6] =
-    ["group_state", "endpoint_limit", "data_centres_evacuated", "log_reachability", "log_came_back", "suspended"];
+const CONTEXT_EVENTS: [&str; 7] = [
+    "group_state",
+    "endpoint_limit",
+    "data_centres_evacuated",
+    "log_reachability",
+    "log_came_back",
+    "suspended",
+    "runtime_late",
+];
 
 /// One line of a timeline.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
