A late stream passes on what has arrived, also when its process is stopped again

What callers saw: streams that broke off although all their events had arrived at the entry, all streams of one entry at once.

Cause: lets a stream go on for 50 ms after its deadline was noticed. That time also went by while the process was stopped again, or had no processor, before it had read its sockets.

Evidence: with 48 streams at an entry that is stopped past their deadline, continued, and stopped again for 150 ms after about 1 ms, 48 of 48 were cut in 4 of 4 runs. The entry's log: runtime_late late_ms=2389, and then stream_broken cause="deadline exceeded" events=3 silent_ms=0 overdue_ms=603 for each, when it ran the next time.

Change: LateReads counts at most 10 ms for the time between two reads, since more goes by only while the process does not run or the caller takes nothing.

--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -6,7 +6,7 @@
 use futures::StreamExt;
 use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
-use ochreyard_core::direct::{AttemptOutcome, EventSplitter, Pick, RouteKind};
+use ochreyard_core::direct::{AttemptOutcome, EventSplitter, LateReads, Pick, RouteKind};
 
 use crate::answer::{Answer, caller_response};
 use crate::answer_body::{AnswerAborted, AnswerBody};
@@ -21,9 +21,6 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Gap between events that is assumed if the route names no target.
 const DEFAULT_GAP_MS: u64 = 150;
-/// How long after its deadline was noticed a stream still passes on events that have arrived, in milliseconds. A process
-/// that was stopped notices the deadline late. Below the shortest gap between events, so that no later event is awaited.
-const LATE_EVENTS_MS: u64 = 50;
 
 /// Starts the answer to the caller. The events follow as they arrive.
 pub fn stream<D: Dialect>(job: Job<D>, answer: Answer<D>) -> Response<AnswerBody> {
@@ -32,7 +29,7 @@
     let head = answer.head.clone();
     meters::on_stream_start(&job.service, job.elapsed_ms());
     let relay =
-        Relay { job, answer: Some(answer), splitter: EventSplitter::new(seen), late_since_ms: None, event_count: 0 };
+        Relay { job, answer: Some(answer), splitter: EventSplitter::new(seen), late_reads: None, event_count: 0 };
     let pieces = futures::stream::unfold(relay, |mut relay| async move {
         let piece = relay.next_events().await?;
         Some((piece, relay))
@@ -44,8 +41,8 @@
     job: Job<D>,
     answer: Option<Answer<D>>,
     splitter: EventSplitter,
-    /// When the relay first noticed that the deadline has passed.
-    late_since_ms: Option<u64>,
+    /// Reads since the relay noticed that the deadline has passed.
+    late_reads: Option<LateReads>,
     /// Number of complete events that the caller got.
     event_count: usize,
 }
@@ -96,7 +93,7 @@
         let Some(answer) = self.answer.as_mut() else { return Step::End };
         let now_ms = self.job.entry.clock.now_ms();
         let left_ms = self.job.deadline_ms.saturating_sub(now_ms);
-        if left_ms == 0 && now_ms >= *self.late_since_ms.get_or_insert(now_ms) + LATE_EVENTS_MS {
+        if left_ms == 0 && !self.late_reads.get_or_insert(LateReads::start(now_ms)).may_read(now_ms) {
             return Step::TimeUp;
         }
         let silence_timeout_ms = self.job.route.target_gap_ms.unwrap_or(DEFAULT_GAP_MS) * SILENCE_TIMEOUT_GAPS;
