A request leaves a silent endpoint only if another one can take it

What callers saw: 502 for a repeatable request or a resumable stream whose endpoint sent nothing for 850 ms and then answered, where no other endpoint could take it.

Cause: an attempt was given up after 2.5 latency targets (streams: 8 gaps) of silence, whether or not another endpoint could take the request.

Evidence: one endpoint that takes 850 ms, one request: 502 for a repeatable one and for a stream, 200 for one that is not repeatable, each with one run at the endpoint.

Change: the endpoint is left only if time, the retry budget and another endpoint are there; that is checked again every 100 ms (streams: at each silent wait).

--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -155,7 +155,7 @@
     }
 
     /// Waits for an attempt, but gives it up when its endpoint sends nothing on any request or has become slow, if the
-    /// request may run on another one.
+    /// request may run on another one that can take it.
     async fn watch_for_silence(&self, pick: &Pick, attempt: impl Future<Output = Attempt<D>>) -> Attempt<D> {
         let silence_timeout_ms = (self.route.target_latency_ms as f64 * SILENCE_TIMEOUT_FACTOR) as u64;
         let may_retry_elsewhere = self.route.kind.may_run_again() && self.sent + 1 < self.route.max_attempts;
@@ -182,7 +182,7 @@
                     return done;
                 }
                 // Answers to other requests may have been read meanwhile.
-                if is_silent() {
+                if is_silent() && self.may_leave(pick) {
                     return Attempt::MayHaveRun { cause: format!("silent for {waited_ms} ms") };
                 }
             }
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use ochreyard_core::direct::{
-    Admission, DispatchDecision, EndpointPool, PendingRequest, Pick, PickError, PickRequest, QuarantineDecision,
+    Admission, DispatchDecision, EndpointIncarnation, EndpointPool, PendingRequest, Pick, PickError, PickRequest,
+    QuarantineDecision,
 };
 
 use super::Job;
@@ -180,12 +181,23 @@
             && self.sent < self.route.max_attempts
             && self.time_left_ms() >= MIN_ATTEMPT_MS
             && state.budget.has_retry(&self.service, now_ms)
-            && self.has_other_endpoint(&state.pool, now_ms)
+            && self.has_other_endpoint(&state.pool, &self.tried, now_ms)
     }
 
-    fn has_other_endpoint(&self, pool: &EndpointPool, now_ms: u64) -> bool {
+    /// Returns whether the request may leave a silent endpoint, which may still answer: only if another one can take it
+    /// now.
+    pub fn may_leave(&self, pick: &Pick) -> bool {
+        let now_ms = self.entry.clock.now_ms();
+        let state = self.entry.state.borrow();
+        let tried: Vec<_> = self.tried.iter().cloned().chain([pick.incarnation()]).collect();
+        self.time_left_ms() >= MIN_ATTEMPT_MS
+            && state.budget.has_retry(&self.service, now_ms)
+            && self.has_other_endpoint(&state.pool, &tried, now_ms)
+    }
+
+    fn has_other_endpoint(&self, pool: &EndpointPool, tried: &[EndpointIncarnation], now_ms: u64) -> bool {
         let urgency = self.pending_request().urgency(now_ms);
-        let PendingRequest { service, permitted_regions, tried, level, .. } = self.pending_request();
+        let PendingRequest { service, permitted_regions, level, .. } = self.pending_request();
         let admission = Admission::Exempt;
         pool.pick_for(&PickRequest { service, permitted_regions, tried, urgency, level, admission }, 0, now_ms).is_ok()
     }
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -124,7 +124,7 @@
                 Step::End
             }
             None if self.job.time_left_ms() == 0 => Step::TimeUp,
-            None if answer.in_flight.is_silent(silence_timeout_ms) && self.may_resume() => {
+            None if answer.in_flight.is_silent(silence_timeout_ms) && self.may_leave_endpoint() => {
                 Step::Broken { cause: format!("silent for {silence_timeout_ms} ms"), is_lost: false }
             }
             None => Step::Partial,
@@ -136,6 +136,11 @@
         resumable && self.job.sent < self.job.route.max_attempts
     }
 
+    /// Returns whether the stream may be resumed, and another endpoint can take it now.
+    fn may_leave_endpoint(&self) -> bool {
+        self.may_resume() && self.answer.as_ref().is_some_and(|answer| self.job.may_leave(&answer.pick))
+    }
+
     /// Drops the current answer, which closes its connection.
     fn drop_answer(&mut self) -> Option<Pick> {
         let answer = self.answer.take()?;
