The trial run of a suspected request reaches one endpoint only

What callers saw: a request that is suspected of crashing endpoints reached a second endpoint during its only trial run, and could end both.

Cause: the retry after a failed attempt asked the quarantine again. While the trial runs, its answer is "wait for the trial", which the trial itself ignores, so that it was sent to another endpoint: when it left a silent or slow endpoint, when its answer could not be used, when its endpoint answered 5xx, and when the check whether its endpoint crashed took over 50 ms.

Change: a request on trial leaves no endpoint, and is not sent again once it may have run. An endpoint's 5xx answer to it goes to the caller.

No test covers a slow endpoint or a check that takes long.

--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -189,11 +189,12 @@
         }
     }
 
-    /// Returns whether the request should leave a slow endpoint, with a retry left to run elsewhere.
+    /// Returns whether the request should leave a slow endpoint, with a retry left to run elsewhere. A trial run stays.
     pub fn should_migrate(&self, pick: &Pick) -> bool {
         let now_ms = self.entry.clock.now_ms();
         let state = self.entry.state.borrow();
-        state.pool.should_migrate(&pick.id, &self.permitted_regions, &self.service, &self.tried, now_ms)
+        !self.is_on_trial
+            && state.pool.should_migrate(&pick.id, &self.permitted_regions, &self.service, &self.tried, now_ms)
             && state.budget.has_retry(&self.service, now_ms)
     }
 
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -147,6 +147,9 @@
             QuarantineDecision::Allow => Ok(false),
             QuarantineDecision::AllowAsTrial if self.may_have_run => Err(GiveUpReason::Failed),
             QuarantineDecision::AllowAsTrial => Ok(true),
+            QuarantineDecision::WaitForTrial { .. } if self.is_on_trial && self.may_have_run => {
+                Err(GiveUpReason::Failed)
+            }
             QuarantineDecision::WaitForTrial { .. } if self.is_on_trial => Ok(false),
             QuarantineDecision::WaitForTrial { left_ms } | QuarantineDecision::Refuse { left_ms } => {
                 Err(GiveUpReason::Quarantined { left_ms })
@@ -173,11 +176,12 @@
         }
     }
 
-    /// Returns whether a complete answer that reports a failure may be retried at another endpoint.
+    /// Returns whether a complete answer that reports a failure may be retried at another endpoint; a trial run may not.
     pub(super) fn may_retry(&self) -> bool {
         let now_ms = self.entry.clock.now_ms();
         let state = self.entry.state.borrow();
-        self.route.kind.may_run_again()
+        !self.is_on_trial
+            && self.route.kind.may_run_again()
             && self.sent < self.route.max_attempts
             && self.time_left_ms() >= MIN_ATTEMPT_MS
             && state.budget.has_retry(&self.service, now_ms)
@@ -185,12 +189,14 @@
     }
 
     /// Returns whether the request may leave a silent endpoint, which may still answer: only if another one can take it
-    /// now.
+    /// now. The trial run of a suspected request stays: its outcome at this endpoint decides, and it must not end a second
+    /// one.
     pub fn may_leave(&self, pick: &Pick) -> bool {
         let now_ms = self.entry.clock.now_ms();
         let state = self.entry.state.borrow();
         let tried: Vec<_> = self.tried.iter().cloned().chain([pick.incarnation()]).collect();
-        self.time_left_ms() >= MIN_ATTEMPT_MS
+        !self.is_on_trial
+            && self.time_left_ms() >= MIN_ATTEMPT_MS
             && state.budget.has_retry(&self.service, now_ms)
             && self.has_other_endpoint(&state.pool, &tried, now_ms)
     }
