A stopping process reads what has arrived before it exits, also after its grace period

What callers saw: all streams of one entry cut at once during its graceful stop, although all their events had arrived.

Cause: the end of the grace period is a timer. It fires first when the process goes on after it had not run, and the process exited before it read its sockets.

Evidence: 48 streams at an entry that gets SIGTERM, and is stopped by SIGSTOP until its grace period of 6 s is over: 48 and 46 of 48 cut in 2 of 2 runs.

Change: after the end, the process goes on as LateReads allows: 50 ms, in which time that it does not run is not counted. SHUTDOWN_MARGIN_MS covers it.

--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use miette::{Context, IntoDiagnostic, Result};
-use ochreyard_core::direct::{BoxRecord, RetryBudgetLimits};
+use ochreyard_core::direct::{BoxRecord, LateReads, RetryBudgetLimits};
 use ochreyard_process::{
     Clock, RuntimeLagDetector, Settings, SuspensionDetector, new_incarnation, run_metrics_upkeep, start_logging,
     start_metrics,
@@ -36,6 +36,8 @@
 /// How often a stopping box checks whether all connections have ended: a third of [`SHUTDOWN_MARGIN_MS`], so that the
 /// last check is in time.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The same once the grace period is over: each check gives the connections a turn to read what has arrived.
+const LATE_DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Thousandths per unit.
 const PERMILLE: f64 = 1_000.0;
 /// Milliseconds in a second.
@@ -225,14 +227,26 @@
     entry.is_refusing.set(true);
     phase.send_replace(DrainPhase::Closing);
     let end_ms = started_ms + grace_ms.saturating_sub(SHUTDOWN_MARGIN_MS);
-    let left_ms = end_ms.saturating_sub(entry.clock.now_ms());
+    let in_time = wait_until_connections_end(entry, phase, end_ms).await;
+    log::info!("event=entry_drained in_time={in_time} connections={}", phase.receiver_count().saturating_sub(1));
+}
+
+/// Waits until all connections of callers have ended, until `end_ms` at most. Returns whether they have. A process that
+/// did not run until then still reads what has arrived and passes it on.
+async fn wait_until_connections_end<D: Dialect>(
+    entry: &Entry<D>,
+    phase: &watch::Sender<DrainPhase>,
+    end_ms: u64,
+) -> bool {
+    let mut late_reads = None;
     // Each connection holds a receiver, and so does the accept loop.
-    let mut check = tokio::time::interval(DRAIN_CHECK_INTERVAL);
-    let all_ended = async {
-        while phase.receiver_count() > 1 {
-            check.tick().await;
+    while phase.receiver_count() > 1 {
+        let now_ms = entry.clock.now_ms();
+        if now_ms >= end_ms && !late_reads.get_or_insert(LateReads::start(now_ms)).may_read(now_ms) {
+            return false;
         }
-    };
-    let in_time = tokio::time::timeout(Duration::from_millis(left_ms), all_ended).await.is_ok();
-    log::info!("event=entry_drained in_time={in_time} connections={}", phase.receiver_count().saturating_sub(1));
+        let is_late = late_reads.is_some();
+        tokio::time::sleep(if is_late { LATE_DRAIN_CHECK_INTERVAL } else { DRAIN_CHECK_INTERVAL }).await;
+    }
+    true
 }
