--- a/crates/ochreyard-entry/src/forward.rs
+++ b/crates/ochreyard-entry/src/forward.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 
 use crate::balancer::{Admit, Balancer, HandleFailure, LinkLost, Pick, RecordOutcome};
+use crate::late_deadline::wait_until_deadline;
 use crate::state::{AdmittedRequest, PickRequest, Target};
 
 /// Capacity of the channels that buffer the frames, and the chunks of the body, of an answer for a slow caller.
@@ -280,14 +281,21 @@
             // All frames had been received when the call ended, so the remaining ones are in the channel.
             return Ok(self.frames.try_recv().ok());
         }
-        tokio::select! {
-            biased;
-            frame = self.frames.recv() => match frame {
-                Some(frame) => return Ok(Some(frame)),
-                None => self.end = Some(flatten_join((&mut self.call).await)),
-            },
-            end = &mut self.call => self.end = Some(flatten_join(end)),
-            () = tokio::time::sleep_until(self.deadline) => return Err(Refusal::new(ErrorKind::DeadlineExceeded)),
+        let (frames, call) = (&mut self.frames, &mut self.call);
+        let next = async {
+            tokio::select! {
+                biased;
+                frame = frames.recv() => match frame {
+                    Some(frame) => Ok(frame),
+                    None => Err(flatten_join(call.await)),
+                },
+                end = &mut *call => Err(flatten_join(end)),
+            }
+        };
+        match wait_until_deadline(self.deadline, next).await {
+            Some(Ok(frame)) => return Ok(Some(frame)),
+            Some(Err(end)) => self.end = Some(end),
+            None => return Err(Refusal::new(ErrorKind::DeadlineExceeded)),
         }
         Ok(self.frames.try_recv().ok())
     }
--- a/crates/ochreyard-entry/src/main.rs
+++ b/crates/ochreyard-entry/src/main.rs
@@ -6,6 +6,7 @@
 mod fields;
 mod flags;
 mod forward;
+mod late_deadline;
 mod operate;
 mod quarantine;
 mod serve;
--- a/crates/ochreyard-stand-ins/src/built_program.rs
+++ b/crates/ochreyard-stand-ins/src/built_program.rs
@@ -8,7 +8,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum StaleProgram {
     /// The program, or the list of its sources, cannot be read.
-    #[error("{} cannot be read ({error}); run `cargo build --workspace` first", .path.display())]
+    #[error("{} cannot be read ({error}); run `cargo build --workspace --examples` first", .path.display())]
     Unreadable {
         /// The program, or the list of its sources.
         path: PathBuf,
@@ -16,7 +16,7 @@
         error: io::Error,
     },
     /// A source has changed, or was deleted, since the program was built.
-    #[error("{} was built before {} changed; run `cargo build --workspace` first", .program.display(), .source_file.display())]
+    #[error("{} was built before {} changed; run `cargo build --workspace --examples` first", .program.display(), .source_file.display())]
     SourceChanged {
         /// The program.
         program: PathBuf,
--- a/crates/ochreyard-stand-ins/tests/built_program.rs
+++ b/crates/ochreyard-stand-ins/tests/built_program.rs
@@ -86,5 +86,5 @@
     std::fs::remove_file(target.path(file)).unwrap();
     let refusal = target.check().unwrap_err();
     assert!(matches!(&refusal, StaleProgram::Unreadable { path, .. } if path == Path::new(&target.path(file))));
-    assert!(refusal.to_string().contains("run `cargo build --workspace`"), "{refusal}");
+    assert!(refusal.to_string().contains("run `cargo build --workspace --examples`"), "{refusal}");
 }
