Time in which an entry did not run is no silence of its agents

What callers saw: with agents in between (`ochreyard serve`), all requests in flight at one entry failed at once with 502 "connection lost", may have run, and new ones were refused, after the entry had been frozen for longer than down_after_ms.

Cause: Membership compares the time since an agent's last report with down_after_ms. An entry that did not run has read no reports meanwhile: at its next heartbeat it took all agents for down and reset their links, with the answers that had arrived on them.

Evidence: an entry with down_after_ms 1500 that is frozen for 3 s while its agent answers: 502 connection_lost "the agent was silent for too long".

Change: the entry says when it runs, at each heartbeat and before it picks an endpoint. What goes by between two of these, beyond the interval of the heartbeats, is not counted as silence if it is longer than another interval.

--- a/crates/ochreyard-core/src/membership.rs
+++ b/crates/ochreyard-core/src/membership.rs
@@ -49,11 +49,13 @@
     pub suspect_after_ms: u64,
     /// Time without a report until the agent is down, in milliseconds.
     pub down_after_ms: u64,
+    /// Interval of the heartbeats, in milliseconds.
+    pub interval_ms: u64,
 }
 
 impl Default for HeartbeatTimeouts {
     fn default() -> Self {
-        Self { suspect_after_ms: 2_500, down_after_ms: 5_000 }
+        Self { suspect_after_ms: 2_500, down_after_ms: 5_000, interval_ms: 1_000 }
     }
 }
 
@@ -64,6 +66,9 @@
     pub report: AgentReport,
     /// When the last report arrived, in milliseconds.
     pub last_report_ms: u64,
+    /// From when the agent's silence counts, in milliseconds: from its last report, without the time since then in which
+    /// this entry did not run.
+    silent_since_ms: u64,
     /// When the first report of this incarnation arrived, in milliseconds.
     pub first_seen_ms: u64,
     /// Whether the connection was lost after the last report.
@@ -72,18 +77,40 @@
     pub listed_leaving: bool,
 }
 
+impl Member {
+    /// For how long the agent has been silent while this entry ran, in milliseconds.
+    #[must_use]
+    pub const fn silence_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.silent_since_ms)
+    }
+}
+
 /// All agents that have reported to an entry.
 #[derive(Debug, Clone, Default)]
 pub struct Membership {
     timeouts: HeartbeatTimeouts,
     members: BTreeMap<EndpointId, Member>,
+    /// When this entry last ran, as far as known.
+    last_ran_ms: Option<u64>,
 }
 
 impl Membership {
     /// Creates the view of an entry that has received no report.
     #[must_use]
     pub const fn new(timeouts: HeartbeatTimeouts) -> Self {
-        Self { timeouts, members: BTreeMap::new() }
+        Self { timeouts, members: BTreeMap::new(), last_ran_ms: None }
+    }
+
+    /// Records that this entry runs, at each heartbeat and before the health of agents is used. If it did not run for some
+    /// heartbeats, the reports of that time are still unread: no agent has been silent meanwhile.
+    pub fn on_running(&mut self, now_ms: u64) {
+        let Some(last_ran_ms) = self.last_ran_ms.replace(now_ms) else { return };
+        let paused_ms = now_ms.saturating_sub(last_ran_ms).saturating_sub(self.timeouts.interval_ms);
+        if paused_ms > self.timeouts.interval_ms {
+            for member in self.members.values_mut() {
+                member.silent_since_ms = now_ms.min(member.silent_since_ms + paused_ms);
+            }
+        }
     }
 
     /// Records a report. Returns `false` and drops it if it is from an earlier incarnation, or of the same one with
@@ -99,6 +126,7 @@
         }
         member.report = report;
         member.last_report_ms = now_ms;
+        member.silent_since_ms = now_ms;
         member.connection_broken = false;
         true
     }
@@ -146,7 +174,7 @@
         let Some(member) = self.members.get(endpoint) else {
             return Health::Down;
         };
-        let silence_ms = now_ms.saturating_sub(member.last_report_ms);
+        let silence_ms = member.silence_ms(now_ms);
         if member.connection_broken || silence_ms >= self.timeouts.down_after_ms {
             Health::Down
         } else if silence_ms >= self.timeouts.suspect_after_ms {
--- a/crates/ochreyard-core/tests/membership.rs
+++ b/crates/ochreyard-core/tests/membership.rs
@@ -13,7 +13,8 @@
 }
 
 fn reported_at(now_ms: u64) -> Membership {
-    let mut membership = Membership::new(HeartbeatTimeouts { suspect_after_ms: 100, down_after_ms: 300 });
+    let mut membership =
+        Membership::new(HeartbeatTimeouts { suspect_after_ms: 100, down_after_ms: 300, interval_ms: 40 });
     membership.on_report(&endpoint(), report(1, 1), now_ms);
     membership
 }
@@ -34,6 +35,29 @@
     assert_eq!(membership.health(&endpoint(), 200), Health::Alive);
 }
 
+/// An entry that did not run judged all agents by the silence of that time: it refused requests and reset all links.
+#[rstest]
+#[case::heartbeats_on_time(&[40, 80, 120, 160, 200, 240, 280, 300], Health::Down)]
+#[case::one_heartbeat_missed(&[40, 120, 160, 200, 240, 280, 300], Health::Down)]
+#[case::not_run_since_the_report(&[10_000], Health::Alive)]
+#[case::silent_before_and_after(&[40, 80, 120, 10_120, 10_130], Health::Suspect)]
+#[case::silent_for_long_after(&[40, 10_040, 10_080, 10_120, 10_160, 10_200, 10_240, 10_280, 10_320], Health::Down)]
+fn time_in_which_the_entry_did_not_run_is_no_silence_of_agents(#[case] ran_ms: &[u64], #[case] health: Health) {
+    let mut membership = reported_at(0);
+    membership.on_running(0);
+    ran_ms.iter().for_each(|now_ms| membership.on_running(*now_ms));
+    assert_eq!(membership.health(&endpoint(), ran_ms[ran_ms.len() - 1]), health);
+}
+
+#[test]
+fn a_report_after_a_pause_counts_from_its_arrival() {
+    let mut membership = reported_at(0);
+    membership.on_running(0);
+    membership.on_report(&endpoint(), report(1, 2), 10_000);
+    membership.on_running(10_000);
+    assert_eq!(membership.health(&endpoint(), 10_100), Health::Suspect);
+}
+
 #[rstest]
 #[case::duplicate(1, 1)]
 #[case::of_an_earlier_incarnation(0, 99)]
--- a/crates/ochreyard-entry/src/serve.rs
+++ b/crates/ochreyard-entry/src/serve.rs
@@ -61,6 +61,7 @@
         heartbeat_timeouts: HeartbeatTimeouts {
             suspect_after_ms: settings.number("suspect_after_ms"),
             down_after_ms: settings.number("down_after_ms"),
+            interval_ms: settings.number("heartbeat_ms"),
         },
     };
     let thread = LocalThread::start("peer").into_diagnostic()?;
--- a/crates/ochreyard-entry/src/state.rs
+++ b/crates/ochreyard-entry/src/state.rs
@@ -212,8 +212,9 @@
     /// Returns the heartbeats to send in this round, and resets the links to agents that have been silent for too long.
     pub fn due_heartbeats(&mut self, now_ms: u64) -> Vec<DueHeartbeat> {
         let timeouts = self.identity.heartbeat_timeouts;
+        self.membership.on_running(now_ms);
         for (endpoint, member) in self.membership.members() {
-            let is_silent = now_ms.saturating_sub(member.last_report_ms) >= timeouts.down_after_ms;
+            let is_silent = member.silence_ms(now_ms) >= timeouts.down_after_ms;
             if let Some(agent) = self.agents.get(endpoint).filter(|_| is_silent) {
                 agent.link.reset();
             }
--- a/crates/ochreyard-entry/src/state/pick.rs
+++ b/crates/ochreyard-entry/src/state/pick.rs
@@ -23,6 +23,7 @@
 impl EntryState {
     /// Picks the endpoint for a request: the home of its idempotency key, or the best one by the routing policy.
     pub fn pick(&mut self, request: &PickRequest, now_ms: u64) -> Result<Target, Refusal> {
+        self.membership.on_running(now_ms);
         let config = self.fold.state().cloned().ok_or_else(|| Refusal::new(ErrorKind::Stale))?;
         match &request.key {
             Some(key) => self.pick_key_home(&config, request, key, now_ms),
--- a/crates/ochreyard-stand-ins/tests/stopped_entry.rs
+++ b/crates/ochreyard-stand-ins/tests/stopped_entry.rs
@@ -41,3 +41,32 @@
     assert_eq!((status, text.ends_with("body=frozen")), (200, true), "{text}");
     assert_eq!(site.run_count("frozen").await, 1);
 }
+
+/// An entry that was frozen for longer than agents may be silent took all of them for down: it refused requests, and
+/// reset the links with the answers that had arrived.
+#[tokio::test]
+async fn requests_are_served_by_an_entry_that_was_frozen_for_longer_than_agents_may_be_silent() {
+    let spec = SiteSpec { entries: vec![DC], plains: vec![DC], slots: 4, ..SiteSpec::default() };
+    let extra_entry_settings = "suspect_after_ms: 1000\ndown_after_ms: 1500".to_owned();
+    let mut site = Site::start(&SiteSpec { extra_entry_settings, ..spec }).await;
+    site.wait_until_keys_accepted().await;
+    let url = site.url("plain-1").to_owned();
+    site.cluster.set_fault(&url, json!({ "slow_ms": ANSWER_TIME_MS })).await;
+    let path = format!("{}/{PLAIN}/save", site.entries[0].callers_url);
+    let http = site.cluster.http().clone();
+    let send = |text: &'static str| {
+        let request = http.post(&path).bearer_auth(workspace_token(WORKSPACES[0]));
+        tokio::spawn(request.header("idempotency-key", fresh_key()).body(text).send())
+    };
+    let before = send("before");
+    wait_until("the request is at the endpoint", async || site.run_count("before").await > 0).await;
+    site.cluster.freeze("entry-1").await;
+    let during = send("during");
+    tokio::time::sleep(FREEZE_TIME).await;
+    site.cluster.thaw("entry-1").await;
+    for call in [before, during] {
+        let answer = call.await.unwrap().unwrap();
+        let (status, text) = (answer.status().as_u16(), answer.text().await.unwrap());
+        assert_eq!(status, 200, "{text}");
+    }
+}
