--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -67,7 +67,7 @@
     pub max_buffered_bytes: Cell<usize>,
     /// Limits the boxes that get the full state at a time.
     pub full_sync_limiter: RefCell<FullSyncLimiter>,
-    /// How late the runtime was of late.
+    /// The latest delay of the runtime, for log lines.
     pub recent_lag: RecentLag,
     /// Other boxes that recently failed to accept an update.
     pub unreachable_peers: UnreachablePeers,
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -24,9 +24,9 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// How often the process checks whether the machine was suspended, or its own tasks run late: a few times within the
 /// shortest wait for another box.
-const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Shorter delays of the process's own tasks are not reported: they are within a gap between events.
-const MIN_REPORTED_LAG: Duration = Duration::from_millis(50);
+const DELAY_CHECK_INTERVAL_MS: u64 = 100;
+/// Least reported delay of the process's own tasks, in milliseconds; shorter ones are within a gap between events.
+const MIN_REPORTED_LAG_MS: u64 = 50;
 /// How long a stopping box accepts requests, in milliseconds: the load balancer checks readiness every second and drops
 /// a box after two failed checks. Later requests are refused as not run, since they might not end within the grace
 /// period.
@@ -145,7 +145,7 @@
     let seeds = seeds(settings);
     tokio::task::spawn_local(peers::poll_peers(Rc::clone(entry), seeds));
     tokio::task::spawn_local(sweep(Rc::clone(entry)));
-    tokio::task::spawn_local(watch_suspensions(Rc::clone(entry)));
+    tokio::task::spawn_local(watch_delays(Rc::clone(entry)));
 }
 
 /// Returns the peer addresses of the seed boxes. They use the same port as this box.
@@ -174,14 +174,15 @@
     }
 }
 
-/// Detects that the machine was suspended, or that the process ran late. State with an age has grown older by that time and is judged accordingly.
-/// Connections have no age and are dropped, since their peers may have closed them.
-async fn watch_suspensions<D: Dialect>(entry: Rc<Entry<D>>) {
+/// Detects that the tasks of the process ran late, which is logged, and that the machine was suspended. State with an age
+/// has grown older by the time of a suspension and is judged accordingly. Connections have no age and are dropped, since
+/// their peers may have closed them.
+async fn watch_delays<D: Dialect>(entry: Rc<Entry<D>>) {
     let mut detector = SuspensionDetector::start();
-    let mut lag_detector = RuntimeLagDetector::start(SUSPENSION_CHECK_INTERVAL, MIN_REPORTED_LAG);
+    let mut lag_detector = RuntimeLagDetector::start(DELAY_CHECK_INTERVAL_MS, MIN_REPORTED_LAG_MS);
     loop {
-        entry.recent_lag.expect_wake_up(entry.clock.now_ms() + SUSPENSION_CHECK_INTERVAL.as_millis() as u64);
-        tokio::time::sleep(SUSPENSION_CHECK_INTERVAL).await;
+        entry.recent_lag.expect_wake_up(entry.clock.now_ms() + DELAY_CHECK_INTERVAL_MS);
+        tokio::time::sleep(Duration::from_millis(DELAY_CHECK_INTERVAL_MS)).await;
         if let Some(lag) = lag_detector.poll() {
             entry.recent_lag.record(lag.late_ms, entry.clock.now_ms());
             meters::on_runtime_lag(&lag);
--- a/crates/ochreyard-entry/src/forward.rs
+++ b/crates/ochreyard-entry/src/forward.rs
@@ -223,6 +223,13 @@
     attempt: Attempt,
 }
 
+/// What an attempt receives next from its agent.
+enum Received {
+    Frame(ochreyard_core::frame::Frame),
+    /// The call ended; frames before its end may still be in the channel.
+    End(Result<CallOutcome, LinkError>),
+}
+
 /// One attempt at one endpoint. Dropping it cancels the call.
 struct Attempt {
     id: AttemptId,
@@ -282,19 +289,19 @@
             return Ok(self.frames.try_recv().ok());
         }
         let (frames, call) = (&mut self.frames, &mut self.call);
-        let next = async {
+        let received = async {
             tokio::select! {
                 biased;
                 frame = frames.recv() => match frame {
-                    Some(frame) => Ok(frame),
-                    None => Err(flatten_join(call.await)),
+                    Some(frame) => Received::Frame(frame),
+                    None => Received::End(flatten_join(call.await)),
                 },
-                end = &mut *call => Err(flatten_join(end)),
+                end = &mut *call => Received::End(flatten_join(end)),
             }
         };
-        match wait_until_deadline(self.deadline, next).await {
-            Some(Ok(frame)) => return Ok(Some(frame)),
-            Some(Err(end)) => self.end = Some(end),
+        match wait_until_deadline(self.deadline, received).await {
+            Some(Received::Frame(frame)) => return Ok(Some(frame)),
+            Some(Received::End(end)) => self.end = Some(end),
             None => return Err(Refusal::new(ErrorKind::DeadlineExceeded)),
         }
         Ok(self.frames.try_recv().ok())
--- a/crates/ochreyard-process/tests/runtime_lag.rs
+++ b/crates/ochreyard-process/tests/runtime_lag.rs
@@ -5,15 +5,11 @@
 use ochreyard_process::{RuntimeLag, RuntimeLagDetector, ThreadTimes};
 use rstest::rstest;
 
-const INTERVAL: Duration = Duration::from_millis(100);
-const MIN_LAG: Duration = Duration::from_millis(50);
+const INTERVAL_MS: u64 = 100;
+const MIN_LAG_MS: u64 = 50;
 
 const fn times(now_ms: u64, on_processor_ms: u64, runnable_ms: u64) -> ThreadTimes {
-    ThreadTimes {
-        now: Duration::from_millis(now_ms),
-        on_processor: Duration::from_millis(on_processor_ms),
-        runnable: Duration::from_millis(runnable_ms),
-    }
+    ThreadTimes { now_ms, on_processor_ms, runnable_ms }
 }
 
 /// The log must tell apart why a process did not run: stopped, without a processor, or busy with a task of its own.
@@ -25,14 +21,18 @@
 fn a_late_wake_up_is_reported_with_its_reason(#[case] next: ThreadTimes, #[case] expected: Option<(u64, u64, u64)>) {
     let expected =
         expected.map(|(late_ms, on_processor_ms, runnable_ms)| RuntimeLag { late_ms, on_processor_ms, runnable_ms });
-    let mut detector = RuntimeLagDetector::starting_at(INTERVAL, MIN_LAG, times(1_000, 0, 0));
+    let mut detector = RuntimeLagDetector::starting_at(INTERVAL_MS, MIN_LAG_MS, times(1_000, 0, 0));
     assert_eq!(detector.observe(next), expected);
-    assert_eq!(detector.observe(ThreadTimes { now: next.now + INTERVAL, ..next }), None, "a delay is reported once");
+    assert_eq!(
+        detector.observe(ThreadTimes { now_ms: next.now_ms + INTERVAL_MS, ..next }),
+        None,
+        "a delay is reported once"
+    );
 }
 
 #[test]
 fn the_times_of_a_busy_thread_show_that_it_ran() {
-    let mut detector = RuntimeLagDetector::start(Duration::ZERO, Duration::ZERO);
+    let mut detector = RuntimeLagDetector::start(0, 0);
     let start = std::time::Instant::now();
     while start.elapsed() < Duration::from_millis(50) {}
     let lag = detector.poll().expect("any time counts as a delay here");
