A request leaves a silent endpoint for the queue of others that are full, as before

Change: it leaves if others are merely full, or limited or paused for less than its time; it stays if there is no other endpoint or the service is stalled. A process whose stop refuses its queue leaves only for a free slot.

Measured: silent_endpoints (4), stopped_process (11) and crashing_requests (13) pass.

--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -185,27 +185,37 @@
             && self.sent < self.route.max_attempts
             && self.time_left_ms() >= MIN_ATTEMPT_MS
             && state.budget.has_retry(&self.service, now_ms)
-            && self.has_other_endpoint(&state.pool, &self.tried, now_ms)
+            && self.pick_other(&state.pool, &self.tried, now_ms).is_ok()
     }
 
     /// Returns whether the request may leave a silent endpoint, which may still answer: only if another one can take it
-    /// now. The trial run of a suspected request stays: its outcome at this endpoint decides, and it must not end a second
-    /// one.
+    /// within its time. If the others are full, it leaves and competes for their slots in the queue, unless this process
+    /// is stopping and its queue is refused. The trial run of a suspected request stays: its outcome at this endpoint
+    /// decides, and it must not end a second one.
     pub fn may_leave(&self, pick: &Pick) -> bool {
         let now_ms = self.entry.clock.now_ms();
         let state = self.entry.state.borrow();
+        if self.is_on_trial || self.time_left_ms() < MIN_ATTEMPT_MS || !state.budget.has_retry(&self.service, now_ms) {
+            return false;
+        }
         let tried: Vec<_> = self.tried.iter().cloned().chain([pick.incarnation()]).collect();
-        !self.is_on_trial
-            && self.time_left_ms() >= MIN_ATTEMPT_MS
-            && state.budget.has_retry(&self.service, now_ms)
-            && self.has_other_endpoint(&state.pool, &tried, now_ms)
+        let may_wait = !self.entry.is_refusing.get();
+        match self.pick_other(&state.pool, &tried, now_ms) {
+            Ok(_) => true,
+            Err(PickError::Full) => may_wait,
+            Err(PickError::Limited { until_ms } | PickError::Paused { until_ms }) => {
+                may_wait && until_ms < self.deadline_ms
+            }
+            Err(PickError::NoEndpoint | PickError::Stalled) => false,
+        }
     }
 
-    fn has_other_endpoint(&self, pool: &EndpointPool, tried: &[EndpointIncarnation], now_ms: u64) -> bool {
+    /// Picks an endpoint other than those in `tried`, without regard to the queue.
+    fn pick_other(&self, pool: &EndpointPool, tried: &[EndpointIncarnation], now_ms: u64) -> Result<Pick, PickError> {
         let urgency = self.pending_request().urgency(now_ms);
         let PendingRequest { service, permitted_regions, level, .. } = self.pending_request();
         let admission = Admission::Exempt;
-        pool.pick_for(&PickRequest { service, permitted_regions, tried, urgency, level, admission }, 0, now_ms).is_ok()
+        pool.pick_for(&PickRequest { service, permitted_regions, tried, urgency, level, admission }, 0, now_ms)
     }
 }
 
