Retries: log and metrics of what the budget counts, and of arrivals that repeat a request

Logs named failed attempts, but not what a budget held, by how many boxes it was divided, and whether a retry that arrived had been taken from it. Adds the line retries_sent (once a second and service, while retries are sent), gauges of the budget and a counter of repeated arrivals. No decision changes.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -27,6 +27,7 @@
 mod quarantine;
 mod read_role;
 mod request_size;
+mod retry_usage;
 mod roster_loads;
 mod route_table;
 mod shared_limit;
@@ -63,6 +64,7 @@
 };
 pub use read_role::{LocalBox, ReadRole, broadcasts_to_data_centre, broadcasts_to_fleet};
 pub use request_size::RequestSize;
+pub use retry_usage::RetryUsage;
 pub use roster_loads::RosterLoads;
 pub use route_table::{
     CallerLimits, ColdLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService, Workspace,
--- a/crates/ochreyard-core/src/direct/shared_retry_budget.rs
+++ b/crates/ochreyard-core/src/direct/shared_retry_budget.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use super::retry_usage::RetryUsage;
+
 /// Limits of the retry budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudgetLimits {
@@ -30,12 +32,19 @@
     retries: u64,
 }
 
+/// The recent requests and retries of one service.
+#[derive(Debug, Clone, Default)]
+struct Window {
+    slices: VecDeque<Slice>,
+    total_retries: u64,
+}
+
 /// Counts requests and retries by service in a sliding window.
 #[derive(Debug, Clone)]
 pub struct SharedRetryBudget {
     limits: RetryBudgetLimits,
     boxes: u64,
-    windows: HashMap<String, VecDeque<Slice>>,
+    windows: HashMap<String, Window>,
 }
 
 impl SharedRetryBudget {
@@ -52,19 +61,35 @@
 
     /// Counts a request for a service.
     pub fn on_request(&mut self, service: &str, now_ms: u64) {
-        self.slice(service, now_ms).requests += 1;
+        self.window(service, now_ms).current().requests += 1;
     }
 
     /// Returns whether a retry is left in the budget.
     #[must_use]
     pub fn has_retry(&self, service: &str, now_ms: u64) -> bool {
-        let number = self.slice_number(now_ms);
-        let recent = || self.windows.get(service).into_iter().flatten().filter(|s| s.number + SLICES >= number);
-        let requests: u64 = recent().map(|slice| slice.requests).sum();
-        let used: u64 = recent().map(|slice| slice.retries).sum();
+        let usage = self.usage(service, now_ms);
         let fixed = self.limits.fixed as f64 / self.boxes as f64;
-        let allowed = USABLE_SHARE * (self.limits.ratio * requests as f64 + fixed);
-        (used + 1) as f64 <= allowed
+        let allowed = USABLE_SHARE * (self.limits.ratio * usage.requests as f64 + fixed);
+        (usage.retries + 1) as f64 <= allowed
+    }
+
+    /// Returns how much of the budget of a service this process has used.
+    #[must_use]
+    pub fn usage(&self, service: &str, now_ms: u64) -> RetryUsage {
+        let number = self.slice_number(now_ms);
+        let window = self.windows.get(service);
+        let recent = || window.into_iter().flat_map(|w| &w.slices).filter(|slice| slice.number + SLICES >= number);
+        RetryUsage {
+            requests: recent().map(|slice| slice.requests).sum(),
+            retries: recent().map(|slice| slice.retries).sum(),
+            total_retries: window.map_or(0, |window| window.total_retries),
+            boxes: self.boxes,
+        }
+    }
+
+    /// Returns the services that got requests.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.windows.keys().map(String::as_str)
     }
 
     /// Takes one retry from the budget. Returns whether one was left.
@@ -72,7 +97,9 @@
     pub fn try_take(&mut self, service: &str, now_ms: u64) -> bool {
         let is_granted = self.has_retry(service, now_ms);
         if is_granted {
-            self.slice(service, now_ms).retries += 1;
+            let window = self.window(service, now_ms);
+            window.total_retries += 1;
+            window.current().retries += 1;
         }
         is_granted
     }
@@ -82,18 +109,30 @@
         now_ms / if length_ms == 0 { 1 } else { length_ms }
     }
 
-    fn slice(&mut self, service: &str, now_ms: u64) -> &mut Slice {
+    /// Returns the window of a service, whose current slice is that of `now_ms`.
+    fn window(&mut self, service: &str, now_ms: u64) -> &mut Window {
         let number = self.slice_number(now_ms);
         if !self.windows.contains_key(service) {
-            self.windows.insert(service.to_owned(), VecDeque::new());
+            self.windows.insert(service.to_owned(), Window::default());
         }
         let window = self.windows.get_mut(service).expect("inserted above");
-        while window.front().is_some_and(|slice| slice.number + SLICES < number) {
-            window.pop_front();
+        window.advance(number);
+        window
+    }
+}
+
+impl Window {
+    /// Removes slices that have left the window, and begins the slice `number`.
+    fn advance(&mut self, number: u64) {
+        while self.slices.front().is_some_and(|slice| slice.number + SLICES < number) {
+            self.slices.pop_front();
         }
-        if window.back().is_none_or(|slice| slice.number != number) {
-            window.push_back(Slice { number, ..Slice::default() });
+        if self.slices.back().is_none_or(|slice| slice.number != number) {
+            self.slices.push_back(Slice { number, ..Slice::default() });
         }
-        window.back_mut().expect("pushed above")
+    }
+
+    fn current(&mut self) -> &mut Slice {
+        self.slices.back_mut().expect("`advance` has begun a slice")
     }
 }
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -205,6 +205,9 @@
             return;
         }
         let was_reached = !matches!(attempt, Some(Attempt::NotSent));
+        if was_reached && self.has_reached_endpoint {
+            meters::on_repeated_arrival(&self.service);
+        }
         self.has_reached_endpoint |= was_reached;
         if matches!(attempt, Some(Attempt::NotRun { .. })) && self.is_service_stalled() {
             self.stall_refusals += 1;
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -61,6 +61,11 @@
     metrics::counter!("ochreyard_direct_repeats_total", "service" => service.to_owned()).increment(1);
 }
 
+/// Records that a request that had reached an endpoint before has reached one again.
+pub fn on_repeated_arrival(service: &str) {
+    metrics::counter!("ochreyard_direct_repeated_arrivals_total", "service" => service.to_owned()).increment(1);
+}
+
 /// Records that the tasks of this process ran late.
 pub fn on_runtime_lag(lag: &RuntimeLag) {
     metrics::histogram!("ochreyard_direct_runtime_late_seconds").record(lag.late_ms as f64 / MS_PER_S);
@@ -93,6 +98,13 @@
     metrics::gauge!("ochreyard_direct_log_answers").set(f64::from(u8::from(state.log_answers)));
     metrics::gauge!("ochreyard_direct_known_boxes").set(state.boxes.len() as f64);
     metrics::gauge!("ochreyard_direct_quarantined").set(state.quarantine.quarantined_count(now_ms) as f64);
+    for service in state.budget.services() {
+        let usage = state.budget.usage(service, now_ms);
+        let gauge = |name: &'static str| metrics::gauge!(name, "service" => service.to_owned());
+        gauge("ochreyard_direct_recent_requests").set(usage.requests as f64);
+        gauge("ochreyard_direct_recent_repeats").set(usage.retries as f64);
+        gauge("ochreyard_direct_budget_boxes").set(usage.boxes as f64);
+    }
     for (service, queue) in &state.queues {
         let unavailable = state.pool.unavailable_counts(service, now_ms);
         metrics::gauge!("ochreyard_direct_paused_endpoints", "service" => service.clone())
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -1,5 +1,6 @@
 //! Runs an entry process that calls endpoints directly, until its planned stop.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -161,8 +162,10 @@
 }
 
 async fn sweep<D: Dialect>(entry: Rc<Entry<D>>) {
+    let mut logged_retries = HashMap::new();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
+        log_retry_usage(&entry, &mut logged_retries);
         entry.expire_unconfirmed_evacuations();
         let now_ms = entry.clock.now_ms();
         let mut state = entry.state.borrow_mut();
@@ -174,6 +177,28 @@
     }
 }
 
+/// Logs how much of the retry budget of each service is used, if retries were sent since the last line.
+/// `logged_retries` holds the number of retries at that time, by service.
+fn log_retry_usage<D: Dialect>(entry: &Entry<D>, logged_retries: &mut HashMap<String, u64>) {
+    let now_ms = entry.clock.now_ms();
+    let state = entry.state.borrow();
+    for service in state.budget.services() {
+        let usage = state.budget.usage(service, now_ms);
+        if logged_retries.get(service).copied().unwrap_or(0) == usage.total_retries {
+            continue;
+        }
+        logged_retries.insert(service.to_owned(), usage.total_retries);
+        log::info!(
+            "event=retries_sent service={service} requests={} retries={} total={} boxes={} process_age_ms={}",
+            usage.requests,
+            usage.retries,
+            usage.total_retries,
+            usage.boxes,
+            now_ms.saturating_sub(entry.started_ms)
+        );
+    }
+}
+
 /// Detects that the tasks of the process ran late, which is logged, and that the machine was suspended. State with an age
 /// has grown older by the time of a suspension and is judged accordingly. Connections have no age and are dropped, since
 /// their peers may have closed them.
