The list of boxes in the log is complete, and counts as complete only then

What was seen: 82 of 102 processes that started after a kill took their list for complete with 9 to 19 of 38 boxes, and divided the fixed part of the retry budget by that for up to 2.2 s; 291 of 1,172 retries were sent by processes in that state. A process that starts while it can reach no other box, as behind a cut, stays in it. All that boxes share is divided by this list, endpoints' rate limits too.

Cause: boxes that others keep current neither read the log nor register in it, but whoever read the list took it for that of all boxes. A peer also said that its list was complete in answers that contained only a part of it.

Change: a reader adds the boxes that it knows and the list lacks, all in one call. A list counts as complete if it lacks no known box, or if a peer with a complete list has sent all of it. A box that restarts no longer writes its record again.

--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -61,6 +61,8 @@
     pub log_restores: watch::Sender<u64>,
     /// Whether this box is a seed of the others, so that it reads the log at once.
     pub is_seed: Cell<bool>,
+    /// Whether the settings name no other box, so that the log need not list any.
+    pub has_no_seeds: Cell<bool>,
     /// Bytes of request and answer bodies in memory.
     pub buffered_bytes: Cell<usize>,
     /// Maximum number of body bytes in memory.
@@ -99,6 +101,7 @@
             log_reachable_again: Notify::new(),
             log_restores: watch::Sender::new(0),
             is_seed: Cell::new(true),
+            has_no_seeds: Cell::new(true),
             buffered_bytes: Cell::new(0),
             max_buffered_bytes: Cell::new(usize::MAX),
             full_sync_limiter: RefCell::default(),
--- a/crates/ochreyard-direct/src/follow/boxes.rs
+++ b/crates/ochreyard-direct/src/follow/boxes.rs
@@ -1,60 +1,99 @@
-//! Registers this box in the platform's log, and reads the list of boxes from it.
+//! Keeps the list of boxes in the platform's log, and reads it.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use ochreyard_core::direct::{LogRetryBackoff, ReadRole};
+use ochreyard_core::direct::{BoxRecord, LogRetryBackoff, ReadRole};
 
 use super::record_log_result;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
-use crate::keyed_log::{KeyedLog, Topic};
+use crate::keyed_log::{KeyedLog, KeyedPage, KeyedRecord, Topic};
 
 /// Interval at which boxes that read for others read the list of boxes.
 const READ_INTERVAL: Duration = Duration::from_secs(8);
+/// The same after the list lacked boxes, since others may be joining.
+const GROWING_READ_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval for relaying boxes: the reading boxes send them new boxes in between.
 const RELAY_READ_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Writes the record of this box into the log, and reads the records of the others. A box that others keep current does
-/// neither: each box that it polls learns of it, and tells others.
+/// Reads the records of all boxes from the log, and adds those that it lacks. A box that others keep current does
+/// neither: each box that it polls learns of it and tells others, and a reader adds its record. A box that starts while it
+/// can reach no other one therefore finds all of them in the log.
 pub async fn follow_boxes<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
     let mut log_restores = entry.log_restores.subscribe();
-    let mut is_registered = false;
     let mut retry_backoff = LogRetryBackoff::default();
     entry.wait_for_start_delay().await;
     loop {
         entry.wait_while_updated_by_peers().await;
-        if !is_registered {
-            let record = serde_json::to_vec(&entry.identity.record).unwrap_or_default();
-            let result = log.append(Topic::Boxes, &entry.identity.name, &record).await;
-            is_registered = record_log_result(&entry, &log, result).is_some();
-        }
-        let page = record_log_result(&entry, &log, log.newest(Topic::Boxes).await);
-        for record in page.iter().flat_map(|page| &page.records) {
-            let Some(value) = &record.value else { continue };
-            match serde_json::from_slice(value) {
-                Ok(box_record) => entry.upsert_box(&record.key, box_record),
-                Err(error) => log::warn!("event=box_unreadable box={} error=\"{error}\"", record.key),
+        let pause = match update_list(&entry, &log).await {
+            Some(was_complete) => {
+                retry_backoff.reset();
+                match entry.read_role() {
+                    ReadRole::Reader if was_complete => READ_INTERVAL,
+                    ReadRole::Reader => GROWING_READ_INTERVAL,
+                    ReadRole::Relay | ReadRole::Follower => RELAY_READ_INTERVAL,
+                }
             }
-        }
-        if page.is_some() {
-            entry.mark_box_list_complete();
-        }
-        if page.is_some() && entry.state.borrow().boxes.is_empty() {
-            entry.has_initial_sync.set(true);
-        }
-        if page.is_some() && is_registered {
-            retry_backoff.reset();
-        }
-        let pause = match entry.read_role() {
-            _ if page.is_none() || !is_registered => entry.retry_delay(&mut retry_backoff),
-            ReadRole::Reader => READ_INTERVAL,
-            ReadRole::Relay | ReadRole::Follower => RELAY_READ_INTERVAL,
+            None => entry.retry_delay(&mut retry_backoff),
         };
         if tokio::time::timeout(pause, log_restores.changed()).await.is_ok() {
-            // The log was restored from an older copy, which may lack the record of this box.
-            is_registered = false;
+            // The log was restored from an older copy, which may lack boxes.
             entry.wait_restore_jitter().await;
         }
     }
 }
+
+/// Reads the list of boxes, and adds those that it lacks. Returns whether it lacked none, or `None` if the log failed.
+async fn update_list<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> Option<bool> {
+    let page = record_log_result(entry, log, log.newest(Topic::Boxes).await)?;
+    apply_list(entry, &page);
+    if entry.state.borrow().boxes.is_empty() {
+        entry.has_initial_sync.set(true);
+    }
+    let unlisted = unlisted_boxes(entry, &page);
+    let is_complete = unlisted.is_empty();
+    // While a fleet starts for the first time, its list lacks the boxes that have not written their record yet.
+    if is_complete || entry.has_no_seeds.get() {
+        entry.mark_box_list_complete();
+    }
+    let is_reader = entry.read_role() == ReadRole::Reader;
+    let added: Vec<_> =
+        unlisted.into_iter().filter(|(name, _)| is_reader || *name == entry.identity.name).map(encode).collect();
+    if !added.is_empty() {
+        record_log_result(entry, log, log.append_all(Topic::Boxes, &added).await)?;
+        log::info!("event=boxes_listed count={}", added.len());
+    }
+    Some(is_complete)
+}
+
+fn apply_list<D: Dialect>(entry: &Entry<D>, page: &KeyedPage) {
+    for KeyedRecord { key, value, .. } in &page.records {
+        let Some(value) = value else { continue };
+        match serde_json::from_slice(value) {
+            Ok(box_record) => entry.upsert_box(key, box_record),
+            Err(error) => log::warn!("event=box_unreadable box={key} error=\"{error}\""),
+        }
+    }
+}
+
+/// Returns the known boxes that the list lacks, and this box if the list has an older record of it.
+fn unlisted_boxes<D: Dialect>(entry: &Entry<D>, page: &KeyedPage) -> Vec<(String, BoxRecord)> {
+    let own = &entry.identity;
+    let is_own_record = |record: &&KeyedRecord| {
+        let value = record.value.as_deref().unwrap_or_default();
+        record.key == own.name && serde_json::from_slice::<BoxRecord>(value).is_ok_and(|listed| listed == own.record)
+    };
+    let is_own_listed = page.records.iter().any(|record| is_own_record(&record));
+    let listed: BTreeSet<&str> = page.records.iter().map(|record| record.key.as_str()).collect();
+    let state = entry.state.borrow();
+    let others = state.boxes.iter().filter(|(name, _)| !listed.contains(name));
+    let own_box = (!is_own_listed).then_some((own.name.as_str(), &own.record));
+    others.chain(own_box).map(|(name, record)| (name.to_owned(), record.clone())).collect()
+}
+
+fn encode((name, record): (String, BoxRecord)) -> (String, Vec<u8>) {
+    let value = serde_json::to_vec(&record).unwrap_or_default();
+    (name, value)
+}
--- a/crates/ochreyard-direct/src/keyed_log.rs
+++ b/crates/ochreyard-direct/src/keyed_log.rs
@@ -67,8 +67,18 @@
         wait_ms: u64,
     ) -> impl Future<Output = Result<KeyedPage, KeyedLogError>>;
 
+    /// Appends records, each a key and a value: all of them or none.
+    fn append_all(
+        &self,
+        topic: Topic,
+        records: &[(String, Vec<u8>)],
+    ) -> impl Future<Output = Result<(), KeyedLogError>>;
+
     /// Appends a record.
-    fn append(&self, topic: Topic, key: &str, value: &[u8]) -> impl Future<Output = Result<(), KeyedLogError>>;
+    fn append(&self, topic: Topic, key: &str, value: &[u8]) -> impl Future<Output = Result<(), KeyedLogError>> {
+        let record = [(key.to_owned(), value.to_vec())];
+        async move { self.append_all(topic, &record).await }
+    }
 
     /// Latest era that the log has named in any answer, if any. It rises each time that the log is restored from an
     /// older copy.
--- a/crates/ochreyard-direct/src/peers/poll.rs
+++ b/crates/ochreyard-direct/src/peers/poll.rs
@@ -114,12 +114,13 @@
 
 fn state_query<D: Dialect>(entry: &Entry<D>, to: SocketAddr) -> StateQuery {
     let state = entry.state.borrow();
+    let known_boxes = if state.knows_all_boxes { state.boxes.len() } else { 0 };
     StateQuery {
         version: state.table.as_ref().map(|table| table.version()),
         name: Some(entry.identity.name.clone()),
         record: Some(entry.identity.record.clone()),
         from: Some(state.log_progress.next_position().unwrap_or_default()),
-        boxes: Some((state.boxes.len(), state.boxes.digest((&entry.identity.name, &entry.identity.record)))),
+        boxes: Some((known_boxes, state.boxes.digest((&entry.identity.name, &entry.identity.record)))),
         cursor: entry.sync_cursor(to),
     }
 }
--- a/crates/ochreyard-direct/src/peers/state_answer.rs
+++ b/crates/ochreyard-direct/src/peers/state_answer.rs
@@ -60,19 +60,20 @@
     // A cursor from another incarnation of this box says nothing about the state of this one.
     let cursor =
         if query.cursor.incarnation == entry.identity.incarnation { query.cursor } else { SyncCursor::default() };
+    let box_update = missing_boxes(entry, &state, query.boxes, cursor.boxes);
     PeerState {
         config: newer_config(&state, query.version),
         evacuations: state.evacuations.updates().collect(),
         endpoints: query.from.map_or_else(Vec::new, |from| changed_since(&state, from)),
         log_progress: query.from.and_then(|_| peer_log_progress(&state, entry.clock.now_ms())),
-        boxes: missing_boxes(entry, &state, query.boxes, cursor.boxes),
+        boxes: box_update.boxes,
         silent_boxes: state
             .boxes
             .locally_silent(entry.clock.now_ms())
             .take(MAX_SILENT_BOXES)
             .map(str::to_owned)
             .collect(),
-        knows_all_boxes: state.knows_all_boxes,
+        knows_all_boxes: state.knows_all_boxes && box_update.is_complete,
         limits: state.pool.limit_update_since(cursor.limits, entry.clock.now_ms()),
         quarantine: state.quarantine.update_since(cursor.quarantine, entry.clock.now_ms()),
         cursor: SyncCursor {
@@ -106,28 +107,31 @@
     state.catalog.is_settled().then(|| PeerLogProgress { next, age_ms: state.log_progress.age_ms(now_ms) })
 }
 
+/// Boxes for a requester.
+struct BoxUpdate {
+    boxes: BTreeMap<String, BoxRecord>,
+    /// Whether the requester knows all boxes of the list with them.
+    is_complete: bool,
+}
+
 /// Returns the boxes that the requester may lack: none if its list is the same, all if it knows few, else those learned
 /// since it last asked. Two boxes that have not exchanged state before mostly differ in the boxes that they learned
 /// last; a few others chosen at random make up for the remaining differences.
-fn missing_boxes<D>(
-    entry: &Entry<D>,
-    state: &State,
-    known: Option<(usize, u64)>,
-    seen: usize,
-) -> BTreeMap<String, BoxRecord> {
+fn missing_boxes<D>(entry: &Entry<D>, state: &State, known: Option<(usize, u64)>, seen: usize) -> BoxUpdate {
     let identity = &entry.identity;
     let (count, digest) = known.unwrap_or_default();
     if digest == state.boxes.digest((&identity.name, &identity.record)) {
-        return BTreeMap::new();
+        return BoxUpdate { boxes: BTreeMap::new(), is_complete: true };
     }
     let owned = |(name, record): (&str, &BoxRecord)| (name.to_owned(), record.clone());
     let own_box = [(identity.name.clone(), identity.record.clone())];
     if count < state.boxes.len() / 2 {
-        return state.boxes.iter().map(owned).chain(own_box).collect();
+        let boxes = state.boxes.iter().map(owned).chain(own_box).collect();
+        return BoxUpdate { boxes, is_complete: true };
     }
     let is_first_query = seen == 0;
     let since = if is_first_query { state.boxes.learned_count().saturating_sub(RECENT_BOXES) } else { seen };
     let recent = state.boxes.learned_since(since);
     let others = state.boxes.sample(SAMPLED_BOXES, identity.incarnation ^ entry.clock.now_ms());
-    recent.chain(others).map(owned).chain(own_box).collect()
+    BoxUpdate { boxes: recent.chain(others).map(owned).chain(own_box).collect(), is_complete: false }
 }
--- a/crates/ochreyard-direct/src/peers/state_query.rs
+++ b/crates/ochreyard-direct/src/peers/state_query.rs
@@ -20,7 +20,8 @@
     pub record: Option<BoxRecord>,
     /// Log position from which the requester lacks endpoint records.
     pub from: Option<Position>,
-    /// Number of boxes that the requester knows, and the digest of its list of them.
+    /// Number of boxes that the requester knows, and the digest of its list of them. The number is 0 until the list is
+    /// complete, so that the answer contains all boxes.
     pub boxes: Option<(usize, u64)>,
     /// How much of the incrementally sent state the requester has applied.
     pub cursor: SyncCursor,
--- a/crates/ochreyard-direct/src/read_role.rs
+++ b/crates/ochreyard-direct/src/read_role.rs
@@ -40,6 +40,7 @@
     pub fn set_seeds(&self, seeds: &[SocketAddr]) {
         let own_addr = self.identity.record.addr;
         self.is_seed.set(seeds.contains(&own_addr) || seeds.is_empty());
+        self.has_no_seeds.set(seeds.iter().all(|seed| *seed == own_addr));
     }
 
     /// Records that another box answered, and which boxes did not answer it.
--- a/crates/ochreyard-fleet-model/src/fleet.rs
+++ b/crates/ochreyard-fleet-model/src/fleet.rs
@@ -10,8 +10,8 @@
 use crate::fault::Fault;
 use crate::model_box::ModelBox;
 use crate::parameters::{
-    DATA_CENTRES, FAULT_WINDOW_MS, LEAVE_PROPAGATION_MS, LIST_INTERVALS_MS, POLL_INTERVAL_MS, RECORD_WRITTEN_MS,
-    REREAD_SPREAD_MS, RESTORED_COPY_AGE_MS, SEED_BOXES, SEED_POLLING_MS, STEP_MS, addr,
+    DATA_CENTRES, FAULT_WINDOW_MS, GROWING_LIST_INTERVAL_MS, LEAVE_PROPAGATION_MS, LIST_INTERVALS_MS, POLL_INTERVAL_MS,
+    RECORD_WRITTEN_MS, REREAD_SPREAD_MS, RESTORED_COPY_AGE_MS, SEED_BOXES, SEED_POLLING_MS, STEP_MS, addr,
 };
 use crate::propagation_times::PropagationTimes;
 use crate::traffic::{CallCause, Traffic};
@@ -246,18 +246,27 @@
         }
     }
 
-    /// Writes the record of this box into the list of boxes, and reads the records of the other boxes.
+    /// Reads the list of boxes, and adds those that it lacks: a reader all that it knows, other boxes themselves.
     fn list_boxes(&mut self, index: usize, read_role: ReadRole) {
         self.traffic.record_call(CallCause::ListBoxes, read_role);
         let model_box = &mut self.boxes[index];
         let interval_ms = if read_role == ReadRole::Reader { LIST_INTERVALS_MS.0 } else { LIST_INTERVALS_MS.1 };
         model_box.next_list_ms = self.now_ms + interval_ms;
-        if self.listed_boxes.insert(model_box.name.clone(), model_box.record.clone()).is_none() {
-            self.traffic.record_call(CallCause::WriteBox, read_role);
-        }
         for (name, record) in self.listed_boxes.iter().filter(|(name, _)| **name != model_box.name) {
             model_box.other_boxes.insert(name, record.clone());
         }
+        let own_box = (model_box.name.as_str(), &model_box.record);
+        let others = model_box.other_boxes.iter().filter(|_| read_role == ReadRole::Reader);
+        let unlisted = others.chain([own_box]).filter(|(name, _)| !self.listed_boxes.contains_key(*name));
+        let unlisted: Vec<_> = unlisted.map(|(name, record)| (name.to_owned(), record.clone())).collect();
+        if unlisted.is_empty() {
+            return;
+        }
+        self.traffic.record_call(CallCause::WriteBox, read_role);
+        self.listed_boxes.extend(unlisted);
+        if read_role == ReadRole::Reader {
+            self.boxes[index].next_list_ms = self.now_ms + GROWING_LIST_INTERVAL_MS;
+        }
     }
 
     fn poll(&mut self, index: usize) {
--- a/crates/ochreyard-fleet-model/src/parameters.rs
+++ b/crates/ochreyard-fleet-model/src/parameters.rs
@@ -17,6 +17,8 @@
 pub const SEED_POLLING_MS: u64 = 10_000;
 /// Intervals at which a reader and a relay read the list of all boxes, in milliseconds.
 pub const LIST_INTERVALS_MS: (u64, u64) = (8_000, 60_000);
+/// Interval at which a reader reads the list of all boxes while it lacks boxes, in milliseconds.
+pub const GROWING_LIST_INTERVAL_MS: u64 = 2_000;
 /// Number of data centres.
 pub const DATA_CENTRES: usize = 5;
 /// Number of seed boxes, whose addresses the platform gives to every box.
--- a/crates/ochreyard-fleet-model/src/traffic.rs
+++ b/crates/ochreyard-fleet-model/src/traffic.rs
@@ -25,7 +25,7 @@
     Reread,
     /// The box reads the list of all boxes.
     ListBoxes,
-    /// The box writes its own record into the list of boxes.
+    /// The box adds records to the list of boxes.
     WriteBox,
 }
 
