A box that does not know all boxes assumes more than the largest fleet has

Cause: such a box assumed 128 boxes, or as many as it knows. The largest fleet has 432 in five data centres. Boxes of one of them that start behind a cut with the log out of reach know each other only: 87 boxes with a share of 1/128 each, beside 345 with 1/432, take 1.48 of what all may take together.

Change: 1,024 are assumed. The bound of an existing test rises from 99 boxes to 432.

Measured: the new test failed before with 1.48, now .88 of what is shared is taken. shared_limit, limit_model, cold_model and retry_budget pass.

--- a/crates/ochreyard-core/src/direct/shared_limit/sharing_boxes.rs
+++ b/crates/ochreyard-core/src/direct/shared_limit/sharing_boxes.rs
@@ -3,9 +3,9 @@
 use super::share_rank::ShareRank;
 use crate::hash;
 
-/// Number of boxes that is assumed while the list of boxes is incomplete: more than any current fleet has. A box that
+/// Number of boxes that is assumed while the list of boxes is incomplete: more than the largest fleet has. A box that
 /// knows too few boxes then takes too small a share.
-const ASSUMED_BOXES: u64 = 128;
+const ASSUMED_BOXES: u64 = 1_024;
 
 /// The boxes that share rate limits.
 ///
--- a/crates/ochreyard-core/tests/shared_limit.rs
+++ b/crates/ochreyard-core/tests/shared_limit.rs
@@ -43,7 +43,19 @@
     let quota = Quota::from_rate(RequestRate::from_milli(5_000));
     assert_eq!(quota.share(knows_two.share_rank("i-0")), 0);
     assert!(quota.share(sharing_boxes(0, 2).share_rank("i-0")) >= 10);
-    assert!(knows_two.count() >= 99, "at least the size of the largest fleet");
+    assert!(knows_two.count() >= 432, "at least the size of the largest fleet");
+}
+
+/// Guards against boxes that start behind a cut of a large fleet and know only the boxes on their side: each took the share
+/// of one in 128 boxes.
+#[test]
+fn boxes_that_know_one_data_centre_of_a_large_fleet_take_no_more_than_their_share() {
+    const BOXES: usize = 432;
+    const CUT_OFF: usize = 87;
+    let others: Vec<String> = (1..CUT_OFF).map(|at| format!("box-{at}")).collect();
+    let cut_off = SharingBoxes::new("box-0", others.iter().map(String::as_str), false);
+    let shares = CUT_OFF as f64 / cut_off.count() as f64 + (BOXES - CUT_OFF) as f64 / BOXES as f64;
+    assert!(shares <= 1.0, "all boxes together take {shares:.2} of what they share");
 }
 
 #[rstest]
