--- a/crates/ochreyard-stand-ins/src/built_program.rs
+++ b/crates/ochreyard-stand-ins/src/built_program.rs
@@ -13,7 +13,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum StaleProgram {
     /// The program cannot be read.
-    #[error("{} cannot be read ({error}); run `cargo build --workspace --examples` first", .program.display())]
+    #[error("{} cannot be read ({error}); run `cargo build --workspace --bins --examples` first", .program.display())]
     Unreadable {
         /// The program.
         program: PathBuf,
@@ -22,7 +22,7 @@
     },
     /// A source has changed since the program was built.
     #[error(
-        "{} was built before {} changed; run `cargo build --workspace --examples` first",
+        "{} was built before {} changed; run `cargo build --workspace --bins --examples` first",
         .program.display(),
         .source_file.display()
     )]
--- a/crates/ochreyard-stand-ins/tests/built_program.rs
+++ b/crates/ochreyard-stand-ins/tests/built_program.rs
@@ -98,5 +98,5 @@
     assert!(
         matches!(&refusal, StaleProgram::Unreadable { program, .. } if program == Path::new(&fixture.path("serve")))
     );
-    assert!(refusal.to_string().contains("run `cargo build --workspace --examples`"), "{refusal}");
+    assert!(refusal.to_string().contains("run `cargo build --workspace --bins --examples`"), "{refusal}");
 }
