--- a/crates/ochreyard-direct/src/follow/boxes.rs
+++ b/crates/ochreyard-direct/src/follow/boxes.rs
@@ -19,8 +19,8 @@
 const RELAY_READ_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Reads the records of all boxes from the log, and adds those that it lacks. A box that others keep current does
-/// neither: each box that it polls learns of it and tells others, and a reader adds its record. A box that starts while it
-/// can reach no other one therefore finds all of them in the log.
+/// neither: each box that it polls learns of it and tells others, and a reader adds its record. So a box that starts while
+/// it can reach no other one finds all of them in the log.
 pub async fn follow_boxes<D: Dialect, L: KeyedLog>(entry: Rc<Entry<D>>, log: L) {
     let mut log_restores = entry.log_restores.subscribe();
     let mut retry_backoff = LogRetryBackoff::default();
@@ -81,11 +81,11 @@
 /// Returns the known boxes that the list lacks, and this box if the list has an older record of it.
 fn unlisted_boxes<D: Dialect>(entry: &Entry<D>, page: &KeyedPage) -> Vec<(String, BoxRecord)> {
     let own = &entry.identity;
-    let is_own_record = |record: &&KeyedRecord| {
+    let is_own_record = |record: &KeyedRecord| {
         let value = record.value.as_deref().unwrap_or_default();
         record.key == own.name && serde_json::from_slice::<BoxRecord>(value).is_ok_and(|listed| listed == own.record)
     };
-    let is_own_listed = page.records.iter().any(|record| is_own_record(&record));
+    let is_own_listed = page.records.iter().any(is_own_record);
     let listed: BTreeSet<&str> = page.records.iter().map(|record| record.key.as_str()).collect();
     let state = entry.state.borrow();
     let others = state.boxes.iter().filter(|(name, _)| !listed.contains(name));
