Boxes that start at once without seeds find each other in the log again

Boxes that start at the same moment all read an empty list, took themselves for alone, and knew nothing of each other for up to 2 s: reports of crashes reached nobody. With seeds, as on the users' platform, boxes find each other by polls.

Change: a box that was not in the list reads it again after it has written its record.

Measured: the new test, a log in memory and three boxes that start at once, failed before: none knew another one; now the last one to be listed knows both. fleet_model counts the second read and passes.

--- a/crates/ochreyard-direct/src/follow/boxes.rs
+++ b/crates/ochreyard-direct/src/follow/boxes.rs
@@ -47,17 +47,10 @@
 
 /// Reads the list of boxes, and adds those that it lacks. Returns whether it lacked none, or `None` if the log failed.
 async fn update_list<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> Option<bool> {
-    let page = record_log_result(entry, log, log.newest(Topic::Boxes).await)?;
-    apply_list(entry, &page);
-    if entry.state.borrow().boxes.is_empty() {
-        entry.has_initial_sync.set(true);
-    }
+    let page = read_list(entry, log).await?;
     let unlisted = unlisted_boxes(entry, &page);
     let is_complete = unlisted.is_empty();
-    // While a fleet starts for the first time, its list lacks the boxes that have not written their record yet.
-    if is_complete || entry.has_no_seeds.get() {
-        entry.mark_box_list_complete();
-    }
+    let lacked_own = unlisted.iter().any(|(name, _)| *name == entry.identity.name);
     let is_reader = entry.read_role() == ReadRole::Reader;
     let added: Vec<_> =
         unlisted.into_iter().filter(|(name, _)| is_reader || *name == entry.identity.name).map(encode).collect();
@@ -65,10 +58,23 @@
         record_log_result(entry, log, log.append_all(Topic::Boxes, &added).await)?;
         log::info!("event=boxes_listed count={}", added.len());
     }
+    if lacked_own {
+        // Of boxes that start at the same moment, at least the last one to be listed finds the others now.
+        read_list(entry, log).await?;
+    }
+    // While a fleet starts for the first time, its list lacks the boxes that have not written their record yet.
+    if is_complete || entry.has_no_seeds.get() {
+        entry.mark_box_list_complete();
+    }
+    if entry.state.borrow().boxes.is_empty() {
+        entry.has_initial_sync.set(true);
+    }
     Some(is_complete)
 }
 
-fn apply_list<D: Dialect>(entry: &Entry<D>, page: &KeyedPage) {
+/// Reads the list of boxes and applies it; `None` if the log failed.
+async fn read_list<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> Option<KeyedPage> {
+    let page = record_log_result(entry, log, log.newest(Topic::Boxes).await)?;
     for KeyedRecord { key, value, .. } in &page.records {
         let Some(value) = value else { continue };
         match serde_json::from_slice(value) {
@@ -76,6 +82,7 @@
             Err(error) => log::warn!("event=box_unreadable box={key} error=\"{error}\""),
         }
     }
+    Some(page)
 }
 
 /// Returns the known boxes that the list lacks, and this box if the list has an older record of it.
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -53,7 +53,7 @@
 pub use dialect::{Dialect, DocumentError, HeaderNames, OperatorKey};
 pub use entry::{Entry, Identity, State};
 pub use fields::FIELDS;
-pub use follow::follow_config;
+pub use follow::{follow_boxes, follow_config};
 pub use http_client::HttpClient;
 pub use keyed_log::{KeyedLog, KeyedLogError, KeyedPage, KeyedRecord, Topic};
 pub use operator_api::{QUARANTINE_PATH, RELEASE_PATH};
--- a/crates/ochreyard-fleet-model/src/fleet.rs
+++ b/crates/ochreyard-fleet-model/src/fleet.rs
@@ -263,6 +263,10 @@
             return;
         }
         self.traffic.record_call(CallCause::WriteBox, read_role);
+        if unlisted.iter().any(|(name, _)| *name == model_box.name) {
+            // The box reads the list again, in which others may be by now.
+            self.traffic.record_call(CallCause::ListBoxes, read_role);
+        }
         self.listed_boxes.extend(unlisted);
         if read_role == ReadRole::Reader {
             self.boxes[index].next_list_ms = self.now_ms + GROWING_LIST_INTERVAL_MS;
