--- a/crates/ochreyard-core/src/direct/paced_retries.rs
+++ b/crates/ochreyard-core/src/direct/paced_retries.rs
@@ -21,14 +21,19 @@
         self.available + per_ms * now_ms.saturating_sub(self.updated_ms) as f64
     }
 
-    /// Adds what has become available with time, and `extra`. At most `max_saved` are kept.
-    pub const fn advance(&mut self, per_ms: f64, extra: f64, max_saved: f64, now_ms: u64) {
-        self.available = (self.available(per_ms, now_ms) + extra).min(max_saved);
+    /// Adds what became available with time since the last change.
+    pub const fn advance(&mut self, per_ms: f64, now_ms: u64) {
+        self.available = self.available(per_ms, now_ms);
         self.updated_ms = now_ms;
     }
 
-    /// Takes one retry.
-    pub const fn take(&mut self) {
-        self.available -= 1.0;
+    /// Adds what a request makes available.
+    pub const fn add(&mut self, retries: f64) {
+        self.available += retries;
+    }
+
+    /// Takes one of at most `max_saved` retries.
+    pub const fn take(&mut self, max_saved: f64) {
+        self.available = self.available.min(max_saved) - 1.0;
     }
 }
--- a/crates/ochreyard-core/src/direct/shared_retry_budget.rs
+++ b/crates/ochreyard-core/src/direct/shared_retry_budget.rs
@@ -63,16 +63,16 @@
     /// Sets how many boxes share the budget from now on.
     pub fn set_boxes(&mut self, boxes: u64, now_ms: u64) {
         let paced_per_ms = self.paced_per_ms();
-        self.windows.values_mut().for_each(|window| window.paced.advance(paced_per_ms, 0.0, f64::INFINITY, now_ms));
+        self.windows.values_mut().for_each(|window| window.paced.advance(paced_per_ms, now_ms));
         self.boxes = boxes.max(1);
     }
 
     /// Counts a request for a service.
     pub fn on_request(&mut self, service: &str, now_ms: u64) {
-        let (paced_per_ms, paced_per_request) = (self.paced_per_ms(), PACED_SHARE * self.limits.ratio);
-        self.window(service, now_ms).current().requests += 1;
-        let max_saved = self.max_saved(service, now_ms);
-        self.window(service, now_ms).paced.advance(paced_per_ms, paced_per_request, max_saved, now_ms);
+        let paced_per_request = PACED_SHARE * self.limits.ratio;
+        let window = self.window(service, now_ms);
+        window.current().requests += 1;
+        window.paced.add(paced_per_request);
     }
 
     /// Returns whether a retry is left in the budget.
@@ -90,8 +90,8 @@
             let (paced_per_ms, max_saved) = (self.paced_per_ms(), self.max_saved(service, now_ms));
             let window = self.window(service, now_ms);
             if is_paced {
-                window.paced.advance(paced_per_ms, 0.0, max_saved, now_ms);
-                window.paced.take();
+                window.paced.advance(paced_per_ms, now_ms);
+                window.paced.take(max_saved);
             }
             window.total_retries += 1;
             let slice = window.current();
