--- /dev/null
+++ b/review/stand_ins/main.rs
@@ -0,0 +1,46 @@
+//! Stand-ins and drivers of the review's scripts.
+
+mod engine;
+mod http;
+mod process;
+mod store;
+mod unframed_crash;
+
+use std::process::ExitCode;
+
+use unframed_crash::Scene;
+
+/// Longest time of a case.
+const LONGEST: std::time::Duration = std::time::Duration::from_secs(110);
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    if args.first() != Some(&"engine") {
+        process::limit_time(LONGEST);
+    }
+    let with_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let run = || match args.as_slice() {
+        ["engine", id, addr] => engine::run(id, addr),
+        ["unframed-crash-under-load", record] => unframed_crash::run(record, with_trouble, Scene::UnderLoad),
+        ["unframed-crash-while-draining", record] => unframed_crash::run(record, with_trouble, Scene::WhileDraining),
+        ["unframed-crash-alone", record] => unframed_crash::run(record, with_trouble, Scene::Alone),
+        _ => Outcome::CouldNotRun,
+    };
+    match std::panic::catch_unwind(run) {
+        Ok(Outcome::Held) => ExitCode::from(0),
+        Ok(Outcome::Broken) => ExitCode::from(1),
+        Ok(Outcome::CouldNotRun) | Err(_) => ExitCode::from(2),
+    }
+}
+
+/// How a case ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The rule held.
+    Held,
+    /// The rule was broken.
+    Broken,
+    /// The case could not run.
+    CouldNotRun,
+}
