--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -1,13 +1,18 @@
 //! Stand-ins and drivers of the review's scripts.
 
 mod engine;
+mod gate;
 mod http;
 mod process;
+mod stale_config;
+mod stop_in_wait;
 mod store;
+mod streams;
 mod unframed_crash;
 
 use std::process::ExitCode;
 
+use engine::{Engine, Framing};
 use unframed_crash::Scene;
 
 /// Longest time of a case.
@@ -21,7 +26,12 @@
     }
     let with_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let run = || match args.as_slice() {
-        ["engine", id, addr] => engine::run(id, addr),
+        ["engine", id, addr, framing, still_file] => {
+            let framing = if *framing == "unframed" { Framing::None } else { Framing::Chunks };
+            Engine { id: (*id).to_owned(), framing, still_file: still_file.into() }.run(addr)
+        }
+        ["stop-in-wait", record] => stop_in_wait::run(record, with_trouble),
+        ["stale-config", record] => stale_config::run(record, with_trouble),
         ["unframed-crash-under-load", record] => unframed_crash::run(record, with_trouble, Scene::UnderLoad),
         ["unframed-crash-while-draining", record] => unframed_crash::run(record, with_trouble, Scene::WhileDraining),
         ["unframed-crash-alone", record] => unframed_crash::run(record, with_trouble, Scene::Alone),
--- a/review/stand_ins/process.rs
+++ b/review/stand_ins/process.rs
@@ -70,36 +70,51 @@
     }
 }
 
-/// A free loopback address.
+/// Ports that were handed out.
+static GIVEN_PORTS: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
+/// A free loopback address that was not handed out before.
 pub fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    loop {
+        let addr = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let mut given = GIVEN_PORTS.lock().unwrap();
+        if !given.contains(&addr.port()) {
+            given.push(addr.port());
+            return addr;
+        }
+    }
 }
 
 /// An entry, started with the command of `deploy/system.toml`.
 pub struct Entry {
-    _process: Process,
+    process: Process,
+    pub name: String,
     pub callers: SocketAddr,
-    pub ready: SocketAddr,
+    ready: SocketAddr,
     log: PathBuf,
 }
 
 impl Entry {
-    /// Starts an entry with the settings that `deploy/entry.yaml` gives for an entry box of kf-surveys.
-    pub fn start(folder: &Path, store: SocketAddr) -> Self {
-        let [callers, ready, peer, metrics] = [(); 4].map(|()| free_addr());
+    /// Starts an entry with the settings that `deploy/entry.yaml` gives for an entry box of hehuan-maps, in the zone
+    /// wuling-hall. All boxes have the same peer port, and each has an address of its own; `seeds` names some of them.
+    pub fn start(folder: &Path, store: SocketAddr, name: &str, peer: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let [callers, ready, metrics] = [(); 3].map(|()| free_addr());
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let settings = format!(
-            "entry: \"edge-hall-a-1\"\ndata_centre: \"hall-a\"\nregions: [\"hall-a=windhoek\"]\n\
-             callers_addr: \"{callers}\"\nready_addr: \"{ready}\"\npeer_addr: \"{peer}\"\nseeds: [\"{peer}\"]\n\
+            "entry: \"{name}\"\ndata_centre: \"wuling-hall\"\nregions: [\"wuling-hall=nantou\"]\n\
+             callers_addr: \"{callers}\"\nready_addr: \"{ready}\"\npeer_addr: \"{peer}\"\nseeds: [{}]\n\
              metrics_addr: \"{metrics}\"\nplatform_addr: \"{store}\"\nleaving_known_ms: 2000\nrepeat_ratio: 0.2\n\
-             repeat_fixed: 90\nrepeat_window_s: 10\ncores: 0.25\nmemory_mb: 260\nlink_mbps: 1000\n\
-             drain_grace_s: 8\nlog_target: stdout\n"
+             repeat_fixed: 92\nrepeat_window_s: 10\ncores: 0.25\nmemory_mb: 260\nlink_mbps: 1000\n\
+             drain_grace_s: 8\nlog_target: stdout\n",
+            seeds.join(", ")
         );
-        let file = folder.join("entry.yaml");
+        let file = folder.join(format!("{name}.yaml"));
         std::fs::write(&file, settings).unwrap();
-        let log = folder.join("entry.log");
+        let log = folder.join(format!("{name}.log"));
         let mut command = Command::new("target/release/ochreyard");
-        command.arg("direct").arg(&file).stdout(File::create(&log).unwrap()).stderr(Stdio::null());
-        Self { _process: Process::start(&mut command), callers, ready, log }
+        command.arg("direct").arg(&file).stdout(File::create(&log).unwrap());
+        command.stderr(File::create(folder.join(format!("{name}.err"))).unwrap());
+        Self { process: Process::start(&mut command), name: name.to_owned(), callers, ready, log }
     }
 
     /// Waits until the platform would call the entry ready, and it knows this many engines.
@@ -109,9 +124,18 @@
             let answer = crate::http::call(self.ready, head, b"", Duration::from_secs(1));
             matches!(answer, Ok(Some(answer)) if answer.status() == 200)
         };
-        wait_until(Duration::from_secs(15), || {
+        let has_begun = wait_until(Duration::from_secs(15), || {
             is_ready() && self.log_lines("event=endpoint_known").len() >= engines
-        })
+        });
+        if !has_begun {
+            println!("{} did not become ready; its log:\n{}", self.name, self.log_lines("").join("\n"));
+        }
+        has_begun
+    }
+
+    /// Sends a signal with the given name.
+    pub fn signal(&self, name: &str) {
+        self.process.signal(name);
     }
 
     /// The lines of its log that hold this text.
--- a/review/stand_ins/store.rs
+++ b/review/stand_ins/store.rs
@@ -62,8 +62,11 @@
     fn newest(&self, topic: &str) -> Vec<u8> {
         let topics = self.log.0.lock().unwrap();
         let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
-        let by_key: BTreeMap<&str, (usize, &[u8])> =
-            records.iter().enumerate().map(|(offset, (key, value))| (key.as_str(), (offset, value.as_slice()))).collect();
+        let by_key: BTreeMap<&str, (usize, &[u8])> = records
+            .iter()
+            .enumerate()
+            .map(|(offset, (key, value))| (key.as_str(), (offset, value.as_slice())))
+            .collect();
         let items: Vec<String> = by_key
             .iter()
             .filter(|(_, (_, value))| !value.is_empty())
