--- a/review/stand_ins/engine.rs
+++ b/review/stand_ins/engine.rs
@@ -1,7 +1,7 @@
 //! A stand-in for an engine, in a process of its own.
 //!
 //! `/brief/EVENTS/ID` gets a stream of that many events, with chunks or, as RULES.md allows, with neither a length nor
-//! chunks, so that it ends with its channel. `/tiles/...` gets a short answer with a length.
+//! chunks, so that it ends with its channel. `/tiles/...` and `/status/...` get a plain answer, with a length or without.
 
 use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -56,11 +56,15 @@
             );
             let mut path = request.target().1.split('/').skip(1);
             let (route, events) = (path.next().unwrap_or(""), path.next().unwrap_or(""));
-            if route == "tiles" {
+            if route == "tiles" && self.framing == Framing::Chunks {
                 println!("run {attempt_id} at {}", self.id);
                 http::respond(&mut stream, "200 OK", &own, b"a tile")?;
                 continue;
             }
+            if route == "tiles" || route == "status" {
+                println!("run {attempt_id} at {}", self.id);
+                return send_in_pieces(&mut stream, &own);
+            }
             let last = request.header("last-event-id").and_then(|last| last.parse::<u32>().ok());
             let events = events.parse().unwrap_or(0);
             return self.stream_events(&mut stream, attempt_id, &own, last.map_or(1, |last| last + 1)..=events);
@@ -104,6 +108,19 @@
     }
 }
 
+/// The body of a plain answer that has no length.
+pub const PLAIN_BODY: [u8; 800] = [b't'; 800];
+
+/// Sends a plain answer without a length, in pieces as they get ready.
+fn send_in_pieces(stream: &mut TcpStream, own: &str) -> std::io::Result<()> {
+    stream.write_all(format!("HTTP/1.1 200 OK\r\n{own}connection: close\r\n\r\n").as_bytes())?;
+    for piece in PLAIN_BODY.chunks(100) {
+        std::thread::sleep(EVENT_PAUSE);
+        stream.write_all(piece)?;
+    }
+    Ok(())
+}
+
 /// Whether the other side has closed the channel.
 fn is_closed(stream: &mut TcpStream) -> bool {
     if stream.set_nonblocking(true).is_err() {
--- a/review/stand_ins/streams.rs
+++ b/review/stand_ins/streams.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::engine::event_text;
+use crate::engine::{event_text, PLAIN_BODY};
 use crate::http::{self, Message};
 
 /// Time budget of a request.
@@ -76,11 +76,28 @@
     }
 }
 
-/// A config with a route for streams that may be resumed.
+/// Sends a request for a plain answer; returns its status, and whether a 2xx lacks a part of the engine's body though it
+/// ends as complete.
+pub fn send_plain(addr: SocketAddr, route: &str, id: &str) -> (u16, bool) {
+    let method = if route == "status" { "GET" } else { "POST" };
+    let head = format!(
+        "{method} /{route}/{id} HTTP/1.1\r\nhost: trails.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 4000\r\n\
+         api-key: key-1\r\nconnection: close\r\n"
+    );
+    let answer = http::call(addr, &head, b"", DEADLINE).ok().flatten();
+    let is_cut = |answer: &Message| answer.status() == 200 && answer.is_whole && answer.body != PLAIN_BODY;
+    (answer.as_ref().map_or(0, Message::status), answer.as_ref().is_some_and(is_cut))
+}
+
+/// A config with a route for streams that may be resumed, and two for plain answers.
 pub fn config() -> String {
     r#"{"version":7,"routes":[{"name":"run-brief","host":"trails.example","path_prefix":"/brief/",
         "route_type":"streaming","resumable":true,"timeout_ms":8000,"target_latency_ms":400,"gap_aim_ms":120,
-        "priority":1,"service":"trail-voice","max_attempts":2,"sticky":true}],
+        "priority":1,"service":"trail-voice","max_attempts":2,"sticky":true},
+        {"name":"map-tile","host":"trails.example","path_prefix":"/tiles/","route_type":"non_idempotent",
+        "timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"trail-voice","max_attempts":1},
+        {"name":"lift-status","host":"trails.example","path_prefix":"/status/","route_type":"idempotent",
+        "timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"trail-voice","max_attempts":2}],
         "services":[{"name":"trail-voice","health_path":"/healthz","max_connections":418}],
         "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
         "tenants":[{"name":"resort","api_keys":["key-1"]}]}"#
--- a/review/stand_ins/unframed_crash.rs
+++ b/review/stand_ins/unframed_crash.rs
@@ -1,7 +1,7 @@
-//! Streams without a length at an engine that crashes while it sends them.
+//! Answers without a length at an engine that crashes while it sends them.
 //!
-//! A whole stream has 26 events. The rule is broken if a caller gets a stream that ends as complete, by its framing,
-//! before the last event, or that lacks an event or holds one twice.
+//! A whole stream has 26 events, a whole plain answer 800 bytes. The rule is broken if a caller gets a success that ends
+//! as complete, by its framing, but lacks a part, or a stream that holds an event twice.
 
 use std::fmt::Write as _;
 use std::process::{Command, Stdio};
@@ -12,7 +12,7 @@
 use crate::engine::record;
 use crate::process::{free_addr, Entry, Folder, Process};
 use crate::store::Store;
-use crate::streams::{config, send, Answer, End};
+use crate::streams::{Answer, End, config, send, send_plain};
 use crate::Outcome;
 
 /// What happens around the crash of the first engine.
@@ -27,8 +27,12 @@
 }
 
 const CALLERS: usize = 8;
+/// Callers of plain answers under load, half of them of requests that may run once.
+const PLAIN_CALLERS: usize = 6;
 /// Events of a whole stream, 40 ms apart.
 const EVENTS: u32 = 26;
+/// Offset between the starts of two callers under load, so that answers end all the time.
+const STAGGER: Duration = Duration::from_millis(67);
 /// How long callers send streams under load.
 const LOAD: Duration = Duration::from_secs(8);
 /// When the engine crashes under load, from the start of the load.
@@ -71,15 +75,39 @@
     let is_over = Arc::new(AtomicBool::new(scene != Scene::UnderLoad));
     let number = Arc::new(AtomicUsize::new(0));
     let callers: Vec<_> = (0..CALLERS)
-        .map(|_| {
+        .map(|at| {
             let (answers, is_over, number) = (Arc::clone(&answers), Arc::clone(&is_over), Arc::clone(&number));
             let addr = entry.callers;
-            std::thread::spawn(move || loop {
-                let id = format!("a{:04}", number.fetch_add(1, Ordering::Relaxed));
-                let answer = send(addr, &id, EVENTS, started);
-                answers.lock().unwrap().push(answer);
-                if is_over.load(Ordering::Relaxed) {
-                    return;
+            let offset = if scene == Scene::UnderLoad { STAGGER * at as u32 } else { Duration::ZERO };
+            std::thread::spawn(move || {
+                std::thread::sleep(offset);
+                loop {
+                    let id = format!("a{:04}", number.fetch_add(1, Ordering::Relaxed));
+                    let answer = send(addr, &id, EVENTS, started);
+                    answers.lock().unwrap().push(answer);
+                    if is_over.load(Ordering::Relaxed) {
+                        return;
+                    }
+                }
+            })
+        })
+        .collect();
+
+    let plain_lines: Arc<Mutex<Vec<(String, bool)>>> = Arc::default();
+    let plain_callers: Vec<_> = (0..if scene == Scene::UnderLoad { PLAIN_CALLERS } else { 0 })
+        .map(|at| {
+            let (lines, is_over, number) = (Arc::clone(&plain_lines), Arc::clone(&is_over), Arc::clone(&number));
+            let (addr, route) = (entry.callers, if at % 2 == 0 { "status" } else { "tiles" });
+            std::thread::spawn(move || {
+                std::thread::sleep(STAGGER * at as u32);
+                while !is_over.load(Ordering::Relaxed) {
+                    let id = format!("p{:04}", number.fetch_add(1, Ordering::Relaxed));
+                    let sent_ms = started.elapsed().as_millis();
+                    let (status, is_cut) = send_plain(addr, route, &id);
+                    let ended_ms = started.elapsed().as_millis();
+                    let mark = if is_cut { "BROKEN, lacks a part: " } else { "" };
+                    let line = format!("{id} {route} sent {sent_ms} ms, ended {ended_ms} ms: {mark}{status}");
+                    lines.lock().unwrap().push((line, is_cut));
                 }
             })
         })
@@ -104,7 +132,7 @@
         sleep_until(LOAD);
     }
     is_over.store(true, Ordering::Relaxed);
-    callers.into_iter().for_each(|caller| caller.join().unwrap());
+    callers.into_iter().chain(plain_callers).for_each(|caller| caller.join().unwrap());
 
     let answers = answers.lock().unwrap();
     let mut text = String::new();
@@ -115,6 +143,9 @@
         broken += usize::from(is_broken);
         writeln!(text, "{}", answer.line(if is_broken { "BROKEN " } else { "" })).unwrap();
     }
+    let plain = plain_lines.lock().unwrap();
+    let broken_plain = plain.iter().filter(|(_, is_cut)| *is_cut).count();
+    plain.iter().for_each(|(line, _)| writeln!(text, "{line}").unwrap());
     for id in ENGINES {
         let log = std::fs::read_to_string(folder.0.join(format!("{id}.log"))).unwrap_or_default();
         writeln!(text, "\n{id} ran:\n{log}").unwrap();
@@ -123,10 +154,16 @@
     let lost = entry.log_lines("event=attempt_failed");
     writeln!(text, "what the entry logged of its checks and failed attempts:\n{}", [checks, lost].concat().join("\n"))
         .unwrap();
-    writeln!(text, "\nstreams {}, broken {broken}", answers.len()).unwrap();
+    let sum = format!(
+        "streams {}, of which ended as complete before the last event, or out of order: {broken}; plain answers {}, of \
+         which 200 with a part of the body: {broken_plain}",
+        answers.len(),
+        plain.len()
+    );
+    writeln!(text, "\n{sum}").unwrap();
     std::fs::write(record_file, &text).unwrap();
-    println!("streams {}, of which ended as complete before the last event, or out of order: {broken}", answers.len());
-    if broken > 0 {
+    println!("{sum}");
+    if broken + broken_plain > 0 {
         Outcome::Broken
     } else {
         Outcome::Held
