Log attempts that are abandoned unanswered, and why a stream is not resumed

Neither decides anything. `attempt_abandoned` tells attempts that may still arrive from attempts whose connection broke or that were answered; `stream_broken` names what kept a stream from another endpoint (a stopping box, the retry budget, full endpoints).

--- a/crates/ochreyard-direct/src/in_flight.rs
+++ b/crates/ochreyard-direct/src/in_flight.rs
@@ -7,6 +7,7 @@
 
 use crate::dialect::Dialect;
 use crate::entry::Entry;
+use crate::meters;
 
 /// How far an attempt has come on the way to its endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -95,6 +96,20 @@
         }
     }
 
+    /// Logs an attempt that this process ended before its endpoint sent anything. The request may still be in buffers on
+    /// its way, and arrive later.
+    fn log_if_abandoned(&self) {
+        let Some(sent_ms) = self.sent_ms().filter(|_| self.is_abandoned()) else { return };
+        meters::on_abandoned_attempt();
+        let waited_ms = self.entry.clock.now_ms().saturating_sub(sent_ms);
+        log::info!("event=attempt_abandoned endpoint={} waited_ms={waited_ms}", self.pick.id);
+    }
+
+    /// Returns whether the request was sent, and neither an answer came nor the connection broke.
+    fn is_abandoned(&self) -> bool {
+        self.sent_ms().is_some() && !self.is_answered.get() && self.outcome.get() == AttemptOutcome::Unknown
+    }
+
     /// Returns whether the endpoint has sent nothing on any request of this box for `for_ms`.
     pub fn is_silent(&self, for_ms: u64) -> bool {
         let now_ms = self.entry.clock.now_ms();
@@ -107,6 +122,7 @@
         if self.stage.get() == Stage::Picked {
             self.withhold();
         }
+        self.log_if_abandoned();
         self.record_answered();
         let now_ms = self.entry.clock.now_ms();
         self.entry.state.borrow_mut().pool.on_attempt_end(&self.pick, self.outcome.get(), now_ms);
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -40,6 +40,11 @@
     metrics::counter!("ochreyard_direct_failed_attempts_total", "service" => service.to_owned()).increment(1);
 }
 
+/// Records an attempt that this process ended before its endpoint sent anything.
+pub fn on_abandoned_attempt() {
+    metrics::counter!("ochreyard_direct_abandoned_attempts_total").increment(1);
+}
+
 /// Records that an endpoint did not run a request that reached it; `asks_backoff` tells whether it also asked for a
 /// backoff.
 pub fn on_refused_arrival(service: &str, asks_backoff: bool) {
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::answer::{Answer, caller_response};
 use crate::answer_body::{AnswerAborted, AnswerBody};
 use crate::dialect::Dialect;
+use crate::give_up_reason::GiveUpReason;
 use crate::job::{ENDED_WITH_ENDPOINT, Job, SLOW_ENDPOINT};
 use crate::meters;
 use crate::timeout::timeout_after_reads;
@@ -77,8 +78,8 @@
                     } else {
                         self.job.record_failed_attempt(&pick, &cause);
                     }
-                    if !self.resume_elsewhere().await {
-                        return self.abort_stream(&pick, &cause);
+                    if let Err(reason) = self.resume_elsewhere().await {
+                        return self.abort_stream(&pick, &format!("{cause}; not resumed: {reason:?}"));
                     }
                 }
             }
@@ -158,21 +159,24 @@
 
     /// Resumes the stream at another endpoint after the last complete event. The caller keeps the head from the first
     /// endpoint.
-    async fn resume_elsewhere(&mut self) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// When no endpoint takes the stream.
+    async fn resume_elsewhere(&mut self) -> Result<(), GiveUpReason> {
         if !self.may_resume() {
-            return false;
+            return Err(GiveUpReason::Failed);
         }
         if let Some(last) = self.splitter.last_id().and_then(|id| HeaderValue::from_str(id).ok()) {
             let name = self.job.entry.dialect.headers().last_event_id.clone();
             self.job.request.headers.insert(name, last);
         }
-        match self.job.next_answer().await {
-            Ok(answer) if answer.head.status.is_success() => {
-                self.answer = Some(answer);
-                true
-            }
-            _ => false,
+        let answer = self.job.next_answer().await?;
+        if !answer.head.status.is_success() {
+            return Err(GiveUpReason::Failed);
         }
+        self.answer = Some(answer);
+        Ok(())
     }
 
     fn abort_stream(&self, pick: &Pick, cause: &str) -> Option<Result<Bytes, AnswerAborted>> {
