Count a retry until the abandoned attempt of its request has arrived

Callers saw nothing; services got more requests again than the budget allows. A request left a silent endpoint, its retry was counted when it was sent, and the first attempt stayed in the buffers of the endpoint's sockets, also after its connection was closed. It arrived when the endpoint went on: beyond the first, in a window in which the budget had been filled again.

A retry is now held until all abandoned attempts of its request have arrived: until their endpoint answers something that was sent later, starts again, or 30 s have passed. It counts for one window from then on. At most half of the allowance can be held, since the window of the arrival may allow less. And a request leaves a silent endpoint only when another one is picked and a retry is taken for it, so that what a spent budget keeps there may still be answered.

Lines `abandoned_attempts_arrived` name the endpoint and the retries as it goes on.

--- a/crates/ochreyard-core/src/direct/retry_usage.rs
+++ b/crates/ochreyard-core/src/direct/retry_usage.rs
@@ -5,8 +5,10 @@
 pub struct RetryUsage {
     /// Requests within the last window.
     pub requests: u64,
-    /// Retries within the last window.
+    /// Retries within the last window, and earlier ones that are held.
     pub retries: u64,
+    /// Retries that are held, because an abandoned attempt of their request may still arrive.
+    pub held: u64,
     /// Retries since the process started.
     pub total_retries: u64,
     /// Number of boxes that share the budget, as far as this box knows.
--- a/crates/ochreyard-core/src/direct/shared_retry_budget.rs
+++ b/crates/ochreyard-core/src/direct/shared_retry_budget.rs
@@ -7,9 +7,14 @@
 //! therefore consists of two parts. One becomes available at a steady rate, so that it adds up to the same amount
 //! however many processes follow each other. The other one, the reserve, can be used at once, but only by a process that
 //! has run for a whole window: two processes of one box cannot both use it within one window.
+//!
+//! The platform counts a retry when it arrives. A retry of a request of which an abandoned attempt may still arrive
+//! therefore counts until that has arrived, and for one window from then on.
 
 use std::collections::{HashMap, VecDeque};
 
+use super::endpoint_incarnation::EndpointIncarnation;
+use super::held_retries::{AbandonedAttempt, HeldRetries, SettledRetries, TakenRetry};
 use super::paced_retries::PacedRetries;
 use super::retry_budget_limits::RetryBudgetLimits;
 use super::retry_usage::RetryUsage;
@@ -24,6 +29,9 @@
 const SAVED_SHARE: f64 = 0.1;
 /// Least number of retries that are saved: fewer could never be taken.
 const MIN_SAVED: f64 = 1.0;
+/// Share of the allowance that may be held. Held retries arrive in a later window, which may allow fewer of them, since
+/// callers whose requests wait send fewer.
+const HELD_SHARE: f64 = 0.5;
 /// Number of slices that a window is counted in.
 const SLICES: u64 = 20;
 
@@ -41,6 +49,7 @@
 struct Window {
     slices: VecDeque<Slice>,
     paced: PacedRetries,
+    held: HeldRetries,
     total_retries: u64,
 }
 
@@ -81,24 +90,74 @@
         self.has_paced_retry(service, now_ms) || self.has_reserve_retry(service, now_ms)
     }
 
-    /// Takes one retry from the budget. Returns whether one was left.
+    /// Returns whether a retry is left in the budget, and may be held for an attempt that is abandoned.
+    #[must_use]
+    pub fn has_holdable_retry(&self, service: &str, now_ms: u64) -> bool {
+        let may_hold = (self.held(service) + 1) as f64 <= HELD_SHARE * self.allowance(service, now_ms);
+        may_hold && self.has_retry(service, now_ms)
+    }
+
+    /// Takes one retry from the budget, if one is left.
     #[must_use]
-    pub fn try_take(&mut self, service: &str, now_ms: u64) -> bool {
+    pub fn try_take(&mut self, service: &str, now_ms: u64) -> Option<TakenRetry> {
         let is_paced = self.has_paced_retry(service, now_ms);
-        let is_granted = is_paced || self.has_reserve_retry(service, now_ms);
-        if is_granted {
-            let (paced_per_ms, max_saved) = (self.paced_per_ms(), self.max_saved(service, now_ms));
-            let window = self.window(service, now_ms);
-            if is_paced {
-                window.paced.advance(paced_per_ms, now_ms);
-                window.paced.take(max_saved);
-            }
-            window.total_retries += 1;
-            let slice = window.current();
-            slice.retries += 1;
-            slice.reserve_retries += u64::from(!is_paced);
+        if !is_paced && !self.has_reserve_retry(service, now_ms) {
+            return None;
+        }
+        let (paced_per_ms, max_saved) = (self.paced_per_ms(), self.max_saved(service, now_ms));
+        let window = self.window(service, now_ms);
+        if is_paced {
+            window.paced.advance(paced_per_ms, now_ms);
+            window.paced.take(max_saved);
+        }
+        window.total_retries += 1;
+        let number = window.total_retries;
+        let slice = window.current();
+        slice.retries += 1;
+        slice.reserve_retries += u64::from(!is_paced);
+        Some(TakenRetry { number, slice: Some(slice.number), is_reserve: !is_paced })
+    }
+
+    /// Counts a retry until an abandoned attempt of its request has arrived.
+    pub fn hold(&mut self, service: &str, retry: &mut TakenRetry, attempt: AbandonedAttempt, now_ms: u64) {
+        let window = self.window(service, now_ms);
+        let counted =
+            retry.slice.take().and_then(|number| window.slices.iter_mut().find(|slice| slice.number == number));
+        if let Some(slice) = counted {
+            slice.retries = slice.retries.saturating_sub(1);
+            slice.reserve_retries = slice.reserve_retries.saturating_sub(u64::from(retry.is_reserve));
+        }
+        window.held.hold(retry, attempt);
+    }
+
+    /// An endpoint has answered a request that was sent at `sent_ms`. Returns how many retries were held until then.
+    pub fn on_answered(&mut self, service: &str, endpoint: &EndpointIncarnation, sent_ms: u64, now_ms: u64) -> u64 {
+        self.settle(service, now_ms, |held| held.on_answered(endpoint, sent_ms))
+    }
+
+    /// An endpoint has started again.
+    pub fn on_restarted(&mut self, service: &str, id: &str, started_ms: u64, now_ms: u64) {
+        self.settle(service, now_ms, |held| held.on_restarted(id, started_ms));
+    }
+
+    /// Stops holding retries for attempts that are too old to arrive.
+    pub fn expire_held(&mut self, now_ms: u64) {
+        for window in self.windows.values_mut() {
+            window.held.expire(now_ms);
         }
-        is_granted
+    }
+
+    /// Counts the retries that `settle` releases as of now.
+    fn settle(&mut self, service: &str, now_ms: u64, settle: impl Fn(&mut HeldRetries) -> SettledRetries) -> u64 {
+        if self.held(service) == 0 {
+            return 0;
+        }
+        let window = self.window(service, now_ms);
+        let settled = settle(&mut window.held);
+        let slice = window.current();
+        slice.retries += settled.count;
+        slice.reserve_retries += settled.from_reserve;
+        settled.count
     }
 
     /// Returns how much of the budget of a service this process has used.
@@ -106,7 +165,8 @@
     pub fn usage(&self, service: &str, now_ms: u64) -> RetryUsage {
         RetryUsage {
             requests: self.recent_requests(service, now_ms),
-            retries: self.recent_slices(service, now_ms).map(|slice| slice.retries).sum(),
+            retries: self.counted_retries(service, now_ms),
+            held: self.held(service),
             total_retries: self.windows.get(service).map_or(0, |window| window.total_retries),
             boxes: self.boxes,
         }
@@ -121,17 +181,33 @@
         let paced = self.windows.get(service).map(|window| window.paced);
         let is_available = paced.is_some_and(|paced| paced.available(self.paced_per_ms(), now_ms) >= 1.0);
         // Where the allowance of a box is hardly more than one retry, what it saves may be more than the allowance.
-        let sent: u64 = self.recent_slices(service, now_ms).map(|slice| slice.retries).sum();
-        is_available && (sent + 1) as f64 <= (PACED_SHARE + BURST_SHARE) * self.allowance(service, now_ms)
+        is_available && self.is_within_allowance(service, now_ms)
     }
 
     fn has_reserve_retry(&self, service: &str, now_ms: u64) -> bool {
         if now_ms < self.started_ms + self.limits.window_ms + self.slice_ms() {
             return false;
         }
+        let held = self.windows.get(service).map_or(0, |window| window.held.reserve_len());
         let used: u64 = self.recent_slices(service, now_ms).map(|slice| slice.reserve_retries).sum();
         let reserve = BURST_SHARE * self.allowance(service, now_ms) - self.max_saved(service, now_ms);
-        (used + 1) as f64 <= reserve
+        (used + held + 1) as f64 <= reserve && self.is_within_allowance(service, now_ms)
+    }
+
+    /// Returns whether one more retry fits beside all that count now. Held retries were sent at any time, and are bounded
+    /// by neither part of the budget.
+    fn is_within_allowance(&self, service: &str, now_ms: u64) -> bool {
+        let counted = self.counted_retries(service, now_ms);
+        (counted + 1) as f64 <= (PACED_SHARE + BURST_SHARE) * self.allowance(service, now_ms)
+    }
+
+    /// Retries within the last window, and those that are held.
+    fn counted_retries(&self, service: &str, now_ms: u64) -> u64 {
+        self.recent_slices(service, now_ms).map(|slice| slice.retries).sum::<u64>() + self.held(service)
+    }
+
+    fn held(&self, service: &str) -> u64 {
+        self.windows.get(service).map_or(0, |window| window.held.len())
     }
 
     /// Paced retries that this box saves at most.
@@ -190,7 +266,12 @@
 
 impl Window {
     const fn new(started_ms: u64) -> Self {
-        Self { slices: VecDeque::new(), paced: PacedRetries::new(started_ms), total_retries: 0 }
+        Self {
+            slices: VecDeque::new(),
+            paced: PacedRetries::new(started_ms),
+            held: HeldRetries::new(),
+            total_retries: 0,
+        }
     }
 
     /// Removes slices that have left the window, and begins the slice `number`.
--- a/crates/ochreyard-core/tests/direct.rs
+++ b/crates/ochreyard-core/tests/direct.rs
@@ -164,7 +164,7 @@
             now_ms += pause_ms;
             boxes[at].on_request("s", now_ms);
             requests.push(now_ms);
-            if wants_retry && boxes[at].try_take("s", now_ms) {
+            if wants_retry && boxes[at].try_take("s", now_ms).is_some() {
                 retries.push(now_ms);
             }
             let recent = |all: &[u64]| all.iter().filter(|then| **then + 10_000 > now_ms).count() as f64;
--- a/crates/ochreyard-core/tests/retry_budget_model/fleet.rs
+++ b/crates/ochreyard-core/tests/retry_budget_model/fleet.rs
@@ -89,7 +89,7 @@
             }
             while each.due_retries >= 1.0 && each.is_running(now_ms) {
                 each.due_retries -= 1.0;
-                if each.budget.try_take(SERVICE, now_ms) {
+                if each.budget.try_take(SERVICE, now_ms).is_some() {
                     self.arrivals.retries_ms.push(now_ms);
                 }
             }
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{StatusCode, response};
-use ochreyard_core::direct::{AttemptOutcome, Pick};
+use http::{HeaderValue, StatusCode, response};
+use ochreyard_core::direct::{AttemptOutcome, Pick, TakenRetry};
 
 use crate::answer::Answer;
 use crate::caller_request::CallerRequest;
@@ -39,6 +39,11 @@
         /// Backoff that the endpoint asks for, if any, in milliseconds.
         backoff_ms: Option<u64>,
     },
+    /// This process abandoned the attempt before the endpoint sent anything. The request may have run, or arrive later.
+    Abandoned {
+        /// Why it was abandoned.
+        cause: String,
+    },
     /// The request may have run.
     MayHaveRun {
         /// What went wrong.
@@ -51,30 +56,35 @@
     },
 }
 
-/// Sends a request to one endpoint and waits for the head of its answer. `timeout_ms` is the time that the request has
-/// left.
-pub async fn send<D: Dialect>(
+/// Sends a request to one endpoint of a service and waits for the head of its answer. `retry` was taken for it, unless
+/// this is its first attempt; `timeout_ms` is the time that it has left.
+pub fn send<D: Dialect>(
     entry: &Rc<Entry<D>>,
+    service: &str,
     request: &CallerRequest,
     pick: &Pick,
+    retry: Option<TakenRetry>,
     timeout_ms: u64,
-) -> Attempt<D> {
-    let in_flight = InFlightAttempt::start(entry, pick);
+) -> impl Future<Output = Attempt<D>> + use<D> {
+    let (entry, pick, attempt_id) = (Rc::clone(entry), pick.clone(), request.attempt_id.clone());
+    let in_flight = InFlightAttempt::start(&entry, service, &pick, retry);
     let outgoing = request.to_endpoint(entry.dialect.headers(), &pick.id, timeout_ms);
     let deadline_ms = entry.clock.now_ms() + timeout_ms;
-    // An attempt is still polled after its deadline, to read an answer that has arrived.
-    let is_late = || entry.clock.now_ms() >= deadline_ms;
-    let kept = free_connection(entry, pick).await;
-    match exchange(kept, pick.addr, CONNECT_TIMEOUT, || !is_late() && in_flight.try_send(), outgoing).await {
-        Ok(exchanged) => classify(entry, request, pick, in_flight, exchanged),
-        Err(ExchangeError::Lost(error)) => lost(&in_flight, &error),
-        Err(ExchangeError::Unreachable(error)) => unreachable(&in_flight, pick, &error),
-        Err(ExchangeError::Withheld) if is_late() => {
-            in_flight.withhold();
-            Attempt::Withheld
+    async move {
+        // An attempt is still polled after its deadline, to read an answer that has arrived.
+        let is_late = || entry.clock.now_ms() >= deadline_ms;
+        let kept = free_connection(&entry, &pick).await;
+        match exchange(kept, pick.addr, CONNECT_TIMEOUT, || !is_late() && in_flight.try_send(), outgoing).await {
+            Ok(exchanged) => classify(&entry, attempt_id.as_ref(), &pick, in_flight, exchanged),
+            Err(ExchangeError::Lost(error)) => lost(&in_flight, &error),
+            Err(ExchangeError::Unreachable(error)) => unreachable(&in_flight, &pick, &error),
+            Err(ExchangeError::Withheld) if is_late() => {
+                in_flight.withhold();
+                Attempt::Withheld
+            }
+            Err(ExchangeError::Withheld) => withheld(&entry, &pick),
+            Err(ExchangeError::ClosedBeforeSend) => not_sent(&in_flight),
         }
-        Err(ExchangeError::Withheld) => withheld(entry, pick),
-        Err(ExchangeError::ClosedBeforeSend) => not_sent(&in_flight),
     }
 }
 
@@ -116,7 +126,7 @@
 /// Classifies an answer by its head.
 fn classify<D: Dialect>(
     entry: &Rc<Entry<D>>,
-    request: &CallerRequest,
+    attempt_id: Option<&HeaderValue>,
     pick: &Pick,
     in_flight: InFlightAttempt<D>,
     exchanged: Exchanged,
@@ -125,7 +135,7 @@
     let Exchanged { connection, response } = exchanged;
     let (head, body) = response.into_parts();
     in_flight.on_response_bytes();
-    let is_own = head.headers.get(&names.attempt_id) == request.attempt_id.as_ref();
+    let is_own = head.headers.get(&names.attempt_id) == attempt_id;
     let signals = signals::read(&entry.dialect, &head, is_own);
     signals::record(entry, pick, &signals, in_flight.sent_ms().unwrap_or(0));
     let says_not_run = head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST;
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -237,8 +237,11 @@
             };
             let now_ms = self.clock.now_ms();
             let mut state = self.state.borrow_mut();
-            if let EndpointChange::Removed(id) = &change {
-                state.pool.on_removal(id, now_ms);
+            match &change {
+                EndpointChange::Updated(id, record) => {
+                    state.budget.on_restarted(&record.service, id, record.started_ms, now_ms);
+                }
+                EndpointChange::Removed(id) => state.pool.on_removal(id, now_ms),
             }
             state.pool.apply(change);
             if let Some((id, cold_ms)) = cold {
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -17,7 +17,7 @@
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::give_up_reason::GiveUpReason;
-use crate::job::Job;
+use crate::job::{AttemptProgress, Job};
 use crate::refusal;
 use crate::relay;
 use crate::stall_outcome::StallOutcome;
@@ -126,8 +126,11 @@
         work_tokens,
         arrival,
         silent_since_ms: started_ms,
-        attempt_started_ms: started_ms,
-        head_ms: None,
+        progress: AttemptProgress::start(started_ms),
+        retry: None,
+        abandoned_first: None,
+        attempted: None,
+        is_replacing: false,
         has_reached_endpoint: false,
         last_wait_facts: None,
         ahead: 0,
@@ -137,8 +140,6 @@
         may_have_run: false,
         fingerprint: OnceCell::new(),
         prompt_parts: OnceCell::new(),
-        attempt_event_count: 0,
-        good_run_ms: None,
         part_trial: None,
         is_on_trial: false,
         stall_outcome: StallOutcome::new(entry, &service, arrival.is_caller_retry),
--- a/crates/ochreyard-direct/src/in_flight.rs
+++ b/crates/ochreyard-direct/src/in_flight.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use ochreyard_core::direct::{AttemptOutcome, Pick};
+use ochreyard_core::direct::{AbandonedAttempt, AttemptOutcome, Pick, TakenRetry};
 
 use crate::dialect::Dialect;
 use crate::entry::Entry;
@@ -32,20 +32,25 @@
 /// Counts an attempt in the load of its endpoint until dropped.
 pub struct InFlightAttempt<D: Dialect> {
     entry: Rc<Entry<D>>,
+    service: String,
     pick: Pick,
+    /// The retry that was taken for the attempt, unless it is the first one of its request.
+    retry: Option<TakenRetry>,
     stage: Cell<Stage>,
     outcome: Cell<AttemptOutcome>,
     is_answered: Cell<bool>,
 }
 
 impl<D: Dialect> InFlightAttempt<D> {
-    /// Starts an attempt at the picked endpoint.
-    pub fn start(entry: &Rc<Entry<D>>, pick: &Pick) -> Self {
+    /// Starts an attempt at the picked endpoint of a service.
+    pub fn start(entry: &Rc<Entry<D>>, service: &str, pick: &Pick, retry: Option<TakenRetry>) -> Self {
         entry.state.borrow_mut().pool.on_attempt_start(pick);
         let outcome = Cell::new(AttemptOutcome::Unknown);
         Self {
             entry: Rc::clone(entry),
+            service: service.to_owned(),
             pick: pick.clone(),
+            retry,
             stage: Cell::new(Stage::Picked),
             outcome,
             is_answered: Cell::new(false),
@@ -86,9 +91,21 @@
     pub fn on_response_bytes(&self) {
         let now_ms = self.entry.clock.now_ms();
         self.entry.state.borrow_mut().pool.on_response_bytes(&self.pick.id, now_ms);
+        if let Some(sent_ms) = self.sent_ms().filter(|_| !self.is_answered.get()) {
+            self.settle_earlier_attempts(sent_ms, now_ms);
+        }
         self.record_answered();
     }
 
+    /// Attempts that were abandoned at the endpoint have arrived, since it has read a later one.
+    fn settle_earlier_attempts(&self, sent_ms: u64, now_ms: u64) {
+        let incarnation = self.pick.incarnation();
+        let settled = self.entry.state.borrow_mut().budget.on_answered(&self.service, &incarnation, sent_ms, now_ms);
+        if settled > 0 {
+            log::info!("event=abandoned_attempts_arrived endpoint={} retries={settled}", self.pick.id);
+        }
+    }
+
     /// Records once that the endpoint has answered, or will not answer.
     fn record_answered(&self) {
         if !self.is_answered.replace(true) {
@@ -96,13 +113,18 @@
         }
     }
 
-    /// Logs an attempt that this process ended before its endpoint sent anything. The request may still be in buffers on
-    /// its way, and arrive later.
-    fn log_if_abandoned(&self) {
+    /// Records an attempt that this process ended before its endpoint sent anything. The request may still be in buffers
+    /// on its way, and arrive later.
+    fn record_if_abandoned(&self) {
         let Some(sent_ms) = self.sent_ms().filter(|_| self.is_abandoned()) else { return };
         meters::on_abandoned_attempt();
-        let waited_ms = self.entry.clock.now_ms().saturating_sub(sent_ms);
+        let now_ms = self.entry.clock.now_ms();
+        let waited_ms = now_ms.saturating_sub(sent_ms);
         log::info!("event=attempt_abandoned endpoint={} waited_ms={waited_ms}", self.pick.id);
+        if let Some(mut retry) = self.retry {
+            let attempt = AbandonedAttempt { endpoint: self.pick.incarnation(), sent_ms, abandoned_ms: now_ms };
+            self.entry.state.borrow_mut().budget.hold(&self.service, &mut retry, attempt, now_ms);
+        }
     }
 
     /// Returns whether the request was sent, and neither an answer came nor the connection broke.
@@ -122,7 +144,7 @@
         if self.stage.get() == Stage::Picked {
             self.withhold();
         }
-        self.log_if_abandoned();
+        self.record_if_abandoned();
         self.record_answered();
         let now_ms = self.entry.clock.now_ms();
         self.entry.state.borrow_mut().pool.on_attempt_end(&self.pick, self.outcome.get(), now_ms);
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -1,7 +1,9 @@
 //! One caller's request and its attempts, until an endpoint answers or the request is given up.
 
+mod attempt_progress;
 mod choosing;
 mod ending;
+mod replacing;
 
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -10,11 +12,13 @@
 
 use http::Response;
 use ochreyard_core::direct::{
-    Arrival, AttemptOutcome, EndpointIncarnation, Fingerprint, LostPart, LostRequest, PartDecision, PermittedRegions,
-    Pick, Priority, PriorityLevel, PromptPart, QuarantineDecision, Route, RouteKind, WaitFacts, Workspace,
-    is_past_start,
+    AbandonedAttempt, Arrival, AttemptOutcome, EndpointIncarnation, Fingerprint, LostPart, LostRequest, PartDecision,
+    PermittedRegions, Pick, Priority, PriorityLevel, PromptPart, QuarantineDecision, Route, RouteKind, TakenRetry,
+    WaitFacts, Workspace, is_past_start,
 };
 
+pub use self::attempt_progress::AttemptProgress;
+use self::replacing::AttemptEnd;
 use crate::answer::{Answer, caller_response};
 use crate::answer_body::AnswerBody;
 use crate::attempt::{self, Attempt};
@@ -27,10 +31,8 @@
 use crate::meters;
 use crate::part_trial::PartTrial;
 use crate::stall_outcome::StallOutcome;
-use crate::timeout::{poll_after_reads, timeout_after_reads};
+use crate::timeout::timeout_after_reads;
 
-/// Multiple of the route's latency target after which a request leaves an endpoint that sends nothing on any request.
-const SILENCE_TIMEOUT_FACTOR: f64 = 2.5;
 /// Cause logged when a request leaves an endpoint that runs, but slows down its whole group.
 pub const SLOW_ENDPOINT: &str = "its endpoint is slow";
 /// Cause logged when an answer ends with its connection because the endpoint crashed.
@@ -40,8 +42,6 @@
 const CRASH_CHECK_WAIT: Duration = Duration::from_millis(50);
 /// Largest answer that is buffered completely before it goes to its caller.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// How often a request that waits for an answer checks whether its endpoint still sends anything.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How often a stream that gets events is recorded as a good run, in milliseconds.
 const GOOD_RUN_INTERVAL_MS: u64 = 250;
 
@@ -73,10 +73,16 @@
     pub arrival: Arrival,
     /// When the caller last received something: when the head of its request came, or the last event that it got.
     pub silent_since_ms: u64,
-    /// When the last attempt began.
-    pub attempt_started_ms: u64,
-    /// When the head of the last attempt's answer came.
-    pub head_ms: Option<u64>,
+    /// Progress of the last attempt.
+    pub progress: AttemptProgress,
+    /// The retry that was taken for the last attempt, unless that was the first one.
+    pub retry: Option<TakenRetry>,
+    /// The first attempt, if it was abandoned and no retry is held for it yet.
+    pub abandoned_first: Option<AbandonedAttempt>,
+    /// The endpoint of the attempt in flight, if it is not counted yet.
+    pub attempted: Option<Pick>,
+    /// Whether another endpoint is sought while the present one still runs the request.
+    pub is_replacing: bool,
     /// Whether the request has reached an endpoint, so that the next attempt counts as a retry.
     pub has_reached_endpoint: bool,
     /// What was known when the request last found no endpoint.
@@ -95,11 +101,6 @@
     pub fingerprint: OnceCell<Fingerprint>,
     /// Parts of the prompt that other requests may share, computed when first needed.
     pub prompt_parts: OnceCell<Vec<PromptPart>>,
-    /// Number of complete events that the last attempt has delivered.
-    pub attempt_event_count: usize,
-    /// When the run of the last attempt was last recorded as good, which shows that the parts of its prompt do not crash
-    /// endpoints.
-    pub good_run_ms: Option<u64>,
     /// The claim of this request on the trial of its service, if a part of its prompt is suspected.
     pub part_trial: Option<PartTrial<D>>,
     /// Records the outcome of the request, if it met a stalled service.
@@ -125,14 +126,38 @@
     ///
     /// When no further attempt is allowed or useful.
     pub async fn next_answer(&mut self) -> Result<Answer<D>, GiveUpReason> {
+        let pick = self.wait_for_pick(GiveUpReason::NoEndpoint).await?;
+        self.next_answer_from(pick).await
+    }
+
+    /// Sends the request to the endpoint `first`, then to one after the other until one answers.
+    ///
+    /// # Errors
+    ///
+    /// When no further attempt is allowed or useful.
+    pub async fn next_answer_from(&mut self, first: Pick) -> Result<Answer<D>, GiveUpReason> {
         let mut last = GiveUpReason::NoEndpoint;
+        let mut picked = Some(first);
         loop {
-            let pick = self.wait_for_pick(last).await?;
-            let attempt = self.attempt_at(&pick).await;
+            let pick = match picked.take() {
+                Some(pick) => pick,
+                None => self.wait_for_pick(last).await?,
+            };
+            self.attempted = Some(pick.clone());
+            let attempt = match self.attempt_at(&pick).await {
+                Some(AttemptEnd::Replaced(next)) => {
+                    picked = Some(next);
+                    last = GiveUpReason::Failed;
+                    continue;
+                }
+                Some(AttemptEnd::Ended(attempt)) => Some(attempt),
+                None => None,
+            };
+            self.attempted = None;
             self.count_attempt(&pick, attempt.as_ref());
             match attempt {
                 Some(Attempt::Answered(answer)) => {
-                    self.head_ms = Some(self.entry.clock.now_ms());
+                    self.progress.head_ms = Some(self.entry.clock.now_ms());
                     return Ok(*answer);
                 }
                 Some(Attempt::NotSent) => last = GiveUpReason::NoEndpoint,
@@ -144,6 +169,11 @@
                     self.log_failed_attempt(&pick, &format!("not run, status {status}{asked}"));
                     last = GiveUpReason::Full;
                 }
+                Some(Attempt::Abandoned { cause }) => {
+                    self.record_failed_attempt(&pick, &cause);
+                    self.note_abandoned_first(&pick);
+                    last = GiveUpReason::Failed;
+                }
                 Some(Attempt::MayHaveRun { cause }) => {
                     self.record_failed_attempt(&pick, &cause);
                     last = GiveUpReason::Failed;
@@ -161,55 +191,13 @@
     }
 
     /// Sends the request to one endpoint; `None` if the deadline passes first.
-    async fn attempt_at(&mut self, pick: &Pick) -> Option<Attempt<D>> {
+    async fn attempt_at(&mut self, pick: &Pick) -> Option<AttemptEnd<D>> {
         let left_ms = self.time_left_ms();
-        self.attempt_started_ms = self.entry.clock.now_ms();
-        self.head_ms = None;
-        self.attempt_event_count = 0;
-        self.good_run_ms = None;
-        let attempt = attempt::send(&self.entry, &self.request, pick, left_ms);
+        self.progress = AttemptProgress::start(self.entry.clock.now_ms());
+        let attempt = attempt::send(&self.entry, &self.service, &self.request, pick, self.retry, left_ms);
         timeout_after_reads(Duration::from_millis(left_ms), self.watch_for_silence(pick, attempt)).await
     }
 
-    /// Waits for an attempt, but gives it up when its endpoint sends nothing on any request or has become slow, if the
-    /// request may run on another one that can take it.
-    async fn watch_for_silence(&self, pick: &Pick, attempt: impl Future<Output = Attempt<D>>) -> Attempt<D> {
-        let silence_timeout_ms = (self.route.target_latency_ms as f64 * SILENCE_TIMEOUT_FACTOR) as u64;
-        let may_retry_elsewhere = self.route.kind.may_run_again() && self.sent + 1 < self.route.max_attempts;
-        let started_ms = self.entry.clock.now_ms();
-        tokio::pin!(attempt);
-        loop {
-            tokio::select! {
-                // An attempt that has ended counts, however late this is noticed.
-                biased;
-                done = &mut attempt => return done,
-                () = tokio::time::sleep(SILENCE_CHECK_INTERVAL) => {}
-            }
-            let now_ms = self.entry.clock.now_ms();
-            let waited_ms = now_ms - started_ms;
-            let is_silent = || {
-                let now_ms = self.entry.clock.now_ms();
-                self.entry.state.borrow().pool.is_silent(&pick.id, silence_timeout_ms, now_ms)
-            };
-            // The endpoint has not begun to run the request, and need not crash with it.
-            if self.is_quarantined() {
-                return Attempt::MayHaveRun { cause: "quarantined while it waited at the endpoint".to_owned() };
-            }
-            if may_retry_elsewhere && self.should_migrate(pick) {
-                return Attempt::MayHaveRun { cause: SLOW_ENDPOINT.to_owned() };
-            }
-            if may_retry_elsewhere && waited_ms >= silence_timeout_ms && is_silent() {
-                if let Some(done) = poll_after_reads(attempt.as_mut()).await {
-                    return done;
-                }
-                // Answers to other requests may have been read meanwhile.
-                if is_silent() && self.may_leave(pick) {
-                    return Attempt::MayHaveRun { cause: format!("silent for {waited_ms} ms") };
-                }
-            }
-        }
-    }
-
     /// Returns whether the request should leave a slow endpoint, with a retry left to run elsewhere. A trial run stays.
     pub fn should_migrate(&self, pick: &Pick) -> bool {
         let now_ms = self.entry.clock.now_ms();
@@ -219,6 +207,13 @@
             && state.budget.has_retry(&self.service, now_ms)
     }
 
+    /// Counts the attempt that was in flight when [`Self::next_answer`] was cancelled, if there was one.
+    pub fn count_cancelled_attempt(&mut self) {
+        if let Some(pick) = self.attempted.take() {
+            self.count_attempt(&pick, None);
+        }
+    }
+
     /// Counts an attempt. An endpoint that was not reached never received the request. If the whole group is stalled,
     /// the rank is not at fault, and may be tried again once the group resumes.
     fn count_attempt(&mut self, pick: &Pick, attempt: Option<&Attempt<D>>) {
@@ -291,7 +286,7 @@
     /// Records that the request was served, and how long that took.
     pub fn record_success(&mut self) {
         self.stall_outcome.on_served();
-        let took_ms = self.entry.clock.now_ms().saturating_sub(self.attempt_started_ms);
+        let took_ms = self.entry.clock.now_ms().saturating_sub(self.progress.started_ms);
         let mut state = self.entry.state.borrow_mut();
         state.queue(&self.service).service_time.record(took_ms);
         let is_any_suspected = !state.quarantine.is_empty();
@@ -304,10 +299,10 @@
     /// Records complete events that an endpoint has sent. Once its run has got past the start of the answer, the parts of
     /// its prompt are known not to crash endpoints.
     pub fn record_events(&mut self, count: usize) {
-        self.attempt_event_count += count;
+        self.progress.event_count += count;
         let now_ms = self.entry.clock.now_ms();
-        let is_due = self.good_run_ms.is_none_or(|good_ms| now_ms >= good_ms + GOOD_RUN_INTERVAL_MS);
-        if is_due && self.head_ms.is_some_and(|head_ms| is_past_start(now_ms.saturating_sub(head_ms))) {
+        let is_due = self.progress.good_run_ms.is_none_or(|good_ms| now_ms >= good_ms + GOOD_RUN_INTERVAL_MS);
+        if is_due && self.progress.head_ms.is_some_and(|head_ms| is_past_start(now_ms.saturating_sub(head_ms))) {
             self.record_good_run();
         }
     }
@@ -315,7 +310,7 @@
     /// Records that the parts of the prompt do not crash endpoints.
     pub fn record_good_run(&mut self) {
         let now_ms = self.entry.clock.now_ms();
-        let is_new_run = self.good_run_ms.replace(now_ms).is_none();
+        let is_new_run = self.progress.good_run_ms.replace(now_ms).is_none();
         let is_trial = self.part_trial.is_some();
         self.entry.on_good_run(self.prompt_parts(), is_new_run, is_trial);
         self.part_trial = None;
@@ -338,7 +333,7 @@
             is_trial: self.part_trial.is_some(),
             parts: self.suspicious_parts(lost_ms),
         };
-        let (id, event_count) = (self.id().to_owned(), self.attempt_event_count);
+        let (id, event_count) = (self.id().to_owned(), self.progress.event_count);
         let parts: Vec<String> = self.prompt_parts().iter().map(|part| part.id().to_owned()).collect();
         let check = tokio::task::spawn_local(async move {
             let found = crash_check::check(&entry, &pick, lost_ms).await;
@@ -360,7 +355,7 @@
     /// Returns the parts of the prompt that may have crashed the endpoint of the last attempt: none if its run had not
     /// begun, or had got past the start of the answer.
     fn suspicious_parts(&self, now_ms: u64) -> Vec<LostPart> {
-        if self.ran_ms(now_ms).is_none() || self.good_run_ms.is_some() {
+        if self.ran_ms(now_ms).is_none() || self.progress.good_run_ms.is_some() {
             return Vec::new();
         }
         self.entry.state.borrow().quarantine.lost_parts(self.prompt_parts(), now_ms)
@@ -379,7 +374,7 @@
     /// comes when its run begins; other answers send nothing before the end.
     fn ran_ms(&self, now_ms: u64) -> Option<u64> {
         let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
-        let began_ms = if is_stream { self.head_ms } else { Some(self.attempt_started_ms) };
+        let began_ms = if is_stream { self.progress.head_ms } else { Some(self.progress.started_ms) };
         began_ms.map(|began_ms| now_ms.saturating_sub(began_ms))
     }
 
--- /dev/null
+++ b/crates/ochreyard-direct/src/job/attempt_progress.rs
@@ -0,0 +1,21 @@
+//! How far an attempt has come.
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptProgress {
+    /// When the attempt began.
+    pub started_ms: u64,
+    /// When the head of its answer came.
+    pub head_ms: Option<u64>,
+    /// Number of complete events that it has delivered.
+    pub event_count: usize,
+    /// When its run was last recorded as good, which shows that the parts of its prompt do not crash endpoints.
+    pub good_run_ms: Option<u64>,
+}
+
+impl AttemptProgress {
+    /// Returns the progress of an attempt that begins.
+    pub const fn start(now_ms: u64) -> Self {
+        Self { started_ms: now_ms, head_ms: None, event_count: 0, good_run_ms: None }
+    }
+}
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -17,7 +17,7 @@
 use crate::queue_slot::{QueueSlot, WaitEnd};
 
 /// How often a waiting request looks for a free endpoint: well under the time of an engine step.
-const PICK_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+pub(super) const PICK_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of failed attempts after which a request that reached no endpoint is given up, if the attempts took as long
 /// as the latency target.
 const MAX_SLOW_FAILURES: usize = 4;
@@ -28,7 +28,7 @@
 const MIN_ATTEMPT_MS: u64 = 30;
 
 /// Why no endpoint was picked for a request.
-enum NotPicked {
+pub(super) enum NotPicked {
     /// The request waits for an endpoint.
     Wait,
     /// The request waits for the trial of a part of its prompt, and keeps no other request from an endpoint meanwhile.
@@ -63,7 +63,12 @@
                 }
                 Err(NotPicked::Wait) => {
                     if slot.is_none() {
-                        slot = Some(QueueSlot::join(&self.entry, self.id(), &self.pending_request()));
+                        let joined = QueueSlot::join(&self.entry, self.id(), &self.pending_request());
+                        if self.is_replacing {
+                            // The wait ends if the present endpoint goes on.
+                            joined.set_end(WaitEnd::Abandoned);
+                        }
+                        slot = Some(joined);
                         if self.is_service_stalled() {
                             self.stall_outcome.on_held();
                         }
@@ -95,7 +100,7 @@
             || failures >= MAX_FAST_FAILURES
     }
 
-    fn pick_next(&mut self, last: GiveUpReason, slot: Option<&QueueSlot<D>>) -> Result<Pick, NotPicked> {
+    pub(super) fn pick_next(&mut self, last: GiveUpReason, slot: Option<&QueueSlot<D>>) -> Result<Pick, NotPicked> {
         let now_ms = self.entry.clock.now_ms();
         if self.may_have_run && !self.route.kind.may_run_again() {
             return Err(GiveUpReason::Failed.into());
@@ -113,7 +118,11 @@
         self.claim_part_trial(now_ms)?;
         let entry = Rc::clone(&self.entry);
         let mut state = entry.state.borrow_mut();
-        if self.has_reached_endpoint && !state.budget.has_retry(&self.service, now_ms) {
+        let has_retry = match &self.abandoned_first {
+            Some(_) => state.budget.has_holdable_retry(&self.service, now_ms),
+            None => state.budget.has_retry(&self.service, now_ms),
+        };
+        if self.has_reached_endpoint && !has_retry {
             return Err(GiveUpReason::Budget.into());
         }
         let boxes = state.boxes.len() as u64 + 1;
@@ -122,8 +131,12 @@
         let queue = queue_of(queues, &self.service);
         match queue.decide(pool, boxes, &request, entry.next_random(), now_ms) {
             DispatchDecision::Send(pick) => {
-                if self.has_reached_endpoint && state.budget.try_take(&self.service, now_ms) {
+                self.retry = self.has_reached_endpoint.then(|| state.budget.try_take(&self.service, now_ms)).flatten();
+                if let Some(retry) = &mut self.retry {
                     meters::on_retry(&self.service);
+                    if let Some(attempt) = self.abandoned_first.take() {
+                        state.budget.hold(&self.service, retry, attempt, now_ms);
+                    }
                 }
                 drop(state);
                 if is_trial {
@@ -216,7 +229,7 @@
         if is_patient { NotPicked::Hold } else { GiveUpReason::Quarantined { part, left_ms }.into() }
     }
 
-    fn pending_request(&self) -> PendingRequest<'_> {
+    pub(super) fn pending_request(&self) -> PendingRequest<'_> {
         PendingRequest {
             service: &self.service,
             permitted_regions: &self.permitted_regions,
@@ -247,24 +260,19 @@
             && self.pick_other(&state.pool, &self.tried, now_ms).is_ok()
     }
 
-    /// Returns whether the request may leave a silent endpoint, which may still answer: only if another one can take it
-    /// within its time. If the others are full, it leaves and competes for their slots in the queue, unless this process
-    /// is stopping and its queue is refused. The trial run of a suspected request stays: its outcome at this endpoint
-    /// decides, and it must not end a second one.
+    /// Returns whether the request may leave a silent endpoint, as far as another one may take it within its time. The
+    /// trial run of a suspected request stays: its outcome at this endpoint decides, and it must not end a second one.
     pub fn may_leave(&self, pick: &Pick) -> bool {
         let now_ms = self.entry.clock.now_ms();
         let state = self.entry.state.borrow();
-        if self.is_on_trial || self.time_left_ms() < MIN_ATTEMPT_MS || !state.budget.has_retry(&self.service, now_ms) {
+        let has_retry = state.budget.has_holdable_retry(&self.service, now_ms);
+        if self.is_on_trial || self.time_left_ms() < MIN_ATTEMPT_MS || !has_retry {
             return false;
         }
         let tried: Vec<_> = self.tried.iter().cloned().chain([pick.incarnation()]).collect();
-        let may_wait = !self.entry.is_refusing.get();
         match self.pick_other(&state.pool, &tried, now_ms) {
-            Ok(_) => true,
-            Err(PickError::Full) => may_wait,
-            Err(PickError::Limited { until_ms } | PickError::Paused { until_ms }) => {
-                may_wait && until_ms < self.deadline_ms
-            }
+            Ok(_) | Err(PickError::Full) => true,
+            Err(PickError::Limited { until_ms } | PickError::Paused { until_ms }) => until_ms < self.deadline_ms,
             Err(PickError::NoEndpoint | PickError::Stalled) => false,
         }
     }
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -108,6 +108,7 @@
         let gauge = |name: &'static str| metrics::gauge!(name, "service" => service.to_owned());
         gauge("ochreyard_direct_recent_requests").set(usage.requests as f64);
         gauge("ochreyard_direct_recent_repeats").set(usage.retries as f64);
+        gauge("ochreyard_direct_held_repeats").set(usage.held as f64);
         gauge("ochreyard_direct_budget_boxes").set(usage.boxes as f64);
     }
     for (service, queue) in &state.queues {
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -171,6 +171,7 @@
         let mut state = entry.state.borrow_mut();
         state.connections.sweep(now_ms);
         state.pool.remove_ended_limits(now_ms);
+        state.budget.expire_held(now_ms);
         let is_any_suspected = !state.quarantine.is_empty();
         drop(state);
         if is_any_suspected {
@@ -191,9 +192,10 @@
         }
         logged_retries.insert(service.to_owned(), usage.total_retries);
         log::info!(
-            "event=retries_sent service={service} requests={} retries={} total={} boxes={} process_age_ms={}",
+            "event=retries_sent service={service} requests={} retries={} held={} total={} boxes={} process_age_ms={}",
             usage.requests,
             usage.retries,
+            usage.held,
             usage.total_retries,
             usage.boxes,
             now_ms.saturating_sub(entry.started_ms)
