Keep a stream at its silent endpoint until another one has taken it

Callers saw streams break off whose endpoint would have finished them: during a planned stop of their box (2.6 s after SIGTERM, with most of the grace period left), around SIGHUP, and with no planned work at all. Cause: the connection to a silent or slow endpoint was closed first, and the stream waited for another one then. Whatever ended the wait ended the stream: a box that refuses waiting requests, full endpoints, a spent retry budget, an endpoint that answers with an error.

A stream now seeks another endpoint while it goes on reading from the present one. It moves when another one has answered; if the silent one sends anything before, or no other one takes the stream, it stays. A slow endpoint is left only for one with room now. And a request that an endpoint has got is not refused while its box stops: it is under way and has the rest of the grace period.

--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -112,7 +112,8 @@
         if self.time_left_ms() < MIN_ATTEMPT_MS {
             return Err(GiveUpReason::TimeUp.into());
         }
-        if slot.is_some() && self.entry.is_refusing.get() {
+        // A request that an endpoint has got is under way, and has the rest of the grace period.
+        if slot.is_some() && self.entry.is_refusing.get() && !self.has_reached_endpoint {
             return Err(GiveUpReason::Leaving.into());
         }
         self.claim_part_trial(now_ms)?;
@@ -221,7 +222,7 @@
 
     /// Returns how a request goes on that waits for the trial of a part, which ends within `left_ms`.
     fn hold_for_trial(&self, part: Option<Fingerprint>, left_ms: u64, now_ms: u64) -> NotPicked {
-        if self.entry.is_refusing.get() {
+        if self.entry.is_refusing.get() && !self.has_reached_endpoint {
             return GiveUpReason::Leaving.into();
         }
         let is_patient =
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -6,13 +6,14 @@
 use futures::StreamExt;
 use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use ochreyard_core::direct::{AttemptOutcome, EventSplitter, LateReads, Pick, RouteKind};
 
 use crate::answer::{Answer, caller_response};
 use crate::answer_body::{AnswerAborted, AnswerBody};
 use crate::dialect::Dialect;
 use crate::give_up_reason::GiveUpReason;
-use crate::job::{ENDED_WITH_ENDPOINT, Job, SLOW_ENDPOINT};
+use crate::job::{AttemptProgress, ENDED_WITH_ENDPOINT, Job, SLOW_ENDPOINT};
 use crate::meters;
 use crate::timeout::timeout_after_reads;
 
@@ -29,8 +30,14 @@
     let seen = job.request.headers.get(last_event).and_then(|value| value.to_str().ok()).map(str::to_owned);
     let head = answer.head.clone();
     meters::on_stream_start(&job.service, job.elapsed_ms());
-    let relay =
-        Relay { job, answer: Some(answer), splitter: EventSplitter::new(seen), late_reads: None, event_count: 0 };
+    let relay = Relay {
+        job,
+        answer: Some(answer),
+        splitter: EventSplitter::new(seen),
+        late_reads: None,
+        event_count: 0,
+        next_search_ms: 0,
+    };
     let pieces = futures::stream::unfold(relay, |mut relay| async move {
         let piece = relay.next_events().await?;
         Some((piece, relay))
@@ -46,6 +53,8 @@
     late_reads: Option<LateReads>,
     /// Number of complete events that the caller got.
     event_count: usize,
+    /// When another endpoint may be sought again, after none was found.
+    next_search_ms: u64,
 }
 
 enum Step {
@@ -88,19 +97,32 @@
 
     async fn step(&mut self) -> Step {
         let is_slow = self.answer.as_ref().is_some_and(|answer| self.job.should_migrate(&answer.pick));
-        if is_slow && self.may_resume() {
-            return Step::Broken { cause: SLOW_ENDPOINT.to_owned(), is_lost: false };
+        if is_slow && self.may_search() {
+            return self.replace_slow_endpoint().await;
         }
+        let silence_timeout_ms = self.gap_ms() * SILENCE_TIMEOUT_GAPS;
         let Some(answer) = self.answer.as_mut() else { return Step::End };
         let now_ms = self.job.entry.clock.now_ms();
         let left_ms = self.job.deadline_ms.saturating_sub(now_ms);
         if left_ms == 0 && !self.late_reads.get_or_insert(LateReads::start(now_ms)).may_read(now_ms) {
             return Step::TimeUp;
         }
-        let silence_timeout_ms = self.job.route.target_gap_ms.unwrap_or(DEFAULT_GAP_MS) * SILENCE_TIMEOUT_GAPS;
         let wait = Duration::from_millis(left_ms.min(silence_timeout_ms));
         match timeout_after_reads(wait, answer.body.frame()).await {
-            Some(Some(Ok(frame))) => {
+            Some(frame) => self.on_frame(frame).await,
+            None if self.job.time_left_ms() == 0 => Step::TimeUp,
+            None if answer.in_flight.is_silent(silence_timeout_ms) && self.may_leave_endpoint() => {
+                self.replace_silent_endpoint(silence_timeout_ms).await
+            }
+            None => Step::Partial,
+        }
+    }
+
+    /// Handles what the endpoint has sent: a piece, a failure, or the end of the answer.
+    async fn on_frame(&mut self, frame: BodyRead) -> Step {
+        let Some(answer) = self.answer.as_mut() else { return Step::End };
+        match frame {
+            Some(Ok(frame)) => {
                 answer.in_flight.on_response_bytes();
                 let data = frame.into_data().unwrap_or_default();
                 let complete = self.splitter.push(&data);
@@ -113,14 +135,14 @@
                 }
                 if complete.count == 0 { Step::Partial } else { Step::Events(complete.bytes) }
             }
-            Some(Some(Err(error))) => Step::Broken { cause: error.to_string(), is_lost: true },
-            Some(None) if self.splitter.has_partial_event() => {
+            Some(Err(error)) => Step::Broken { cause: error.to_string(), is_lost: true },
+            None if self.splitter.has_partial_event() => {
                 Step::Broken { cause: "stream ended within an event".to_owned(), is_lost: true }
             }
-            Some(None) if answer.ends_with_connection() && self.job.has_crashed(&answer.pick).await => {
+            None if answer.ends_with_connection() && self.job.has_crashed(&answer.pick).await => {
                 Step::Broken { cause: ENDED_WITH_ENDPOINT.to_owned(), is_lost: true }
             }
-            Some(None) => {
+            None => {
                 answer.in_flight.set_outcome(AttemptOutcome::Success);
                 self.job.record_success();
                 self.job.record_good_run();
@@ -131,14 +153,86 @@
                 }
                 Step::End
             }
-            None if self.job.time_left_ms() == 0 => Step::TimeUp,
-            None if answer.in_flight.is_silent(silence_timeout_ms) && self.may_leave_endpoint() => {
-                Step::Broken { cause: format!("silent for {silence_timeout_ms} ms"), is_lost: false }
+        }
+    }
+
+    /// Seeks another endpoint for the stream. The silent one keeps it until another one has answered, and if it sends
+    /// anything before.
+    async fn replace_silent_endpoint(&mut self, silent_ms: u64) -> Step {
+        let progress = self.begin_search();
+        let Some(answer) = self.answer.as_mut() else { return Step::End };
+        let (read, found) = seek_while_reading(&mut self.job, answer).await;
+        self.end_search();
+        match (read, found) {
+            (_, Some(Ok(found))) if found.head.status.is_success() => {
+                self.switch_to(found, &format!("silent for {silent_ms} ms"))
+            }
+            (read, _) => {
+                self.keep_endpoint(progress);
+                match read {
+                    Some(read) => self.on_frame(read).await,
+                    None => Step::Partial,
+                }
+            }
+        }
+    }
+
+    /// Moves the stream from a slow endpoint to another one that has room now. The slow one keeps it if none takes it.
+    async fn replace_slow_endpoint(&mut self) -> Step {
+        let progress = self.begin_search();
+        let found = match self.job.try_pick() {
+            Some(pick) => self.job.next_answer_from(pick).await.ok(),
+            None => None,
+        };
+        self.end_search();
+        match found {
+            Some(found) if found.head.status.is_success() => self.switch_to(found, SLOW_ENDPOINT),
+            _ => {
+                self.keep_endpoint(progress);
+                Step::Partial
             }
-            None => Step::Partial,
         }
     }
 
+    /// Prepares the request for another endpoint. Returns the progress of the present attempt.
+    fn begin_search(&mut self) -> AttemptProgress {
+        self.set_last_event_id();
+        self.job.is_replacing = true;
+        // The present run is not undone by a failure of the next one.
+        self.job.may_have_run = true;
+        self.job.progress
+    }
+
+    fn end_search(&mut self) {
+        self.job.is_replacing = false;
+        self.job.count_cancelled_attempt();
+    }
+
+    /// Goes on with the present endpoint, since no other one took the stream in time.
+    fn keep_endpoint(&mut self, progress: AttemptProgress) {
+        self.job.progress = progress;
+        self.next_search_ms = self.job.entry.clock.now_ms() + self.gap_ms() * SILENCE_TIMEOUT_GAPS;
+    }
+
+    /// Goes on with the answer of another endpoint.
+    fn switch_to(&mut self, found: Answer<D>, cause: &str) -> Step {
+        if let Some(pick) = self.drop_answer() {
+            self.job.record_failed_attempt(&pick, cause);
+        }
+        self.answer = Some(found);
+        Step::Partial
+    }
+
+    /// Target of the route for the gap between two events, in milliseconds.
+    fn gap_ms(&self) -> u64 {
+        self.job.route.target_gap_ms.unwrap_or(DEFAULT_GAP_MS)
+    }
+
+    /// Returns whether another endpoint may be sought now.
+    fn may_search(&self) -> bool {
+        self.may_resume() && self.job.entry.clock.now_ms() >= self.next_search_ms
+    }
+
     fn may_resume(&self) -> bool {
         let resumable = self.job.route.kind == RouteKind::Stream { resumable: true };
         resumable && self.job.sent < self.job.route.max_attempts
@@ -146,7 +240,7 @@
 
     /// Returns whether the stream may be resumed, and another endpoint can take it now.
     fn may_leave_endpoint(&self) -> bool {
-        self.may_resume() && self.answer.as_ref().is_some_and(|answer| self.job.may_leave(&answer.pick))
+        self.may_search() && self.answer.as_ref().is_some_and(|answer| self.job.may_leave(&answer.pick))
     }
 
     /// Drops the current answer, which closes its connection.
@@ -167,10 +261,7 @@
         if !self.may_resume() {
             return Err(GiveUpReason::Failed);
         }
-        if let Some(last) = self.splitter.last_id().and_then(|id| HeaderValue::from_str(id).ok()) {
-            let name = self.job.entry.dialect.headers().last_event_id.clone();
-            self.job.request.headers.insert(name, last);
-        }
+        self.set_last_event_id();
         let answer = self.job.next_answer().await?;
         if !answer.head.status.is_success() {
             return Err(GiveUpReason::Failed);
@@ -179,12 +270,41 @@
         Ok(())
     }
 
+    /// Lets the next endpoint begin after the last complete event.
+    fn set_last_event_id(&mut self) {
+        if let Some(last) = self.splitter.last_id().and_then(|id| HeaderValue::from_str(id).ok()) {
+            let name = self.job.entry.dialect.headers().last_event_id.clone();
+            self.job.request.headers.insert(name, last);
+        }
+    }
+
     fn abort_stream(&self, pick: &Pick, cause: &str) -> Option<Result<Bytes, AnswerAborted>> {
         self.job.record_broken_stream(pick, self.event_count, cause);
         Some(Err(AnswerAborted))
     }
 }
 
+/// What a read of an answer's body returns; `None` at its end.
+type BodyRead = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+/// Seeks another endpoint until the present one sends something, other than a failure of its connection. Returns what it
+/// has sent, and what was found, unless the search was cancelled.
+async fn seek_while_reading<D: Dialect>(
+    job: &mut Job<D>,
+    answer: &mut Answer<D>,
+) -> (Option<BodyRead>, Option<Result<Answer<D>, GiveUpReason>>) {
+    let found = job.next_answer();
+    tokio::pin!(found);
+    tokio::select! {
+        biased;
+        read = answer.body.frame() => {
+            let has_failed = matches!(read, Some(Err(_)));
+            (Some(read), if has_failed { Some(found.await) } else { None })
+        }
+        found = &mut found => (None, Some(found)),
+    }
+}
+
 impl<D: Dialect> Drop for Relay<D> {
     /// Logs a stream that ends with neither its last event nor a failure.
     fn drop(&mut self) {
