Probe a silent endpoint with one request after a backoff

Boxes went on sending requests to an endpoint that had sent nothing since others left it: each waited there for 2.5 latency targets and used a retry, or half of the allowance was held and the request waited until its deadline. A silent endpoint is now avoided like an unreachable one, 0.5 to 4 s, and then gets one request that shows whether it goes on. Anything that it sends ends that.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
@@ -49,6 +49,13 @@
         self.members.get(id).is_none_or(|member| member.is_silent(for_ms, now_ms))
     }
 
+    /// Records that a request was moved to another endpoint, since the picked one is silent.
+    pub fn on_left_silent(&mut self, pick: &Pick, now_ms: u64) {
+        if let Some(member) = self.picked_member_mut(pick) {
+            member.on_left_silent(now_ms);
+        }
+    }
+
     /// Applies what the picked endpoint reported about itself in a response. A report of an earlier incarnation does
     /// not count for the current one.
     pub fn on_signals(&mut self, pick: &Pick, signals: &EndpointSignals, now_ms: u64) {
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -20,9 +20,9 @@
 /// three in ten endpoints rejected nine in ten requests for nine seconds. The rejections of a stalled group expire soon
 /// after it resumes.
 const REJECTION_LIFETIME_MS: f64 = 1_000.0;
-/// The first backoff after an endpoint was unreachable, in milliseconds.
+/// The first backoff after an endpoint was unreachable or left silent, in milliseconds.
 const INITIAL_EJECTION_MS: u64 = 500;
-/// The longest backoff after an endpoint was unreachable, in milliseconds.
+/// The longest such backoff, in milliseconds.
 const MAX_EJECTION_MS: u64 = 4_000;
 /// Limits the exponent of the backoff so that the shift stays within a `u64`, well beyond [`MAX_EJECTION_MS`].
 const MAX_DOUBLINGS: u32 = 8;
@@ -76,6 +76,10 @@
     rejected_ms: Option<u64>,
     ejected_until_ms: u64,
     last_activity_ms: u64,
+    /// How often requests were moved to another endpoint because this one was silent, since it last sent anything.
+    left_silent_count: u32,
+    /// Until when it gets no request that would show whether it goes on.
+    no_probe_until_ms: u64,
 }
 
 impl Member {
@@ -102,6 +106,8 @@
             rejected_ms: None,
             ejected_until_ms: 0,
             last_activity_ms: 0,
+            left_silent_count: 0,
+            no_probe_until_ms: 0,
             group: None,
             pace_permille: NORMAL_PACE_PERMILLE,
         }
@@ -247,6 +253,19 @@
     /// Records a sign of life of the endpoint.
     pub const fn on_activity(&mut self, now_ms: u64) {
         self.last_activity_ms = now_ms;
+        self.left_silent_count = 0;
+    }
+
+    /// Records that a request was moved to another endpoint, since this one is silent.
+    pub fn on_left_silent(&mut self, now_ms: u64) {
+        self.no_probe_until_ms = now_ms + backoff_ms(self.left_silent_count);
+        self.left_silent_count += 1;
+    }
+
+    /// Returns whether the endpoint is silent, and either a request waits there that will show when it goes on, or it is
+    /// too early for the next one.
+    pub const fn is_unresponsive(&self, now_ms: u64) -> bool {
+        self.left_silent_count > 0 && (self.unanswered > 0 || now_ms < self.no_probe_until_ms)
     }
 
     /// Applies a load reported by the endpoint or by its leader.
@@ -279,8 +298,7 @@
         };
         self.failures += FAILURE_WEIGHT * (failed - self.failures);
         if outcome == AttemptOutcome::Unreachable {
-            let doublings = self.unreachable_count.min(MAX_DOUBLINGS);
-            self.ejected_until_ms = now_ms + (INITIAL_EJECTION_MS << doublings).min(MAX_EJECTION_MS);
+            self.ejected_until_ms = now_ms + backoff_ms(self.unreachable_count);
             self.unreachable_count += 1;
             self.cold.on_possible_restart(self.ejected_until_ms);
         } else if outcome == AttemptOutcome::Success {
@@ -289,3 +307,8 @@
         }
     }
 }
+
+/// Returns for how long an endpoint is avoided after a failure that followed this number of others in a row.
+fn backoff_ms(failures: u32) -> u64 {
+    (INITIAL_EJECTION_MS << failures.min(MAX_DOUBLINGS)).min(MAX_EJECTION_MS)
+}
--- a/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
@@ -68,8 +68,8 @@
     }
 
     /// Picks the least loaded of a few randomly sampled endpoints of a service that are in an allowed region, not in
-    /// `tried`, and in no group whose stream limit keeps the request out. Endpoints that were unreachable, slow or
-    /// stalled are used only if no other is left. Endpoints that asked for a backoff are never used.
+    /// `tried`, and in no group whose stream limit keeps the request out. Endpoints that were unreachable, slow,
+    /// silent or stalled are used only if no other is left. Endpoints that asked for a backoff are never used.
     ///
     /// # Errors
     ///
@@ -168,7 +168,10 @@
     }
 
     fn is_healthy(&self, member: &Member, now_ms: u64) -> bool {
-        !member.is_ejected(now_ms) && !member.is_slow(now_ms) && self.is_serving(member, now_ms)
+        !member.is_ejected(now_ms)
+            && !member.is_slow(now_ms)
+            && !member.is_unresponsive(now_ms)
+            && self.is_serving(member, now_ms)
     }
 
     /// Returns whether all reachable groups of a service are known to be stalled or broken.
--- a/crates/ochreyard-core/tests/endpoint_pool.rs
+++ b/crates/ochreyard-core/tests/endpoint_pool.rs
@@ -50,6 +50,29 @@
     assert_eq!(pool.pick("other", &[], Urgency::OnTime, 0, 0), Err(PickError::NoEndpoint));
 }
 
+/// Guards against requests that are sent to a silent endpoint one after the other, each to wait there in vain.
+#[test]
+fn a_silent_endpoint_gets_one_request_after_each_backoff_until_it_goes_on() {
+    let mut pool = pool([1, 2]);
+    let picks_silent_one = |pool: &EndpointPool, now_ms| {
+        (0..32).any(|random| pool.pick("tiles", &[], Urgency::OnTime, random, now_ms).is_ok_and(|pick| pick.id == "e1"))
+    };
+    // The other endpoint is loaded, so that the silent one would be the better choice.
+    (0..4).for_each(|_| pool.on_attempt_start(&pick_of("e2", Urgency::OnTime)));
+    let silent = pick_of("e1", Urgency::OnTime);
+    pool.on_left_silent(&silent, 1_000);
+    assert!(!picks_silent_one(&pool, 1_499));
+    assert!(picks_silent_one(&pool, 1_500));
+    pool.on_attempt_start(&silent);
+    assert!(!picks_silent_one(&pool, 1_500));
+    pool.on_left_silent(&silent, 2_250);
+    pool.on_answered(&silent);
+    pool.on_attempt_end(&silent, AttemptOutcome::Unknown, 2_250);
+    assert!(!picks_silent_one(&pool, 3_249));
+    pool.on_response_bytes("e1", 3_249);
+    assert!(picks_silent_one(&pool, 3_249));
+}
+
 #[rstest]
 #[case::of_2(2)]
 #[case::of_12(12)]
--- a/crates/ochreyard-direct/src/job/replacing.rs
+++ b/crates/ochreyard-direct/src/job/replacing.rs
@@ -78,6 +78,9 @@
         let cause = self.reason_to_leave(pick)?;
         let next = self.pick_replacement(pick, slot)?;
         self.log_failed_attempt(pick, &cause);
+        if cause != SLOW_ENDPOINT {
+            self.record_left_silent(pick);
+        }
         Some(AttemptEnd::Replaced(next))
     }
 
@@ -125,6 +128,12 @@
         picked.ok()
     }
 
+    /// Records that the request was moved to another endpoint, since this one is silent.
+    pub fn record_left_silent(&self, pick: &Pick) {
+        let now_ms = self.entry.clock.now_ms();
+        self.entry.state.borrow_mut().pool.on_left_silent(pick, now_ms);
+    }
+
     /// Picks an endpoint that has room now, with a retry for it.
     pub fn try_pick(&mut self) -> Option<Pick> {
         self.pick_next(GiveUpReason::Failed, None).ok()
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -165,6 +165,9 @@
         self.end_search();
         match (read, found) {
             (_, Some(Ok(found))) if found.head.status.is_success() => {
+                if let Some(answer) = &self.answer {
+                    self.job.record_left_silent(&answer.pick);
+                }
                 self.switch_to(found, &format!("silent for {silent_ms} ms"))
             }
             (read, _) => {
