Read the configuration in a box that reads endpoint records for others

A follower that alone reached the log ran requests by an old configuration, with a key that had been taken away, for as long as the two readers were cut off. It read the endpoint records once its own were too old; the boxes that were cut off took them over, and told them back as fresh. A fresh answer of another box counted as being kept current, so the follower did not read the configuration.

A box that reads the endpoint records although it is no reader now reads the configuration with them: what boxes tell each other as fresh is then true of both.

--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -57,6 +57,8 @@
     pub outbox: Outbox,
     /// Notified when the platform's log answers again after an outage.
     pub log_reachable_again: Notify,
+    /// Notified when this box has read the endpoint records although it is no reader.
+    pub config_read_due: Notify,
     /// Number of times that the platform's log was restored from an older copy since this box started.
     pub log_restores: watch::Sender<u64>,
     /// Whether this box is a seed of the others, so that it reads the log at once.
@@ -99,6 +101,7 @@
             crash_checks: CrashChecks::default(),
             outbox: Outbox::default(),
             log_reachable_again: Notify::new(),
+            config_read_due: Notify::new(),
             log_restores: watch::Sender::new(0),
             is_seed: Cell::new(true),
             has_no_seeds: Cell::new(true),
--- a/crates/ochreyard-direct/src/follow/config.rs
+++ b/crates/ochreyard-direct/src/follow/config.rs
@@ -24,7 +24,10 @@
     let mut retry_backoff = LogRetryBackoff::default();
     entry.wait_for_start_delay().await;
     'outage: loop {
-        entry.wait_while_updated_by_peers().await;
+        tokio::select! {
+            () = entry.wait_while_updated_by_peers() => {}
+            () = entry.config_read_due.notified() => {}
+        }
         let listing = log.newest(Topic::Config).await;
         let Some(page) = record_log_result(&entry, &log, listing) else {
             tokio::time::sleep(entry.retry_delay(&mut retry_backoff)).await;
@@ -40,7 +43,11 @@
                 ReadRole::Reader => READER_LONG_POLL_MS,
                 ReadRole::Relay => RELAY_LONG_POLL_MS,
                 ReadRole::Follower => {
-                    tokio::time::sleep(entry.retry_delay(&mut retry_backoff)).await;
+                    let delay = entry.retry_delay(&mut retry_backoff);
+                    if tokio::time::timeout(delay, entry.config_read_due.notified()).await.is_ok() {
+                        // The next wait would miss it.
+                        entry.config_read_due.notify_one();
+                    }
                     continue 'outage;
                 }
             };
--- a/crates/ochreyard-direct/src/follow/endpoints.rs
+++ b/crates/ochreyard-direct/src/follow/endpoints.rs
@@ -57,8 +57,15 @@
 
 /// Keeps the endpoint records fresh for one pause; `false` if the log failed.
 async fn refresh<D: Dialect, L: KeyedLog>(entry: &Rc<Entry<D>>, log: &L) -> bool {
-    if wait_until_read_due(entry).await && !read_changes(entry, log).await {
-        return false;
+    if wait_until_read_due(entry).await {
+        if !read_changes(entry, log).await {
+            return false;
+        }
+        // Other boxes take these records over and tell them to others, this box included, as fresh. So a box that reads
+        // them must know the configuration as well.
+        if entry.read_role() != ReadRole::Reader {
+            entry.config_read_due.notify_one();
+        }
     }
     expire_overdue(entry);
     true
