Judge an answer without a length by a look at its endpoint made after its end

Callers got a 200 that lacked events or bytes, framed as complete, where an endpoint crashed while it sent answers that end with their connection. Whether it crashed was judged by a check that any earlier end had started within the last second, before the crash; and an endpoint that is leaving was not checked at all.

A check now counts only for connections that closed before it began, unless it found the endpoint crashed. Requests that break off together share the check that begins after them. What a leaving endpoint sent before its listener closed counts as cut; for the statistics of crashing requests it still ends as planned.

--- a/crates/ochreyard-direct/src/crash_check.rs
+++ b/crates/ochreyard-direct/src/crash_check.rs
@@ -1,6 +1,6 @@
 //! Distinguishes an endpoint that has crashed from one that only lost a connection.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
@@ -17,9 +17,8 @@
 
 /// Timeout for connecting to an endpoint that is checked. One that has crashed refuses within a round trip.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
-/// How long a check stays valid, in milliseconds: all requests of an endpoint break off within a few milliseconds of
-/// its crash, and it needs seconds to start again.
-const CHECK_VALID_MS: u64 = 1_000;
+/// How long an endpoint that was found crashed counts as crashed, in milliseconds: it needs seconds to start again.
+const CRASHED_VALID_MS: u64 = 1_000;
 
 /// State of an endpoint whose connection broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,30 +35,68 @@
 
 type SharedCheck = Shared<LocalBoxFuture<'static, CrashCheck>>;
 
-/// Recent checks of endpoints, so that all requests that broke off together share one.
+/// The latest check of an endpoint.
+struct LatestCheck {
+    /// Position among all breaks and checks.
+    number: u64,
+    started_ms: u64,
+    result: SharedCheck,
+}
+
+/// The latest checks of endpoints, so that requests that broke off together share one.
 #[derive(Default)]
 pub struct CrashChecks {
-    checks: RefCell<HashMap<String, (u64, SharedCheck)>>,
+    latest: RefCell<HashMap<String, LatestCheck>>,
+    last_number: Cell<u64>,
 }
 
 impl CrashChecks {
-    /// Returns the check of an endpoint that is running or still valid, or starts a new one.
-    fn get_or_start(&self, id: &str, now_ms: u64, start: impl FnOnce() -> SharedCheck) -> SharedCheck {
-        let mut checks = self.checks.borrow_mut();
-        checks.retain(|_, (at_ms, _)| now_ms < *at_ms + CHECK_VALID_MS);
-        checks.entry(id.to_owned()).or_insert_with(|| (now_ms, start())).1.clone()
+    fn next_number(&self) -> u64 {
+        self.last_number.set(self.last_number.get() + 1);
+        self.last_number.get()
+    }
+
+    /// Returns the latest check of an endpoint, unless it is too old even for one that was found crashed.
+    fn latest(&self, id: &str, now_ms: u64) -> Option<(u64, SharedCheck)> {
+        let mut latest = self.latest.borrow_mut();
+        latest.retain(|_, check| now_ms < check.started_ms + CRASHED_VALID_MS);
+        latest.get(id).map(|check| (check.number, check.result.clone()))
+    }
+
+    fn start(&self, id: &str, now_ms: u64, result: SharedCheck) -> SharedCheck {
+        let check = LatestCheck { number: self.next_number(), started_ms: now_ms, result: result.clone() };
+        self.latest.borrow_mut().insert(id.to_owned(), check);
+        result
     }
 }
 
-/// Checks whether an endpoint that broke a connection at `broke_ms` has crashed.
+/// Checks whether an endpoint that broke a connection at `broke_ms` has crashed. One that is leaving, or has left, ends
+/// as planned.
 pub async fn check<D: Dialect>(entry: &Rc<Entry<D>>, pick: &Pick, broke_ms: u64) -> CrashCheck {
     if entry.state.borrow().pool.ended_as_planned(pick, broke_ms) {
         return CrashCheck::Leaving;
     }
-    let now_ms = entry.clock.now_ms();
-    let start = || probe(Rc::clone(entry), pick.clone()).boxed_local().shared();
-    let check = entry.crash_checks.get_or_start(&pick.id, now_ms, start);
-    check.await
+    check_listener(entry, pick).await
+}
+
+/// Checks whether anything listens at the address of an endpoint that has just closed a connection, whether or not it is
+/// leaving.
+pub async fn check_listener<D: Dialect>(entry: &Rc<Entry<D>>, pick: &Pick) -> CrashCheck {
+    let checks = &entry.crash_checks;
+    let closed = checks.next_number();
+    // A check that began before the connection closed may have met the endpoint before its crash.
+    while let Some((number, result)) = checks.latest(&pick.id, entry.clock.now_ms()) {
+        let found = result.await;
+        if number > closed || found == CrashCheck::Crashed {
+            return found;
+        }
+        let is_latest = checks.latest(&pick.id, entry.clock.now_ms()).is_none_or(|(latest, _)| latest == number);
+        if is_latest {
+            break;
+        }
+    }
+    let probe = probe(Rc::clone(entry), pick.clone()).boxed_local().shared();
+    checks.start(&pick.id, entry.clock.now_ms(), probe).await
 }
 
 async fn probe<D: Dialect>(entry: Rc<Entry<D>>, pick: Pick) -> CrashCheck {
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -361,12 +361,11 @@
         self.entry.state.borrow().quarantine.lost_parts(self.prompt_parts(), now_ms)
     }
 
-    /// Checks whether an endpoint that has just closed a connection crashed. One that cannot be reached in time counts as
-    /// running.
+    /// Checks whether an endpoint that has just closed a connection is gone, so that it may have cut its answer. One that
+    /// cannot be reached in time counts as running.
     pub async fn has_crashed(&self, pick: &Pick) -> bool {
         let (entry, pick) = (Rc::clone(&self.entry), pick.clone());
-        let closed_ms = entry.clock.now_ms();
-        let check = tokio::task::spawn_local(async move { crash_check::check(&entry, &pick, closed_ms).await });
+        let check = tokio::task::spawn_local(async move { crash_check::check_listener(&entry, &pick).await });
         matches!(tokio::time::timeout(CRASH_CHECK_WAIT, check).await, Ok(Ok(CrashCheck::Crashed)))
     }
 
