Ignore a failed call to the log that began before a later one was answered

A call that had begun in a cut failed after it, was taken for a new outage, and the box waited two seconds for the record to be written again. A failure now counts only if no call has been answered since the failed one began.

--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -276,11 +276,22 @@
         self.sync_cursors.borrow_mut().insert(addr, cursor);
     }
 
+    /// Records that a call to the platform's log, which began at `asked_ms`, has failed. If another call was answered since,
+    /// the failure is from an outage that is over.
+    pub fn record_log_failure(&self, asked_ms: u64, problem: &str) {
+        if self.state.borrow().last_log_answer_ms > asked_ms {
+            log::info!("event=late_log_failure_ignored problem=\"{problem}\"");
+            return;
+        }
+        self.set_log_reachable(false, problem);
+    }
+
     /// Records whether the platform's log answers.
     pub fn set_log_reachable(&self, answers: bool, problem: &str) {
         let mut state = self.state.borrow_mut();
         let now_ms = self.clock.now_ms();
         if answers {
+            state.last_log_answer_ms = now_ms;
             state.catalog.on_log_read(now_ms);
         } else {
             state.catalog.on_log_unreachable(now_ms);
--- a/crates/ochreyard-direct/src/entry/state.rs
+++ b/crates/ochreyard-direct/src/entry/state.rs
@@ -39,6 +39,8 @@
     pub knows_all_boxes: bool,
     /// Whether the platform's log answered the last call.
     pub log_answers: bool,
+    /// When the platform's log last answered a call; 0 if it never did.
+    pub last_log_answer_ms: u64,
     /// Latest known era of the log.
     pub era: Option<u64>,
 }
@@ -64,6 +66,7 @@
             boxes: BoxList::default(),
             knows_all_boxes: false,
             log_answers: false,
+            last_log_answer_ms: 0,
             era: None,
         }
     }
--- a/crates/ochreyard-direct/src/follow.rs
+++ b/crates/ochreyard-direct/src/follow.rs
@@ -22,10 +22,22 @@
     page.records.iter().map(|record| record.position.next()).max().unwrap_or(page.next)
 }
 
-/// Records whether the log answered, and the era of its answer. A failure is logged and becomes `None`.
+/// Calls the log. Records whether it answered, and the era of its answer. A failure is logged and becomes `None`.
+async fn call_log<D: Dialect, L: KeyedLog, T>(
+    entry: &Entry<D>,
+    log: &L,
+    call: impl Future<Output = Result<T, KeyedLogError>>,
+) -> Option<T> {
+    let asked_ms = entry.clock.now_ms();
+    let result = call.await;
+    record_log_result(entry, log, asked_ms, result)
+}
+
+/// Records the result of a call to the log that began at `asked_ms`.
 fn record_log_result<D: Dialect, L: KeyedLog, T>(
     entry: &Entry<D>,
     log: &L,
+    asked_ms: u64,
     result: Result<T, KeyedLogError>,
 ) -> Option<T> {
     if let Some(era) = log.era() {
@@ -41,7 +53,7 @@
             None
         }
         Err(KeyedLogError::Unavailable(problem)) => {
-            entry.set_log_reachable(false, &problem);
+            entry.record_log_failure(asked_ms, &problem);
             None
         }
     }
--- a/crates/ochreyard-direct/src/follow/boxes.rs
+++ b/crates/ochreyard-direct/src/follow/boxes.rs
@@ -6,7 +6,7 @@
 
 use ochreyard_core::direct::{BoxRecord, LogRetryBackoff, ReadRole};
 
-use super::record_log_result;
+use super::call_log;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedPage, KeyedRecord, Topic};
@@ -55,7 +55,7 @@
     let added: Vec<_> =
         unlisted.into_iter().filter(|(name, _)| is_reader || *name == entry.identity.name).map(encode).collect();
     if !added.is_empty() {
-        record_log_result(entry, log, log.append_all(Topic::Boxes, &added).await)?;
+        call_log(entry, log, log.append_all(Topic::Boxes, &added)).await?;
         log::info!("event=boxes_listed count={}", added.len());
     }
     if lacked_own {
@@ -74,7 +74,7 @@
 
 /// Reads the list of boxes and applies it; `None` if the log failed.
 async fn read_list<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> Option<KeyedPage> {
-    let page = record_log_result(entry, log, log.newest(Topic::Boxes).await)?;
+    let page = call_log(entry, log, log.newest(Topic::Boxes)).await?;
     for KeyedRecord { key, value, .. } in &page.records {
         let Some(value) = value else { continue };
         match serde_json::from_slice(value) {
--- a/crates/ochreyard-direct/src/follow/config.rs
+++ b/crates/ochreyard-direct/src/follow/config.rs
@@ -5,7 +5,7 @@
 
 use ochreyard_core::direct::{LogRetryBackoff, ReadRole};
 
-use super::{record_log_result, resume_position};
+use super::{call_log, record_log_result, resume_position};
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedLogError, Topic};
@@ -28,8 +28,7 @@
             () = entry.wait_while_updated_by_peers() => {}
             () = entry.config_read_due.notified() => {}
         }
-        let listing = log.newest(Topic::Config).await;
-        let Some(page) = record_log_result(&entry, &log, listing) else {
+        let Some(page) = call_log(&entry, &log, log.newest(Topic::Config)).await else {
             tokio::time::sleep(entry.retry_delay(&mut retry_backoff)).await;
             continue;
         };
@@ -53,6 +52,7 @@
             };
             // A read that began before an outage may never be answered, which is noticed only seconds after the log is
             // reachable again.
+            let asked_ms = entry.clock.now_ms();
             let result = tokio::select! {
                 result = log.read(Topic::Config, from, wait_ms) => result,
                 () = entry.log_reachable_again.notified() => continue 'outage,
@@ -64,7 +64,7 @@
             match result {
                 Err(KeyedLogError::Gone { first }) if first.era == from.era && first > from => from = first,
                 result => {
-                    let Some(page) = record_log_result(&entry, &log, result) else { break };
+                    let Some(page) = record_log_result(&entry, &log, asked_ms, result) else { break };
                     if page.next.era != from.era {
                         continue 'outage;
                     }
--- a/crates/ochreyard-direct/src/follow/endpoints.rs
+++ b/crates/ochreyard-direct/src/follow/endpoints.rs
@@ -6,7 +6,7 @@
 
 use ochreyard_core::direct::{LogRetryBackoff, ReadRole};
 
-use super::{record_log_result, resume_position};
+use super::{call_log, resume_position};
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedRecord, Topic};
@@ -43,7 +43,7 @@
 /// Reads the newest record of every endpoint; `false` if the log failed.
 async fn read_newest<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> bool {
     let asked_ms = entry.clock.now_ms();
-    let Some(page) = record_log_result(entry, log, log.newest(Topic::Endpoints).await) else { return false };
+    let Some(page) = call_log(entry, log, log.newest(Topic::Endpoints)).await else { return false };
     let listed: BTreeSet<String> = page.records.iter().map(|record| record.key.clone()).collect();
     let from = resume_position(&page);
     entry.state.borrow_mut().catalog.on_listing_end(page.next);
@@ -92,7 +92,7 @@
 async fn read_changes<D: Dialect, L: KeyedLog>(entry: &Rc<Entry<D>>, log: &L) -> bool {
     let asked_ms = entry.clock.now_ms();
     let Some(from) = entry.state.borrow().log_progress.next_position() else { return false };
-    let Some(page) = record_log_result(entry, log, log.read(Topic::Endpoints, from, 0).await) else { return false };
+    let Some(page) = call_log(entry, log, log.read(Topic::Endpoints, from, 0)).await else { return false };
     if page.next.era != from.era {
         return false;
     }
--- a/crates/ochreyard-direct/src/follow/quarantine.rs
+++ b/crates/ochreyard-direct/src/follow/quarantine.rs
@@ -6,7 +6,7 @@
 use ochreyard_core::direct::{Fingerprint, LogRetryBackoff, QuarantineEntry, QuarantineUpdate, ReadRole};
 use serde::{Deserialize, Serialize};
 
-use super::record_log_result;
+use super::call_log;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedRecord, Topic};
@@ -53,7 +53,7 @@
 }
 
 async fn read_verdicts<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> bool {
-    let Some(page) = record_log_result(entry, log, log.newest(Topic::Quarantine).await) else { return false };
+    let Some(page) = call_log(entry, log, log.newest(Topic::Quarantine)).await else { return false };
     let now_ms = entry.clock.now_ms();
     let verdicts = page.records.iter().filter_map(|record| parse_verdict(record, now_ms)).collect();
     entry.apply_quarantine_update(&QuarantineUpdate { entries: verdicts, ..QuarantineUpdate::default() });
@@ -77,8 +77,8 @@
 async fn write_next_verdict<D: Dialect, L: KeyedLog>(entry: &Entry<D>, log: &L) -> bool {
     let Some(fingerprint) = entry.outbox.verdicts_to_write.borrow().last().copied() else { return false };
     let value = encode_verdict(entry, fingerprint);
-    let result = log.append(Topic::Quarantine, &fingerprint.to_string(), &value).await;
-    if record_log_result(entry, log, result).is_none() {
+    let key = fingerprint.to_string();
+    if call_log(entry, log, log.append(Topic::Quarantine, &key, &value)).await.is_none() {
         return false;
     }
     entry.outbox.verdicts_to_write.borrow_mut().retain(|other| *other != fingerprint);
