Leave slow ranks at once again; leave the silence of a rank to its group's leader

Streams and requests stayed at a slow rank until another one was picked for them, and lengthened every step of their group meanwhile.

So a slow rank is left at once, as before: a stream that then finds no other endpoint is broken off, which stays open. A rank of a group is not judged by its own silence, since its leader reports that of the group.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/selection.rs
@@ -170,7 +170,8 @@
     fn is_healthy(&self, member: &Member, now_ms: u64) -> bool {
         !member.is_ejected(now_ms)
             && !member.is_slow(now_ms)
-            && !member.is_unresponsive(now_ms)
+            // A rank is as silent as its whole group, whose leader reports that.
+            && (member.group.is_some() || !member.is_unresponsive(now_ms))
             && self.is_serving(member, now_ms)
     }
 
--- a/crates/ochreyard-direct/src/job/replacing.rs
+++ b/crates/ochreyard-direct/src/job/replacing.rs
@@ -1,6 +1,6 @@
 //! Replaces the endpoint of a request that waits for an answer, if it is silent or slow.
 //!
-//! The attempt goes on until another endpoint is picked and a retry is taken for it. If there is none, the answer may
+//! At a silent one the attempt goes on until another endpoint is picked and a retry is taken for it. If there is none, the answer may
 //! still come.
 
 use std::pin::Pin;
@@ -31,8 +31,8 @@
 }
 
 impl<D: Dialect> Job<D> {
-    /// Waits for an attempt. If its endpoint sends nothing on any request or has become slow, and the request may run
-    /// again, seeks another endpoint meanwhile.
+    /// Waits for an attempt. If its endpoint sends nothing on any request, and the request may run again, seeks another
+    /// endpoint meanwhile. A slow endpoint is left.
     pub(super) async fn watch_for_silence(
         &mut self,
         pick: &Pick,
@@ -53,6 +53,10 @@
                 let cause = "quarantined while it waited at the endpoint".to_owned();
                 return AttemptEnd::Ended(Attempt::Abandoned { cause });
             }
+            // A slow endpoint is left at once: its requests lengthen every step of its whole group.
+            if self.may_retry_elsewhere() && self.should_migrate(pick) {
+                return AttemptEnd::Ended(Attempt::Abandoned { cause: SLOW_ENDPOINT.to_owned() });
+            }
             match self.seek_replacement(pick, attempt.as_mut(), &mut slot).await {
                 Some(end) => return end,
                 None => continue,
@@ -60,14 +64,14 @@
         }
     }
 
-    /// Looks once for another endpoint if there is a reason to leave this one.
+    /// Looks once for another endpoint if this one is silent.
     async fn seek_replacement(
         &mut self,
         pick: &Pick,
         attempt: Pin<&mut impl Future<Output = Attempt<D>>>,
         slot: &mut Option<QueueSlot<D>>,
     ) -> Option<AttemptEnd<D>> {
-        if self.reason_to_leave(pick).is_none() {
+        if self.silent_ms(pick).is_none() {
             *slot = None;
             return None;
         }
@@ -75,29 +79,26 @@
             return Some(AttemptEnd::Ended(done));
         }
         // Answers to other requests may have been read meanwhile.
-        let cause = self.reason_to_leave(pick)?;
+        let silent_ms = self.silent_ms(pick)?;
         let next = self.pick_replacement(pick, slot)?;
-        self.log_failed_attempt(pick, &cause);
-        if cause != SLOW_ENDPOINT {
-            self.record_left_silent(pick);
-        }
+        self.log_failed_attempt(pick, &format!("silent for {silent_ms} ms"));
+        self.record_left_silent(pick);
         Some(AttemptEnd::Replaced(next))
     }
 
-    /// Returns why the request should leave its endpoint, if it should.
-    fn reason_to_leave(&self, pick: &Pick) -> Option<String> {
-        if !self.route.kind.may_run_again() || self.sent + 1 >= self.route.max_attempts {
-            return None;
-        }
-        if self.should_migrate(pick) {
-            return Some(SLOW_ENDPOINT.to_owned());
-        }
+    fn may_retry_elsewhere(&self) -> bool {
+        self.route.kind.may_run_again() && self.sent + 1 < self.route.max_attempts
+    }
+
+    /// Returns for how long the request has waited, if its endpoint is silent and may be left.
+    fn silent_ms(&self, pick: &Pick) -> Option<u64> {
         let now_ms = self.entry.clock.now_ms();
         let waited_ms = now_ms.saturating_sub(self.progress.started_ms);
         let silence_timeout_ms = (self.route.target_latency_ms as f64 * SILENCE_TIMEOUT_FACTOR) as u64;
         let is_silent = || self.entry.state.borrow().pool.is_silent(&pick.id, silence_timeout_ms, now_ms);
-        (waited_ms >= silence_timeout_ms && is_silent() && self.may_leave(pick))
-            .then(|| format!("silent for {waited_ms} ms"))
+        let should_leave =
+            self.may_retry_elsewhere() && waited_ms >= silence_timeout_ms && is_silent() && self.may_leave(pick);
+        should_leave.then_some(waited_ms)
     }
 
     /// Picks the endpoint that replaces the one of the attempt in flight, which then counts as failed. Joins the wait
@@ -134,11 +135,6 @@
         self.entry.state.borrow_mut().pool.on_left_silent(pick, now_ms);
     }
 
-    /// Picks an endpoint that has room now, with a retry for it.
-    pub fn try_pick(&mut self) -> Option<Pick> {
-        self.pick_next(GiveUpReason::Failed, None).ok()
-    }
-
     /// Notes that the attempt in flight is abandoned, if it is the first one. A later one holds its own retry.
     pub(super) fn note_abandoned_first(&mut self, pick: &Pick) {
         if self.retry.is_none() {
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -97,8 +97,9 @@
 
     async fn step(&mut self) -> Step {
         let is_slow = self.answer.as_ref().is_some_and(|answer| self.job.should_migrate(&answer.pick));
-        if is_slow && self.may_search() {
-            return self.replace_slow_endpoint().await;
+        if is_slow && self.may_resume() {
+            // Left at once: its requests lengthen every step of its whole group.
+            return Step::Broken { cause: SLOW_ENDPOINT.to_owned(), is_lost: false };
         }
         let silence_timeout_ms = self.gap_ms() * SILENCE_TIMEOUT_GAPS;
         let Some(answer) = self.answer.as_mut() else { return Step::End };
@@ -180,23 +181,6 @@
         }
     }
 
-    /// Moves the stream from a slow endpoint to another one that has room now. The slow one keeps it if none takes it.
-    async fn replace_slow_endpoint(&mut self) -> Step {
-        let progress = self.begin_search();
-        let found = match self.job.try_pick() {
-            Some(pick) => self.job.next_answer_from(pick).await.ok(),
-            None => None,
-        };
-        self.end_search();
-        match found {
-            Some(found) if found.head.status.is_success() => self.switch_to(found, SLOW_ENDPOINT),
-            _ => {
-                self.keep_endpoint(progress);
-                Step::Partial
-            }
-        }
-    }
-
     /// Prepares the request for another endpoint. Returns the progress of the present attempt.
     fn begin_search(&mut self) -> AttemptProgress {
         self.set_last_event_id();
