A stopping entry answers requests on new connections

Callers saw: from 2.6 s after a SIGTERM until its process ended, a box that still served other requests closed each new connection unread. The request on it ended without an answer, and its caller could not know whether it had run.

Cause: a connection that opens after the phase has changed was shut down gracefully before its first read, and hyper closes such a connection at once. Found while a hang of the soak was traced: both hanging callers had connected in this phase.

Change: such a connection is served. Its request is refused as leaving, with a Retry-After, and the answer closes it. A caller that sends nothing is held for the header timeout, not the idle timeout.

--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -32,7 +32,7 @@
 pub enum DrainPhase {
     /// The process serves requests.
     Open,
-    /// Idle connections are closed; the others close after their answer.
+    /// Idle connections are closed; the others, and those that open from now on, close after their answer.
     Closing,
 }
 
@@ -54,6 +54,8 @@
         log::debug!("event=socket_options_failed error=\"{error}\"");
     }
     let limits = entry.state.borrow().table.as_ref().map(|table| table.limits()).unwrap_or_default();
+    // Its first request gets an answer, which closes the connection.
+    let is_opened_late = *phase.borrow() == DrainPhase::Closing;
     let handled = Rc::clone(&entry);
     let service = service_fn(move |request| {
         let entry = Rc::clone(&handled);
@@ -62,16 +64,17 @@
     let mut builder = http1::Builder::new();
     // hyper counts the idle time between requests as part of the wait for a head, and callers may use a connection that
     // was idle for long.
+    let idle_timeout_ms = if is_opened_late { 0 } else { limits.idle_timeout_ms };
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms)))
+        .header_read_timeout(Duration::from_millis(idle_timeout_ms.max(limits.header_timeout_ms)))
         .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .pipeline_flush(true);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let outcome = tokio::select! {
         outcome = &mut connection => outcome,
-        _ = phase.wait_for(|phase| *phase == DrainPhase::Closing) => {
+        _ = phase.wait_for(|phase| *phase == DrainPhase::Closing), if !is_opened_late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
