A crash check that ends late counts

Cause: the check has 50 ms. Its timer could fire before the process had read the refused connection, and a check that was not over counted as "running".

Change: after the 50 ms the process reads its sockets before the check counts as late, as for all other timeouts.

--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -366,7 +366,7 @@
     pub async fn has_crashed(&self, pick: &Pick) -> bool {
         let (entry, pick) = (Rc::clone(&self.entry), pick.clone());
         let check = tokio::task::spawn_local(async move { crash_check::check_listener(&entry, &pick).await });
-        matches!(tokio::time::timeout(CRASH_CHECK_WAIT, check).await, Ok(Ok(CrashCheck::Crashed)))
+        matches!(timeout_after_reads(CRASH_CHECK_WAIT, check).await, Some(Ok(CrashCheck::Crashed)))
     }
 
     /// Returns how long the attempt has run; `None` if it has not begun to run, as far as known. The head of a stream
