Abandoned requests count in the limit of their endpoint until it is heard

Endpoints saw: more requests at once than the limit that they name.

Cause: the limit counted a request when it was sent, and forgot it a window later.

Change: a request that was abandoned before its endpoint sent anything counts until the endpoint is heard, for a minute at most, and from then on for one more window. While the share is used up this way, one request per window shows whether the endpoint goes on. Requests that are answered, however late, count as before.

The core's new test covers the count alone.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Records that a request that was sent to the picked endpoint at `sent_ms` was abandoned before the endpoint sent
+    /// anything on it.
+    pub fn on_abandoned(&mut self, pick: &Pick, sent_ms: u64) {
+        if let Some(member) = self.picked_member_mut(pick) {
+            member.on_abandoned(sent_ms);
+        }
+    }
+
     /// Applies what the picked endpoint reported about itself in a response. A report of an earlier incarnation does
     /// not count for the current one.
     pub fn on_signals(&mut self, pick: &Pick, signals: &EndpointSignals, now_ms: u64) {
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -240,7 +240,7 @@
     }
 
     /// Records that the leader reported the group as running.
-    pub const fn on_group_running(&mut self, now_ms: u64) {
+    pub fn on_group_running(&mut self, now_ms: u64) {
         // Requests at this rank make progress even if no response to this box is due yet.
         self.on_activity(now_ms);
     }
@@ -251,9 +251,19 @@
     }
 
     /// Records a sign of life of the endpoint.
-    pub const fn on_activity(&mut self, now_ms: u64) {
+    pub fn on_activity(&mut self, now_ms: u64) {
         self.last_activity_ms = now_ms;
         self.left_silent_count = 0;
+        if let Some(limit) = &mut self.limit {
+            limit.on_heard(now_ms);
+        }
+    }
+
+    /// Records that a request that was sent at `sent_ms` was abandoned before the endpoint sent anything.
+    pub fn on_abandoned(&mut self, sent_ms: u64) {
+        if let Some(limit) = &mut self.limit {
+            limit.on_abandoned(sent_ms);
+        }
     }
 
     /// Records that a request was moved to another endpoint, since this one is silent.
--- a/crates/ochreyard-core/src/direct/shared_limit.rs
+++ b/crates/ochreyard-core/src/direct/shared_limit.rs
@@ -189,6 +189,17 @@
         self.share.on_sent(Quota::from_rate(rate).window_ms, now_ms);
     }
 
+    /// Records that a request that was sent at `sent_ms` was abandoned before the endpoint sent anything. It counts until
+    /// a window after the endpoint has sent something again.
+    pub fn on_abandoned(&mut self, sent_ms: u64) {
+        self.share.on_abandoned(sent_ms);
+    }
+
+    /// Records that the endpoint has sent something to this box.
+    pub fn on_heard(&mut self, now_ms: u64) {
+        self.share.on_heard(now_ms);
+    }
+
     /// Removes a request that was counted at `sent_ms` but never reached the endpoint.
     pub fn undo_send(&mut self, sent_ms: u64) {
         self.share.undo_send(sent_ms);
--- a/crates/ochreyard-core/tests/shared_limit.rs
+++ b/crates/ochreyard-core/tests/shared_limit.rs
@@ -101,6 +101,31 @@
     assert!(!limit.admits(1, 20), "the request that is picked but unsent uses the share");
 }
 
+/// Guards against a limit that forgets abandoned requests: a stopped endpoint reads them at once when it goes on.
+#[test]
+fn abandoned_requests_count_until_a_window_after_the_endpoint_is_heard() {
+    let mut limit = SharedLimit::new(milli(1_000), ONLY_BOX, 0);
+    let Quota { count, window_ms } = limit.share().unwrap();
+    let mut now_ms = 0;
+    let mut send_all = |limit: &mut SharedLimit, until_ms: u64| {
+        let mut sent = 0;
+        while now_ms < until_ms {
+            now_ms += 100;
+            if limit.admits(0, now_ms) {
+                limit.on_sent(now_ms);
+                limit.on_abandoned(now_ms);
+                sent += 1;
+            }
+        }
+        sent
+    };
+    assert_eq!(send_all(&mut limit, window_ms), count);
+    assert!(send_all(&mut limit, 5 * window_ms) <= 4, "one per window shows whether the endpoint goes on");
+    limit.on_heard(5 * window_ms);
+    assert!(!limit.admits(0, 6 * window_ms - 1));
+    assert!(limit.admits(0, 6 * window_ms));
+}
+
 #[test]
 fn an_endpoint_with_a_limit_of_zero_is_probed_periodically() {
     let limit = SharedLimit::new(milli(0), ONLY_BOX, 0);
--- a/crates/ochreyard-direct/src/in_flight.rs
+++ b/crates/ochreyard-direct/src/in_flight.rs
@@ -121,9 +121,11 @@
         let now_ms = self.entry.clock.now_ms();
         let waited_ms = now_ms.saturating_sub(sent_ms);
         log::info!("event=attempt_abandoned endpoint={} waited_ms={waited_ms}", self.pick.id);
+        let mut state = self.entry.state.borrow_mut();
+        state.pool.on_abandoned(&self.pick, sent_ms);
         if let Some(mut retry) = self.retry {
             let attempt = AbandonedAttempt { endpoint: self.pick.incarnation(), sent_ms, abandoned_ms: now_ms };
-            self.entry.state.borrow_mut().budget.hold(&self.service, &mut retry, attempt, now_ms);
+            state.budget.hold(&self.service, &mut retry, attempt, now_ms);
         }
     }
 
