--- a/crates/ochreyard-direct/src/job/replacing.rs
+++ b/crates/ochreyard-direct/src/job/replacing.rs
@@ -1,7 +1,7 @@
 //! Replaces the endpoint of a request that waits for an answer, if it is silent or slow.
 //!
-//! At a silent one the attempt goes on until another endpoint is picked and a retry is taken for it. If there is none, the answer may
-//! still come.
+//! At a silent one the attempt goes on until another endpoint is picked and a retry is taken for it. If there is none,
+//! the answer may still come.
 
 use std::pin::Pin;
 use std::time::Duration;
@@ -57,9 +57,8 @@
             if self.may_retry_elsewhere() && self.should_migrate(pick) {
                 return AttemptEnd::Ended(Attempt::Abandoned { cause: SLOW_ENDPOINT.to_owned() });
             }
-            match self.seek_replacement(pick, attempt.as_mut(), &mut slot).await {
-                Some(end) => return end,
-                None => continue,
+            if let Some(end) = self.seek_replacement(pick, attempt.as_mut(), &mut slot).await {
+                return end;
             }
         }
     }
