A stopping box answers the requests of all connections that the system accepted

What callers saw: at a planned stop, requests on new connections ended with a reset. No engine got them.

Cause: the process exited once the connections that it had accepted were closed. The kernel completes connections until the exit, and resets those in the listener's queue.

Change: before the exit, a socket filter on each listener drops the first packet of new connections; handshakes that have begun end, the queues are emptied, and accepted connections get their answers. Idle connections are read before they are closed.

--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -8,8 +8,8 @@
 use miette::{Context, IntoDiagnostic, Result};
 use ochreyard_core::direct::{BodyMemory, BoxRecord, LateReads, RetryBudgetLimits};
 use ochreyard_process::{
-    Clock, RuntimeLagDetector, Settings, SuspensionDetector, new_incarnation, run_metrics_upkeep, start_logging,
-    start_metrics,
+    Accepting, Clock, ListenerGate, RuntimeLagDetector, Settings, SuspensionDetector, close_listeners, new_incarnation,
+    run_metrics_upkeep, start_logging, start_metrics,
 };
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -34,6 +34,9 @@
 const BALANCER_LAG_MS: u64 = 2_600;
 /// Part of the grace period that is reserved, in milliseconds, so that the process exits by itself.
 const SHUTDOWN_MARGIN_MS: u64 = 150;
+/// Time before the end of the grace period from which no new connection is established, in milliseconds, so that the
+/// requests on the last ones are answered.
+const LISTENER_CLOSE_MS: u64 = 500;
 /// How often a stopping box checks whether all connections have ended: a third of [`SHUTDOWN_MARGIN_MS`], so that the
 /// last check is in time.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -90,27 +93,27 @@
     entry.state.borrow_mut().pool.set_regions(settings.pairs("regions"));
     entry.state.borrow_mut().pool.set_cold_overage(settings.fraction("cold_overage"));
 
-    let callers = bind(settings, "callers_addr").await?;
-    let ready = bind(settings, "ready_addr").await?;
-    let peer = bind(settings, "peer_addr").await?;
-    let (phase, phases) = watch::channel(DrainPhase::Open);
-    tokio::task::spawn_local(server::serve_callers(Rc::clone(&entry), callers, phases));
-    tokio::task::spawn_local(server::serve_internal(Rc::clone(&entry), ready, ListenerKind::Ready, metrics.clone()));
-    tokio::task::spawn_local(server::serve_internal(Rc::clone(&entry), peer, ListenerKind::Peers, metrics.clone()));
-    if let Some(listener) = meters::bind(settings.addr("metrics_addr")).await {
-        tokio::task::spawn_local(server::serve_internal(
-            Rc::clone(&entry),
-            listener,
-            ListenerKind::Metrics,
-            metrics.clone(),
-        ));
+    let callers = Rc::new(bind(settings, "callers_addr").await?);
+    let mut internal = vec![
+        (ListenerKind::Ready, bind(settings, "ready_addr").await?),
+        (ListenerKind::Peers, bind(settings, "peer_addr").await?),
+    ];
+    internal.extend(meters::bind(settings.addr("metrics_addr")).await.map(|listener| (ListenerKind::Metrics, listener)));
+    let mut connections = OpenConnections::new();
+    connections.listeners.push(ListenerGate::new(Rc::clone(&callers)));
+    tokio::task::spawn_local(server::serve_callers(Rc::clone(&entry), callers, connections.callers.clone()));
+    for (kind, listener) in internal {
+        let listener = Rc::new(listener);
+        connections.listeners.push(ListenerGate::new(Rc::clone(&listener)));
+        let phase = connections.internal.clone();
+        tokio::task::spawn_local(server::serve_internal(Rc::clone(&entry), listener, phase, kind, metrics.clone()));
     }
     tokio::task::spawn_local(run_metrics_upkeep(metrics));
     start_followers(settings, &entry, log);
     companion(&entry);
 
     wait_for_stop_signal().await?;
-    drain(&entry, &phase, (settings.fraction("drain_grace_s") * MS_PER_S) as u64).await;
+    drain(&entry, connections, (settings.fraction("drain_grace_s") * MS_PER_S) as u64).await;
     log::info!("event=entry_stopped");
     Ok(())
 }
@@ -246,9 +249,27 @@
     }
 }
 
+/// The listeners of the process, and the connections that they have accepted: each of these holds a receiver of its
+/// phase.
+struct OpenConnections {
+    listeners: Vec<ListenerGate<Rc<TcpListener>, Accepting>>,
+    callers: watch::Sender<DrainPhase>,
+    /// Of other boxes, readiness checks and metrics.
+    internal: watch::Sender<DrainPhase>,
+}
+
+impl OpenConnections {
+    fn new() -> Self {
+        let open = || watch::Sender::new(DrainPhase::Open);
+        Self { listeners: Vec::new(), callers: open(), internal: open() }
+    }
+}
+
 /// Runs the planned stop: readiness fails at once, requests are accepted until the load balancer has noticed, then idle
-/// connections close, and the others end with their answers.
-async fn drain<D: Dialect>(entry: &Entry<D>, phase: &watch::Sender<DrainPhase>, grace_ms: u64) {
+/// connections close, and the others end with their answers. At last no new connections are established, and those that
+/// are get their answers.
+async fn drain<D: Dialect>(entry: &Entry<D>, connections: OpenConnections, grace_ms: u64) {
+    let OpenConnections { listeners, callers, internal } = connections;
     let started_ms = entry.clock.now_ms();
     log::info!("event=entry_leaving grace_ms={grace_ms}");
     entry.is_stopping.set(true);
@@ -256,22 +277,29 @@
     let accept_ms = BALANCER_LAG_MS.min(grace_ms / 2);
     tokio::time::sleep(Duration::from_millis(accept_ms)).await;
     entry.is_refusing.set(true);
-    phase.send_replace(DrainPhase::Closing);
+    callers.send_replace(DrainPhase::Closing);
     let end_ms = started_ms + grace_ms.saturating_sub(SHUTDOWN_MARGIN_MS);
-    let in_time = wait_until_connections_end(entry, phase, end_ms).await;
-    log::info!("event=entry_drained in_time={in_time} connections={}", phase.receiver_count().saturating_sub(1));
+    while callers.receiver_count() > 0 && entry.clock.now_ms() + LISTENER_CLOSE_MS < end_ms {
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+    let left = Duration::from_millis(end_ms.saturating_sub(entry.clock.now_ms()));
+    let are_drained = tokio::time::timeout(left, close_listeners(listeners)).await.is_ok();
+    log::info!("event=listeners_closed drained={are_drained}");
+    internal.send_replace(DrainPhase::Closing);
+    let open_count = || callers.receiver_count() + internal.receiver_count();
+    let in_time = wait_until_connections_end(entry, open_count, end_ms).await;
+    log::info!("event=entry_drained in_time={in_time} connections={}", callers.receiver_count());
 }
 
-/// Waits until all connections of callers have ended, until `end_ms` at most. Returns whether they have. A process that
-/// did not run until then still reads what has arrived and passes it on.
+/// Waits until all connections have ended, until `end_ms` at most. Returns whether they have. A process that did not run
+/// until then still reads what has arrived and passes it on.
 async fn wait_until_connections_end<D: Dialect>(
     entry: &Entry<D>,
-    phase: &watch::Sender<DrainPhase>,
+    open_count: impl Fn() -> usize,
     end_ms: u64,
 ) -> bool {
     let mut late_reads = None;
-    // Each connection holds a receiver, and so does the accept loop.
-    while phase.receiver_count() > 1 {
+    while open_count() > 0 {
         let now_ms = entry.clock.now_ms();
         if now_ms >= end_ms && !late_reads.get_or_insert(LateReads::start(now_ms)).may_read(now_ms) {
             return false;
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -7,7 +7,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ochreyard_core::direct::{GroupUpdate, LimitUpdate, QuarantineUpdate};
 use serde::Serialize;
@@ -20,6 +20,7 @@
 use crate::log_updates::{LeavingUpdate, OperatorUpdate};
 use crate::operator_api::{self, QUARANTINE_PATH, RELEASE_PATH};
 use crate::peers::{HandoverRole, PeerUpdate};
+use crate::timeout::poll_after_reads;
 use crate::{connection, forward, meters, peers};
 
 /// Least size of the buffer for a request head; hyper requires this much.
@@ -37,10 +38,16 @@
 }
 
 /// Accepts callers until the process ends.
-pub async fn serve_callers<D: Dialect>(entry: Rc<Entry<D>>, listener: TcpListener, phase: watch::Receiver<DrainPhase>) {
+pub async fn serve_callers<D: Dialect>(
+    entry: Rc<Entry<D>>,
+    listener: Rc<TcpListener>,
+    phase: watch::Sender<DrainPhase>,
+) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::task::spawn_local(serve_caller(Rc::clone(&entry), stream, phase.clone()))),
+            Ok((stream, _)) => {
+                drop(tokio::task::spawn_local(serve_caller(Rc::clone(&entry), stream, phase.subscribe())));
+            }
             Err(error) => {
                 log::warn!("event=accept_failed error=\"{error}\"");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -49,7 +56,7 @@
     }
 }
 
-async fn serve_caller<D: Dialect>(entry: Rc<Entry<D>>, stream: TcpStream, mut phase: watch::Receiver<DrainPhase>) {
+async fn serve_caller<D: Dialect>(entry: Rc<Entry<D>>, stream: TcpStream, phase: watch::Receiver<DrainPhase>) {
     if let Err(error) = connection::set_socket_options(&stream) {
         log::debug!("event=socket_options_failed error=\"{error}\"");
     }
@@ -71,19 +78,34 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .pipeline_flush(true);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let outcome = tokio::select! {
-        outcome = &mut connection => outcome,
-        _ = phase.wait_for(|phase| *phase == DrainPhase::Closing), if !is_opened_late => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
+    let outcome = if is_opened_late { connection.await } else { serve_until_closing(connection, phase).await };
     if let Err(error) = outcome {
         log::debug!("event=caller_connection_ended error=\"{error}\"");
     }
 }
 
+/// Serves a connection that closes, once connections are to close, when the requests that have arrived by then are
+/// answered.
+async fn serve_until_closing<S>(
+    connection: http1::Connection<TokioIo<TcpStream>, S>,
+    mut phase: watch::Receiver<DrainPhase>,
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = AnswerBody, Error = Infallible>,
+{
+    tokio::pin!(connection);
+    tokio::select! {
+        outcome = &mut connection => return outcome,
+        _ = phase.wait_for(|phase| *phase == DrainPhase::Closing) => {}
+    }
+    // A graceful shutdown closes an idle connection without reading from it.
+    if let Some(outcome) = poll_after_reads(connection.as_mut()).await {
+        return outcome;
+    }
+    connection.as_mut().graceful_shutdown();
+    connection.await
+}
+
 async fn answer_caller<D: Dialect>(entry: Rc<Entry<D>>, request: Request<Incoming>) -> Response<AnswerBody> {
     let mut response = forward::answer(Rc::clone(&entry), request).await;
     if entry.is_stopping.get() {
@@ -106,7 +128,8 @@
 /// Serves one of the internal listeners until the process ends.
 pub async fn serve_internal<D: Dialect>(
     entry: Rc<Entry<D>>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
+    phase: watch::Sender<DrainPhase>,
     side: ListenerKind,
     metrics: metrics_exporter_prometheus::PrometheusHandle,
 ) {
@@ -115,7 +138,7 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let (entry, metrics) = (Rc::clone(&entry), metrics.clone());
+        let (entry, metrics, phase) = (Rc::clone(&entry), metrics.clone(), phase.subscribe());
         tokio::task::spawn_local(async move {
             if let Err(error) = connection::set_socket_options(&stream) {
                 log::debug!("event=socket_options_failed error=\"{error}\"");
@@ -125,7 +148,7 @@
                 async move { Ok::<_, Infallible>(answer_internal(&entry, side, request, &metrics).await) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
+            if let Err(error) = serve_until_closing(connection, phase).await {
                 log::debug!("event=internal_connection_ended error=\"{error}\"");
             }
         });
--- a/crates/ochreyard-process/src/lib.rs
+++ b/crates/ochreyard-process/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod incarnation;
+mod listener_gate;
 mod logging;
 mod runtime_lag;
 mod settings;
@@ -11,6 +12,7 @@
 
 pub use clock::{Clock, TimeSource, monotonic_time, time_since_boot};
 pub use incarnation::new_incarnation;
+pub use listener_gate::{Accepting, Closing, ListenerGate, close_listeners};
 pub use logging::{LOG_LEVEL, LOG_LINES_PER_S, LOG_TARGET, LogOutput, LogRateLimiter, event_name, start_logging};
 pub use runtime_lag::{RuntimeLag, RuntimeLagDetector, ThreadTimes};
 pub use settings::{FieldError, FieldKind, FieldSpec, Settings, SettingsError, settings_reference};
