Log whether an endpoint had responded before an attempt there was abandoned

Tells a new process that sends requests to a stopped endpoint from one whose endpoint stops under its requests.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
@@ -68,6 +68,12 @@
         self.members.get(id).is_none_or(|member| member.is_silent(for_ms, now_ms))
     }
 
+    /// Returns whether the endpoint that was picked, or its leader, has shown to this process that it runs.
+    #[must_use]
+    pub fn has_responded(&self, pick: &Pick) -> bool {
+        self.picked_member(pick).is_some_and(Member::has_responded)
+    }
+
     /// Records that a request was moved to another endpoint, since the picked one is silent.
     pub fn on_left_silent(&mut self, pick: &Pick, now_ms: u64) {
         if let Some(member) = self.picked_member_mut(pick) {
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -80,6 +80,8 @@
     rejected_ms: Option<u64>,
     ejected_until_ms: u64,
     last_activity_ms: u64,
+    /// Whether the endpoint, or its leader, has shown to this process that it runs.
+    has_responded: bool,
     /// How often requests were moved to another endpoint because this one was silent, since it last sent anything.
     left_silent_count: u32,
     /// Until when it gets no request that would show whether it goes on.
@@ -112,6 +114,7 @@
             rejected_ms: None,
             ejected_until_ms: 0,
             last_activity_ms: 0,
+            has_responded: false,
             left_silent_count: 0,
             no_probe_until_ms: 0,
             group: None,
@@ -264,9 +267,15 @@
         now_ms.saturating_sub(self.last_activity_ms) >= for_ms
     }
 
+    /// Returns whether the endpoint, or its leader, has shown to this process that it runs.
+    pub const fn has_responded(&self) -> bool {
+        self.has_responded
+    }
+
     /// Records a sign of life of the endpoint.
     pub fn on_activity(&mut self, now_ms: u64) {
         self.last_activity_ms = now_ms;
+        self.has_responded = true;
         self.left_silent_count = 0;
         if let Some(limit) = &mut self.limit {
             limit.on_heard(now_ms);
--- a/crates/ochreyard-direct/src/in_flight.rs
+++ b/crates/ochreyard-direct/src/in_flight.rs
@@ -120,8 +120,13 @@
         meters::on_abandoned_attempt();
         let now_ms = self.entry.clock.now_ms();
         let waited_ms = now_ms.saturating_sub(sent_ms);
-        log::info!("event=attempt_abandoned endpoint={} waited_ms={waited_ms}", self.pick.id);
         let mut state = self.entry.state.borrow_mut();
+        let has_responded = state.pool.has_responded(&self.pick);
+        log::info!(
+            "event=attempt_abandoned endpoint={} waited_ms={waited_ms} responded_before={has_responded} retry={}",
+            self.pick.id,
+            self.retry.is_some()
+        );
         state.pool.on_abandoned(&self.pick, sent_ms);
         if let Some(mut retry) = self.retry {
             let attempt = AbandonedAttempt { endpoint: self.pick.incarnation(), sent_ms, abandoned_ms: now_ms };
