A process checks that an endpoint responds before it sends requests there

What services saw: more retries than the budget allows, as stopped endpoints continued after the boxes' processes had been killed.

Cause: a new process takes each listed endpoint for alive. The kernel of a stopped one accepts its requests; each process abandons some there and retries elsewhere, and what it holds for them ends with it. All of them arrive together.

Change: an endpoint without a sign of life, from itself or from its group's leader, has to answer at the service's health path first. One that does not answer gets no request, and the request goes elsewhere without a retry. So does one that was left as silent.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
@@ -74,6 +74,12 @@
         self.picked_member(pick).is_some_and(Member::has_responded)
     }
 
+    /// Returns whether the endpoint that was picked has to respond to a check before it gets a request.
+    #[must_use]
+    pub fn needs_liveness_check(&self, pick: &Pick) -> bool {
+        self.picked_member(pick).is_some_and(Member::needs_liveness_check)
+    }
+
     /// Records that a request was moved to another endpoint, since the picked one is silent.
     pub fn on_left_silent(&mut self, pick: &Pick, now_ms: u64) {
         if let Some(member) = self.picked_member_mut(pick) {
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -272,6 +272,11 @@
         self.has_responded
     }
 
+    /// Returns whether the endpoint has to respond to a check before it gets another request.
+    pub const fn needs_liveness_check(&self) -> bool {
+        !self.has_responded || self.left_silent_count > 0
+    }
+
     /// Records a sign of life of the endpoint.
     pub fn on_activity(&mut self, now_ms: u64) {
         self.last_activity_ms = now_ms;
--- a/crates/ochreyard-core/tests/cold_model/fleet.rs
+++ b/crates/ochreyard-core/tests/cold_model/fleet.rs
@@ -88,7 +88,13 @@
 
 fn table() -> RouteTable {
     let cold = Some(ColdLimits { requests_per_s: COLD_REQUESTS_PER_S as f64 });
-    RouteTable::new(1).with_service(ServiceSpec { name: "brief".to_owned(), max_connections: 500, engine: None, cold })
+    RouteTable::new(1).with_service(ServiceSpec {
+        name: "brief".to_owned(),
+        max_connections: 500,
+        health_path: None,
+        engine: None,
+        cold,
+    })
 }
 
 impl Fleet {
--- a/crates/ochreyard-core/tests/endpoint_pool.rs
+++ b/crates/ochreyard-core/tests/endpoint_pool.rs
@@ -50,6 +50,31 @@
     assert_eq!(pool.pick("other", &[], Urgency::OnTime, 0, 0), Err(PickError::NoEndpoint));
 }
 
+/// Guards against requests of a new process that wait in buffers of an endpoint whose process is stopped.
+#[test]
+fn an_endpoint_needs_a_liveness_check_until_it_responds_and_once_it_is_left_as_silent() {
+    let mut pool = pool([1, 2]);
+    let pick = pick_of("e1", Urgency::OnTime);
+    assert!(pool.needs_liveness_check(&pick));
+    pool.on_response_bytes("e1", 10);
+    assert!(!pool.needs_liveness_check(&pick));
+    assert!(pool.needs_liveness_check(&pick_of("e2", Urgency::OnTime)));
+    pool.on_left_silent(&pick, 500);
+    assert!(pool.needs_liveness_check(&pick));
+    pool.on_response_bytes("e1", 600);
+    assert!(!pool.needs_liveness_check(&pick));
+    pool.apply(EndpointChange::Updated("e1".to_owned(), EndpointRecord { started_ms: 700, ..endpoint(1) }));
+    assert!(pool.needs_liveness_check(&Pick { started_ms: 700, ..pick }), "it has started again");
+}
+
+/// The leader of a group reports that its ranks run.
+#[test]
+fn a_rank_needs_no_liveness_check_once_its_leader_reports_it() {
+    let mut pool = pool([1, 2]);
+    pool.apply_group_update(&update(true, &[1, 2], 0), 10);
+    assert!(!pool.needs_liveness_check(&pick_of("e1", Urgency::OnTime)));
+}
+
 /// Guards against requests that are sent to a silent endpoint one after the other, each to wait there in vain.
 #[test]
 fn a_silent_endpoint_gets_one_request_after_each_backoff_until_it_goes_on() {
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -13,11 +13,13 @@
 use crate::entry::Entry;
 use crate::exchange::{ExchangeError, Exchanged, exchange};
 use crate::in_flight::InFlightAttempt;
+use crate::liveness_check::{self, Liveness};
+use crate::timeout::timeout_after_reads;
 use crate::{meters, signals};
 
 /// Timeout for connecting to an endpoint: several round trips between data centres, and short enough to leave time for
 /// another endpoint.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Statuses that tell a caller that its request has not run.
 const IMPLIES_NOT_RUN: [StatusCode; 3] =
@@ -29,6 +31,8 @@
     Answered(Box<Answer<D>>),
     /// The endpoint was not reached, so it never received the request.
     NotSent,
+    /// The endpoint has never responded to this process, and does not respond to a check. It never received the request.
+    Unresponsive,
     /// The request was withheld, since the endpoint paused, left or reached its limit after it was picked, or the
     /// deadline passed.
     Withheld,
@@ -56,23 +60,46 @@
     },
 }
 
+/// Time limits of one attempt.
+#[derive(Debug, Clone, Copy)]
+pub struct AttemptTimeouts {
+    /// The time that the request has left, in milliseconds.
+    pub left_ms: u64,
+    /// How long the endpoint may take to respond to a liveness check, in milliseconds.
+    pub check_ms: u64,
+}
+
 /// Sends a request to one endpoint of a service and waits for the head of its answer. `retry` was taken for it, unless
-/// this is its first attempt; `timeout_ms` is the time that it has left.
+/// this is its first attempt.
 pub fn send<D: Dialect>(
     entry: &Rc<Entry<D>>,
     service: &str,
     request: &CallerRequest,
     pick: &Pick,
     retry: Option<TakenRetry>,
-    timeout_ms: u64,
+    timeouts: AttemptTimeouts,
 ) -> impl Future<Output = Attempt<D>> + use<D> {
     let (entry, pick, attempt_id) = (Rc::clone(entry), pick.clone(), request.attempt_id.clone());
     let in_flight = InFlightAttempt::start(&entry, service, &pick, retry);
-    let outgoing = request.to_endpoint(entry.dialect.headers(), &pick.id, timeout_ms);
-    let deadline_ms = entry.clock.now_ms() + timeout_ms;
+    let check_path = liveness_check::due_path(&entry, service, &pick);
+    let mut outgoing = request.to_endpoint(entry.dialect.headers(), &pick.id, timeouts.left_ms);
+    let deadline_ms = entry.clock.now_ms() + timeouts.left_ms;
     async move {
         // An attempt is still polled after its deadline, to read an answer that has arrived.
         let is_late = || entry.clock.now_ms() >= deadline_ms;
+        if let Some(path) = check_path {
+            let check = liveness_check::check(&entry, &pick, &path);
+            match timeout_after_reads(Duration::from_millis(timeouts.check_ms), check).await {
+                Some(Liveness::Responding) => {}
+                Some(Liveness::Unreachable) => return not_sent(&in_flight),
+                Some(Liveness::Silent) | None => {
+                    in_flight.withhold();
+                    return Attempt::Unresponsive;
+                }
+            }
+            let left_ms = deadline_ms.saturating_sub(entry.clock.now_ms());
+            outgoing.headers_mut().insert(entry.dialect.headers().deadline_ms.clone(), HeaderValue::from(left_ms));
+        }
         let kept = free_connection(&entry, &pick).await;
         match exchange(kept, pick.addr, CONNECT_TIMEOUT, || !is_late() && in_flight.try_send(), outgoing).await {
             Ok(exchanged) => classify(&entry, attempt_id.as_ref(), &pick, in_flight, exchanged),
@@ -90,7 +117,7 @@
 }
 
 /// Returns a kept connection whose previous answer has been read to its end.
-async fn free_connection<D: Dialect>(entry: &Entry<D>, pick: &Pick) -> Option<Connection> {
+pub async fn free_connection<D: Dialect>(entry: &Entry<D>, pick: &Pick) -> Option<Connection> {
     loop {
         let now_ms = entry.clock.now_ms();
         let mut connection = entry.state.borrow_mut().connections.take(pick, now_ms)?;
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -23,6 +23,7 @@
 use crate::crash_check::CrashChecks;
 use crate::dialect::Dialect;
 use crate::http_client::HttpClient;
+use crate::liveness_check::LivenessChecks;
 use crate::peers::{FullSyncLimiter, HandoverHandler, PeerEndpoint, UnreachablePeers};
 use crate::recent_lag::RecentLag;
 use crate::sync_cursor::SyncCursor;
@@ -55,6 +56,8 @@
     pub is_refusing: Cell<bool>,
     /// Checks of endpoints that broke a connection.
     pub crash_checks: CrashChecks,
+    /// Checks of endpoints that have not responded to this process yet.
+    pub liveness_checks: LivenessChecks,
     /// Crash reports and verdicts that are to be sent or written.
     pub outbox: Outbox,
     /// Notified when the platform's log answers again after an outage.
@@ -99,6 +102,7 @@
             handover_handler: RefCell::default(),
             is_refusing: Cell::new(false),
             crash_checks: CrashChecks::default(),
+            liveness_checks: LivenessChecks::default(),
             outbox: Outbox::default(),
             log_reachable_again: Notify::new(),
             config_read_due: Notify::new(),
@@ -152,6 +156,11 @@
         self.state.borrow().table.as_ref()?.service(service)?.engine
     }
 
+    /// Returns the path at which the endpoints of a service answer checks, if it has one.
+    pub fn health_path(&self, service: &str) -> Option<String> {
+        self.state.borrow().table.as_ref()?.service(service)?.health_path.clone()
+    }
+
     /// Applies an update about a group from its leader or from an observer.
     pub fn apply_group_update(&self, update: &GroupUpdate) {
         let now_ms = self.clock.now_ms();
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -23,7 +23,7 @@
 use crate::answer::{Answer, caller_response};
 use crate::answer_body::AnswerBody;
 use crate::answer_limits::{MAX_ANSWER_BYTES, MAX_FAILURE_BYTES, MIN_ANSWER_BYTES_PER_MS};
-use crate::attempt::{self, Attempt};
+use crate::attempt::{self, Attempt, AttemptTimeouts};
 use crate::buffered_bytes::{BodyError, BufferedBytes};
 use crate::caller_request::CallerRequest;
 use crate::crash_check::{self, CrashCheck};
@@ -162,6 +162,10 @@
                 }
                 Some(Attempt::NotSent) => last = GiveUpReason::NoEndpoint,
                 Some(Attempt::Withheld) => {}
+                Some(Attempt::Unresponsive) => {
+                    self.log_failed_attempt(&pick, "does not respond to a liveness check");
+                    self.record_left_silent(&pick);
+                }
                 Some(Attempt::NotRun { status, backoff_ms }) => {
                     meters::on_refused_arrival(&self.service, backoff_ms.is_some());
                     let asked =
@@ -194,7 +198,8 @@
     async fn attempt_at(&mut self, pick: &Pick) -> Option<AttemptEnd<D>> {
         let left_ms = self.time_left_ms();
         self.progress = AttemptProgress::start(self.entry.clock.now_ms());
-        let attempt = attempt::send(&self.entry, &self.service, &self.request, pick, self.retry, left_ms);
+        let timeouts = AttemptTimeouts { left_ms, check_ms: self.check_timeout_ms().min(left_ms) };
+        let attempt = attempt::send(&self.entry, &self.service, &self.request, pick, self.retry, timeouts);
         timeout_after_reads(Duration::from_millis(left_ms), self.watch_for_silence(pick, attempt)).await
     }
 
@@ -217,7 +222,7 @@
     /// Counts an attempt. An endpoint that was not reached never received the request. If the whole group is stalled,
     /// the rank is not at fault, and may be tried again once the group resumes.
     fn count_attempt(&mut self, pick: &Pick, attempt: Option<&Attempt<D>>) {
-        if matches!(attempt, Some(Attempt::Withheld)) {
+        if matches!(attempt, Some(Attempt::Withheld | Attempt::Unresponsive)) {
             return;
         }
         let was_reached = !matches!(attempt, Some(Attempt::NotSent));
--- a/crates/ochreyard-direct/src/job/replacing.rs
+++ b/crates/ochreyard-direct/src/job/replacing.rs
@@ -19,6 +19,9 @@
 
 /// Multiple of the route's latency target after which a request leaves an endpoint that sends nothing on any request.
 const SILENCE_TIMEOUT_FACTOR: f64 = 2.5;
+/// Multiple of the route's latency target after which a request leaves an endpoint that does not respond to a check. Less
+/// than [`SILENCE_TIMEOUT_FACTOR`], since the endpoint never gets the request, and no retry is needed.
+const CHECK_TIMEOUT_FACTOR: f64 = 2.0;
 /// How often a request that waits for an answer checks whether its endpoint still sends anything.
 pub(super) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -94,6 +97,11 @@
         (self.route.target_latency_ms as f64 * SILENCE_TIMEOUT_FACTOR) as u64
     }
 
+    /// How long the request waits for an endpoint that does not respond to a liveness check, in milliseconds.
+    pub(super) fn check_timeout_ms(&self) -> u64 {
+        (self.route.target_latency_ms as f64 * CHECK_TIMEOUT_FACTOR) as u64
+    }
+
     /// Returns for how long the request has waited, if its endpoint is silent and may be left.
     fn silent_ms(&self, pick: &Pick) -> Option<u64> {
         let now_ms = self.entry.clock.now_ms();
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -32,6 +32,7 @@
 mod job;
 mod keyed_log;
 mod limits;
+mod liveness_check;
 mod log_restore;
 mod log_updates;
 mod meters;
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -50,6 +50,12 @@
     metrics::counter!("ochreyard_direct_abandoned_attempts_total").increment(1);
 }
 
+/// Records a liveness check of an endpoint.
+pub fn on_liveness_check(has_responded: bool) {
+    let result = if has_responded { "responding" } else { "silent" };
+    metrics::counter!("ochreyard_direct_liveness_checks_total", "result" => result).increment(1);
+}
+
 /// Records that an endpoint did not run a request that reached it; `asks_backoff` tells whether it also asked for a
 /// backoff.
 pub fn on_refused_arrival(service: &str, asks_backoff: bool) {
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -98,7 +98,8 @@
         (ListenerKind::Ready, bind(settings, "ready_addr").await?),
         (ListenerKind::Peers, bind(settings, "peer_addr").await?),
     ];
-    internal.extend(meters::bind(settings.addr("metrics_addr")).await.map(|listener| (ListenerKind::Metrics, listener)));
+    internal
+        .extend(meters::bind(settings.addr("metrics_addr")).await.map(|listener| (ListenerKind::Metrics, listener)));
     let mut connections = OpenConnections::new();
     connections.listeners.push(ListenerGate::new(Rc::clone(&callers)));
     tokio::task::spawn_local(server::serve_callers(Rc::clone(&entry), callers, connections.callers.clone()));
@@ -293,11 +294,7 @@
 
 /// Waits until all connections have ended, until `end_ms` at most. Returns whether they have. A process that did not run
 /// until then still reads what has arrived and passes it on.
-async fn wait_until_connections_end<D: Dialect>(
-    entry: &Entry<D>,
-    open_count: impl Fn() -> usize,
-    end_ms: u64,
-) -> bool {
+async fn wait_until_connections_end<D: Dialect>(entry: &Entry<D>, open_count: impl Fn() -> usize, end_ms: u64) -> bool {
     let mut late_reads = None;
     while open_count() > 0 {
         let now_ms = entry.clock.now_ms();
