An entry that routes through agents answers all accepted connections before it exits

The server drops its listener, and the kernel resets the connections in its queue.

Change: the listeners for callers and operators are closed by their gates first; the last connections get time for their first request.

--- a/crates/ochreyard-entry/src/serve.rs
+++ b/crates/ochreyard-entry/src/serve.rs
@@ -1,6 +1,7 @@
 //! Runs an entry that routes through agents, until it is shut down.
 
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -16,7 +17,9 @@
 use ochreyard_core::routing::Policy;
 use ochreyard_peer::{ConfigurationSource, LocalThread};
 use ochreyard_platform::HttpPlatform;
-use ochreyard_process::{Clock, Settings, run_metrics_upkeep, start_logging, start_metrics, stop_signal};
+use ochreyard_process::{
+    Clock, ListenerGate, Settings, close_listeners, run_metrics_upkeep, start_logging, start_metrics, stop_signal,
+};
 use tokio::net::TcpListener;
 
 use crate::balancer::{Balancer, GetConfig};
@@ -27,6 +30,8 @@
 
 /// Name of the stream in the platform's log that holds the configuration.
 const CONFIG_STREAM: &str = "config";
+/// How long the first request on an accepted connection may take to arrive before an entry exits.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(100);
 /// Interval at which a draining entry checks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -69,6 +74,9 @@
 
     let callers = bind(&settings, "callers_addr").await?;
     let operators = bind(&settings, "operators_addr").await?;
+    // Each duplicate shares its socket with the server that owns the listener.
+    let listeners = [callers.as_fd().try_clone_to_owned(), operators.as_fd().try_clone_to_owned()];
+    let listeners = listeners.into_iter().collect::<std::io::Result<Vec<_>>>().into_diagnostic()?;
     let peers = serve_peers(&settings, &thread, &balancer)?;
     let poll_ms = settings.number("log_poll_ms");
     tokio::spawn(upkeep::follow_log(log.clone(), balancer.clone(), clock, poll_ms, peers));
@@ -99,6 +107,8 @@
     log::info!("event=entry_started entry={} incarnation={incarnation}", settings.text("entry"));
     stop_signal().await.into_diagnostic()?;
     drain(&forwarder, &clock, settings.number("drain_grace_ms")).await;
+    close_listeners(listeners.into_iter().map(ListenerGate::new)).await;
+    tokio::time::sleep(FIRST_REQUEST_TIME).await;
     stopped.notify_one();
     server.await.into_diagnostic()?.into_diagnostic()?;
     log::info!("event=entry_stopped");
--- a/crates/ochreyard-stand-ins/tests/stops.rs
+++ b/crates/ochreyard-stand-ins/tests/stops.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use ochreyard_stand_ins::cluster::wait_until;
+use ochreyard_stand_ins::cluster::{wait_until, workspace_token};
 use ochreyard_stand_ins::load::{self, RequestOutcome};
 use ochreyard_stand_ins::site::{MODEL, PLAIN, Site, SiteSpec, WORKSPACES};
 use rstest::rstest;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 const DC: &str = "windhoek-1";
@@ -86,6 +88,41 @@
     }
 }
 
+/// Guards against requests that are reset unread: the system has accepted their connections, and the entry exits before it
+/// does.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_whose_connection_the_system_accepted_is_answered_by_an_entry_that_exits() {
+    let mut site = Site::start(&spec()).await;
+    let addr = site.entries[0].callers_url.trim_start_matches("http://").to_owned();
+    let callers: Vec<_> = (0..CALLERS).map(|_| tokio::spawn(send_until_refused(addr.clone()))).collect();
+    site.cluster.terminate("entry-1").await;
+    assert!(site.cluster.wait_for_exit("entry-1").await);
+    let mut unanswered = 0;
+    for caller in callers {
+        unanswered += caller.await.unwrap();
+    }
+    assert_eq!(unanswered, 0);
+}
+
+/// Sends requests, each on a connection of its own, until the system refuses one. Returns the number of requests without
+/// an answer.
+async fn send_until_refused(addr: String) -> usize {
+    let token = workspace_token(WORKSPACES[0]);
+    let request = format!(
+        "GET /{PLAIN}/form HTTP/1.1\r\nhost: {addr}\r\nauthorization: Bearer {token}\r\nconnection: close\r\n\r\n"
+    );
+    let mut unanswered = 0;
+    while let Ok(mut stream) = TcpStream::connect(&addr).await {
+        let mut answer = Vec::new();
+        let sent = stream.write_all(request.as_bytes()).await;
+        let read = stream.read_to_end(&mut answer).await;
+        if sent.is_err() || read.is_err() || answer.is_empty() {
+            unanswered += 1;
+        }
+    }
+    unanswered
+}
+
 #[rstest]
 #[case::an_agent(&["agent-group-1"])]
 #[case::an_agent_and_an_entry(&["agent-group-1", "entry-1"])]
