Agents answer all accepted connections before they exit

Change: the agent of a rank closes its listener by a gate and ends when no request is in flight, so that a leader hears of each order that its engine got. The agent between entries and endpoints closes its listener for entries in the same way; that path has no test of its own.

--- a/crates/ochreyard-agent/src/serve.rs
+++ b/crates/ochreyard-agent/src/serve.rs
@@ -1,6 +1,7 @@
 //! Runs the agent until its graceful shutdown.
 
 use std::net::TcpListener;
+use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -13,7 +14,9 @@
 use ochreyard_endpoint::EndpointClient;
 use ochreyard_peer::LocalThread;
 use ochreyard_platform::HttpPlatform;
-use ochreyard_process::{Clock, Settings, run_metrics_upkeep, start_logging, start_metrics, stop_signal};
+use ochreyard_process::{
+    Clock, ListenerGate, Settings, close_listeners, run_metrics_upkeep, start_logging, start_metrics, stop_signal,
+};
 
 use crate::admission_actor::{AdmissionActor, CountRunning, Leave, StepTime, Tick};
 use crate::call::Agent;
@@ -64,6 +67,8 @@
         config: std::sync::RwLock::new(None),
     };
     let token = settings.secret("peer_token_file").into_diagnostic()?;
+    // The duplicate shares its socket with the server that owns the listener.
+    let peer_gate = ListenerGate::new(listener.as_fd().try_clone_to_owned().into_diagnostic()?);
     ochreyard_peer::serve(&thread, listener, token, Arc::new(agent));
 
     let ops_addr = settings.addr("ops_addr");
@@ -83,6 +88,8 @@
     stop_signal().await.into_diagnostic()?;
     ready.store(false, Ordering::Relaxed);
     drain(&admission, settings.number("drain_grace_ms")).await;
+    close_listeners([peer_gate]).await;
+    log::info!("event=agent_stopped");
     Ok(())
 }
 
@@ -150,5 +157,4 @@
         tokio::time::sleep(TICK).await;
     }
     tokio::time::sleep(Duration::from_millis(grace_ms)).await;
-    log::info!("event=agent_stopped");
 }
--- a/crates/ochreyard-rank/src/agent.rs
+++ b/crates/ochreyard-rank/src/agent.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ochreyard_core::group_map::{LeaderGrant, LeaderId, Order, OrderOutcome, RankView, SelectionCounts, SentOrder};
 use ochreyard_process::Clock;
@@ -12,6 +13,9 @@
 use crate::message::{AgentResponse, LeaderRequest, RankStatus};
 use crate::versioned_map::VersionedMap;
 
+/// How often a stopping agent checks whether a request is in flight.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The selection totals at the time of the last response with counts, and the leader that received it.
 #[derive(Debug, Clone)]
 struct ReportedTotals {
@@ -28,6 +32,8 @@
     reported_totals: RefCell<Option<ReportedTotals>>,
     known_map: RefCell<Option<VersionedMap>>,
     is_reachable: Cell<bool>,
+    /// Cloned for each request in flight.
+    in_flight: Rc<()>,
 }
 
 impl<E: RankEngine> Agent<E> {
@@ -43,9 +49,22 @@
             reported_totals: RefCell::new(None),
             known_map: RefCell::new(None),
             is_reachable: Cell::new(true),
+            in_flight: Rc::new(()),
         })
     }
 
+    /// Counts a request as in flight until the returned value is dropped.
+    pub fn begin_request(&self) -> Rc<()> {
+        Rc::clone(&self.in_flight)
+    }
+
+    /// Waits until no request is in flight: an order may have been given to the engine, and its leader has to hear of it.
+    pub async fn wait_until_idle(&self) {
+        while Rc::strong_count(&self.in_flight) > 1 {
+            tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns the status of the rank and the holder of the grant.
     pub async fn status(&self) -> RankStatus {
         let view = self.read_view().await;
--- a/crates/ochreyard-rank/src/serve.rs
+++ b/crates/ochreyard-rank/src/serve.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use miette::{Context, IntoDiagnostic, Result};
-use ochreyard_process::{Clock, Settings, new_incarnation, start_logging, stop_signal};
+use ochreyard_process::{Clock, ListenerGate, Settings, close_listeners, new_incarnation, start_logging, stop_signal};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -31,12 +31,15 @@
         Agent::new(engine_factory.client_at(engine_addr), engine_addr, settings.number("lease_ms"), Clock::start());
     let problem = || format!("field `peer_addr`: {peer_addr} cannot be bound; choose a free address");
     let listener = TcpListener::bind(peer_addr).await.into_diagnostic().wrap_err_with(problem)?;
-    tokio::task::spawn_local(server::serve(Rc::clone(&agent), listener));
+    let listener = Rc::new(listener);
+    tokio::task::spawn_local(server::serve(Rc::clone(&agent), Rc::clone(&listener)));
     let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
     tokio::select! {
         result = stop_signal() => result.into_diagnostic()?,
         () = async { while hangup.recv().await.is_some() { log::info!("event=reload_ignored"); } } => {}
     }
+    close_listeners([ListenerGate::new(listener)]).await;
+    agent.wait_until_idle().await;
     log::info!("event=agent_stopped");
     Ok(())
 }
--- a/crates/ochreyard-rank/src/server.rs
+++ b/crates/ochreyard-rank/src/server.rs
@@ -25,7 +25,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections and serves requests until the process ends.
-pub async fn serve<E: RankEngine>(agent: Rc<Agent<E>>, listener: TcpListener) {
+pub async fn serve<E: RankEngine>(agent: Rc<Agent<E>>, listener: Rc<TcpListener>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -48,6 +48,7 @@
 }
 
 async fn handle<E: RankEngine>(agent: &Agent<E>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let _in_flight = agent.begin_request();
     if request.uri().path() != RANK_PATH {
         return status_only(StatusCode::NOT_FOUND);
     }
