--- a/crates/ochreyard-stand-ins/src/lib.rs
+++ b/crates/ochreyard-stand-ins/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod rank_group;
 pub mod relay;
 pub mod site;
+pub mod unanswered_requests;
--- a/crates/ochreyard-stand-ins/tests/stops.rs
+++ b/crates/ochreyard-stand-ins/tests/stops.rs
@@ -6,10 +6,9 @@
 use ochreyard_stand_ins::cluster::{wait_until, workspace_token};
 use ochreyard_stand_ins::load::{self, RequestOutcome};
 use ochreyard_stand_ins::site::{MODEL, PLAIN, Site, SiteSpec, WORKSPACES};
+use ochreyard_stand_ins::unanswered_requests::count_unanswered_until_refused;
 use rstest::rstest;
 use serde_json::json;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 const DC: &str = "windhoek-1";
@@ -94,33 +93,18 @@
 async fn a_request_whose_connection_the_system_accepted_is_answered_by_an_entry_that_exits() {
     let mut site = Site::start(&spec()).await;
     let addr = site.entries[0].callers_url.trim_start_matches("http://").to_owned();
-    let callers: Vec<_> = (0..CALLERS).map(|_| tokio::spawn(send_until_refused(addr.clone()))).collect();
-    site.cluster.terminate("entry-1").await;
-    assert!(site.cluster.wait_for_exit("entry-1").await);
-    let mut unanswered = 0;
-    for caller in callers {
-        unanswered += caller.await.unwrap();
-    }
-    assert_eq!(unanswered, 0);
-}
-
-/// Sends requests, each on a connection of its own, until the system refuses one. Returns the number of requests without
-/// an answer.
-async fn send_until_refused(addr: String) -> usize {
     let token = workspace_token(WORKSPACES[0]);
     let request = format!(
         "GET /{PLAIN}/form HTTP/1.1\r\nhost: {addr}\r\nauthorization: Bearer {token}\r\nconnection: close\r\n\r\n"
     );
-    let mut unanswered = 0;
-    while let Ok(mut stream) = TcpStream::connect(&addr).await {
-        let mut answer = Vec::new();
-        let sent = stream.write_all(request.as_bytes()).await;
-        let read = stream.read_to_end(&mut answer).await;
-        if sent.is_err() || read.is_err() || answer.is_empty() {
-            unanswered += 1;
-        }
+    let mut callers = JoinSet::new();
+    for _ in 0..CALLERS {
+        let (addr, request) = (addr.clone(), request.clone());
+        callers.spawn(async move { count_unanswered_until_refused(&addr, &request).await });
     }
-    unanswered
+    site.cluster.terminate("entry-1").await;
+    assert!(site.cluster.wait_for_exit("entry-1").await);
+    assert_eq!(callers.join_all().await.into_iter().sum::<usize>(), 0);
 }
 
 #[rstest]
