--- a/review/stand_ins_2/crash_in_a_freeze.rs
+++ b/review/stand_ins_2/crash_in_a_freeze.rs
@@ -16,9 +16,9 @@
 use crate::process::{Entry, Process, TempFolder, free_port, unable};
 use crate::store::Store;
 
-const SLOTS: usize = 12;
+pub const SLOTS: usize = 12;
 /// Events of a stream, and the time between two of them.
-const EVENTS: usize = 40;
+pub const EVENTS: usize = 40;
 const EVENT_INTERVAL: Duration = Duration::from_millis(60);
 const STREAMS: usize = 12;
 const ROUNDS: usize = 3;
@@ -29,7 +29,7 @@
 const DOWN: Duration = Duration::from_millis(1_000);
 /// Length of the freeze: within the two seconds after which clients give a silent stream up.
 const FREEZE: Duration = Duration::from_millis(1_700);
-const DEADLINE_MS: u64 = 8_000;
+pub const DEADLINE_MS: u64 = 8_000;
 
 /// Runs one engine until it is killed. Prints a line for each run.
 pub fn run_engine(addr: &str, id: &str) {
@@ -41,7 +41,7 @@
     }
 }
 
-fn serve(mut connection: Connection, own_id: &str) {
+pub fn serve(mut connection: Connection, own_id: &str) {
     while let Some(request) = connection.read_request() {
         if request.header("x-target-instance").is_some_and(|target| target != own_id) {
             connection.write(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
@@ -182,7 +182,7 @@
 }
 
 /// Records what a client got. The rule is broken if an answer looks complete and lacks events.
-fn holds(id: &str, answer: &Answer, record: &mut String) -> bool {
+pub fn holds(id: &str, answer: &Answer, record: &mut String) -> bool {
     let body = String::from_utf8_lossy(&answer.body);
     let events = body.matches("id: ").count();
     let is_complete = body == whole_stream();
--- a/review/stand_ins_2/http.rs
+++ b/review/stand_ins_2/http.rs
@@ -154,7 +154,8 @@
     answer
 }
 
-fn read_answer(connection: &mut Connection, answer: &mut Answer) -> Option<()> {
+/// Reads an answer to its end; `None` if it breaks off.
+pub fn read_answer(connection: &mut Connection, answer: &mut Answer) -> Option<()> {
     let head = connection.read_head()?;
     let mut lines = head.lines();
     let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -5,7 +5,9 @@
 mod config;
 mod crash_in_a_freeze;
 mod http;
+mod late_listener;
 mod process;
+mod slow_downloads;
 mod slow_readers;
 mod slow_uploads;
 mod small_window;
@@ -25,6 +27,16 @@
     {
         return crash_in_a_freeze::run_engine(addr, id);
     }
+    if let [_, name, addr, id] = &arguments[..]
+        && name == "forking-engine"
+    {
+        return late_listener::run_engine(addr, id);
+    }
+    if let [_, name, id] = &arguments[..]
+        && name == "worker"
+    {
+        return late_listener::run_worker(id);
+    }
     let [_, name, file] = &arguments[..] else { process::unable("usage: cases NAME RECORD") };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let mut record = format!("case {name} trouble={trouble}\n");
@@ -36,6 +48,8 @@
         "stop-with-waiting" => stop_with_waiting::run(trouble, &mut record),
         "slow-readers" => slow_readers::run(trouble, &mut record),
         "slow-uploads" => slow_uploads::run(trouble, &mut record),
+        "slow-downloads" => slow_downloads::run(trouble, &mut record),
+        "late-listener" => late_listener::run(trouble, &mut record),
         _ => process::unable("no such case"),
     };
     record.push_str(if holds { "the rule held\n" } else { "the rule was broken\n" });
