--- a/review/stand_ins_2/surplus_answers.rs
+++ b/review/stand_ins_2/surplus_answers.rs
@@ -11,10 +11,10 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use crate::config;
 use crate::http::{self, Connection};
 use crate::process::{Entry, TempFolder, free_port};
 use crate::store::Store;
-use crate::config;
 
 const ENGINES: usize = 16;
 /// Engines that send surplus answers: nine of sixteen, within the largest share (0.6) of the site's days.
@@ -24,6 +24,8 @@
 const SLOTS: usize = 6;
 const QUEUE: usize = 4;
 const WORK: Duration = Duration::from_millis(60);
+/// Time that an engine takes to refuse a request or a check.
+const REFUSAL: Duration = Duration::from_millis(10);
 /// Entries that get traffic from the start, and those that get their first clients one after the other.
 const FIRST_ENTRIES: usize = 2;
 const LATER_ENTRIES: usize = 12;
@@ -124,9 +126,11 @@
             let answer = if !is_target {
                 "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n".to_owned()
             } else if !self.enter() {
+                thread::sleep(REFUSAL);
                 // A liveness check has no attempt id, so its answer names none.
                 let echo = if is_check { String::new() } else { format!("X-Attempt-Id: {id}\r\n") };
-                let shed = format!("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n{echo}Content-Length: 0\r\n\r\n");
+                let shed =
+                    format!("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n{echo}Content-Length: 0\r\n\r\n");
                 if is_check && self.may_repeat() {
                     surplus = Some(shed.clone());
                 }
@@ -175,9 +179,8 @@
     let store = Store::start();
     store.put("keyed.op", "config", &config::document());
     let runs = Runs::default();
-    let engines: Vec<Engine> = (0..ENGINES)
-        .map(|number| Engine::start(number, trouble && number < FAULTY_ENGINES, &runs, &store))
-        .collect();
+    let engines: Vec<Engine> =
+        (0..ENGINES).map(|number| Engine::start(number, trouble && number < FAULTY_ENGINES, &runs, &store)).collect();
     let peer_port = free_port("127.0.0.10");
     let seed = format!("127.0.0.10:{peer_port}");
     let mut entries: Vec<Entry> = (0..FIRST_ENTRIES + LATER_ENTRIES)
