--- a/review/stand_ins_2/config.rs
+++ b/review/stand_ins_2/config.rs
@@ -21,7 +21,8 @@
                 \"max_attempts\":1";
     let stream = "\"route_type\":\"streaming\",\"timeout_ms\":8000,\"target_latency_ms\":400,\"priority\":1,\
                   \"max_attempts\":2,\"resumable\":true,\"gap_aim_ms\":120";
-    let plain = "\"route_type\":\"idempotent\",\"timeout_ms\":8000,\"target_latency_ms\":300,\"priority\":2,\"max_attempts\":2";
+    let plain =
+        "\"route_type\":\"idempotent\",\"timeout_ms\":8000,\"target_latency_ms\":300,\"priority\":2,\"max_attempts\":2";
     let jobs = "\"route_type\":\"non_idempotent\",\"timeout_ms\":8000,\"target_latency_ms\":300,\"priority\":2,\
                 \"max_attempts\":1";
     let two_engines = "\"route_type\":\"non_idempotent\",\"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":2,\
--- a/review/stand_ins_2/slow_downloads.rs
+++ b/review/stand_ins_2/slow_downloads.rs
@@ -169,7 +169,8 @@
     let runs = runs.lock().expect("the runs");
     let lost: Vec<&Call> = calls.iter().filter(|call| !call.is_whole && runs.contains(&call.id)).collect();
     for call in &lost {
-        let _ = writeln!(record, "LOST: request {} was run, its kept channel closed with status {}", call.id, call.status);
+        let _ =
+            writeln!(record, "LOST: request {} was run, its kept channel closed with status {}", call.id, call.status);
     }
     let _ = writeln!(record, "broken: {} of {} requests on kept channels lost", lost.len(), calls.len());
     lost.len() <= ALLOWED_LOSSES
--- a/review/stand_ins_2/slow_readers.rs
+++ b/review/stand_ins_2/slow_readers.rs
@@ -115,7 +115,11 @@
     let other_pause = std::env::var("PAUSE_MS").ok().and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
     let pause = if trouble { other_pause.unwrap_or(PAUSE) } else { Duration::ZERO };
     let is_stopped = std::env::var("ONLY").map_or(true, |only| only != "pause");
-    let _ = writeln!(record, "0 ms: SIGTERM to edge-0: {is_stopped}; clients pause for {} ms in their answers", pause.as_millis());
+    let _ = writeln!(
+        record,
+        "0 ms: SIGTERM to edge-0: {is_stopped}; clients pause for {} ms in their answers",
+        pause.as_millis()
+    );
     let stop = Instant::now();
     if is_stopped {
         entry.process.signal("TERM");
--- a/review/stand_ins_2/stop_with_waiting.rs
+++ b/review/stand_ins_2/stop_with_waiting.rs
@@ -108,7 +108,9 @@
                 "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n".to_owned()
             } else if self.enter(until).is_none() {
                 self.note(&id, "shed by");
-                format!("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n")
+                format!(
+                    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                )
             } else if request.path() == "/healthz" {
                 self.leave();
                 format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id)
@@ -256,6 +258,9 @@
     let at_engines = events.get(&call.id).map_or(&[][..], Vec::as_slice);
     let was_run = at_engines.iter().any(|event| event.starts_with("run by"));
     let took_ms = call.ended_ms - call.sent_ms;
-    !call.answer.is_whole && !was_run && took_ms > LOSS_SLACK_MS && took_ms < DEADLINE_MS as i64
+    !call.answer.is_whole
+        && !was_run
+        && took_ms > LOSS_SLACK_MS
+        && took_ms < DEADLINE_MS as i64
         && call.ended_ms <= GRACE_MS + 1_000
 }
