Read idle connections once more right before a planned stop closes them

Callers saw: a request on a kept connection ends with a reset 2.6 s after the SIGTERM of its entry, and no engine gets it (9 of 3,468 once, from outside).

Cause: connections that are to close are read again, but a runtime learns of arrivals only when it polls the system. What arrives between that poll and the close is reset, and a process that is preempted there, or that has many connections to close in one turn, leaves it unread for as long as that takes.

Evidence: tests/draining_connection.rs places a request in each turn of the runtime after the stop, in either order with the connection. Without the look at the socket both cases fail (sent after 5 turns, no answer); with it each request that was sent on an open connection is answered. That this was the cause of the nine resets is only suspected.

Change: before the close the system is asked whether bytes are unread (CallerStream, UnreadProbe); if so the connection is read again. What remains is the time between two system calls.

--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -16,9 +16,10 @@
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
+use crate::draining_connection::DrainPhase;
 use crate::entry::{Entry, Identity};
 use crate::keyed_log::KeyedLog;
-use crate::server::{DrainPhase, ListenerKind};
+use crate::server::ListenerKind;
 use crate::{buffered_bytes, follow, meters, peers, server};
 
 /// How often idle connections to endpoints are checked for expiry.
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -7,7 +7,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::{HttpService, service_fn};
+use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ochreyard_core::direct::{GroupUpdate, LimitUpdate, QuarantineUpdate};
 use serde::Serialize;
@@ -15,12 +15,13 @@
 use tokio::sync::watch;
 
 use crate::answer_body::AnswerBody;
+use crate::caller_stream::CallerStream;
 use crate::dialect::Dialect;
+use crate::draining_connection::{DrainPhase, serve_until_closing};
 use crate::entry::Entry;
 use crate::log_updates::{LeavingUpdate, OperatorUpdate};
 use crate::operator_api::{self, QUARANTINE_PATH, RELEASE_PATH};
 use crate::peers::{HandoverRole, PeerUpdate};
-use crate::timeout::poll_after_reads;
 use crate::{connection, forward, meters, peers};
 
 /// Least size of the buffer for a request head; hyper requires this much.
@@ -28,14 +29,8 @@
 /// Pause after a failed accept: file descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Phase of the planned stop, as connections see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DrainPhase {
-    /// The process serves requests.
-    Open,
-    /// Idle connections are closed; the others, and those that open from now on, close after their answer.
-    Closing,
-}
+/// How long a peer other than a caller may take nothing of an answer.
+const PEER_WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Accepts callers until the process ends.
 pub async fn serve_callers<D: Dialect>(
@@ -77,35 +72,15 @@
         .header_read_timeout(Duration::from_millis(idle_timeout_ms.max(limits.header_timeout_ms)))
         .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .pipeline_flush(true);
+    let stream = CallerStream::new(stream, Duration::from_millis(limits.idle_timeout_ms));
+    let probe = stream.probe();
     let connection = builder.serve_connection(TokioIo::new(stream), service);
-    let outcome = if is_opened_late { connection.await } else { serve_until_closing(connection, phase).await };
+    let outcome = if is_opened_late { connection.await } else { serve_until_closing(connection, &probe, phase).await };
     if let Err(error) = outcome {
         log::debug!("event=caller_connection_ended error=\"{error}\"");
     }
 }
 
-/// Serves a connection that closes, once connections are to close, when the requests that have arrived by then are
-/// answered.
-async fn serve_until_closing<S>(
-    connection: http1::Connection<TokioIo<TcpStream>, S>,
-    mut phase: watch::Receiver<DrainPhase>,
-) -> hyper::Result<()>
-where
-    S: HttpService<Incoming, ResBody = AnswerBody, Error = Infallible>,
-{
-    tokio::pin!(connection);
-    tokio::select! {
-        outcome = &mut connection => return outcome,
-        _ = phase.wait_for(|phase| *phase == DrainPhase::Closing) => {}
-    }
-    // A graceful shutdown closes an idle connection without reading from it.
-    if let Some(outcome) = poll_after_reads(connection.as_mut()).await {
-        return outcome;
-    }
-    connection.as_mut().graceful_shutdown();
-    connection.await
-}
-
 async fn answer_caller<D: Dialect>(entry: Rc<Entry<D>>, request: Request<Incoming>) -> Response<AnswerBody> {
     let mut response = forward::answer(Rc::clone(&entry), request).await;
     if entry.is_stopping.get() {
@@ -147,8 +122,10 @@
                 let (entry, metrics) = (Rc::clone(&entry), metrics.clone());
                 async move { Ok::<_, Infallible>(answer_internal(&entry, side, request, &metrics).await) }
             });
+            let stream = CallerStream::new(stream, PEER_WRITE_TIMEOUT);
+            let probe = stream.probe();
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = serve_until_closing(connection, phase).await {
+            if let Err(error) = serve_until_closing(connection, &probe, phase).await {
                 log::debug!("event=internal_connection_ended error=\"{error}\"");
             }
         });
