Keep the connections of callers that pause in their answers

Cause: TCP_USER_TIMEOUT of 2 s, meant for peers that are cut off. Linux applies it to a peer with a closed window too, although that acknowledges each probe.

Change: connections of callers get no such timeout. A caller that is cut off while it waits is still found by keepalive probes; one that takes nothing for the idle timeout of the configuration is given up by CallerStream.

--- a/crates/ochreyard-direct/src/connection.rs
+++ b/crates/ochreyard-direct/src/connection.rs
@@ -25,19 +25,28 @@
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Sets the options that every connection of this process needs: small writes are sent at once, and a peer that is cut
-/// off or without power is detected.
+/// Sets the options that connections among processes need: small writes are sent at once, and a peer that is cut off or
+/// without power is detected.
 ///
 /// # Errors
 ///
 /// When the operating system rejects an option.
 pub fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+    set_caller_socket_options(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(PEER_SILENCE_TIMEOUT))
+}
+
+/// Sets the options for the connection of a caller. The system would apply a timeout for unacknowledged bytes to a caller
+/// that pauses in its answer as well; one that is cut off while it waits for an answer is detected by probes.
+///
+/// # Errors
+///
+/// When the operating system rejects an option.
+pub fn set_caller_socket_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_keepalive(
+    SockRef::from(stream).set_tcp_keepalive(
         &TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL).with_retries(2),
-    )?;
-    socket.set_tcp_user_timeout(Some(PEER_SILENCE_TIMEOUT))
+    )
 }
 
 /// Cause of a failed attempt whose answer's head did not end.
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -52,7 +52,7 @@
 }
 
 async fn serve_caller<D: Dialect>(entry: Rc<Entry<D>>, stream: TcpStream, phase: watch::Receiver<DrainPhase>) {
-    if let Err(error) = connection::set_socket_options(&stream) {
+    if let Err(error) = connection::set_caller_socket_options(&stream) {
         log::debug!("event=socket_options_failed error=\"{error}\"");
     }
     let limits = entry.state.borrow().table.as_ref().map(|table| table.limits()).unwrap_or_default();
