Bound the memory for callers that are slow to read

Causes: (1) the bytes of a complete answer were counted only while it was read, not while it waited for its caller.

Change: the write buffer is limited; a complete answer stays counted until it is taken; an answer of a known size that finds no memory is passed on as it arrives, so that its endpoint waits for the caller (pass_on); answers of all endpoints leave an eighth of the memory to requests.

--- a/crates/ochreyard-core/tests/body_memory.rs
+++ b/crates/ochreyard-core/tests/body_memory.rs
@@ -26,6 +26,17 @@
     assert!(memory.try_reserve(BodyOwner::Callers, MAX_BYTES - taken - 100));
 }
 
+/// Guards against requests that are refused because answers for slow callers take all of the memory.
+#[test]
+fn answers_of_many_endpoints_leave_memory_to_requests() {
+    let mut memory = BodyMemory::new(MAX_BYTES);
+    let ids: Vec<String> = (0..50).map(|number| format!("e{number}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    fill(&mut memory, &ids);
+    assert_eq!(memory.used_bytes(), MAX_BYTES - MAX_BYTES / 8);
+    assert!(memory.try_reserve(BodyOwner::Callers, MAX_BYTES / 8));
+}
+
 proptest! {
     #[test]
     fn what_is_released_can_be_reserved_again(
--- a/crates/ochreyard-direct/src/answer.rs
+++ b/crates/ochreyard-direct/src/answer.rs
@@ -1,6 +1,7 @@
 //! An endpoint's answer whose head has arrived.
 
 use http::{HeaderMap, Response, StatusCode, header, response};
+use http_body::Body;
 use hyper::body::Incoming;
 use ochreyard_core::direct::Pick;
 
@@ -33,6 +34,11 @@
         !headers.contains_key(header::CONTENT_LENGTH) && !headers.contains_key(header::TRANSFER_ENCODING)
     }
 
+    /// Returns the size of the body, if it is stated.
+    pub fn stated_bytes(&self) -> Option<usize> {
+        usize::try_from(self.body.size_hint().exact()?).ok()
+    }
+
     /// Returns the connection to the pool once the body was read to its end.
     pub fn release_connection(self, entry: &Entry<D>) {
         let now_ms = entry.clock.now_ms();
--- a/crates/ochreyard-direct/src/answer_body.rs
+++ b/crates/ochreyard-direct/src/answer_body.rs
@@ -8,6 +8,12 @@
 use futures::stream::LocalBoxStream;
 use http_body::{Body, Frame, SizeHint};
 
+use crate::buffered_bytes::BufferedBytes;
+use crate::dialect::Dialect;
+
+/// Most that is handed over at a time of a body that is held for a caller.
+const HELD_PIECE_BYTES: usize = 64 << 10;
+
 /// The answer could not be completed. The caller's connection is closed, so that a partial answer never looks complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the answer was aborted")]
@@ -18,7 +24,12 @@
     /// All bytes; `None` once they have been taken.
     Complete(Option<Bytes>),
     /// Pieces as they arrive.
-    Pieces(LocalBoxStream<'static, Result<Bytes, AnswerAborted>>),
+    Pieces {
+        /// The pieces.
+        pieces: LocalBoxStream<'static, Result<Bytes, AnswerAborted>>,
+        /// Length of the whole body, if known.
+        length_bytes: Option<u64>,
+    },
 }
 
 impl AnswerBody {
@@ -27,6 +38,20 @@
     pub fn complete(bytes: impl Into<Bytes>) -> Self {
         Self::Complete(Some(bytes.into()).filter(|bytes| !bytes.is_empty()))
     }
+
+    /// Creates a complete body whose bytes stay counted until the caller has taken them.
+    #[must_use]
+    pub fn held<D: Dialect>(bytes: Bytes, buffer: BufferedBytes<D>) -> Self {
+        if bytes.is_empty() {
+            return Self::complete(bytes);
+        }
+        let length_bytes = Some(bytes.len() as u64);
+        let pieces = futures::stream::unfold((bytes, buffer), |(mut rest, buffer)| async move {
+            let piece = rest.split_to(rest.len().min(HELD_PIECE_BYTES));
+            (!piece.is_empty()).then_some((Ok(piece), (rest, buffer)))
+        });
+        Self::Pieces { pieces: pieces.boxed_local(), length_bytes }
+    }
 }
 
 impl Body for AnswerBody {
@@ -36,7 +61,9 @@
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerAborted>>> {
         match self.get_mut() {
             Self::Complete(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Pieces(pieces) => pieces.poll_next_unpin(cx).map(|piece| piece.map(|piece| piece.map(Frame::data))),
+            Self::Pieces { pieces, .. } => {
+                pieces.poll_next_unpin(cx).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
         }
     }
 
@@ -47,7 +74,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Complete(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
-            Self::Pieces(_) => SizeHint::default(),
+            Self::Pieces { length_bytes, .. } => length_bytes.map_or_else(SizeHint::default, SizeHint::with_exact),
         }
     }
 }
--- a/crates/ochreyard-direct/src/buffered_bytes.rs
+++ b/crates/ochreyard-direct/src/buffered_bytes.rs
@@ -50,17 +50,20 @@
     /// The endpoint whose answer is buffered; `None` for the request of a caller.
     endpoint: Option<String>,
     bytes: Cell<usize>,
+    /// Those of the bytes that have arrived.
+    received_bytes: Cell<usize>,
 }
 
 impl<D: Dialect> BufferedBytes<D> {
     /// Counts nothing yet, for the request of a caller.
     pub fn of_caller(entry: &Rc<Entry<D>>) -> Self {
-        Self { entry: Rc::clone(entry), endpoint: None, bytes: Cell::new(0) }
+        Self { entry: Rc::clone(entry), endpoint: None, bytes: Cell::default(), received_bytes: Cell::default() }
     }
 
     /// Counts nothing yet, for an answer of the endpoint with this identifier.
     pub fn of_endpoint(entry: &Rc<Entry<D>>, id: &str) -> Self {
-        Self { entry: Rc::clone(entry), endpoint: Some(id.to_owned()), bytes: Cell::new(0) }
+        let endpoint = Some(id.to_owned());
+        Self { entry: Rc::clone(entry), endpoint, bytes: Cell::default(), received_bytes: Cell::default() }
     }
 
     fn owner(&self) -> BodyOwner<'_> {
@@ -68,10 +71,15 @@
     }
 
     /// Returns the number of bytes that are counted.
-    pub fn bytes(&self) -> usize {
+    fn bytes(&self) -> usize {
         self.bytes.get()
     }
 
+    /// Returns the number of bytes that have arrived of a body that is read.
+    pub fn received_bytes(&self) -> usize {
+        self.received_bytes.get()
+    }
+
     /// Returns whether `bytes` more may be buffered, and counts them if so.
     fn try_reserve(&self, bytes: usize) -> bool {
         let memory_bytes = bytes * MEMORY_PER_BYTE;
@@ -96,7 +104,7 @@
     }
 
     /// Reads a complete body of at most `max_bytes` bytes. The bytes that have arrived count as buffered while the rest
-    /// is awaited.
+    /// is awaited, and those for which [`Self::try_resize`] has reserved memory before.
     pub async fn read_body<B>(&self, mut body: B, max_bytes: usize) -> Result<Bytes, BodyError>
     where
         B: Body<Data = Bytes> + Unpin,
@@ -108,6 +116,8 @@
         let min_piece_bytes = if self.endpoint.is_some() { MIN_PIECE_BYTES } else { 0 };
         let mut counted_bytes = 0;
         let mut received = BytesMut::new();
+        let reserved_bytes = self.bytes();
+        received.reserve(reserved_bytes);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| BodyError::Interrupted(error.to_string()))?;
             let Ok(data) = frame.into_data() else { continue };
@@ -115,10 +125,11 @@
             if counted_bytes > max_bytes {
                 return Err(BodyError::TooLong { max_bytes });
             }
-            if !self.try_reserve(data.len()) {
+            if !self.try_resize(reserved_bytes.max(received.len() + data.len())) {
                 return Err(BodyError::MemoryLimit);
             }
             received.extend_from_slice(&data);
+            self.received_bytes.set(received.len());
         }
         Ok(received.freeze())
     }
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -11,13 +11,16 @@
 use ochreyard_core::direct::{EngineSpec, RouteKind, RouteTable};
 use ochreyard_core::error_kind::{ErrorKind, Refusal};
 
+use crate::answer::Answer;
 use crate::answer_body::AnswerBody;
+use crate::answer_limits::MAX_ANSWER_BYTES;
 use crate::buffered_bytes::{BodyError, BufferedBytes};
 use crate::caller_request::CallerRequest;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::give_up_reason::GiveUpReason;
 use crate::job::{AttemptProgress, Job};
+use crate::pass_on;
 use crate::refusal;
 use crate::relay;
 use crate::stall_outcome::StallOutcome;
@@ -161,15 +164,26 @@
             Ok(answer) => answer,
             Err(reason) => return job.give_up(reason),
         };
-        // A stream whose deadline has passed could only be broken off after its head, unless it is complete already.
+        // An answer whose deadline has passed could only be broken off after its head, unless it is complete already.
         let may_stream = answer.head.status.is_success() && job.time_left_ms() > 0;
         if matches!(job.route.kind, RouteKind::Stream { .. }) && may_stream {
             return relay::stream(job, answer);
         }
-        match job.read_complete(answer).await {
+        let buffer = BufferedBytes::of_endpoint(&job.entry, &answer.pick.id);
+        if may_stream && !has_room_for(&answer, &buffer) {
+            return pass_on::pass_on(job, answer);
+        }
+        match job.read_complete(answer, buffer).await {
             Some(response) => return response,
             None if job.time_left_ms() == 0 => return job.give_up(GiveUpReason::TimeUp),
             None => {}
         }
     }
 }
+
+/// Reserves the memory for an answer that states its size. Returns false if there is not enough; an answer that is larger
+/// than allowed, or does not state its size, is judged while it is read.
+fn has_room_for<D: Dialect>(answer: &Answer<D>, buffer: &BufferedBytes<D>) -> bool {
+    let stated_bytes = answer.stated_bytes().filter(|bytes| *bytes <= MAX_ANSWER_BYTES);
+    stated_bytes.is_none_or(|bytes| buffer.try_resize(bytes))
+}
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -242,10 +242,14 @@
         self.entry.state.borrow().pool.is_down(&self.service, self.entry.clock.now_ms())
     }
 
-    /// Reads an answer completely. `None` if it broke off, or is a failure that may be retried at another endpoint.
-    pub async fn read_complete(&mut self, mut answer: Answer<D>) -> Option<Response<AnswerBody>> {
+    /// Reads an answer completely into `buffer`. `None` if it broke off, or is a failure that may be retried at another
+    /// endpoint.
+    pub async fn read_complete(
+        &mut self,
+        mut answer: Answer<D>,
+        buffer: BufferedBytes<D>,
+    ) -> Option<Response<AnswerBody>> {
         let wait = Duration::from_millis(self.time_left_ms());
-        let buffer = BufferedBytes::of_endpoint(&self.entry, &answer.pick.id);
         let body = match timeout_after_reads(wait, self.read_body(&mut answer, &buffer)).await {
             Some(Ok(_)) if answer.ends_with_connection() && self.has_crashed(&answer.pick).await => {
                 answer.in_flight.set_outcome(AttemptOutcome::BrokenOff);
@@ -264,7 +268,7 @@
                 return None;
             }
             None => {
-                if self.is_body_overdue(buffer.bytes()) {
+                if self.is_body_overdue(buffer.received_bytes()) {
                     answer.in_flight.set_outcome(AttemptOutcome::Failed);
                 }
                 self.may_have_run = true;
@@ -288,7 +292,7 @@
             return None;
         }
         meters::on_answer(&self.service, if failed { "endpoint_answered_5xx" } else { "whole" }, self.elapsed_ms());
-        Some(caller_response(head.status, head.headers, AnswerBody::complete(body)))
+        Some(caller_response(head.status, head.headers, AnswerBody::held(body, buffer)))
     }
 
     /// Reads the body of an answer. A request that may run elsewhere leaves an endpoint whose answer arrives too slowly.
@@ -302,7 +306,7 @@
                 done = &mut read => return done,
                 () = tokio::time::sleep(SILENCE_CHECK_INTERVAL) => {}
             }
-            if self.is_body_overdue(buffer.bytes()) && self.may_retry() {
+            if self.is_body_overdue(buffer.received_bytes()) && self.may_retry() {
                 return poll_after_reads(read.as_mut()).await.unwrap_or(Err(BodyError::TooSlow));
             }
         }
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -40,6 +40,7 @@
 mod meters;
 mod operator_api;
 mod part_trial;
+mod pass_on;
 mod peers;
 mod queue_slot;
 mod read_role;
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -45,7 +45,7 @@
         let piece = relay.next_events().await?;
         Some((piece, relay))
     });
-    caller_response(head.status, head.headers, AnswerBody::Pieces(pieces.boxed_local()))
+    caller_response(head.status, head.headers, AnswerBody::Pieces { pieces: pieces.boxed_local(), length_bytes: None })
 }
 
 struct Relay<D: Dialect> {
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -70,8 +70,7 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_timeout_ms.max(limits.header_timeout_ms)))
-        .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .pipeline_flush(true);
+        .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES));
     let stream = CallerStream::new(stream, Duration::from_millis(limits.idle_timeout_ms));
     let probe = stream.probe();
     let connection = builder.serve_connection(TokioIo::new(stream), service);
