Answer each request that is still open when a stopping entry exits

Causes: (1) a request that had reached an endpoint was exempt from the refusal of a stopping entry, even if that endpoint had refused it unrun; it waited for a place until the exit. (2) The exit at the end of the grace period dropped requests without an answer.

An endpoint's silence ends nothing sooner.

--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -54,6 +54,8 @@
     pub handover_handler: RefCell<Option<HandoverHandler>>,
     /// Whether new requests are refused, because they might not end before the process.
     pub is_refusing: Cell<bool>,
+    /// Set when the process is about to exit: requests that have no answer by then get a final one of its own.
+    pub is_exiting: watch::Sender<bool>,
     /// Checks of endpoints that broke a connection.
     pub crash_checks: CrashChecks,
     /// Checks of endpoints that have not responded to this process yet.
@@ -101,6 +103,7 @@
             stop_begun: Notify::new(),
             handover_handler: RefCell::default(),
             is_refusing: Cell::new(false),
+            is_exiting: watch::Sender::new(false),
             crash_checks: CrashChecks::default(),
             liveness_checks: LivenessChecks::default(),
             outbox: Outbox::default(),
@@ -125,6 +128,12 @@
         self.has_initial_sync.get() || self.clock.now_ms() >= self.started_ms + INITIAL_SYNC_TIMEOUT_MS
     }
 
+    /// Waits until the process is about to exit.
+    pub async fn exiting(&self) {
+        // The sender lives as long as the entry.
+        drop(self.is_exiting.subscribe().wait_for(|is_exiting| *is_exiting).await);
+    }
+
     /// Returns an evenly distributed number that differs from call to call and from box to box.
     pub fn next_random(&self) -> u64 {
         self.random_counter.set(self.random_counter.get().wrapping_add(1));
--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -39,13 +39,17 @@
         return refusal::of_kind(ErrorKind::Stale);
     };
     let buffer = BufferedBytes::of_caller(&entry);
-    let body = match read_body(body, &table, &buffer).await {
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, &table, &buffer) => body,
+        () = entry.exiting() => Err(ErrorKind::Leaving),
+    };
+    let body = match body {
+        Ok(_) if entry.is_refusing.get() => return leaving(),
         Ok(body) => body,
+        Err(ErrorKind::Leaving) => return leaving(),
         Err(kind) => return refusal::of_kind(kind),
     };
-    if entry.is_refusing.get() {
-        return refusal::response(&Refusal::new(ErrorKind::Leaving).with_retry_after_ms(LEAVING_RETRY_AFTER_MS));
-    }
     // The newest configuration applies: the body may have taken a while to arrive.
     let table = entry.state.borrow().table.clone().unwrap_or(table);
     match admit(&entry, &table, head, body, started_ms) {
@@ -54,6 +58,10 @@
     }
 }
 
+fn leaving() -> Response<AnswerBody> {
+    refusal::response(&Refusal::new(ErrorKind::Leaving).with_retry_after_ms(LEAVING_RETRY_AFTER_MS))
+}
+
 async fn read_body<D: Dialect>(
     body: Incoming,
     table: &RouteTable,
@@ -157,25 +165,54 @@
     table.service(service)?.engine.as_ref()
 }
 
-/// Runs a request to its final answer, or to the start of its stream.
+/// Runs a request to its final answer, or to the start of an answer that is passed on as it arrives. A request that has
+/// neither when the process is about to exit is given up.
 async fn run<D: Dialect>(mut job: Job<D>) -> Response<AnswerBody> {
+    let entry = Rc::clone(&job.entry);
+    let outcome = tokio::select! {
+        biased;
+        outcome = run_attempts(&mut job) => outcome,
+        () = entry.exiting() => {
+            job.cancel_attempt();
+            Outcome::GivenUp(GiveUpReason::Leaving)
+        }
+    };
+    match outcome {
+        Outcome::Complete(response) => response,
+        Outcome::Stream(answer) => relay::stream(job, *answer),
+        Outcome::Unbuffered(answer) => pass_on::pass_on(job, *answer),
+        Outcome::GivenUp(reason) => job.give_up(reason),
+    }
+}
+
+/// How the attempts of a request ended.
+enum Outcome<D: Dialect> {
+    Complete(Response<AnswerBody>),
+    /// The start of a stream.
+    Stream(Box<Answer<D>>),
+    /// The start of an answer that there is no memory for.
+    Unbuffered(Box<Answer<D>>),
+    GivenUp(GiveUpReason),
+}
+
+async fn run_attempts<D: Dialect>(job: &mut Job<D>) -> Outcome<D> {
     loop {
         let answer = match job.next_answer().await {
             Ok(answer) => answer,
-            Err(reason) => return job.give_up(reason),
+            Err(reason) => return Outcome::GivenUp(reason),
         };
         // An answer whose deadline has passed could only be broken off after its head, unless it is complete already.
-        let may_stream = answer.head.status.is_success() && job.time_left_ms() > 0;
-        if matches!(job.route.kind, RouteKind::Stream { .. }) && may_stream {
-            return relay::stream(job, answer);
+        let may_pass_on = answer.head.status.is_success() && job.time_left_ms() > 0;
+        if matches!(job.route.kind, RouteKind::Stream { .. }) && may_pass_on {
+            return Outcome::Stream(Box::new(answer));
         }
         let buffer = BufferedBytes::of_endpoint(&job.entry, &answer.pick.id);
-        if may_stream && !has_room_for(&answer, &buffer) {
-            return pass_on::pass_on(job, answer);
+        if may_pass_on && !has_room_for(&answer, &buffer) {
+            return Outcome::Unbuffered(Box::new(answer));
         }
         match job.read_complete(answer, buffer).await {
-            Some(response) => return response,
-            None if job.time_left_ms() == 0 => return job.give_up(GiveUpReason::TimeUp),
+            Some(response) => return Outcome::Complete(response),
+            None if job.time_left_ms() == 0 => return Outcome::GivenUp(GiveUpReason::TimeUp),
             None => {}
         }
     }
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -219,6 +219,13 @@
         }
     }
 
+    /// Counts the attempt, or the answer, that is in flight when the request is given up. Its endpoint may have run the
+    /// request.
+    pub fn cancel_attempt(&mut self) {
+        self.may_have_run |= self.attempted.is_some() || self.progress.head_ms.is_some();
+        self.count_cancelled_attempt();
+    }
+
     /// Counts an attempt. An endpoint that was not reached never received the request. If the whole group is stalled,
     /// the rank is not at fault, and may be tried again once the group resumes.
     fn count_attempt(&mut self, pick: &Pick, attempt: Option<&Attempt<D>>) {
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -112,8 +112,9 @@
         if self.time_left_ms() < MIN_ATTEMPT_MS {
             return Err(GiveUpReason::TimeUp.into());
         }
-        // A request that an endpoint has got is under way, and has the rest of the grace period.
-        if slot.is_some() && self.entry.is_refusing.get() && !self.has_reached_endpoint {
+        // A request that an endpoint may have run is under way, and has the rest of the grace period. Any other one is
+        // better off at a box that stays.
+        if slot.is_some() && self.entry.is_refusing.get() && !self.may_have_run {
             return Err(GiveUpReason::Leaving.into());
         }
         self.claim_part_trial(now_ms)?;
@@ -222,7 +223,7 @@
 
     /// Returns how a request goes on that waits for the trial of a part, which ends within `left_ms`.
     fn hold_for_trial(&self, part: Option<Fingerprint>, left_ms: u64, now_ms: u64) -> NotPicked {
-        if self.entry.is_refusing.get() && !self.has_reached_endpoint {
+        if self.entry.is_refusing.get() && !self.may_have_run {
             return GiveUpReason::Leaving.into();
         }
         let is_patient =
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -38,6 +38,8 @@
 /// Time before the end of the grace period from which no new connection is established, in milliseconds, so that the
 /// requests on the last ones are answered.
 const LISTENER_CLOSE_MS: u64 = 500;
+/// Time before the end of the grace period at which requests that have no answer yet get a final one, in milliseconds.
+const FINAL_ANSWERS_MS: u64 = 200;
 /// How often a stopping box checks whether all connections have ended: a third of [`SHUTDOWN_MARGIN_MS`], so that the
 /// last check is in time.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -269,7 +271,7 @@
 
 /// Runs the planned stop: readiness fails at once, requests are accepted until the load balancer has noticed, then idle
 /// connections close, and the others end with their answers. At last no new connections are established, and those that
-/// are get their answers.
+/// are get their answers: the process gives up what its endpoints have not answered by then.
 async fn drain<D: Dialect>(entry: &Entry<D>, connections: OpenConnections, grace_ms: u64) {
     let OpenConnections { listeners, callers, internal } = connections;
     let started_ms = entry.clock.now_ms();
@@ -289,6 +291,11 @@
     log::info!("event=listeners_closed drained={are_drained}");
     internal.send_replace(DrainPhase::Closing);
     let open_count = || callers.receiver_count() + internal.receiver_count();
+    let final_ms = end_ms.saturating_sub(FINAL_ANSWERS_MS);
+    while open_count() > 0 && entry.clock.now_ms() < final_ms {
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+    entry.is_exiting.send_replace(true);
     let in_time = wait_until_connections_end(entry, open_count, end_ms).await;
     log::info!("event=entry_drained in_time={in_time} connections={}", callers.receiver_count());
 }
