Answer requests whose handling panics; ignore a timeout that is no number

Callers saw: a connection that closes without an answer. An engine answers with `Keep-Alive: timeout=nan`.

Cause: a number that is none passes a clamp, and the conversion to a duration panics; the panic ends the task of the connection. Class: any panic in the handling of a request closed its connection without an answer.

Change: such a value counts as absent. A panic is caught per request (catch_panic), answered with 500 as may have run, and logged with its place (event=panic), also in the other programs; the usual report stays.

--- a/crates/ochreyard-direct/src/connection_pool.rs
+++ b/crates/ochreyard-direct/src/connection_pool.rs
@@ -14,6 +14,8 @@
 /// Share of the stated timeout that is used: near its end the endpoint may close the connection while a request is
 /// sent.
 const USED_SHARE_OF_IDLE: f64 = 0.6;
+/// Longest time for which an idle connection is kept, in seconds.
+const MAX_IDLE_S: f64 = 60.0;
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
@@ -82,7 +84,7 @@
     let stated = answer.get("keep-alive").and_then(|value| value.to_str().ok());
     let seconds = stated.and_then(|text| {
         let named = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
-        named.unwrap_or(text).trim().parse::<f64>().ok()
+        named.unwrap_or(text).trim().parse::<f64>().ok().filter(|seconds| !seconds.is_nan())
     });
-    Some(seconds.map_or(DEFAULT_IDLE, |s| Duration::from_secs_f64((s * USED_SHARE_OF_IDLE).clamp(0.0, 60.0))))
+    Some(seconds.map_or(DEFAULT_IDLE, |s| Duration::from_secs_f64((s * USED_SHARE_OF_IDLE).clamp(0.0, MAX_IDLE_S))))
 }
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -15,6 +15,7 @@
 mod call_error;
 mod caller_request;
 mod caller_stream;
+mod catch_panic;
 mod connection;
 mod connection_pool;
 mod containment;
@@ -57,6 +58,7 @@
 
 pub use call_error::CallError;
 pub use caller_stream::{CallerStream, UnreadProbe};
+pub use catch_panic::catch_panic;
 pub use connection::set_socket_options;
 pub use dialect::{Dialect, DocumentError, HeaderNames, OperatorKey};
 pub use draining_connection::{DrainPhase, serve_until_closing};
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -10,19 +10,21 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ochreyard_core::direct::{GroupUpdate, LimitUpdate, QuarantineUpdate};
+use ochreyard_core::error_kind::ErrorKind;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::answer_body::AnswerBody;
 use crate::caller_stream::CallerStream;
+use crate::catch_panic::catch_panic;
 use crate::dialect::Dialect;
 use crate::draining_connection::{DrainPhase, serve_until_closing};
 use crate::entry::Entry;
 use crate::log_updates::{LeavingUpdate, OperatorUpdate};
 use crate::operator_api::{self, QUARANTINE_PATH, RELEASE_PATH};
 use crate::peers::{HandoverRole, PeerUpdate};
-use crate::{connection, forward, meters, peers};
+use crate::{connection, forward, meters, peers, refusal};
 
 /// Least size of the buffer for a request head; hyper requires this much.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
@@ -81,7 +83,8 @@
 }
 
 async fn answer_caller<D: Dialect>(entry: Rc<Entry<D>>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let mut response = forward::answer(Rc::clone(&entry), request).await;
+    let answer = catch_panic(forward::answer(Rc::clone(&entry), request)).await;
+    let mut response = answer.unwrap_or_else(|| refusal::of_kind(ErrorKind::Internal));
     if entry.is_stopping.get() {
         response.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/ochreyard-process/src/logging.rs
+++ b/crates/ochreyard-process/src/logging.rs
@@ -59,7 +59,19 @@
         "stdout" => dispatch.chain(rate_limited(std::io::stdout(), lines_per_s)),
         _ => dispatch.chain(rate_limited(std::io::stderr(), lines_per_s)),
     };
-    dispatch.apply()
+    dispatch.apply()?;
+    log_panics();
+    Ok(())
+}
+
+/// Writes a log line for each panic, beside the usual report on standard error.
+fn log_panics() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let place = panic.location().map_or_else(|| "unknown".to_owned(), ToString::to_string);
+        log::error!("event=panic place={place} cause=\"{}\"", panic.payload_as_str().unwrap_or("unknown"));
+        report(panic);
+    }));
 }
 
 fn rate_limited(stream: impl Write + AsFd + Send + 'static, lines_per_s: u64) -> fern::Output {
