Retry budget: count retries until they are answered; new processes settle in

What breaks: more retries arrive at a service within a window than allowed.

Causes, found by the model of the shared budget, whose retries could not arrive late: (1) a retry counted for one window from its sending, but the rule counts arrivals. Retries at endpoints that read nothing for a while arrive together with those of the next window. Only attempts that the process gives up were held; a last attempt just waits. (2) After a kill the next process knows nothing of what is still on its way.

Change: a retry counts from its sending until its endpoint has answered, and for one window from then on (on_arrived). A process settles in for 1.3 windows: until then it has no reserve, and .45 of the allowance in place of .6.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -32,6 +32,7 @@
 mod read_role;
 mod request_size;
 mod retry_budget_limits;
+mod retry_count;
 mod retry_usage;
 mod roster_loads;
 mod route_table;
--- a/crates/ochreyard-core/src/direct/held_retries.rs
+++ b/crates/ochreyard-core/src/direct/held_retries.rs
@@ -5,6 +5,7 @@
 //! retry counts from the time at which it was sent until the abandoned attempt has arrived.
 
 use super::endpoint_incarnation::EndpointIncarnation;
+use super::retry_count::RetryCount;
 
 /// How long an abandoned attempt may take to arrive, in milliseconds: longer than the endpoints of a data centre are cut
 /// off or stopped, and then go on.
@@ -15,8 +16,8 @@
 pub struct TakenRetry {
     /// Number of the retry among those of its service.
     pub(super) number: u64,
-    /// Slice of the window in which it counts; `None` once it is held.
-    pub(super) slice: Option<u64>,
+    /// Whether it counts as sent and not answered; it does not once it is held.
+    pub(super) is_in_flight: bool,
     /// Whether it was taken from the reserve.
     pub(super) is_reserve: bool,
 }
@@ -46,15 +47,6 @@
     held: Vec<HeldRetry>,
 }
 
-/// Retries that are no longer held.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct SettledRetries {
-    /// Number of retries.
-    pub count: u64,
-    /// Those of them that were taken from the reserve.
-    pub from_reserve: u64,
-}
-
 impl HeldRetries {
     /// Creates an empty set.
     pub const fn new() -> Self {
@@ -84,27 +76,27 @@
     }
 
     /// An endpoint has answered a request that was sent at `sent_ms`: what was sent to it before has arrived.
-    pub fn on_answered(&mut self, endpoint: &EndpointIncarnation, sent_ms: u64) -> SettledRetries {
+    pub fn on_answered(&mut self, endpoint: &EndpointIncarnation, sent_ms: u64) -> RetryCount {
         self.settle(|attempt| attempt.endpoint == *endpoint && attempt.sent_ms <= sent_ms)
     }
 
     /// The endpoint `id` has restarted: what was sent to an earlier incarnation never arrives any more.
-    pub fn on_restarted(&mut self, id: &str, started_ms: u64) -> SettledRetries {
+    pub fn on_restarted(&mut self, id: &str, started_ms: u64) -> RetryCount {
         self.settle(|attempt| attempt.endpoint.id == id && attempt.endpoint.started_ms != started_ms)
     }
 
     /// Settles the retries whose attempts are too old to arrive.
-    pub fn expire(&mut self, now_ms: u64) -> SettledRetries {
+    pub fn expire(&mut self, now_ms: u64) -> RetryCount {
         self.settle(|attempt| now_ms >= attempt.abandoned_ms + MAX_ARRIVAL_DELAY_MS)
     }
 
     /// Removes the attempts that are settled, and then the retries that have none left.
-    fn settle(&mut self, is_settled: impl Fn(&AbandonedAttempt) -> bool) -> SettledRetries {
-        let before = SettledRetries { count: self.len(), from_reserve: self.reserve_len() };
+    fn settle(&mut self, is_settled: impl Fn(&AbandonedAttempt) -> bool) -> RetryCount {
+        let before = RetryCount { count: self.len(), from_reserve: self.reserve_len() };
         for retry in &mut self.held {
             retry.abandoned.retain(|attempt| !is_settled(attempt));
         }
         self.held.retain(|retry| !retry.abandoned.is_empty());
-        SettledRetries { count: before.count - self.len(), from_reserve: before.from_reserve - self.reserve_len() }
+        RetryCount { count: before.count - self.len(), from_reserve: before.from_reserve - self.reserve_len() }
     }
 }
--- a/crates/ochreyard-core/src/direct/shared_retry_budget.rs
+++ b/crates/ochreyard-core/src/direct/shared_retry_budget.rs
@@ -8,19 +8,29 @@
 //! however many processes follow each other. The other one, the reserve, can be used at once, but only by a process that
 //! has run for a whole window: two processes of one box cannot both use it within one window.
 //!
-//! The platform counts a retry when it arrives. A retry of a request of which an abandoned attempt may still arrive
-//! therefore counts until that has arrived, and for one window from then on.
+//! What an earlier process has sent may arrive late, at endpoints that read nothing for a while. Until that is over, a
+//! process has not settled in: it has no reserve, and a lower rate.
+//!
+//! The platform counts a retry when it arrives. A retry therefore counts from the time at which it was sent until its
+//! endpoint has answered, and for one window from then on; that of a request of which an abandoned attempt may still
+//! arrive until that has arrived.
 
 use std::collections::{HashMap, VecDeque};
 
 use super::endpoint_incarnation::EndpointIncarnation;
-use super::held_retries::{AbandonedAttempt, HeldRetries, SettledRetries, TakenRetry};
-use super::paced_retries::PacedRetries;
+use super::held_retries::{AbandonedAttempt, HeldRetries, TakenRetry};
+use super::paced_retries::{PaceRate, PacedRetries};
 use super::retry_budget_limits::RetryBudgetLimits;
+use super::retry_count::RetryCount;
 use super::retry_usage::RetryUsage;
 
 /// Share of the allowance that becomes available at a steady rate.
 const PACED_SHARE: f64 = 0.6;
+/// The same for a process that has not settled in.
+const UNSETTLED_PACED_SHARE: f64 = 0.45;
+/// Part of a window in which retries of an earlier process may arrive late. A new process settles in for a window and
+/// this part.
+const LATE_ARRIVAL_SHARE: f64 = 0.3;
 /// Share of the allowance that a process can use at once: the reserve, and what it has saved of the paced part. What
 /// remains beside both shares is a margin for boxes that are not known yet, and for requests that are spread unevenly
 /// over boxes and time.
@@ -49,6 +59,8 @@
 struct Window {
     slices: VecDeque<Slice>,
     paced: PacedRetries,
+    /// Retries that were sent and not answered.
+    in_flight: RetryCount,
     held: HeldRetries,
     total_retries: u64,
 }
@@ -71,14 +83,15 @@
 
     /// Sets how many boxes share the budget from now on.
     pub fn set_boxes(&mut self, boxes: u64, now_ms: u64) {
-        let paced_per_ms = self.paced_per_ms();
-        self.windows.values_mut().for_each(|window| window.paced.advance(paced_per_ms, now_ms));
+        let rate = self.pace_rate();
+        self.windows.values_mut().for_each(|window| window.paced.advance(&rate, now_ms));
         self.boxes = boxes.max(1);
     }
 
     /// Counts a request for a service.
     pub fn on_request(&mut self, service: &str, now_ms: u64) {
-        let paced_per_request = PACED_SHARE * self.limits.ratio;
+        let is_settled = now_ms >= self.settled_from_ms();
+        let paced_per_request = self.limits.ratio * if is_settled { PACED_SHARE } else { UNSETTLED_PACED_SHARE };
         let window = self.window(service, now_ms);
         window.current().requests += 1;
         window.paced.add(paced_per_request);
@@ -104,29 +117,33 @@
         if !is_paced && !self.has_reserve_retry(service, now_ms) {
             return None;
         }
-        let (paced_per_ms, max_saved) = (self.paced_per_ms(), self.max_saved(service, now_ms));
+        let (rate, max_saved) = (self.pace_rate(), self.max_saved(service, now_ms));
         let window = self.window(service, now_ms);
         if is_paced {
-            window.paced.advance(paced_per_ms, now_ms);
+            window.paced.advance(&rate, now_ms);
             window.paced.take(max_saved);
         }
         window.total_retries += 1;
         let number = window.total_retries;
-        let slice = window.current();
-        slice.retries += 1;
-        slice.reserve_retries += u64::from(!is_paced);
-        Some(TakenRetry { number, slice: Some(slice.number), is_reserve: !is_paced })
+        window.in_flight.add(!is_paced);
+        Some(TakenRetry { number, is_in_flight: true, is_reserve: !is_paced })
+    }
+
+    /// A retry has arrived, since its endpoint has answered, or never arrives. It counts for one window from now on, unless
+    /// it is held.
+    pub fn on_arrived(&mut self, service: &str, retry: &mut TakenRetry, now_ms: u64) {
+        let window = self.window(service, now_ms);
+        if window.end_flight(retry) {
+            let slice = window.current();
+            slice.retries += 1;
+            slice.reserve_retries += u64::from(retry.is_reserve);
+        }
     }
 
     /// Counts a retry until an abandoned attempt of its request has arrived.
     pub fn hold(&mut self, service: &str, retry: &mut TakenRetry, attempt: AbandonedAttempt, now_ms: u64) {
         let window = self.window(service, now_ms);
-        let counted =
-            retry.slice.take().and_then(|number| window.slices.iter_mut().find(|slice| slice.number == number));
-        if let Some(slice) = counted {
-            slice.retries = slice.retries.saturating_sub(1);
-            slice.reserve_retries = slice.reserve_retries.saturating_sub(u64::from(retry.is_reserve));
-        }
+        window.end_flight(retry);
         window.held.hold(retry, attempt);
     }
 
@@ -148,7 +165,7 @@
     }
 
     /// Counts the retries that `settle` releases as of now.
-    fn settle(&mut self, service: &str, now_ms: u64, settle: impl Fn(&mut HeldRetries) -> SettledRetries) -> u64 {
+    fn settle(&mut self, service: &str, now_ms: u64, settle: impl Fn(&mut HeldRetries) -> RetryCount) -> u64 {
         if self.held(service) == 0 {
             return 0;
         }
@@ -179,19 +196,20 @@
 
     fn has_paced_retry(&self, service: &str, now_ms: u64) -> bool {
         let paced = self.windows.get(service).map(|window| window.paced);
-        let is_available = paced.is_some_and(|paced| paced.available(self.paced_per_ms(), now_ms) >= 1.0);
+        let is_available = paced.is_some_and(|paced| paced.available(&self.pace_rate(), now_ms) >= 1.0);
         // Where the allowance of a box is hardly more than one retry, what it saves may be more than the allowance.
         is_available && self.is_within_allowance(service, now_ms)
     }
 
     fn has_reserve_retry(&self, service: &str, now_ms: u64) -> bool {
-        if now_ms < self.started_ms + self.limits.window_ms + self.slice_ms() {
+        if now_ms < self.settled_from_ms() {
             return false;
         }
-        let held = self.windows.get(service).map_or(0, |window| window.held.reserve_len());
+        let window = self.windows.get(service);
+        let open = window.map_or(0, |window| window.held.reserve_len() + window.in_flight.from_reserve);
         let used: u64 = self.recent_slices(service, now_ms).map(|slice| slice.reserve_retries).sum();
         let reserve = BURST_SHARE * self.allowance(service, now_ms) - self.max_saved(service, now_ms);
-        (used + held + 1) as f64 <= reserve && self.is_within_allowance(service, now_ms)
+        (used + open + 1) as f64 <= reserve && self.is_within_allowance(service, now_ms)
     }
 
     /// Returns whether one more retry fits beside all that count now. Held retries were sent at any time, and are bounded
@@ -201,9 +219,10 @@
         (counted + 1) as f64 <= (PACED_SHARE + BURST_SHARE) * self.allowance(service, now_ms)
     }
 
-    /// Retries within the last window, and those that are held.
+    /// Retries that arrived within the last window, and those that may still arrive.
     fn counted_retries(&self, service: &str, now_ms: u64) -> u64 {
-        self.recent_slices(service, now_ms).map(|slice| slice.retries).sum::<u64>() + self.held(service)
+        let in_flight = self.windows.get(service).map_or(0, |window| window.in_flight.count);
+        self.recent_slices(service, now_ms).map(|slice| slice.retries).sum::<u64>() + in_flight + self.held(service)
     }
 
     fn held(&self, service: &str) -> u64 {
@@ -225,9 +244,20 @@
         self.limits.fixed as f64 / self.boxes as f64
     }
 
-    /// Paced retries that become available with time, per millisecond.
-    fn paced_per_ms(&self) -> f64 {
-        PACED_SHARE * self.fixed_share() / self.limits.window_ms.max(1) as f64
+    /// How paced retries become available with time.
+    fn pace_rate(&self) -> PaceRate {
+        let per_ms = self.fixed_share() / self.limits.window_ms.max(1) as f64;
+        PaceRate {
+            unsettled_per_ms: UNSETTLED_PACED_SHARE * per_ms,
+            settled_per_ms: PACED_SHARE * per_ms,
+            settled_from_ms: self.settled_from_ms(),
+        }
+    }
+
+    /// When this process has settled in.
+    fn settled_from_ms(&self) -> u64 {
+        let late_ms = (LATE_ARRIVAL_SHARE * self.limits.window_ms as f64) as u64;
+        self.started_ms + self.limits.window_ms + self.slice_ms() + late_ms
     }
 
     /// Requests within the last window. Rounded down to whole slices, as retries are rounded up to them.
@@ -269,6 +299,7 @@
         Self {
             slices: VecDeque::new(),
             paced: PacedRetries::new(started_ms),
+            in_flight: RetryCount { count: 0, from_reserve: 0 },
             held: HeldRetries::new(),
             total_retries: 0,
         }
@@ -284,6 +315,15 @@
         }
     }
 
+    /// Ends the flight of a retry; returns false if it had ended before.
+    const fn end_flight(&mut self, retry: &mut TakenRetry) -> bool {
+        let was_in_flight = std::mem::replace(&mut retry.is_in_flight, false);
+        if was_in_flight {
+            self.in_flight.remove(retry.is_reserve);
+        }
+        was_in_flight
+    }
+
     fn current(&mut self) -> &mut Slice {
         self.slices.back_mut().expect("`advance` has begun a slice")
     }
--- a/crates/ochreyard-core/tests/retry_budget.rs
+++ b/crates/ochreyard-core/tests/retry_budget.rs
@@ -7,7 +7,7 @@
 
 use ochreyard_core::direct::RetryBudgetLimits;
 use proptest::prelude::*;
-use retry_budget_model::{Arrivals, Fleet, Kill, Scenario};
+use retry_budget_model::{Arrivals, Fleet, Kill, Scenario, Stall};
 use rstest::rstest;
 
 const RUN_MS: u64 = 40_000;
@@ -24,6 +24,7 @@
         failing_from_ms: FAILING_FROM_MS,
         failing_share: 1.0,
         kills,
+        stalls: Vec::new(),
         boxes_known_after_ms: 200,
         seed: 7,
     }
@@ -61,6 +62,39 @@
     assert!(max_excess <= 0.0, "{max_excess:.1} retries above the bound");
 }
 
+/// Guards against retries that are sent over more than a window, and arrive within one: their endpoints read nothing for a
+/// while.
+#[rstest]
+#[case::short(9_000, 900, 1.0)]
+#[case::long(7_000, 3_000, 1.0)]
+#[case::long_after_a_burst(7_000, 3_000, 4.0)]
+#[case::as_requests_begin_to_fail(0, 3_000, 4.0)]
+#[case::longer_than_a_window(1_000, 12_000, 1.0)]
+fn retries_that_arrive_late_keep_to_the_shared_retry_budget(
+    #[case] after_ms: u64,
+    #[case] for_ms: u64,
+    #[case] failing_share: f64,
+) {
+    let stalls = vec![Stall { from_ms: FAILING_FROM_MS + after_ms, for_ms }];
+    let scenario = Scenario { stalls, failing_share, ..failing_fleet(Vec::new()) };
+    let max_excess = run(&scenario).max_excess(LIMITS);
+    assert!(max_excess <= 0.0, "{max_excess:.1} retries above the bound");
+}
+
+/// Guards against retries of killed processes that arrive beside those of the next ones, which know nothing of them.
+#[rstest]
+#[case::early(500)]
+#[case::late(2_500)]
+fn boxes_that_are_killed_while_their_endpoints_read_nothing_keep_to_the_shared_retry_budget(
+    #[case] kill_after_ms: u64,
+) {
+    let stalls = vec![Stall { from_ms: FAILING_FROM_MS, for_ms: 3_000 }];
+    let kills = kills_after_failing(&[kill_after_ms], 1.0);
+    let scenario = Scenario { stalls, failing_share: 4.0, ..failing_fleet(kills) };
+    let max_excess = run(&scenario).max_excess(LIMITS);
+    assert!(max_excess <= 0.0, "{max_excess:.1} retries above the bound");
+}
+
 /// Guards against a budget that keeps to its bound by giving out little.
 #[rstest]
 #[case::first_window_without_kills(&[], 0.0, 0, 0.85)]
@@ -85,6 +119,12 @@
     }
 }
 
+prop_compose! {
+    fn any_stall()(from_ms in 0..RUN_MS, for_ms in 100u64..3_000) -> Stall {
+        Stall { from_ms, for_ms }
+    }
+}
+
 prop_compose! {
     fn any_scenario()(
         fixed in 40u64..1_100,
@@ -93,12 +133,14 @@
         failing_from_ms in 0u64..30_000,
         failing_share in 0.2f64..3.0,
         kills in proptest::collection::vec(any_kill(), 0..12),
+        stalls in proptest::collection::vec(any_stall(), 0..4),
         boxes_known_after_ms in 0u64..2_000,
         seed in any::<u64>(),
     ) -> Scenario {
         let limits = RetryBudgetLimits { fixed, ..LIMITS };
         Scenario {
-            limits, boxes, requests_per_s, failing_from_ms, failing_share, kills, boxes_known_after_ms, seed
+            limits, boxes, requests_per_s, failing_from_ms, failing_share, kills, stalls, boxes_known_after_ms,
+            seed
         }
     }
 }
--- a/crates/ochreyard-core/tests/retry_budget_model/fleet.rs
+++ b/crates/ochreyard-core/tests/retry_budget_model/fleet.rs
@@ -1,10 +1,10 @@
 //! The boxes of the model, each with its present process.
 
-use ochreyard_core::direct::{SharedRetryBudget, SharingBoxes};
+use ochreyard_core::direct::{SharedRetryBudget, SharingBoxes, TakenRetry};
 use ochreyard_core::hash;
 
 use super::arrivals::Arrivals;
-use super::scenario::{Kill, Scenario};
+use super::scenario::{Kill, Scenario, Stall};
 
 const SERVICE: &str = "service";
 /// Length of a step of the model.
@@ -26,10 +26,20 @@
     }
 }
 
+/// A retry on its way to its endpoint.
+struct SentRetry {
+    retry: TakenRetry,
+    at_box: usize,
+    /// Start of the process that sent it.
+    sender_started_ms: u64,
+    arrival_ms: u64,
+}
+
 /// A fleet on virtual time.
 pub struct Fleet {
     scenario: Scenario,
     boxes: Vec<ModelBox>,
+    sent: Vec<SentRetry>,
     random: u64,
     arrivals: Arrivals,
 }
@@ -45,7 +55,7 @@
                 due_retries: 0.0,
             })
             .collect();
-        Self { scenario, boxes, random, arrivals: Arrivals::default() }
+        Self { scenario, boxes, sent: Vec::new(), random, arrivals: Arrivals::default() }
     }
 
     /// Runs the fleet from the start of its processes to `end_ms`.
@@ -70,10 +80,35 @@
         }
     }
 
+    /// Retries arrive, also those of processes that were killed meanwhile. A process that runs gets the answer at once.
+    fn deliver(&mut self, now_ms: u64) {
+        for mut sent in self.sent.extract_if(.., |sent| sent.arrival_ms <= now_ms) {
+            self.arrivals.retries_ms.push(now_ms);
+            let sender = &mut self.boxes[sent.at_box];
+            if sender.started_ms == sent.sender_started_ms {
+                sender.budget.on_arrived(SERVICE, &mut sent.retry, now_ms);
+            }
+        }
+    }
+
+    /// When a retry arrives that is sent now.
+    fn arrival_ms(&self, now_ms: u64) -> u64 {
+        let is_stalled = |stall: &Stall| (stall.from_ms..stall.from_ms + stall.for_ms).contains(&now_ms);
+        self.scenario
+            .stalls
+            .iter()
+            .filter(|stall| is_stalled(stall))
+            .map(|s| s.from_ms + s.for_ms)
+            .max()
+            .unwrap_or(now_ms)
+    }
+
     fn step(&mut self, now_ms: u64) {
+        self.deliver(now_ms);
         let Scenario { requests_per_s, failing_from_ms, failing_share, boxes_known_after_ms, .. } = self.scenario;
+        let arrival_ms = self.arrival_ms(now_ms);
         let boxes = self.boxes.len() as u64;
-        for each in &mut self.boxes {
+        for (at_box, each) in self.boxes.iter_mut().enumerate() {
             each.due_requests += requests_per_s * STEP_MS as f64 / MS_PER_S;
             if each.is_running(now_ms) && now_ms >= each.started_ms + boxes_known_after_ms {
                 each.budget.set_boxes(boxes, now_ms);
@@ -89,8 +124,8 @@
             }
             while each.due_retries >= 1.0 && each.is_running(now_ms) {
                 each.due_retries -= 1.0;
-                if each.budget.try_take(SERVICE, now_ms).is_some() {
-                    self.arrivals.retries_ms.push(now_ms);
+                if let Some(retry) = each.budget.try_take(SERVICE, now_ms) {
+                    self.sent.push(SentRetry { retry, at_box, sender_started_ms: each.started_ms, arrival_ms });
                 }
             }
         }
--- a/crates/ochreyard-core/tests/retry_budget_model/mod.rs
+++ b/crates/ochreyard-core/tests/retry_budget_model/mod.rs
@@ -6,4 +6,4 @@
 
 pub use arrivals::Arrivals;
 pub use fleet::Fleet;
-pub use scenario::{Kill, Scenario};
+pub use scenario::{Kill, Scenario, Stall};
--- a/crates/ochreyard-core/tests/retry_budget_model/scenario.rs
+++ b/crates/ochreyard-core/tests/retry_budget_model/scenario.rs
@@ -13,6 +13,13 @@
     pub down_ms: u64,
 }
 
+/// A time in which endpoints read nothing. What was sent to them then arrives at its end.
+#[derive(Debug, Clone, Copy)]
+pub struct Stall {
+    pub from_ms: u64,
+    pub for_ms: u64,
+}
+
 /// Load and faults of one run of the model.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -26,6 +33,7 @@
     /// that were in flight fail as well.
     pub failing_share: f64,
     pub kills: Vec<Kill>,
+    pub stalls: Vec<Stall>,
     /// Time after its start at which a process knows all boxes.
     pub boxes_known_after_ms: u64,
     pub seed: u64,
--- a/crates/ochreyard-direct/src/in_flight.rs
+++ b/crates/ochreyard-direct/src/in_flight.rs
@@ -35,7 +35,7 @@
     service: String,
     pick: Pick,
     /// The retry that was taken for the attempt, unless it is the first one of its request.
-    retry: Option<TakenRetry>,
+    retry: Cell<Option<TakenRetry>>,
     stage: Cell<Stage>,
     outcome: Cell<AttemptOutcome>,
     is_answered: Cell<bool>,
@@ -50,7 +50,7 @@
             entry: Rc::clone(entry),
             service: service.to_owned(),
             pick: pick.clone(),
-            retry,
+            retry: Cell::new(retry),
             stage: Cell::new(Stage::Picked),
             outcome,
             is_answered: Cell::new(false),
@@ -109,7 +109,12 @@
     /// Records once that the endpoint has answered, or will not answer.
     fn record_answered(&self) {
         if !self.is_answered.replace(true) {
-            self.entry.state.borrow_mut().pool.on_answered(&self.pick);
+            let now_ms = self.entry.clock.now_ms();
+            let mut state = self.entry.state.borrow_mut();
+            state.pool.on_answered(&self.pick);
+            if let Some(mut retry) = self.retry.take() {
+                state.budget.on_arrived(&self.service, &mut retry, now_ms);
+            }
         }
     }
 
@@ -125,10 +130,10 @@
         log::info!(
             "event=attempt_abandoned endpoint={} waited_ms={waited_ms} responded_before={has_responded} retry={}",
             self.pick.id,
-            self.retry.is_some()
+            self.retry.get().is_some()
         );
         state.pool.on_abandoned(&self.pick, sent_ms);
-        if let Some(mut retry) = self.retry {
+        if let Some(mut retry) = self.retry.take() {
             let attempt = AbandonedAttempt { endpoint: self.pick.incarnation(), sent_ms, abandoned_ms: now_ms };
             state.budget.hold(&self.service, &mut retry, attempt, now_ms);
         }
