Streams lose no event when the memory for bodies is full

Cause: complete events that arrive together with the start of the next one were taken off the buffer, and dropped with it if that start found no memory; the next endpoint went on after them.

Change: the caller gets the complete events first, then the stream leaves its endpoint. An incomplete event of up to 4 KB is not counted, so that uploads end no stream of usual events. The limit on the size of an event had the same fault.

--- a/crates/ochreyard-direct/src/answer_limits.rs
+++ b/crates/ochreyard-direct/src/answer_limits.rs
@@ -18,3 +18,6 @@
 pub const MAX_CONTROL_ANSWER_BYTES: usize = 8 << 20;
 /// Least rate at which an answer that is buffered completely has to arrive, once a request may leave its endpoint.
 pub const MIN_ANSWER_BYTES_PER_MS: u64 = 64;
+/// Size up to which an incomplete event does not count towards the memory for bodies, so that requests which take all of
+/// it end no stream.
+pub const UNCOUNTED_EVENT_BYTES: usize = 4 << 10;
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -11,7 +11,7 @@
 
 use crate::answer::{Answer, caller_response};
 use crate::answer_body::{AnswerAborted, AnswerBody};
-use crate::answer_limits::{MAX_EVENT_BYTES, MIN_PIECE_BYTES};
+use crate::answer_limits::{MAX_EVENT_BYTES, MIN_PIECE_BYTES, UNCOUNTED_EVENT_BYTES};
 use crate::buffered_bytes::BufferedBytes;
 use crate::dialect::Dialect;
 use crate::give_up_reason::GiveUpReason;
@@ -40,6 +40,7 @@
         late_reads: None,
         event_count: 0,
         next_search_ms: 0,
+        pending_break: None,
     };
     let pieces = futures::stream::unfold(relay, |mut relay| async move {
         let piece = relay.next_events().await?;
@@ -64,6 +65,8 @@
     event_count: usize,
     /// When another endpoint may be sought again, after none was found.
     next_search_ms: u64,
+    /// Why the stream leaves its endpoint once the caller has the events that arrived before.
+    pending_break: Option<String>,
 }
 
 enum Step {
@@ -127,6 +130,9 @@
     }
 
     async fn step(&mut self) -> Step {
+        if let Some(cause) = self.pending_break.take() {
+            return Step::Broken { cause, how: Break::Malformed };
+        }
         let is_slow = self.answer.as_ref().is_some_and(|answer| self.job.should_migrate(&answer.pick));
         if is_slow && self.may_resume() {
             // Left at once: its requests lengthen every step of its whole group.
@@ -193,16 +199,28 @@
         if complete.count == 0 {
             self.eventless_bytes += data.len().max(MIN_PIECE_BYTES);
         }
-        if self.eventless_bytes.max(self.splitter.partial_event_bytes()) > MAX_EVENT_BYTES {
-            return Step::Broken { cause: "event exceeds the size limit".to_owned(), how: Break::Malformed };
+        let problem = self.problem_with_rest(complete.count == 0, now_ms);
+        match problem {
+            Some(cause) if complete.bytes.is_empty() => Step::Broken { cause: cause.to_owned(), how: Break::Malformed },
+            // Another endpoint goes on after these events, so the caller has to get them.
+            problem => {
+                self.pending_break = problem.map(str::to_owned);
+                if complete.bytes.is_empty() { Step::Partial } else { Step::Events(complete.bytes) }
+            }
         }
-        if !self.buffer.try_resize(self.splitter.partial_event_bytes()) {
-            return Step::Broken { cause: "buffered bodies take too much memory".to_owned(), how: Break::Malformed };
+    }
+
+    /// Returns why the stream has to leave its endpoint, judging by what came after the last complete event.
+    fn problem_with_rest(&mut self, is_eventless: bool, now_ms: u64) -> Option<&'static str> {
+        let partial_bytes = self.splitter.partial_event_bytes();
+        if self.eventless_bytes.max(partial_bytes) > MAX_EVENT_BYTES {
+            return Some("event exceeds the size limit");
         }
-        if complete.count == 0 && self.is_eventless_for_long(now_ms) && self.may_leave_endpoint() {
-            return Step::Broken { cause: "bytes without an event".to_owned(), how: Break::Malformed };
+        if !self.buffer.try_resize(partial_bytes.saturating_sub(UNCOUNTED_EVENT_BYTES)) {
+            return Some("buffered bodies take too much memory");
         }
-        if complete.bytes.is_empty() { Step::Partial } else { Step::Events(complete.bytes) }
+        (is_eventless && self.is_eventless_for_long(now_ms) && self.may_leave_endpoint())
+            .then_some("bytes without an event")
     }
 
     /// Returns whether bytes have arrived for a while that complete no event. Called when bytes arrive.
@@ -294,6 +312,7 @@
         let answer = self.answer.take()?;
         answer.in_flight.set_outcome(outcome);
         self.splitter.discard_partial_event();
+        self.pending_break = None;
         self.eventless_since_ms = None;
         self.eventless_bytes = 0;
         Some(answer.pick.clone())
