An empty list of tenants opens no routes

Cause: that requests need a key was set by the first workspace of the list.

Change: the list itself sets it (with_required_key). A configuration without the field needs no keys, as before.

--- a/crates/ochreyard-core/src/direct/route_table.rs
+++ b/crates/ochreyard-core/src/direct/route_table.rs
@@ -66,16 +66,23 @@
         self
     }
 
-    /// Adds a workspace with its API keys; requests then need a key, except on public routes.
+    /// Lets requests need a key, except on public routes. No request has one until a workspace is added.
     #[must_use]
-    pub fn with_workspace(mut self, workspace: Workspace, keys: impl IntoIterator<Item = String>) -> Self {
+    pub fn with_required_key(mut self) -> Self {
         self.needs_key = true;
         self.priorities.take();
-        let workspace = Arc::new(workspace);
-        self.keys.extend(keys.into_iter().map(|key| (key, Arc::clone(&workspace))));
         self
     }
 
+    /// Adds a workspace with its API keys; requests then need a key, except on public routes.
+    #[must_use]
+    pub fn with_workspace(self, workspace: Workspace, keys: impl IntoIterator<Item = String>) -> Self {
+        let mut table = self.with_required_key();
+        let workspace = Arc::new(workspace);
+        table.keys.extend(keys.into_iter().map(|key| (key, Arc::clone(&workspace))));
+        table
+    }
+
     /// Sets the limits for callers.
     #[must_use]
     pub const fn with_limits(mut self, limits: CallerLimits) -> Self {
