A surplus refusal of a liveness check is no answer to the next request

Cause: the connection of a check that the endpoint had refused was kept, and the request that waited for the check went out on it. A second copy of the refusal names no attempt, since a check has none, and says "not executed".

Change: only the connection of a check that succeeded is kept.

--- a/crates/ochreyard-direct/src/liveness_check.rs
+++ b/crates/ochreyard-direct/src/liveness_check.rs
@@ -85,8 +85,9 @@
     found
 }
 
-/// Sends a check, and keeps its connection for the next request. Any answer will do: what the endpoint says about itself in
-/// its answers to requests decides whether it gets more of them.
+/// Sends a check. Any answer will do: what the endpoint says about itself in its answers to requests decides whether it gets
+/// more of them. The connection is kept for the next request if the check succeeded: a second copy of a refusal would say
+/// that the next request has not run.
 async fn ask<D: Dialect>(entry: &Rc<Entry<D>>, pick: &Pick, path: &str) -> Liveness {
     let request = Request::get(path)
         .header(http::header::HOST, pick.addr.to_string())
@@ -98,7 +99,9 @@
         Ok(Exchanged { connection, response }) => {
             let (head, body) = response.into_parts();
             let body = Limited::new(body, MAX_BODY_BYTES).collect();
-            if let Some(Ok(_)) = timeout_after_reads(BODY_TIMEOUT, body).await {
+            if head.status.is_success()
+                && let Some(Ok(_)) = timeout_after_reads(BODY_TIMEOUT, body).await
+            {
                 let now_ms = entry.clock.now_ms();
                 entry.state.borrow_mut().connections.keep(pick, connection, &head.headers, now_ms);
             }
