Tell the end of an answer from a crash by a second connection

Cause: such an answer counted as whole if the endpoint's address accepted a connection. That says who listens there now, not what became of the process that sent the answer. Class: a later state judged an earlier event.

Change: beside such answers an idle connection to their endpoint is open, one for all of them (Witness). The end of an answer closes its own connection; a crash closes all. The former check remains where it was not open. Cost: one idle connection per box and endpoint with such answers under way.

--- a/crates/ochreyard-direct/src/answer.rs
+++ b/crates/ochreyard-direct/src/answer.rs
@@ -1,5 +1,7 @@
 //! An endpoint's answer whose head has arrived.
 
+use std::rc::Rc;
+
 use http::{HeaderMap, Response, StatusCode, header, response};
 use http_body::Body;
 use hyper::body::Incoming;
@@ -11,6 +13,7 @@
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::in_flight::InFlightAttempt;
+use crate::witness::Witness;
 
 /// An answer whose head has arrived.
 pub struct Answer<D: Dialect> {
@@ -24,16 +27,11 @@
     pub pick: Pick,
     /// Counts the attempt in the load of the endpoint.
     pub in_flight: InFlightAttempt<D>,
+    /// Tells the end of the answer from a crash, if only the end of the connection marks it.
+    pub witness: Option<Rc<Witness>>,
 }
 
 impl<D: Dialect> Answer<D> {
-    /// Returns whether only the end of the connection marks the end of the answer, so that a crash of the endpoint looks
-    /// like the end of a complete answer.
-    pub fn ends_with_connection(&self) -> bool {
-        let headers = &self.head.headers;
-        !headers.contains_key(header::CONTENT_LENGTH) && !headers.contains_key(header::TRANSFER_ENCODING)
-    }
-
     /// Returns the size of the body, if it is stated.
     pub fn stated_bytes(&self) -> Option<usize> {
         usize::try_from(self.body.size_hint().exact()?).ok()
@@ -50,6 +48,14 @@
     }
 }
 
+/// Returns whether only the end of the connection marks the end of an answer, so that a crash of the endpoint looks like the
+/// end of a complete answer.
+pub fn ends_with_connection(head: &response::Parts, body: &Incoming) -> bool {
+    let is_framed =
+        head.headers.contains_key(header::CONTENT_LENGTH) || head.headers.contains_key(header::TRANSFER_ENCODING);
+    !is_framed && !body.is_end_stream()
+}
+
 /// Builds the answer to the caller from the endpoint's answer.
 pub fn caller_response(status: StatusCode, headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
     let mut response = Response::new(body);
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, StatusCode, response};
 use ochreyard_core::direct::{AttemptOutcome, Pick, TakenRetry};
 
-use crate::answer::Answer;
+use crate::answer::{Answer, ends_with_connection};
 use crate::caller_request::CallerRequest;
 use crate::connection::Connection;
 use crate::dialect::Dialect;
@@ -190,7 +190,8 @@
     }
     let now_ms = entry.clock.now_ms();
     entry.state.borrow_mut().pool.on_accepted(pick, now_ms);
-    Attempt::Answered(Box::new(Answer { head, body, connection, pick: pick.clone(), in_flight }))
+    let witness = ends_with_connection(&head, &body).then(|| entry.witnesses.get(pick, entry.clock));
+    Attempt::Answered(Box::new(Answer { head, body, connection, pick: pick.clone(), in_flight, witness }))
 }
 
 /// Records what an endpoint that did not run a request reports about itself and its group.
--- a/crates/ochreyard-direct/src/crash_check.rs
+++ b/crates/ochreyard-direct/src/crash_check.rs
@@ -19,7 +19,7 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long a new connection has to stay open: a process that ends may close its listener after its connections, and
 /// resets what it had not accepted.
-const SETTLE_TIME: Duration = Duration::from_millis(20);
+pub const SETTLE_TIME: Duration = Duration::from_millis(20);
 /// How long an endpoint that was found crashed counts as crashed, in milliseconds: it needs seconds to start again.
 const CRASHED_VALID_MS: u64 = 1_000;
 
@@ -73,13 +73,25 @@
     }
 }
 
+/// How a connection to an endpoint broke, as far as it is known without a check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Break {
+    /// With its endpoint.
+    ByCrash,
+    /// For a reason that is not known.
+    Unexplained,
+}
+
 /// Checks whether an endpoint that broke a connection at `broke_ms` has crashed. One that is leaving, or has left, ends
 /// as planned.
-pub async fn check<D: Dialect>(entry: &Rc<Entry<D>>, pick: &Pick, broke_ms: u64) -> CrashCheck {
+pub async fn check<D: Dialect>(entry: &Rc<Entry<D>>, pick: &Pick, how: Break, broke_ms: u64) -> CrashCheck {
     if entry.state.borrow().pool.ended_as_planned(pick, broke_ms) {
         return CrashCheck::Leaving;
     }
-    check_listener(entry, pick).await
+    match how {
+        Break::ByCrash => CrashCheck::Crashed,
+        Break::Unexplained => check_listener(entry, pick).await,
+    }
 }
 
 /// Checks whether anything listens at the address of an endpoint that has just closed a connection, whether or not it is
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -27,6 +27,7 @@
 use crate::peers::{FullSyncLimiter, HandoverHandler, PeerEndpoint, UnreachablePeers};
 use crate::recent_lag::RecentLag;
 use crate::sync_cursor::SyncCursor;
+use crate::witness::Witnesses;
 
 /// How long a box that has just started waits for the state of other boxes, in milliseconds: long enough to poll a few
 /// boxes, some of which may be gone. Callers are told to retry shortly until then.
@@ -58,6 +59,8 @@
     pub is_exiting: watch::Sender<bool>,
     /// Checks of endpoints that broke a connection.
     pub crash_checks: CrashChecks,
+    /// Idle connections beside answers that end with their connections.
+    pub witnesses: Witnesses,
     /// Checks of endpoints that have not responded to this process yet.
     pub liveness_checks: LivenessChecks,
     /// Crash reports and verdicts that are to be sent or written.
@@ -105,6 +108,7 @@
             is_refusing: Cell::new(false),
             is_exiting: watch::Sender::new(false),
             crash_checks: CrashChecks::default(),
+            witnesses: Witnesses::default(),
             liveness_checks: LivenessChecks::default(),
             outbox: Outbox::default(),
             log_reachable_again: Notify::new(),
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -26,7 +26,7 @@
 use crate::attempt::{self, Attempt, AttemptTimeouts};
 use crate::buffered_bytes::{BodyError, BufferedBytes};
 use crate::caller_request::CallerRequest;
-use crate::crash_check::{self, CrashCheck};
+use crate::crash_check::{self, Break, CrashCheck, SETTLE_TIME};
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::give_up_reason::GiveUpReason;
@@ -34,6 +34,7 @@
 use crate::part_trial::PartTrial;
 use crate::stall_outcome::StallOutcome;
 use crate::timeout::{poll_after_reads, timeout_after_reads};
+use crate::witness::Testimony;
 
 /// Cause logged when a request leaves an endpoint that runs, but slows down its whole group.
 pub const SLOW_ENDPOINT: &str = "its endpoint is slow";
@@ -183,7 +184,7 @@
                     last = GiveUpReason::Failed;
                 }
                 Some(Attempt::Lost { cause }) => {
-                    self.record_lost_attempt(&pick, &cause).await;
+                    self.record_lost_attempt(&pick, Break::Unexplained, &cause).await;
                     last = GiveUpReason::Failed;
                 }
                 None => {
@@ -258,15 +259,15 @@
     ) -> Option<Response<AnswerBody>> {
         let wait = Duration::from_millis(self.time_left_ms());
         let body = match timeout_after_reads(wait, self.read_body(&mut answer, &buffer)).await {
-            Some(Ok(_)) if answer.ends_with_connection() && self.has_crashed(&answer.pick).await => {
+            Some(Ok(_)) if self.was_cut(&answer).await => {
                 answer.in_flight.set_outcome(AttemptOutcome::BrokenOff);
-                self.record_lost_attempt(&answer.pick, ENDED_WITH_ENDPOINT).await;
+                self.record_lost_attempt(&answer.pick, Break::ByCrash, ENDED_WITH_ENDPOINT).await;
                 return None;
             }
             Some(Ok(body)) => body,
             Some(Err(BodyError::Interrupted(error))) => {
                 answer.in_flight.set_outcome(AttemptOutcome::BrokenOff);
-                self.record_lost_attempt(&answer.pick, &format!("answer broke off: {error}")).await;
+                self.record_lost_attempt(&answer.pick, Break::Unexplained, &format!("answer broke off: {error}")).await;
                 return None;
             }
             Some(Err(cause)) => {
@@ -366,7 +367,7 @@
     }
 
     /// Records an attempt that broke off with its connection, and checks whether its endpoint crashed.
-    pub async fn record_lost_attempt(&mut self, pick: &Pick, cause: &str) {
+    pub async fn record_lost_attempt(&mut self, pick: &Pick, how: Break, cause: &str) {
         self.record_failed_attempt(pick, cause);
         let (entry, pick, service) = (Rc::clone(&self.entry), pick.clone(), self.service.clone());
         let lost_ms = entry.clock.now_ms();
@@ -379,7 +380,7 @@
         let (id, event_count) = (self.id().to_owned(), self.progress.event_count);
         let parts: Vec<String> = self.prompt_parts().iter().map(|part| part.id().to_owned()).collect();
         let check = tokio::task::spawn_local(async move {
-            let found = crash_check::check(&entry, &pick, lost_ms).await;
+            let found = crash_check::check(&entry, &pick, how, lost_ms).await;
             log::info!(
                 "event=request_lost request={id} fingerprint={} parts={parts:?} endpoint={} found={found:?} \
                  ran_ms={:?} events={event_count}",
@@ -404,10 +405,18 @@
         self.entry.state.borrow().quarantine.lost_parts(self.prompt_parts(), now_ms)
     }
 
-    /// Checks whether an endpoint that has just closed a connection is gone, so that it may have cut its answer. One that
-    /// cannot be reached in time counts as running.
-    pub async fn has_crashed(&self, pick: &Pick) -> bool {
-        let (entry, pick) = (Rc::clone(&self.entry), pick.clone());
+    /// Checks whether an answer that has just ended was cut by a crash of its endpoint. One that cannot be reached in time
+    /// counts as running.
+    pub async fn was_cut(&self, answer: &Answer<D>) -> bool {
+        let Some(witness) = &answer.witness else { return false };
+        let ended_ms = self.entry.clock.now_ms();
+        tokio::time::sleep(SETTLE_TIME).await;
+        match witness.testimony(ended_ms) {
+            Testimony::Running => return false,
+            Testimony::Crashed => return true,
+            Testimony::None => {}
+        }
+        let (entry, pick) = (Rc::clone(&self.entry), answer.pick.clone());
         let check = tokio::task::spawn_local(async move { crash_check::check_listener(&entry, &pick).await });
         matches!(timeout_after_reads(CRASH_CHECK_WAIT, check).await, Some(Ok(CrashCheck::Crashed)))
     }
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -55,6 +55,7 @@
 mod stall_outcome;
 mod sync_cursor;
 mod timeout;
+mod witness;
 
 pub use call_error::CallError;
 pub use caller_stream::{CallerStream, UnreadProbe};
--- a/crates/ochreyard-direct/src/pass_on.rs
+++ b/crates/ochreyard-direct/src/pass_on.rs
@@ -14,6 +14,7 @@
 
 use crate::answer::{Answer, caller_response};
 use crate::answer_body::{AnswerAborted, AnswerBody};
+use crate::crash_check::Break;
 use crate::dialect::Dialect;
 use crate::job::Job;
 use crate::meters;
@@ -58,7 +59,7 @@
         }
         Some(Some(Err(error))) => {
             answer.in_flight.set_outcome(AttemptOutcome::BrokenOff);
-            job.record_lost_attempt(&answer.pick, &format!("answer broke off: {error}")).await;
+            job.record_lost_attempt(&answer.pick, Break::Unexplained, &format!("answer broke off: {error}")).await;
             Some((Err(AnswerAborted), None))
         }
         None => {
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::answer_body::{AnswerAborted, AnswerBody};
 use crate::answer_limits::{MAX_EVENT_BYTES, MIN_PIECE_BYTES, UNCOUNTED_EVENT_BYTES};
 use crate::buffered_bytes::BufferedBytes;
+use crate::crash_check::Break;
 use crate::dialect::Dialect;
 use crate::give_up_reason::GiveUpReason;
 use crate::job::{AttemptProgress, ENDED_WITH_ENDPOINT, Job, SLOW_ENDPOINT};
@@ -76,16 +77,16 @@
     End,
     Broken {
         cause: String,
-        how: Break,
+        how: StreamBreak,
     },
     TimeUp,
 }
 
 /// How a stream ends at an endpoint before its last event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Break {
+enum StreamBreak {
     /// Its connection broke.
-    Lost,
+    Lost(Break),
     /// The endpoint is left, although it runs.
     Left,
     /// The endpoint sends bytes that hold no event.
@@ -109,16 +110,15 @@
                     return self.abort_stream(&answer.pick, "deadline exceeded");
                 }
                 Step::Broken { cause, how } => {
-                    let is_malformed = how == Break::Malformed;
+                    let is_malformed = how == StreamBreak::Malformed;
                     let outcome = if is_malformed { AttemptOutcome::Failed } else { AttemptOutcome::BrokenOff };
                     let pick = self.drop_answer(outcome)?;
-                    if how == Break::Lost {
-                        self.job.record_lost_attempt(&pick, &cause).await;
-                    } else {
-                        self.job.record_failed_attempt(&pick, &cause);
+                    match how {
+                        StreamBreak::Lost(how) => self.job.record_lost_attempt(&pick, how, &cause).await,
+                        StreamBreak::Left | StreamBreak::Malformed => self.job.record_failed_attempt(&pick, &cause),
                     }
                     let resumed = match self.resume_elsewhere().await {
-                        Err(_) if how == Break::Left => self.resume_at_left(&pick).await,
+                        Err(_) if how == StreamBreak::Left => self.resume_at_left(&pick).await,
                         resumed => resumed,
                     };
                     if let Err(reason) = resumed {
@@ -131,12 +131,12 @@
 
     async fn step(&mut self) -> Step {
         if let Some(cause) = self.pending_break.take() {
-            return Step::Broken { cause, how: Break::Malformed };
+            return Step::Broken { cause, how: StreamBreak::Malformed };
         }
         let is_slow = self.answer.as_ref().is_some_and(|answer| self.job.should_migrate(&answer.pick));
         if is_slow && self.may_resume() {
             // Left at once: its requests lengthen every step of its whole group.
-            return Step::Broken { cause: SLOW_ENDPOINT.to_owned(), how: Break::Left };
+            return Step::Broken { cause: SLOW_ENDPOINT.to_owned(), how: StreamBreak::Left };
         }
         let silence_timeout_ms = self.gap_ms() * SILENCE_TIMEOUT_GAPS;
         let Some(answer) = self.answer.as_mut() else { return Step::End };
@@ -161,12 +161,13 @@
         let Some(answer) = self.answer.as_mut() else { return Step::End };
         match frame {
             Some(Ok(frame)) => self.on_data(&frame.into_data().unwrap_or_default()),
-            Some(Err(error)) => Step::Broken { cause: error.to_string(), how: Break::Lost },
-            None if self.splitter.has_partial_event() => {
-                Step::Broken { cause: "stream ended within an event".to_owned(), how: Break::Lost }
-            }
-            None if answer.ends_with_connection() && self.job.has_crashed(&answer.pick).await => {
-                Step::Broken { cause: ENDED_WITH_ENDPOINT.to_owned(), how: Break::Lost }
+            Some(Err(error)) => Step::Broken { cause: error.to_string(), how: StreamBreak::Lost(Break::Unexplained) },
+            None if self.splitter.has_partial_event() => Step::Broken {
+                cause: "stream ended within an event".to_owned(),
+                how: StreamBreak::Lost(Break::Unexplained),
+            },
+            None if self.job.was_cut(answer).await => {
+                Step::Broken { cause: ENDED_WITH_ENDPOINT.to_owned(), how: StreamBreak::Lost(Break::ByCrash) }
             }
             None => {
                 answer.in_flight.set_outcome(AttemptOutcome::Success);
@@ -201,7 +202,9 @@
         }
         let problem = self.problem_with_rest(complete.count == 0, now_ms);
         match problem {
-            Some(cause) if complete.bytes.is_empty() => Step::Broken { cause: cause.to_owned(), how: Break::Malformed },
+            Some(cause) if complete.bytes.is_empty() => {
+                Step::Broken { cause: cause.to_owned(), how: StreamBreak::Malformed }
+            }
             // Another endpoint goes on after these events, so the caller has to get them.
             problem => {
                 self.pending_break = problem.map(str::to_owned);
