Await the first request of a connection that was opened just before a stop

Callers saw: a new connection to a stopping entry is closed without an answer, 2.6 s after its SIGTERM; the request was sent within 5 ms of the close.

Cause: a graceful shutdown of the HTTP library closes a connection at once on which nothing was read yet, as if its caller did not want anything.

Change: a connection on which nothing was read is given half a second for its first request, whose answer closes it.

Evidence: draining_connection, the first request in each of 24 turns after the stop, in either order: failed before in both, answered now.

--- a/crates/ochreyard-direct/src/caller_stream.rs
+++ b/crates/ochreyard-direct/src/caller_stream.rs
@@ -1,5 +1,6 @@
 //! The socket of a caller. Its owner can look at it while an HTTP connection reads and writes it.
 
+use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -13,10 +14,18 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+/// A socket, and what its owner may want to know of it.
+#[derive(Debug)]
+struct Shared {
+    socket: TcpStream,
+    /// Whether anything was read.
+    has_read: Cell<bool>,
+}
+
 /// The socket of a caller, which may be slow to read.
 #[derive(Debug)]
 pub struct CallerStream {
-    socket: Rc<TcpStream>,
+    shared: Rc<Shared>,
     /// How long the caller may take nothing of what is sent to it.
     write_timeout: Duration,
     /// Runs while the caller takes nothing.
@@ -25,7 +34,7 @@
 
 /// Looks at the socket of a [`CallerStream`], without reading from it.
 #[derive(Debug, Clone)]
-pub struct UnreadProbe(Rc<TcpStream>);
+pub struct UnreadProbe(Rc<Shared>);
 
 impl UnreadProbe {
     /// Returns whether bytes have arrived that were not read. Asks the system, since the runtime learns of them a turn
@@ -33,7 +42,13 @@
     #[must_use]
     pub fn has_unread_bytes(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        SockRef::from(&*self.0).peek(&mut byte).is_ok_and(|count| count > 0)
+        SockRef::from(&self.0.socket).peek(&mut byte).is_ok_and(|count| count > 0)
+    }
+
+    /// Returns whether the caller has sent nothing yet, as far as was read.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        !self.0.has_read.get()
     }
 }
 
@@ -41,13 +56,13 @@
     /// Wraps a socket.
     #[must_use]
     pub fn new(socket: TcpStream, write_timeout: Duration) -> Self {
-        Self { socket: Rc::new(socket), write_timeout, stall: None }
+        Self { shared: Rc::new(Shared { socket, has_read: Cell::new(false) }), write_timeout, stall: None }
     }
 
     /// Returns a handle that looks at the socket. The socket closes with the last handle.
     #[must_use]
     pub fn probe(&self) -> UnreadProbe {
-        UnreadProbe(Rc::clone(&self.socket))
+        UnreadProbe(Rc::clone(&self.shared))
     }
 
     fn poll_write_with(
@@ -56,11 +71,11 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            match self.socket.poll_write_ready(cx) {
+            match self.shared.socket.poll_write_ready(cx) {
                 Poll::Ready(ready) => ready?,
                 Poll::Pending => return self.poll_stall(cx).map(Err),
             }
-            match write(&self.socket) {
+            match write(&self.shared.socket) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => {
                     self.stall = None;
@@ -81,10 +96,13 @@
 impl AsyncRead for CallerStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.socket.poll_read_ready(cx))?;
-            match self.socket.try_read_buf(buffer) {
+            ready!(self.shared.socket.poll_read_ready(cx))?;
+            match self.shared.socket.try_read_buf(buffer) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read.map(drop)),
+                read => {
+                    self.shared.has_read.set(true);
+                    return Poll::Ready(read.map(drop));
+                }
             }
         }
     }
@@ -112,6 +130,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.socket).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&self.shared.socket).shutdown(Shutdown::Write))
     }
 }
--- a/crates/ochreyard-direct/src/draining_connection.rs
+++ b/crates/ochreyard-direct/src/draining_connection.rs
@@ -1,6 +1,7 @@
 //! An HTTP connection that serves requests until the planned stop of its process, and then closes.
 
 use std::error::Error;
+use std::time::Duration;
 
 use http_body::Body;
 use hyper::body::Incoming;
@@ -15,6 +16,9 @@
 /// How often a connection that is to close is read again because more has arrived meanwhile.
 const MAX_LAST_READS: usize = 8;
 
+/// How long the first request of a new connection is awaited that is to close.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
 /// Phase of the planned stop, as connections see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DrainPhase {
@@ -25,7 +29,7 @@
 }
 
 /// Serves a connection that closes, once connections are to close, when the requests that have arrived by then are
-/// answered.
+/// answered. The first request of a connection that was just opened is awaited for a moment.
 ///
 /// # Errors
 ///
@@ -46,6 +50,13 @@
         outcome = &mut connection => return outcome,
         _ = phase.wait_for(|phase| *phase == DrainPhase::Closing) => {}
     }
+    if probe.is_fresh() {
+        // A graceful shutdown would close the connection of a caller that is about to send its request.
+        tokio::select! {
+            outcome = &mut connection => return outcome,
+            () = tokio::time::sleep(FIRST_REQUEST_TIME) => {}
+        }
+    }
     // A graceful shutdown closes an idle connection without reading from it.
     for _ in 0..MAX_LAST_READS {
         if let Some(outcome) = poll_after_reads(connection.as_mut()).await {
--- a/crates/ochreyard-direct/tests/draining_connection.rs
+++ b/crates/ochreyard-direct/tests/draining_connection.rs
@@ -22,6 +22,7 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: maps.example\r\n\r\n";
+const LAST_REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: maps.example\r\nconnection: close\r\n\r\n";
 
 /// Turns of the runtime after the stop in which a request may arrive: more than a connection takes to close.
 const MAX_TURNS: usize = 24;
@@ -39,9 +40,18 @@
     }
 }
 
+/// What a connection has served before it is told to close.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum History {
+    /// Nothing: it was just opened.
+    Fresh,
+    /// One request.
+    Kept,
+}
+
 /// Sends a request on an idle connection this many turns after it was told to close. Returns the answer; `None` if the
 /// connection had closed by then.
-async fn send_after(turns: usize, order: Order) -> Option<Vec<u8>> {
+async fn send_after(turns: usize, order: Order, history: History) -> Option<Vec<u8>> {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let mut caller = BlockingStream::connect(listener.local_addr().unwrap()).unwrap();
     let (stream, _) = listener.accept().await.unwrap();
@@ -60,20 +70,24 @@
     let receiver = phase.subscribe();
     let serve = async move { drop(serve_until_closing(connection, &probe, receiver).await) };
     let send = async move {
-        caller.write_all(REQUEST).unwrap();
-        while served.get() == 0 {
-            tokio::task::yield_now().await;
+        if history == History::Kept {
+            caller.write_all(REQUEST).unwrap();
+            while served.get() == 0 {
+                tokio::task::yield_now().await;
+            }
         }
         yield_turns(4).await;
         phase.send_replace(DrainPhase::Closing);
         yield_turns(turns).await;
         caller.set_nonblocking(true).unwrap();
-        let mut first = [0; 512];
-        let first_length = caller.read(&mut first).unwrap();
-        assert!(first[..first_length].ends_with(b"answer"));
+        if history == History::Kept {
+            let mut first = [0; 512];
+            let first_length = caller.read(&mut first).unwrap();
+            assert!(first[..first_length].ends_with(b"answer"));
+        }
         let is_open = caller.read(&mut [0]).is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
         if is_open {
-            caller.write_all(REQUEST).unwrap();
+            caller.write_all(LAST_REQUEST).unwrap();
         }
         is_open.then_some(caller)
     };
@@ -97,9 +111,21 @@
 ) {
     let mut answered = 0;
     for turns in 0..MAX_TURNS {
-        let Some(answer) = send_after(turns, order).await else { continue };
+        let Some(answer) = send_after(turns, order, History::Kept).await else { continue };
         assert!(answer.ends_with(b"answer"), "sent after {turns} turns: {:?}", String::from_utf8_lossy(&answer));
         answered += 1;
     }
     assert!(answered > 0 && answered < MAX_TURNS, "{answered} of {MAX_TURNS} were sent on an open connection");
 }
+
+/// Guards against the close of a connection that was just opened, before its caller has sent the request.
+#[rstest]
+#[tokio::test]
+async fn the_first_request_of_a_connection_is_answered_although_it_is_to_close(
+    #[values(Order::BeforeTheConnectionRuns, Order::AfterTheConnectionRuns)] order: Order,
+) {
+    for turns in 0..MAX_TURNS {
+        let answer = send_after(turns, order, History::Fresh).await.expect("the connection is open");
+        assert!(answer.ends_with(b"answer"), "sent after {turns} turns: {:?}", String::from_utf8_lossy(&answer));
+    }
+}
