Deadlines are counted from the moment in which a request arrived

Change: the deadline is rounded up (`deadline_ms`), as is the time that `ochreyard serve` grants an agent. The test fails with the rounding down (2 of 3 cases).

--- a/crates/ochreyard-direct/src/forward.rs
+++ b/crates/ochreyard-direct/src/forward.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use ochreyard_core::direct::{EngineSpec, RouteKind, RouteTable};
 use ochreyard_core::error_kind::{ErrorKind, Refusal};
+use ochreyard_process::deadline_ms;
 
 use crate::answer::Answer;
 use crate::answer_body::AnswerBody;
@@ -32,7 +33,7 @@
 
 /// Answers a caller's request.
 pub async fn answer<D: Dialect>(entry: Rc<Entry<D>>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let started_ms = entry.clock.now_ms();
+    let started_us = entry.clock.now_us();
     let table = entry.state.borrow().table.clone();
     let (head, body) = request.into_parts();
     let Some(table) = table.filter(|_| entry.is_initialized()) else {
@@ -52,7 +53,7 @@
     };
     // The newest configuration applies: the body may have taken a while to arrive.
     let table = entry.state.borrow().table.clone().unwrap_or(table);
-    match admit(&entry, &table, head, body, started_ms) {
+    match admit(&entry, &table, head, body, started_us) {
         Ok(job) => run(Job { _buffered_body: buffer, ..job }).await,
         Err(kind) => refusal::of_kind(kind),
     }
@@ -91,8 +92,9 @@
     table: &RouteTable,
     head: request::Parts,
     body: Bytes,
-    started_ms: u64,
+    started_us: u64,
 ) -> Result<Job<D>, ErrorKind> {
+    let started_ms = started_us / 1_000;
     let names = entry.dialect.headers();
     let host = header_text(&head.headers, &http::header::HOST).or_else(|| head.uri.host()).unwrap_or_default();
     let route = table.route(host, head.uri.path()).ok_or(ErrorKind::UnknownService)?;
@@ -131,7 +133,7 @@
         permitted_regions,
         _buffered_body: BufferedBytes::of_caller(entry),
         request,
-        deadline_ms: started_ms + timeout_ms,
+        deadline_ms: deadline_ms(started_us, timeout_ms),
         priority,
         priority_level,
         work_tokens,
--- a/crates/ochreyard-entry/src/forward.rs
+++ b/crates/ochreyard-entry/src/forward.rs
@@ -154,7 +154,8 @@
             key,
             repeatable: self.call.repeatable,
             cost: self.call.cost,
-            remaining_ms: u64::try_from(self.remaining().as_millis()).unwrap_or(0),
+            // Rounded up, so that the agent does not give up first.
+            remaining_ms: u64::try_from(self.remaining().as_micros().div_ceil(1_000)).unwrap_or(u64::MAX),
         };
         let request = ServiceRequest {
             method: self.call.method.clone(),
--- a/crates/ochreyard-process/src/clock.rs
+++ b/crates/ochreyard-process/src/clock.rs
@@ -47,6 +47,13 @@
     }
 }
 
+/// Returns the first full millisecond at which `duration_ms` have passed since `start_us`, in milliseconds since the same
+/// moment as `start_us`. Counted from a start in full milliseconds, a deadline would pass up to one of them early.
+#[must_use]
+pub const fn deadline_ms(start_us: u64, duration_ms: u64) -> u64 {
+    start_us.div_ceil(1_000).saturating_add(duration_ms)
+}
+
 /// Returns the time since the box booted, including the time for which it was suspended.
 #[must_use]
 pub fn time_since_boot() -> Duration {
--- a/crates/ochreyard-process/src/lib.rs
+++ b/crates/ochreyard-process/src/lib.rs
@@ -10,7 +10,7 @@
 mod suspension;
 mod usage;
 
-pub use clock::{Clock, TimeSource, monotonic_time, time_since_boot};
+pub use clock::{Clock, TimeSource, deadline_ms, monotonic_time, time_since_boot};
 pub use incarnation::new_incarnation;
 pub use listener_gate::{Accepting, Closing, ListenerGate, close_listeners};
 pub use logging::{LOG_LEVEL, LOG_LINES_PER_S, LOG_TARGET, LogOutput, LogRateLimiter, event_name, start_logging};
--- a/crates/ochreyard-process/tests/clock.rs
+++ b/crates/ochreyard-process/tests/clock.rs
@@ -3,7 +3,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use ochreyard_process::{Clock, SuspensionDetector, monotonic_time, time_since_boot};
+use ochreyard_process::{Clock, SuspensionDetector, deadline_ms, monotonic_time, time_since_boot};
+use rstest::rstest;
 
 /// Time of the injected source, in milliseconds.
 static NOW_MS: AtomicU64 = AtomicU64::new(5_000);
@@ -42,3 +43,16 @@
     assert_eq!(watch.observe(ms(1_600), ms(96_600)), None);
     assert_eq!(watch.observe(ms(1_800), ms(97_000)), None, "200 ms is too short");
 }
+
+/// Guards against streams that are cut up to a millisecond before their callers' time is over: deadlines were counted from
+/// the start of the millisecond in which a request arrived.
+#[rstest]
+#[case::at_the_start_of_a_millisecond(7_000)]
+#[case::just_after_it(7_001)]
+#[case::at_its_end(7_999)]
+fn a_deadline_never_passes_early(#[case] start_us: u64) {
+    let early_us =
+        |duration_ms: u64| (start_us + duration_ms * 1_000).saturating_sub(deadline_ms(start_us, duration_ms) * 1_000);
+    assert_eq!([early_us(0), early_us(4_000)], [0, 0]);
+    assert_eq!(deadline_ms(start_us, u64::MAX), u64::MAX, "no deadline");
+}
