--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -82,7 +82,7 @@
     let (entry, pick, attempt_id) = (Rc::clone(entry), pick.clone(), request.attempt_id.clone());
     let in_flight = InFlightAttempt::start(&entry, service, &pick, retry);
     let check_path = liveness_check::due_path(&entry, service, &pick);
-    let mut outgoing = request.to_endpoint(entry.dialect.headers(), &pick.id, timeouts.left_ms);
+    let mut outgoing = request.to_endpoint(entry.dialect.headers(), &pick.id, granted_ms(timeouts.left_ms));
     let deadline_ms = entry.clock.now_ms() + timeouts.left_ms;
     async move {
         // An attempt is still polled after its deadline, to read an answer that has arrived.
@@ -98,7 +98,8 @@
                 }
             }
             let left_ms = deadline_ms.saturating_sub(entry.clock.now_ms());
-            outgoing.headers_mut().insert(entry.dialect.headers().deadline_ms.clone(), HeaderValue::from(left_ms));
+            let granted_ms = HeaderValue::from(granted_ms(left_ms));
+            outgoing.headers_mut().insert(entry.dialect.headers().deadline_ms.clone(), granted_ms);
         }
         let kept = free_connection(&entry, &pick).await;
         match exchange(kept, pick.addr, CONNECT_TIMEOUT, || !is_late() && in_flight.try_send(), outgoing).await {
@@ -116,6 +117,12 @@
     }
 }
 
+/// Returns the time that an endpoint is granted. The time left is rounded up, and an endpoint must not get more than the
+/// caller gave.
+const fn granted_ms(left_ms: u64) -> u64 {
+    left_ms.saturating_sub(1)
+}
+
 /// Returns a kept connection whose previous answer has been read to its end.
 pub async fn free_connection<D: Dialect>(entry: &Entry<D>, pick: &Pick) -> Option<Connection> {
     loop {
