A stop that is noticed late does not accept requests for longer

A request that is sent that late may not be cut.

Cause: the entry logged its stop 1.29 s after the signal was sent. It had been runnable for 1,350 ms with 3 ms on a processor (`runtime_late`), and accepted requests for 2.6 s from the moment in which it noticed the stop, thus until 3.9 s after the signal. On a machine of one's own with more processes than processors, that is how a planned stop loses requests.

Change: the time for which requests are accepted is shortened by the delay of the runtime (`RecentLag`). The end of the grace period is not moved.

Test: an entry gets SIGTERM while it is stopped for 1.8 s, and has to refuse a request 3 s after the signal: 200 before, 503 now (4 of 4).

--- a/crates/ochreyard-direct/src/recent_lag.rs
+++ b/crates/ochreyard-direct/src/recent_lag.rs
@@ -6,7 +6,7 @@
 /// requests that waited meanwhile may end a second later.
 const RECENT_MS: u64 = 1_000;
 
-/// The latest delay of the runtime, for log lines about what may be due to it.
+/// The latest delay of the runtime: what is noticed now may have happened that much earlier.
 #[derive(Debug, Default)]
 pub struct RecentLag {
     /// When the task that measures delays asked to be woken.
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -278,7 +278,9 @@
     log::info!("event=entry_leaving grace_ms={grace_ms}");
     entry.is_stopping.set(true);
     entry.stop_begun.notify_waiters();
-    let accept_ms = BALANCER_LAG_MS.min(grace_ms / 2);
+    // The signal may have come while the process did not run.
+    let noticed_late_ms = entry.recent_lag.late_ms(started_ms);
+    let accept_ms = BALANCER_LAG_MS.min(grace_ms / 2).saturating_sub(noticed_late_ms);
     tokio::time::sleep(Duration::from_millis(accept_ms)).await;
     entry.is_refusing.set(true);
     callers.send_replace(DrainPhase::Closing);
