Numbers that other writers state are bounded

Callers lost endpoints: with one record whose cold_remaining_ms was 1e300 an entry followed the list no more. Its reader added the time to the present one and panicked; a release build wrapped, and took the endpoint for warm. The same class, an unbounded number of another party, by reading and then by test:

- a load header whose two numbers overflow when added: every later request that ranked the endpoint was answered 500;
- a report of an engine: the size of its group was allocated (the process ended, or its leader panicked); step, map, prepared, held, running and waiting overflowed; an expert above those of the configuration indexed past the end, in release builds, too.
A leader that ended so was never replaced.

Sums of what peers state saturate.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/cold_limit.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/cold_limit.rs
@@ -47,7 +47,7 @@
 
     /// Records that the endpoint stays cold for `cold_ms`.
     pub fn on_cold(&mut self, cold_ms: u64, now_ms: u64) {
-        self.cold_until_ms = self.cold_until_ms.max(now_ms + cold_ms);
+        self.cold_until_ms = self.cold_until_ms.max(now_ms.saturating_add(cold_ms));
     }
 
     /// Records that the endpoint becomes reachable again at `reachable_from_ms` and may be cold then.
--- a/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/member.rs
@@ -224,8 +224,7 @@
     /// Estimates the number of requests at the endpoint. Those of this box are known exactly; those of other boxes come
     /// from the last report and are discounted by its age.
     pub fn estimated_requests(&self, now_ms: u64) -> f64 {
-        let reported = self.load.running + self.load.waiting;
-        let other_boxes = reported.saturating_sub(self.own_in_flight_at_load) as f64;
+        let other_boxes = self.load.requests().saturating_sub(self.own_in_flight_at_load) as f64;
         let age_ms = now_ms.saturating_sub(self.load_reported_ms) as f64;
         self.in_flight as f64 + other_boxes * (1.0 - age_ms / LOAD_LIFETIME_MS).max(0.0)
     }
--- a/crates/ochreyard-core/src/direct/endpoint_pool/reported_load.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/reported_load.rs
@@ -8,3 +8,11 @@
     /// Requests that are queued at the endpoint.
     pub waiting: u64,
 }
+
+impl ReportedLoad {
+    /// Returns the number of requests at the endpoint. The endpoint may have stated any numbers.
+    #[must_use]
+    pub const fn requests(self) -> u64 {
+        self.running.saturating_add(self.waiting)
+    }
+}
--- a/crates/ochreyard-core/src/direct/group_update.rs
+++ b/crates/ochreyard-core/src/direct/group_update.rs
@@ -50,7 +50,8 @@
     /// Returns the number of running and waiting requests of all reported ranks.
     #[must_use]
     pub fn requests(&self) -> u64 {
-        let of_ranks = || self.ranks.iter().map(|rank| rank.running + rank.waiting).sum();
+        let requests_of = |rank: &RankUpdate| rank.running.saturating_add(rank.waiting);
+        let of_ranks = || self.ranks.iter().map(requests_of).fold(0, u64::saturating_add);
         self.loads.as_ref().map_or_else(of_ranks, RosterLoads::total)
     }
 
--- a/crates/ochreyard-core/src/direct/position.rs
+++ b/crates/ochreyard-core/src/direct/position.rs
@@ -28,7 +28,7 @@
     /// Returns the position after this one.
     #[must_use]
     pub const fn next(self) -> Self {
-        Self { era: self.era, offset: self.offset + 1 }
+        Self { era: self.era, offset: self.offset.saturating_add(1) }
     }
 }
 
--- a/crates/ochreyard-core/src/direct/route_table/route.rs
+++ b/crates/ochreyard-core/src/direct/route_table/route.rs
@@ -45,7 +45,7 @@
     /// Picks the service for a request by weight; `draw` is a uniformly distributed random number.
     #[must_use]
     pub fn service_for(&self, draw: u64) -> Option<&str> {
-        let total: u64 = self.services.iter().map(|share| share.weight).sum();
+        let total = self.services.iter().map(|share| share.weight).fold(0, u64::saturating_add);
         let mut remaining = draw.checked_rem(total)?;
         for share in &self.services {
             if remaining < share.weight {
--- a/crates/ochreyard-core/src/group_map/handover/leadership_handover.rs
+++ b/crates/ochreyard-core/src/group_map/handover/leadership_handover.rs
@@ -5,15 +5,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::group_map::order::{MAX_NUMBER, MAX_RANKS};
 use crate::group_map::placement::GroupPlacement;
 use crate::group_map::selection_counts::SelectionCounts;
 use crate::group_map::{compact_map, leader_id::LeaderId};
 
-/// Largest number of ranks of a group in a readable handover.
-const MAX_SIZE: usize = 4_096;
-/// Largest readable map version: greater ones are not exact in JSON.
-const MAX_VERSION: u64 = 1 << 53;
-
 /// Most ranks in a notice, at up to 30 bytes each, and most bytes of its demand: a notice has at most 8 KB. The standby
 /// leader discovers the other ranks when it leads.
 const MAX_NOTICE_MEMBERS: usize = 128;
@@ -69,10 +65,10 @@
     /// Returns whether the values are possible and consistent.
     #[must_use]
     pub fn is_consistent(&self) -> bool {
-        let has_valid_versions = self.highest_version < MAX_VERSION && self.map_version.unwrap_or(0) < MAX_VERSION;
+        let has_valid_versions = self.highest_version < MAX_NUMBER && self.map_version.unwrap_or(0) < MAX_NUMBER;
         let has_valid_ranks = self.members.keys().all(|rank| *rank < self.size);
         let has_valid_map = self.map_version.is_none() || self.map.iter().all(|set| set.len() == self.size);
-        (1..=MAX_SIZE).contains(&self.size) && has_valid_versions && has_valid_ranks && has_valid_map
+        (1..=MAX_RANKS).contains(&self.size) && has_valid_versions && has_valid_ranks && has_valid_map
     }
 
     /// Returns the map in use with its version, if it was handed over and fits engines with `sets` sets of `experts`
--- a/crates/ochreyard-core/src/group_map/order.rs
+++ b/crates/ochreyard-core/src/group_map/order.rs
@@ -2,6 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Largest number of ranks of a group.
+pub(super) const MAX_RANKS: usize = 4_096;
+/// Bound of the numbers in messages about a group: greater ones are not exact in JSON.
+pub(super) const MAX_NUMBER: u64 = (1 << 53) - 1;
+
 /// An order to one rank.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
@@ -128,6 +133,20 @@
     pub waiting: u64,
 }
 
+impl RankView {
+    /// Returns whether the values are possible and consistent. Memory is allocated for as many ranks as a view counts,
+    /// and its numbers are added to others.
+    #[must_use]
+    pub fn is_consistent(&self) -> bool {
+        let armed_step = self.armed.and_then(|armed| armed.step);
+        let versions = [self.prepared, self.armed.map(|armed| armed.version), self.held, armed_step];
+        let numbers = [self.epoch, self.step, self.sequence, self.map, self.pace_permille, self.running, self.waiting];
+        self.rank < self.size
+            && self.size <= MAX_RANKS
+            && versions.into_iter().flatten().chain(numbers).all(|number| number < MAX_NUMBER)
+    }
+}
+
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
--- a/crates/ochreyard-core/src/group_map/placement.rs
+++ b/crates/ochreyard-core/src/group_map/placement.rs
@@ -49,11 +49,18 @@
         Self { experts: self.experts, sets: sorted(sets) }
     }
 
-    /// Whether each expert of each set is held by at least one rank.
+    /// Whether each expert of each set is held by at least one rank, and no other one is.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        let holds = |set: &Vec<Vec<u16>>, expert: usize| set.iter().flatten().any(|held| usize::from(*held) == expert);
-        self.sets.iter().all(|set| (0..self.experts).all(|expert| holds(set, expert)))
+        let is_complete = |set: &Vec<Vec<u16>>| {
+            let mut is_held = vec![false; self.experts];
+            let are_known = set.iter().flatten().all(|expert| {
+                let slot = is_held.get_mut(usize::from(*expert));
+                slot.map(|slot| *slot = true).is_some()
+            });
+            are_known && is_held.into_iter().all(|is_held| is_held)
+        };
+        self.sets.iter().all(is_complete)
     }
 
     /// The load of the most loaded rank relative to the mean load, where sets are weighted by
--- a/crates/ochreyard-lead/src/rank_discovery.rs
+++ b/crates/ochreyard-lead/src/rank_discovery.rs
@@ -42,7 +42,11 @@
 /// Queries the status of one agent; `None` if no readable answer arrives in time.
 pub async fn query_status(agent: &HttpClient) -> Option<RankStatus> {
     match agent.get(RANK_PATH, STATUS_TIMEOUT).await {
-        Ok(response) => serde_json::from_slice(response.body()).ok(),
+        Ok(response) => {
+            let mut status: RankStatus = serde_json::from_slice(response.body()).ok()?;
+            status.view = status.view.filter(RankView::is_consistent);
+            Some(status)
+        }
         Err(error) => {
             log::debug!("event=agent_silent addr={} error=\"{error}\"", agent.addr());
             None
--- a/crates/ochreyard-lead/src/rank_requests.rs
+++ b/crates/ochreyard-lead/src/rank_requests.rs
@@ -55,7 +55,11 @@
     let bytes: usize = request.orders.iter().map(|sent| sent.order.estimated_bytes()).sum();
     let transmission_time = Duration::from_millis((bytes * concurrent_requests / MIN_LINK_BYTES_PER_MS) as u64);
     match agent.post(RANK_PATH, &request, AGENT_TIMEOUT + transmission_time).await {
-        Ok(response) => serde_json::from_slice(response.body()).ok(),
+        Ok(response) => {
+            let mut response: AgentResponse = serde_json::from_slice(response.body()).ok()?;
+            response.view = response.view.filter(RankView::is_consistent);
+            Some(response)
+        }
         Err(error) => {
             log::debug!("event=agent_silent addr={} error=\"{error}\"", agent.addr());
             None
