Tasks that panic are started again

A task that panicked ended, and its process went on without it: no line said so but that of the panic, and nothing started the reader of the log, the polls of other boxes or the watch of groups again. A leader that panicked kept its group marked as led for as long as the process ran.

Each task that lasts as long as the process is supervised: it is started again half a second after a panic, logged and counted. A record at which its reader panics is skipped, so that a task does not end at it each time. The mark of a led group is released when its leader is dropped.

The actors of ochreyard serve and ochreyard-agent serve stop at a panic as before.

--- a/crates/ochreyard-direct/src/evacuations.rs
+++ b/crates/ochreyard-direct/src/evacuations.rs
@@ -7,6 +7,7 @@
 use crate::dialect::{Dialect, OperatorKey};
 use crate::entry::{Entry, State};
 use crate::keyed_log::{KeyedPage, KeyedRecord};
+use crate::supervise::apply_record;
 
 impl<D: Dialect> Entry<D> {
     /// Applies a complete listing of the operators' records.
@@ -24,18 +25,20 @@
 
     /// Applies records that operators wrote.
     pub fn apply_operator_records(&self, records: &[KeyedRecord]) {
-        for record in records {
-            match self.dialect.operator_key(&record.key) {
-                OperatorKey::Config => {
-                    if let Some(document) = &record.value {
-                        self.apply_config(document, "log");
-                    }
-                }
-                OperatorKey::Evacuation { data_centre } => {
-                    self.apply_evacuation_record(data_centre, record.position, record.value.is_some());
+        records.iter().for_each(|record| apply_record(&record.key, || self.apply_operator_record(record)));
+    }
+
+    fn apply_operator_record(&self, record: &KeyedRecord) {
+        match self.dialect.operator_key(&record.key) {
+            OperatorKey::Config => {
+                if let Some(document) = &record.value {
+                    self.apply_config(document, "log");
                 }
-                OperatorKey::Unknown => log::warn!("event=operator_record_unknown key={:?}", record.key),
             }
+            OperatorKey::Evacuation { data_centre } => {
+                self.apply_evacuation_record(data_centre, record.position, record.value.is_some());
+            }
+            OperatorKey::Unknown => log::warn!("event=operator_record_unknown key={:?}", record.key),
         }
     }
 
--- a/crates/ochreyard-direct/src/follow/boxes.rs
+++ b/crates/ochreyard-direct/src/follow/boxes.rs
@@ -10,6 +10,7 @@
 use crate::dialect::Dialect;
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedPage, KeyedRecord, Topic};
+use crate::supervise::apply_record;
 
 /// Interval at which boxes that read for others read the list of boxes.
 const READ_INTERVAL: Duration = Duration::from_secs(8);
@@ -78,7 +79,7 @@
     for KeyedRecord { key, value, .. } in &page.records {
         let Some(value) = value else { continue };
         match serde_json::from_slice(value) {
-            Ok(box_record) => entry.upsert_box(key, box_record),
+            Ok(box_record) => apply_record(key, || entry.upsert_box(key, box_record)),
             Err(error) => log::warn!("event=box_unreadable box={key} error=\"{error}\""),
         }
     }
--- a/crates/ochreyard-direct/src/follow/endpoints.rs
+++ b/crates/ochreyard-direct/src/follow/endpoints.rs
@@ -11,6 +11,7 @@
 use crate::entry::Entry;
 use crate::keyed_log::{KeyedLog, KeyedRecord, Topic};
 use crate::peers::PeerEndpoint;
+use crate::supervise::apply_record;
 
 /// How often, within a pause between reads, a box that others keep current checks whether its state has become too old.
 const CHECKS_PER_PAUSE: u32 = 4;
@@ -130,6 +131,8 @@
 
 fn apply_endpoint_records<D: Dialect>(entry: &Entry<D>, records: &[KeyedRecord]) {
     for record in records {
-        entry.apply_endpoint_record(&record.key, record.position, record.value.as_ref());
+        apply_record(&record.key, || {
+            entry.apply_endpoint_record(&record.key, record.position, record.value.as_ref());
+        });
     }
 }
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -164,3 +164,8 @@
         }
     }
 }
+
+/// Counts a task of the process that panicked and is started again.
+pub fn on_task_restart(task: &str) {
+    metrics::counter!("ochreyard_direct_task_restarts_total", "task" => task.to_owned()).increment(1);
+}
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -20,6 +20,7 @@
 use crate::entry::{Entry, Identity};
 use crate::keyed_log::KeyedLog;
 use crate::server::ListenerKind;
+use crate::supervise::supervise;
 use crate::{buffered_bytes, follow, meters, peers, server};
 
 /// How often idle connections to endpoints are checked for expiry.
@@ -105,14 +106,19 @@
         .extend(meters::bind(settings.addr("metrics_addr")).await.map(|listener| (ListenerKind::Metrics, listener)));
     let mut connections = OpenConnections::new();
     connections.listeners.push(ListenerGate::new(Rc::clone(&callers)));
-    tokio::task::spawn_local(server::serve_callers(Rc::clone(&entry), callers, connections.callers.clone()));
+    let (served, phase) = (Rc::clone(&entry), connections.callers.clone());
+    let accept = move || server::serve_callers(Rc::clone(&served), Rc::clone(&callers), phase.clone());
+    tokio::task::spawn_local(supervise("serve_callers", accept));
     for (kind, listener) in internal {
         let listener = Rc::new(listener);
         connections.listeners.push(ListenerGate::new(Rc::clone(&listener)));
-        let phase = connections.internal.clone();
-        tokio::task::spawn_local(server::serve_internal(Rc::clone(&entry), listener, phase, kind, metrics.clone()));
+        let (served, phase, metrics) = (Rc::clone(&entry), connections.internal.clone(), metrics.clone());
+        let accept = move || {
+            server::serve_internal(Rc::clone(&served), Rc::clone(&listener), phase.clone(), kind, metrics.clone())
+        };
+        tokio::task::spawn_local(supervise("serve_internal", accept));
     }
-    tokio::task::spawn_local(run_metrics_upkeep(metrics));
+    tokio::task::spawn_local(supervise("metrics_upkeep", move || run_metrics_upkeep(metrics.clone())));
     start_followers(settings, &entry, log);
     companion(&entry);
 
@@ -146,15 +152,36 @@
 
 /// Starts the tasks that keep the entry's state current: the log, other boxes, the sweep of connections.
 fn start_followers<D: Dialect, L: KeyedLog>(settings: &Settings, entry: &Rc<Entry<D>>, log: L) {
-    entry.set_seeds(&seeds(settings));
-    tokio::task::spawn_local(follow::follow_config(Rc::clone(entry), log.clone()));
-    tokio::task::spawn_local(follow::follow_endpoints(Rc::clone(entry), log.clone()));
-    tokio::task::spawn_local(follow::follow_boxes(Rc::clone(entry), log.clone()));
-    tokio::task::spawn_local(follow::sync_verdicts(Rc::clone(entry), log));
     let seeds = seeds(settings);
-    tokio::task::spawn_local(peers::poll_peers(Rc::clone(entry), seeds));
-    tokio::task::spawn_local(sweep(Rc::clone(entry)));
-    tokio::task::spawn_local(watch_delays(Rc::clone(entry)));
+    entry.set_seeds(&seeds);
+    spawn_with_log("follow_config", entry, &log, follow::follow_config);
+    spawn_with_log("follow_endpoints", entry, &log, follow::follow_endpoints);
+    spawn_with_log("follow_boxes", entry, &log, follow::follow_boxes);
+    spawn_with_log("sync_verdicts", entry, &log, follow::sync_verdicts);
+    spawn("poll_peers", entry, move |entry| peers::poll_peers(entry, seeds.clone()));
+    spawn("sweep", entry, sweep);
+    spawn("watch_delays", entry, watch_delays);
+}
+
+/// Spawns a task that is started again if it panics.
+fn spawn<D: Dialect, F: Future<Output = ()> + 'static>(
+    name: &'static str,
+    entry: &Rc<Entry<D>>,
+    start: impl Fn(Rc<Entry<D>>) -> F + 'static,
+) {
+    let entry = Rc::clone(entry);
+    tokio::task::spawn_local(supervise(name, move || start(Rc::clone(&entry))));
+}
+
+/// The same for a task that uses the platform's log.
+fn spawn_with_log<D: Dialect, L: KeyedLog, F: Future<Output = ()> + 'static>(
+    name: &'static str,
+    entry: &Rc<Entry<D>>,
+    log: &L,
+    start: impl Fn(Rc<Entry<D>>, L) -> F + 'static,
+) {
+    let log = log.clone();
+    spawn(name, entry, move |entry| start(entry, log.clone()));
 }
 
 /// Returns the peer addresses of the seed boxes. They use the same port as this box.
--- a/crates/ochreyard-lead/src/leader_spawner.rs
+++ b/crates/ochreyard-lead/src/leader_spawner.rs
@@ -156,19 +156,40 @@
 
     /// Starts a leader of the group with these ranks.
     pub fn spawn(self: &Rc<Self>, members: Members, handover: Option<&LeadershipHandover>) {
-        let group = members.group.clone();
-        self.led_groups.borrow_mut().insert(group.clone());
+        let led_group = LedGroup::start(Rc::clone(self), &members.group);
         let (entry, factory) = (Rc::clone(&self.entry), self.engine_factory.clone());
         let leader = match handover {
             Some(handover) => Leader::by_handover(entry, factory, members, self.settings, handover),
             None => Leader::new(entry, factory, &self.service, members, self.settings),
         };
-        let spawner = Rc::clone(self);
         tokio::task::spawn_local(async move {
             if leader.run().await {
-                spawner.slow_until_ms.set(spawner.entry.clock.now_ms() + SLOW_BOX_DEFERRAL_MS);
+                led_group.spawner.defer();
             }
-            spawner.led_groups.borrow_mut().remove(&group);
         });
     }
+
+    /// Lets all other candidates come first for a while, since this box is too slow to lead.
+    fn defer(&self) {
+        self.slow_until_ms.set(self.entry.clock.now_ms() + SLOW_BOX_DEFERRAL_MS);
+    }
+}
+
+/// A group that this entry leads or is attempting to lead until this is dropped, also by a leader that panics.
+struct LedGroup<D, F> {
+    spawner: Rc<LeaderSpawner<D, F>>,
+    group: String,
+}
+
+impl<D, F> LedGroup<D, F> {
+    fn start(spawner: Rc<LeaderSpawner<D, F>>, group: &str) -> Self {
+        spawner.led_groups.borrow_mut().insert(group.to_owned());
+        Self { spawner, group: group.to_owned() }
+    }
+}
+
+impl<D, F> Drop for LedGroup<D, F> {
+    fn drop(&mut self) {
+        self.spawner.led_groups.borrow_mut().remove(&self.group);
+    }
 }
--- a/crates/ochreyard-lead/src/lib.rs
+++ b/crates/ochreyard-lead/src/lib.rs
@@ -24,7 +24,7 @@
 
 use std::rc::Rc;
 
-use ochreyard_direct::{Dialect, Entry};
+use ochreyard_direct::{Dialect, Entry, supervise};
 use ochreyard_process::Settings;
 use ochreyard_rank::EngineFactory;
 
@@ -37,5 +37,7 @@
     let settings = LeaderSettings::read(settings);
     let spawners = LeaderSpawners::new(Rc::clone(entry), engine_factory, settings);
     spawners.accept_handovers();
-    tokio::task::spawn_local(service_watch::watch_services(Rc::clone(entry), spawners));
+    let entry = Rc::clone(entry);
+    let watch = move || service_watch::watch_services(Rc::clone(&entry), Rc::clone(&spawners));
+    tokio::task::spawn_local(supervise("watch_services", watch));
 }
--- a/crates/ochreyard-rank/src/serve.rs
+++ b/crates/ochreyard-rank/src/serve.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use miette::{Context, IntoDiagnostic, Result};
+use ochreyard_direct::supervise;
 use ochreyard_process::{Clock, ListenerGate, Settings, close_listeners, new_incarnation, start_logging, stop_signal};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -32,7 +33,10 @@
     let problem = || format!("field `peer_addr`: {peer_addr} cannot be bound; choose a free address");
     let listener = TcpListener::bind(peer_addr).await.into_diagnostic().wrap_err_with(problem)?;
     let listener = Rc::new(listener);
-    tokio::task::spawn_local(server::serve(Rc::clone(&agent), Rc::clone(&listener)));
+    let (served, accepting) = (Rc::clone(&agent), Rc::clone(&listener));
+    tokio::task::spawn_local(supervise("serve_leaders", move || {
+        server::serve(Rc::clone(&served), Rc::clone(&accepting))
+    }));
     let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
     tokio::select! {
         result = stop_signal() => result.into_diagnostic()?,
