--- a/crates/ochreyard-stand-ins/src/relay.rs
+++ b/crates/ochreyard-stand-ins/src/relay.rs
@@ -40,7 +40,14 @@
         let state = Arc::new(watch::Sender::new(RelayState::default()));
         let relay = Self { state: Arc::clone(&state) };
         tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
+            let mut changes = state.subscribe();
+            loop {
+                let client = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    // An error means that no handle is left.
+                    _ = changes.wait_for(|state| state.is_closed) => return,
+                };
+                let Ok((client, _)) = client else { return };
                 tokio::spawn(relay_connection(client, target.clone(), Arc::clone(&state)));
             }
         });
@@ -57,6 +64,11 @@
         self.state.send_modify(|state| state.delay = delay);
     }
 
+    /// Closes the listener, as the end of the target's process closes its own.
+    pub fn close(&self) {
+        self.state.send_modify(|state| state.is_closed = true);
+    }
+
     /// Resets all connections.
     pub fn reset_connections(&self) {
         self.state.send_modify(|state| state.resets += 1);
--- a/crates/ochreyard-stand-ins/src/relay/state.rs
+++ b/crates/ochreyard-stand-ins/src/relay/state.rs
@@ -13,4 +13,6 @@
     pub delay: Duration,
     /// Number of times that all connections were reset.
     pub resets: u64,
+    /// Whether the listener is closed.
+    pub is_closed: bool,
 }
