--- a/crates/ochreyard-core/src/direct/quarantine.rs
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -18,12 +18,13 @@
 mod good_runs;
 mod part_decision;
 mod part_scores;
+mod part_suspicion;
 mod quarantine_period;
 mod quarantined_request;
 mod replication;
 mod update;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use self::crash_list::CrashList;
 pub use self::crash_scores::is_past_start;
@@ -32,6 +33,8 @@
 use self::good_runs::GoodRunCounter;
 pub use self::part_decision::{PartDecision, TrialClaim};
 use self::part_scores::PartScore;
+pub use self::part_suspicion::PartFinding;
+use self::part_suspicion::Suspicion;
 use self::quarantine_period::{QuarantinePeriod, REQUEST_PERIODS, part_periods};
 pub use self::quarantined_request::QuarantinedRequest;
 pub use self::update::{
@@ -79,6 +82,8 @@
     part_scores: HashMap<Fingerprint, PartScore>,
     /// Identifiers of the parts that were present at crashes or are quarantined.
     part_ids: HashMap<Fingerprint, String>,
+    /// What was last reported of parts.
+    reported_suspicions: BTreeMap<Fingerprint, Suspicion>,
     good_runs: GoodRunCounter,
     version: u64,
 }
--- a/crates/ochreyard-core/src/direct/quarantine/part_scores.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/part_scores.rs
@@ -60,8 +60,11 @@
 
 impl Candidate {
     fn rank(&self) -> Rank {
-        let crashes: BTreeSet<usize> = self.presences.iter().map(|presence| presence.crash).collect();
-        (self.history.good_runs > 0, Reverse(crashes.len()), Reverse(self.position))
+        (self.history.good_runs > 0, Reverse(self.crash_count()), Reverse(self.position))
+    }
+
+    fn crash_count(&self) -> usize {
+        self.presences.iter().map(|presence| presence.crash).collect::<BTreeSet<_>>().len()
     }
 
     fn was_at(&self, crash: usize) -> bool {
@@ -74,9 +77,13 @@
 pub struct PartScore {
     score: u32,
     /// Number of trials with the part that crashed their endpoints.
-    failed_trials: usize,
+    pub failed_trials: usize,
     /// Whether good runs with the part are known.
     pub is_used: bool,
+    /// Number of crashes since the last good run at which the part was present.
+    pub crashes: usize,
+    /// The first of the stronger suspects that explain some of these crashes.
+    pub explained_by: Option<Fingerprint>,
 }
 
 impl PartScore {
@@ -97,21 +104,25 @@
     let mut candidates: Vec<(Rank, Fingerprint, Candidate)> =
         candidates(crashes, history).into_iter().map(|(part, candidate)| (candidate.rank(), part, candidate)).collect();
     candidates.sort_by_key(|(rank, part, _)| (*rank, *part));
-    let mut suspects: Vec<(Rank, Candidate)> = Vec::new();
+    let mut suspects: Vec<(Rank, Fingerprint, Candidate)> = Vec::new();
     let mut scores = HashMap::new();
     for (rank, part, candidate) in candidates {
-        let is_explained =
-            |crash: usize| suspects.iter().any(|(stronger, suspect)| *stronger < rank && suspect.was_at(crash));
+        let explanation = |crash: usize| {
+            let mut stronger = suspects.iter().filter(|(stronger, ..)| *stronger < rank);
+            stronger.find(|(.., suspect)| suspect.was_at(crash)).map(|(_, part, _)| *part)
+        };
         let unexplained: Vec<Presence> =
-            candidate.presences.iter().filter(|presence| !is_explained(presence.crash)).copied().collect();
+            candidate.presences.iter().filter(|presence| explanation(presence.crash).is_none()).copied().collect();
         let score = PartScore {
             score: score(&unexplained, &moments),
             failed_trials: unexplained.iter().filter(|presence| presence.is_trial).count(),
             is_used: candidate.history.good_runs > 0,
+            crashes: candidate.crash_count(),
+            explained_by: candidate.presences.iter().find_map(|presence| explanation(presence.crash)),
         };
         scores.insert(part, score);
         if score.is_suspected() || candidate.history.is_quarantined {
-            suspects.push((rank, candidate));
+            suspects.push((rank, part, candidate));
         }
     }
     scores
--- a/crates/ochreyard-direct/src/containment.rs
+++ b/crates/ochreyard-direct/src/containment.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ochreyard_core::direct::{
-    CrashReport, Fingerprint, LostRequest, Pick, PromptPart, QuarantineUpdate, QuarantinedRequest,
+    CrashReport, Fingerprint, LostRequest, PartFinding, Pick, PromptPart, QuarantineUpdate, QuarantinedRequest,
 };
 use ochreyard_core::hash;
 
@@ -39,6 +39,7 @@
         state.pool.on_crash(&pick.id, at_ms);
         let quarantined = state.quarantine.on_crash(&pick.id, service, lost.clone(), at_ms, now_ms);
         drop(state);
+        self.log_part_findings();
         self.record_quarantined(&quarantined, "seen");
         quarantined.iter().for_each(|verdict| self.queue_verdict_write(verdict.fingerprint));
         self.broadcast_crash(pick, service, lost, now_ms.saturating_sub(at_ms));
@@ -85,6 +86,7 @@
         let now_ms = self.clock.now_ms();
         let Some(update) = self.state.borrow_mut().quarantine.on_good_run(parts, is_new_run, now_ms) else { return };
         update.cleared.iter().for_each(|one| log::info!("event=part_cleared fingerprint={}", one.fingerprint));
+        self.log_part_findings();
         if is_trial {
             broadcast(self, &update);
         }
@@ -94,6 +96,7 @@
     pub fn expire_quarantine(&self) {
         let now_ms = self.clock.now_ms();
         let quarantined = self.state.borrow_mut().quarantine.remove_expired(now_ms);
+        self.log_part_findings();
         self.record_quarantined(&quarantined, "seen");
         self.queue_verdict_writes(&quarantined);
     }
@@ -110,6 +113,7 @@
         }
         let quarantined = state.quarantine.apply_update(update, now_ms);
         drop(state);
+        self.log_part_findings();
         self.record_quarantined(&quarantined, "told");
         self.queue_verdict_writes(&quarantined);
     }
@@ -156,6 +160,17 @@
         broadcast(self, &update);
     }
 
+    fn log_part_findings(&self) {
+        let findings = self.state.borrow_mut().quarantine.take_part_findings();
+        for PartFinding { id, is_suspected, explained_by, crashes, failed_trials, good_runs } in findings {
+            log::info!(
+                "event=part_judged part={id} suspected={is_suspected} explained_by={} crashes={crashes} \
+                 failed_trials={failed_trials} good_runs={good_runs}",
+                explained_by.as_deref().unwrap_or("-")
+            );
+        }
+    }
+
     fn record_quarantined(&self, quarantined: &[QuarantinedRequest], source: &str) {
         for QuarantinedRequest { fingerprint, part, times, for_ms, crashes } in quarantined {
             meters::on_quarantined();
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -147,7 +147,7 @@
                 }
                 if let Some(trial) = &self.part_trial {
                     self.is_on_trial = true;
-                    trial.begin(self.id());
+                    trial.begin();
                 }
                 Ok(pick)
             }
@@ -211,8 +211,10 @@
             PartDecision::Suspected(_) if self.is_on_trial && self.may_have_run => Err(GiveUpReason::Failed.into()),
             PartDecision::Suspected(parts) => {
                 let part = parts.first().copied();
-                let trial = self.part_trial.get_or_insert_with(|| PartTrial::new(&self.entry, &self.service));
-                match trial.claim() {
+                if self.part_trial.is_none() {
+                    self.part_trial = Some(PartTrial::new(&self.entry, &self.service, self.id()));
+                }
+                match self.part_trial.as_ref().map_or(TrialTurn::Soon, PartTrial::claim) {
                     TrialTurn::Now => Ok(()),
                     TrialTurn::Soon => Err(NotPicked::Hold),
                     TrialTurn::AfterOther { left_ms } => Err(self.hold_for_trial(part, left_ms, now_ms)),
