--- a/crates/ochreyard-core/tests/part_model.rs
+++ b/crates/ochreyard-core/tests/part_model.rs
@@ -7,65 +7,118 @@
 #[path = "part_model/fleet.rs"]
 mod fleet;
 
-use fleet::{Scenario, simulate};
+use fleet::{Causes, Scenario, SecondParts, Summary, simulate};
 use rstest::rstest;
 
 /// Endpoints that one part may crash, and requests with it that may still arrive later, by the platform's rules.
 const MAX_ENDED: u32 = 5;
 const MAX_LATE_ARRIVALS: u32 = 3;
 
+const OF_TWENTY: SecondParts = SecondParts { common: 20, rare_percent: 0, requests_per_rare: 1 };
+const HALF_RARE: SecondParts = SecondParts { rare_percent: 50, ..OF_TWENTY };
+const ALL_RARE: SecondParts = SecondParts { rare_percent: 100, ..OF_TWENTY };
+const SESSIONS: SecondParts = SecondParts { requests_per_rare: 6, ..ALL_RARE };
+const FEW_COMMON: SecondParts = SecondParts { rare_percent: 80, ..OF_TWENTY };
+
 const TWO_GROUPS: Scenario = Scenario {
+    duration_ms: 60_000,
     groups: 2,
     ranks: 8,
     first_parts: 60,
-    kinds: 1,
-    is_first_part_the_cause: false,
+    second_parts: OF_TWENTY,
+    causes: Causes::New(1),
+    cause_interval_ms: 400,
     kill_interval_ms: None,
     restart_interval_ms: None,
+    suspension_interval_ms: None,
     data_centre_fails: false,
 };
+const PLAIN: Scenario = Scenario { groups: 16, ranks: 1, ..TWO_GROUPS };
+/// A quarter of all requests begin with a part that becomes the cause.
+const FIRST_IN_USE: Scenario = Scenario { first_parts: 4, causes: Causes::FirstPart, ..TWO_GROUPS };
+const SECOND_IN_USE: Scenario = Scenario { first_parts: 4, causes: Causes::SecondParts(1), ..TWO_GROUPS };
+
+fn print(scenario: &Scenario, seed: u64, summary: &Summary) {
+    println!(
+        "| {} x {} | {} first parts, {:?} | {:?} | seed {seed} | ended {:?} | late {:?} | refused {} of {} | served {} | at the end {} of {} |",
+        scenario.groups,
+        scenario.ranks,
+        scenario.first_parts,
+        scenario.second_parts,
+        scenario.causes,
+        summary.ended.values().collect::<Vec<_>>(),
+        summary.late_arrivals.values().collect::<Vec<_>>(),
+        summary.refused,
+        summary.healthy,
+        summary.served,
+        summary.served_at_end,
+        summary.healthy_at_end,
+    );
+}
+
+/// Returns whether a part ended more endpoints than it may, and more requests with it arrived later.
+fn has_late_arrivals(summary: &Summary) -> bool {
+    let is_late = |part: &String| summary.late_arrivals.get(part).is_some_and(|late| *late > MAX_LATE_ARRIVALS);
+    summary.ended.iter().any(|(part, ended)| *ended > MAX_ENDED && is_late(part))
+}
 
 #[rstest]
 #[case::one_of_sixty_first_parts(TWO_GROUPS)]
 #[case::all_prompts_begin_alike(Scenario { first_parts: 1, ..TWO_GROUPS })]
-#[case::plain_endpoints(Scenario { groups: 16, ranks: 1, first_parts: 1, ..TWO_GROUPS })]
+#[case::plain_endpoints(Scenario { first_parts: 1, ..PLAIN })]
 #[case::one_large_group(Scenario { groups: 1, ranks: 63, first_parts: 1, ..TWO_GROUPS })]
 #[case::beside_kills(Scenario { first_parts: 1, kill_interval_ms: Some(4_000), ..TWO_GROUPS })]
 #[case::entries_restart(Scenario { first_parts: 1, restart_interval_ms: Some(2_000), ..TWO_GROUPS })]
 #[case::kills_and_restarts(Scenario { kill_interval_ms: Some(4_000), restart_interval_ms: Some(2_000), ..TWO_GROUPS })]
-#[case::three_kinds(Scenario { first_parts: 1, kinds: 3, ..TWO_GROUPS })]
-#[case::twenty_kinds(Scenario { first_parts: 1, kinds: 20, ..TWO_GROUPS })]
-#[case::twenty_kinds_on_plain_endpoints(Scenario { groups: 16, ranks: 1, first_parts: 1, kinds: 20, ..TWO_GROUPS })]
-#[case::first_part_is_the_cause(Scenario { first_parts: 4, is_first_part_the_cause: true, ..TWO_GROUPS })]
-#[case::only_kills(Scenario { first_parts: 1, kinds: 0, kill_interval_ms: Some(4_000), ..TWO_GROUPS })]
-#[case::only_data_centre_failures(Scenario { first_parts: 1, kinds: 0, data_centre_fails: true, ..TWO_GROUPS })]
+#[case::three_kinds(Scenario { first_parts: 1, causes: Causes::New(3), ..TWO_GROUPS })]
+#[case::twenty_kinds(Scenario { first_parts: 1, causes: Causes::New(20), ..TWO_GROUPS })]
+#[case::twenty_kinds_on_plain_endpoints(Scenario { first_parts: 1, causes: Causes::New(20), ..PLAIN })]
+#[case::first_part_is_the_cause(FIRST_IN_USE)]
+#[case::only_kills(Scenario { first_parts: 1, causes: Causes::New(0), kill_interval_ms: Some(4_000), ..TWO_GROUPS })]
+#[case::only_data_centre_failures(Scenario { first_parts: 1, causes: Causes::New(0), data_centre_fails: true, ..TWO_GROUPS })]
 fn a_part_ends_few_endpoints_and_healthy_requests_are_served(#[case] scenario: Scenario) {
     for seed in 1..=u64::from(common::cases(2)) {
         let summary = simulate(scenario, seed);
-        println!(
-            "| {} x {} | {} first parts | {} kinds | kills {:?} | ended {:?} | late {:?} | refused {} of {} | served {} | at the end {} of {} |",
-            scenario.groups,
-            scenario.ranks,
-            scenario.first_parts,
-            scenario.kinds,
-            scenario.kill_interval_ms,
-            summary.ended.values().collect::<Vec<_>>(),
-            summary.late_arrivals.values().collect::<Vec<_>>(),
-            summary.refused,
-            summary.healthy,
-            summary.served,
-            summary.served_at_end,
-            summary.healthy_at_end,
-        );
-        let ends_too_many = |part: &String, ended: &u32| {
-            *ended > MAX_ENDED && summary.late_arrivals.get(part).is_some_and(|late| *late > MAX_LATE_ARRIVALS)
-        };
-        assert!(!summary.ended.iter().any(|(part, ended)| ends_too_many(part, ended)), "{summary:?}");
+        print(&scenario, seed, &summary);
+        assert!(!has_late_arrivals(&summary), "{summary:?}");
         // Crashes of all groups implicate other parts in use, until a trial of each is good.
-        let is_new_part_the_cause = !scenario.is_first_part_the_cause;
+        let is_new_part_the_cause = scenario.causes != Causes::FirstPart;
         assert!(!is_new_part_the_cause || summary.refused <= summary.healthy / 100, "{summary:?}");
         // Each of twenty parts ends an endpoint or two, and its group with it.
-        let are_few = scenario.kinds <= 3;
+        let are_few = scenario.causes != Causes::New(20);
         assert!(!are_few || 2 * summary.served_at_end >= summary.healthy_at_end, "{summary:?}");
     }
 }
+
+/// Guards against a part in use that becomes the cause and stands behind parts that few requests name, each of which is
+/// suspected in its place: endpoints crash without end, and healthy requests wait for trials.
+#[rstest]
+#[case::first_part_beside_common_ones(FIRST_IN_USE)]
+#[case::first_part_half_rare(Scenario { second_parts: HALF_RARE, ..FIRST_IN_USE })]
+#[case::first_part_all_rare(Scenario { second_parts: ALL_RARE, ..FIRST_IN_USE })]
+#[case::first_part_sessions(Scenario { second_parts: SESSIONS, ..FIRST_IN_USE })]
+#[case::a_fifth_of_the_requests(Scenario { first_parts: 5, second_parts: HALF_RARE, ..FIRST_IN_USE })]
+#[case::plain_endpoints_half_rare(Scenario { second_parts: HALF_RARE, groups: 16, ranks: 1, ..FIRST_IN_USE })]
+#[case::plain_endpoints_all_rare(Scenario { second_parts: ALL_RARE, groups: 16, ranks: 1, ..FIRST_IN_USE })]
+#[case::plain_endpoints_sessions(Scenario { second_parts: SESSIONS, groups: 16, ranks: 1, ..FIRST_IN_USE })]
+#[case::second_part_on_plain_endpoints(Scenario { groups: 16, ranks: 1, ..SECOND_IN_USE })]
+#[case::second_part_few_common(Scenario { second_parts: FEW_COMMON, ..SECOND_IN_USE })]
+#[case::two_second_parts(Scenario { causes: Causes::SecondParts(2), ..SECOND_IN_USE })]
+#[case::two_second_parts_half_rare(Scenario { causes: Causes::SecondParts(2), second_parts: HALF_RARE, ..SECOND_IN_USE })]
+#[case::three_second_parts_on_plain_endpoints(Scenario { causes: Causes::SecondParts(3), second_parts: HALF_RARE, groups: 16, ranks: 1, ..SECOND_IN_USE })]
+#[case::three_new_ones_all_rare(Scenario { first_parts: 1, causes: Causes::New(3), second_parts: ALL_RARE, ..TWO_GROUPS })]
+#[case::beside_kills(Scenario { second_parts: HALF_RARE, kill_interval_ms: Some(4_000), ..FIRST_IN_USE })]
+#[case::beside_restarts(Scenario { second_parts: HALF_RARE, restart_interval_ms: Some(2_000), ..FIRST_IN_USE })]
+#[case::beside_suspensions(Scenario { second_parts: HALF_RARE, suspension_interval_ms: Some(3_000), ..FIRST_IN_USE })]
+fn a_part_in_use_that_crashes_endpoints_is_found_beside_rare_parts(#[case] scenario: Scenario) {
+    let seeds = 1..=u64::from(common::cases(3));
+    let mut broken = Vec::new();
+    for seed in seeds {
+        let summary = simulate(scenario, seed);
+        print(&scenario, seed, &summary);
+        if has_late_arrivals(&summary) || 2 * summary.served_at_end < summary.healthy_at_end {
+            broken.push((seed, summary));
+        }
+    }
+    assert!(broken.is_empty(), "{} seeds: {broken:?}", broken.len());
+}
--- a/crates/ochreyard-core/tests/part_model/fleet.rs
+++ b/crates/ochreyard-core/tests/part_model/fleet.rs
@@ -9,9 +9,8 @@
 };
 use ochreyard_core::hash;
 
-/// Duration of one step and of the whole simulation, in milliseconds.
+/// Duration of one step, in milliseconds.
 const STEP_MS: u64 = 10;
-const DURATION_MS: u64 = 60_000;
 /// When crashing requests begin to arrive, in milliseconds.
 pub const CRASHING_FROM_MS: u64 = 8_000;
 /// Range of a healthy request's run, in milliseconds.
@@ -22,8 +21,8 @@
 const DOWN_MS: u64 = 4_000;
 /// Time from a crash until the other ranks of the group abort their requests, in milliseconds.
 const ABORT_MS: u64 = 1_500;
-/// Interval between two arrivals of requests with the same crashing part, in milliseconds.
-const CRASHING_INTERVAL_MS: u64 = 400;
+/// How long an entry is suspended, in milliseconds.
+const SUSPENSION_MS: u64 = 2_000;
 /// How long a request waits for an endpoint, in milliseconds.
 const MAX_WAIT_MS: u64 = 4_000;
 /// How often a run that goes on is recorded as good, in milliseconds.
@@ -38,21 +37,46 @@
 /// Requests that an entry sends to one endpoint after the other.
 const MAX_ATTEMPTS: u32 = 2;
 
+/// Which parts crash endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Causes {
+    /// This many second parts that only crashing requests name.
+    New(u64),
+    /// The first of the first parts, which was healthy before. All requests with it crash endpoints.
+    FirstPart,
+    /// This many of the second parts in common use, which were healthy before.
+    SecondParts(u64),
+}
+
+/// The second parts of healthy prompts.
+#[derive(Debug, Clone, Copy)]
+pub struct SecondParts {
+    /// How many of them are in common use.
+    pub common: u64,
+    /// Share of the requests that name another one, in percent.
+    pub rare_percent: u64,
+    /// Number of requests that name each of those, one after the other.
+    pub requests_per_rare: u64,
+}
+
 /// What happens to a fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct Scenario {
+    pub duration_ms: u64,
     pub groups: usize,
     pub ranks: usize,
     /// Number of first parts that healthy prompts begin with.
     pub first_parts: u64,
-    /// Number of parts that crash endpoints.
-    pub kinds: u64,
-    /// Whether the first part is the cause, and one that was healthy before, rather than a part behind it.
-    pub is_first_part_the_cause: bool,
+    pub second_parts: SecondParts,
+    pub causes: Causes,
+    /// How often requests with the same second part that is a cause arrive beside the healthy ones, in milliseconds.
+    pub cause_interval_ms: u64,
     /// Interval at which an endpoint is killed, in milliseconds.
     pub kill_interval_ms: Option<u64>,
     /// Interval at which an entry loses its state, in milliseconds.
     pub restart_interval_ms: Option<u64>,
+    /// Interval at which an entry is suspended for [`SUSPENSION_MS`], in milliseconds.
+    pub suspension_interval_ms: Option<u64>,
     /// Whether a third of all endpoints go down together, three times.
     pub data_centre_fails: bool,
 }
@@ -108,6 +132,9 @@
     entries: Vec<Quarantine>,
     waiting: Vec<Request>,
     in_transit: Vec<(u64, usize, QuarantineUpdate)>,
+    /// Until when each entry is suspended.
+    suspended_until_ms: [u64; ENTRIES],
+    rare_requests: u64,
     fifth_end_ms: BTreeMap<String, u64>,
     summary: Summary,
     random_state: u64,
@@ -124,13 +151,15 @@
         entries: vec![Quarantine::default(); ENTRIES],
         waiting: Vec::new(),
         in_transit: Vec::new(),
+        suspended_until_ms: [0; ENTRIES],
+        rare_requests: 0,
         fifth_end_ms: BTreeMap::new(),
         summary: Summary::default(),
         random_state: seed << 32,
         number: 0,
         now_ms: 0,
     };
-    for now_ms in (0..DURATION_MS).step_by(STEP_MS as usize) {
+    for now_ms in (0..scenario.duration_ms).step_by(STEP_MS as usize) {
         fleet.now_ms = now_ms;
         fleet.step();
     }
@@ -145,7 +174,9 @@
 
     fn step(&mut self) {
         let now_ms = self.now_ms;
-        let due: Vec<_> = self.in_transit.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms).collect();
+        let suspended_until_ms = self.suspended_until_ms;
+        let is_due = |at_ms: u64, to: usize| at_ms <= now_ms && suspended_until_ms[to] <= now_ms;
+        let due: Vec<_> = self.in_transit.extract_if(.., |(at_ms, to, _)| is_due(*at_ms, *to)).collect();
         for (_, to, update) in due {
             self.entries[to].apply_update(&update, now_ms);
         }
@@ -190,6 +221,10 @@
             self.entries[at] = Quarantine::default();
             self.entries[at].apply_update(&update, now_ms);
         }
+        if is_due(self.scenario.suspension_interval_ms) {
+            let at = self.random_in((0, ENTRIES as u64 - 1)) as usize;
+            self.suspended_until_ms[at] = now_ms + SUSPENSION_MS;
+        }
     }
 
     fn arrive(&mut self) {
@@ -199,23 +234,44 @@
         let count = per_step / 16_000 + u64::from(self.random_in((0, 15_999)) < per_step % 16_000);
         for _ in 0..count {
             let first = self.random_in((0, self.scenario.first_parts - 1));
-            let middle = self.random_in((0, 19));
-            let is_bad = self.scenario.is_first_part_the_cause && first == 0 && self.now_ms >= CRASHING_FROM_MS;
-            self.add_request(&[&format!("first{first}"), &format!("middle{middle}")], is_bad.then_some("first0"));
+            let second = self.second_part();
+            let cause = match self.scenario.causes {
+                _ if self.now_ms < CRASHING_FROM_MS => None,
+                Causes::FirstPart => (first == 0).then(|| "first0".to_owned()),
+                Causes::SecondParts(count) => (0..count).map(|at| format!("middle{at}")).find(|cause| *cause == second),
+                Causes::New(_) => None,
+            };
+            self.add_request(&[&format!("first{first}"), &second], cause);
         }
-        if self.scenario.is_first_part_the_cause || self.now_ms < CRASHING_FROM_MS {
+        if self.now_ms < CRASHING_FROM_MS {
             return;
         }
-        for kind in 0..self.scenario.kinds {
-            if (self.now_ms + kind * 130).is_multiple_of(CRASHING_INTERVAL_MS) {
+        let causes = match self.scenario.causes {
+            Causes::FirstPart => Vec::new(),
+            Causes::New(count) => (0..count).map(|at| format!("bad{at}")).collect(),
+            Causes::SecondParts(count) => (0..count).map(|at| format!("middle{at}")).collect(),
+        };
+        for (at, cause) in (0_u64..).zip(causes) {
+            if (self.now_ms + at * 130).is_multiple_of(self.scenario.cause_interval_ms) {
                 let first = self.random_in((0, self.scenario.first_parts - 1));
-                let cause = format!("bad{kind}");
-                self.add_request(&[&format!("first{first}"), &cause], Some(&cause));
+                self.add_request(&[&format!("first{first}"), &cause], Some(cause.clone()));
             }
         }
     }
 
-    fn add_request(&mut self, ids: &[&str], cause: Option<&str>) {
+    /// Returns the second part of a healthy prompt.
+    fn second_part(&mut self) -> String {
+        let SecondParts { common, rare_percent, requests_per_rare } = self.scenario.second_parts;
+        if self.random_in((0, 99)) >= rare_percent {
+            return format!("middle{}", self.random_in((0, common - 1)));
+        }
+        self.rare_requests += 1;
+        // Requests of ten sessions come in turn.
+        let session = self.rare_requests / (10 * requests_per_rare) * 10 + self.rare_requests % 10;
+        format!("rare{session}")
+    }
+
+    fn add_request(&mut self, ids: &[&str], cause: Option<String>) {
         let entry = self.random_in((0, ENTRIES as u64 - 1)) as usize;
         self.number += 1;
         if cause.is_none() {
@@ -227,7 +283,7 @@
             number: self.number,
             entry,
             parts,
-            cause: cause.map(str::to_owned),
+            cause,
             arrived_ms: self.now_ms,
             wait_until_ms: self.now_ms + MAX_WAIT_MS,
             sent: 0,
@@ -236,13 +292,16 @@
     }
 
     const fn is_at_end(&self, at_ms: u64) -> bool {
-        at_ms >= DURATION_MS / 2 && at_ms < DURATION_MS - MAX_WAIT_MS
+        at_ms >= self.scenario.duration_ms / 2 && at_ms < self.scenario.duration_ms - MAX_WAIT_MS
     }
 
     /// Sends a request to an endpoint, or lets it wait, or refuses it.
     fn dispatch(&mut self, mut request: Request) {
         let now_ms = self.now_ms;
         let entry = request.entry;
+        if self.suspended_until_ms[entry] > now_ms {
+            return self.waiting.push(request);
+        }
         if now_ms >= request.wait_until_ms {
             return self.release(&request);
         }
@@ -314,7 +373,8 @@
         for run in &mut runs {
             let is_new_run = run.good_ms.is_none();
             let is_due = run.good_ms.is_none_or(|good_ms| now_ms >= good_ms + GOOD_RUN_INTERVAL_MS);
-            if run.request.cause.is_none() && is_due && is_past_start(now_ms - run.started_ms) {
+            let is_seen = self.suspended_until_ms[run.request.entry] <= now_ms;
+            if is_seen && run.request.cause.is_none() && is_due && is_past_start(now_ms - run.started_ms) {
                 run.good_ms = Some(now_ms);
                 let update = self.entries[run.request.entry].on_good_run(&run.request.parts, is_new_run, now_ms);
                 if std::mem::take(&mut run.request.has_claimed) {
