--- a/crates/ochreyard-core/examples/quarantine_cost.rs
+++ b/crates/ochreyard-core/examples/quarantine_cost.rs
@@ -27,12 +27,7 @@
     let mut quarantine = Quarantine::default();
     for crash in 0..crashes {
         for index in 0..64 {
-            let lost = LostRequest {
-                fingerprint: request(crash * 64 + index),
-                ran_ms: Some(700),
-                is_trial: false,
-                parts: Vec::new(),
-            };
+            let lost = LostRequest { fingerprint: request(crash * 64 + index), ran_ms: Some(700), parts: Vec::new() };
             quarantine.on_crash(&format!("i-{crash:010}"), "service", lost, 1_000 * crash, 1_000 * crash);
         }
     }
@@ -41,12 +36,7 @@
 
 fn update_bytes(lost_requests: usize) -> usize {
     let lost = (0..lost_requests)
-        .map(|index| LostRequest {
-            fingerprint: request(index as u64),
-            ran_ms: Some(1_234),
-            is_trial: false,
-            parts: Vec::new(),
-        })
+        .map(|index| LostRequest { fingerprint: request(index as u64), ran_ms: Some(1_234), parts: Vec::new() })
         .collect();
     let crash = CrashReport { endpoint: "i-0123456789".into(), service: "service".into(), age_ms: 7, lost };
     serde_json::to_vec(&QuarantineUpdate { crashes: vec![crash], ..QuarantineUpdate::default() })
@@ -71,12 +61,7 @@
         let mut number = 0;
         let crash_us = mean_us(50, || {
             number += 1;
-            let lost = LostRequest {
-                fingerprint: request(u64::MAX - number),
-                ran_ms: None,
-                is_trial: false,
-                parts: Vec::new(),
-            };
+            let lost = LostRequest { fingerprint: request(u64::MAX - number), ran_ms: None, parts: Vec::new() };
             crashing.on_crash("one-more", "service", lost, 1_000 * crashes + 9, 1_000 * crashes + 9);
         });
         println!(
--- a/crates/ochreyard-core/src/direct/quarantine.rs
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -31,6 +31,7 @@
 use self::crash_scores::{QUARANTINE_SCORE, TRIAL_SCORE};
 pub use self::decision::QuarantineDecision;
 use self::good_runs::GoodRunCounter;
+use self::part_decision::CLAIM_MS;
 pub use self::part_decision::{PartDecision, TrialClaim};
 use self::part_scores::PartScore;
 pub use self::part_suspicion::PartFinding;
@@ -67,10 +68,18 @@
     until_ms: u64,
     /// When the trial was claimed.
     since_ms: u64,
-    /// The request that claimed the trial of a service; `None` for the trial of a request.
+    /// The request that claimed the trial of a part; `None` for the trial of a request.
     claimant: Option<u64>,
 }
 
+impl Trial {
+    /// Returns whether the trial prevails over a claim of another request.
+    fn prevails(&self, claimant: u64, now_ms: u64) -> bool {
+        let is_settled = now_ms >= self.since_ms + CLAIM_MS;
+        is_settled || self.claimant.is_none_or(|other| other < claimant)
+    }
+}
+
 /// The quarantine of requests that crash endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
@@ -243,22 +252,24 @@
         if !self.is_new_clearance(fingerprint, at_ms) {
             return false;
         }
+        let is_last_crash_cleared = self.last_crash_ms(fingerprint).is_some_and(|crashed_ms| crashed_ms <= at_ms);
         self.version += 1;
         self.cleared.insert(fingerprint, Clearance { at_ms, version: self.version });
-        if self.periods.get(&fingerprint).is_some_and(|period| period.started_ms <= at_ms) {
+        let is_period_cleared = |period: &QuarantinePeriod| period.started_ms <= at_ms || is_last_crash_cleared;
+        if self.periods.get(&fingerprint).is_some_and(is_period_cleared) {
             self.periods.remove(&fingerprint);
         }
         self.trials.remove(&fingerprint);
         true
     }
 
-    /// Returns whether a clearance is the first one of the request, or clears a crash or a quarantine period that the
-    /// last clearance did not. The time of a clearance is computed from its age, which does not include transit times,
+    /// Returns whether a clearance clears a crash or a quarantine period that the last clearance did not. The time of a clearance is computed from its age, which does not include transit times,
     /// so a clearance that is passed on would look newer each time.
     fn is_new_clearance(&self, fingerprint: Fingerprint, at_ms: u64) -> bool {
-        let Some(known) = self.cleared.get(&fingerprint) else { return true };
+        let known_ms = self.cleared.get(&fingerprint).map(|known| known.at_ms);
         let period = self.periods.get(&fingerprint);
-        let is_cleared_now = |happened_ms: u64| happened_ms > known.at_ms && happened_ms <= at_ms;
+        let is_cleared_now =
+            |happened_ms: u64| known_ms.is_none_or(|known_ms| happened_ms > known_ms) && happened_ms <= at_ms;
         period.is_some_and(|period| is_cleared_now(period.started_ms))
             || self.crash_times(fingerprint).any(is_cleared_now)
     }
--- a/crates/ochreyard-core/src/direct/quarantine/crash.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash.rs
@@ -21,8 +21,10 @@
     pub part: PromptPart,
     /// Number of runs with this part that got past the start of their answers, as reported with the crash.
     pub good_runs: u32,
-    /// When the last one of them did.
+    /// When the last one of them began.
     pub good_ms: Option<u64>,
+    /// Whether the request was the trial of this part.
+    pub is_tried: bool,
 }
 
 impl PresentPart {
@@ -43,12 +45,22 @@
 pub struct PresentRequest {
     /// How long the request had been running, in milliseconds; `None` if it is not known to have started.
     pub ran_ms: Option<u64>,
-    /// Whether it was the trial of its service.
-    pub is_trial: bool,
     /// Parts of its prompt, in their order.
     pub parts: Vec<PresentPart>,
 }
 
+impl PresentRequest {
+    /// Returns whether the request was a trial of any part.
+    pub fn is_trial(&self) -> bool {
+        self.parts.iter().any(|present| present.is_tried)
+    }
+
+    /// Returns whether the request was the trial of a part.
+    pub fn is_trial_of(&self, part: Fingerprint) -> bool {
+        self.parts.iter().any(|present| present.is_tried && present.part.fingerprint() == part)
+    }
+}
+
 /// One crash of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
@@ -75,7 +87,7 @@
     pub fn add(&mut self, lost: &[LostRequest], now_ms: u64) -> bool {
         let before = self.present.len();
         let mut has_new_good_runs = false;
-        for LostRequest { fingerprint, ran_ms, is_trial, parts } in lost {
+        for LostRequest { fingerprint, ran_ms, parts } in lost {
             let parts = parts.iter().map(|part| present_part(part, now_ms));
             if let Some(known) = self.present.get_mut(fingerprint) {
                 for reported in parts {
@@ -85,7 +97,7 @@
             } else if self.present.len() < MAX_PRESENT {
                 let room = MAX_PARTS.saturating_sub(self.part_count());
                 let parts = parts.take(room).collect();
-                self.present.insert(*fingerprint, PresentRequest { ran_ms: *ran_ms, is_trial: *is_trial, parts });
+                self.present.insert(*fingerprint, PresentRequest { ran_ms: *ran_ms, parts });
             }
         }
         has_new_good_runs || self.present.len() > before
@@ -100,10 +112,9 @@
         self.present.contains_key(&fingerprint) || self.parts().any(|present| present.part.fingerprint() == fingerprint)
     }
 
-    /// Returns whether the endpoint crashed while it ran a trial with a prompt part.
+    /// Returns whether the endpoint crashed while it ran the trial of a prompt part.
     pub fn ended_trial_of(&self, part: Fingerprint) -> bool {
-        let mut trials = self.present.values().filter(|request| request.is_trial);
-        trials.any(|request| request.parts.iter().any(|present| present.part.fingerprint() == part))
+        self.present.values().any(|request| request.is_trial_of(part))
     }
 
     /// Returns the prompt parts of all requests.
@@ -114,5 +125,5 @@
 
 fn present_part(lost: &LostPart, now_ms: u64) -> PresentPart {
     let good_ms = lost.good_age_ms.map(|age_ms| now_ms.saturating_sub(age_ms));
-    PresentPart { part: PromptPart::new(&lost.id), good_runs: lost.good_runs, good_ms }
+    PresentPart { part: PromptPart::new(&lost.id), good_runs: lost.good_runs, good_ms, is_tried: lost.is_tried }
 }
--- a/crates/ochreyard-core/src/direct/quarantine/good_runs.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/good_runs.rs
@@ -13,8 +13,8 @@
 pub struct GoodRuns {
     /// Number of the runs.
     pub count: u32,
-    /// When the last one of them was known to be good.
-    pub last_ms: u64,
+    /// When the last one of them began.
+    pub last_began_ms: u64,
 }
 
 /// Good runs by part.
@@ -24,11 +24,11 @@
 }
 
 impl GoodRunCounter {
-    /// Records that a run with this part is good; `is_new_run` unless it was recorded before.
-    pub fn record(&mut self, part: Fingerprint, is_new_run: bool, now_ms: u64) {
+    /// Records a good run with this part.
+    pub fn record(&mut self, part: Fingerprint, began_ms: u64) {
         let runs = self.parts.entry(part).or_default();
-        runs.count = runs.count.saturating_add(u32::from(is_new_run));
-        runs.last_ms = runs.last_ms.max(now_ms);
+        runs.count = runs.count.saturating_add(1);
+        runs.last_began_ms = runs.last_began_ms.max(began_ms);
         if self.parts.len() > MAX_PARTS {
             self.drop_rarest();
         }
@@ -36,7 +36,7 @@
 
     fn drop_rarest(&mut self) {
         let mut ranked: Vec<(GoodRuns, Fingerprint)> = self.parts.iter().map(|(part, runs)| (*runs, *part)).collect();
-        ranked.sort_unstable_by_key(|(runs, part)| (runs.count, runs.last_ms, *part));
+        ranked.sort_unstable_by_key(|(runs, part)| (runs.count, runs.last_began_ms, *part));
         for (_, part) in ranked.iter().take(MAX_PARTS / 2) {
             self.parts.remove(part);
         }
--- a/crates/ochreyard-core/src/direct/quarantine/part_decision.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/part_decision.rs
@@ -3,6 +3,8 @@
 //! Requests that share a suspected part with a trial are held until the trial ends, rather than refused: most of them
 //! are healthy, and a trial shows within half a second that its part is.
 
+use std::collections::HashMap;
+
 use super::part_scores::PartHistory;
 use super::quarantine_period::part_periods;
 use super::update::{ClearedRequest, LostPart, QuarantineUpdate, RunningTrial};
@@ -11,7 +13,12 @@
 
 /// Time for which a trial is claimed before the request is sent, in milliseconds. Claims of two entries at the same time
 /// meet within it, and one of them withdraws.
-const CLAIM_MS: u64 = 50;
+pub(super) const CLAIM_MS: u64 = 50;
+/// Time from the last crash with a part until its trial may begin, in milliseconds. Runs that began before the part was
+/// suspected have crashed their endpoints by then.
+const FORMER_RUNS_MS: u64 = 200;
+/// Bit of the claims of requests whose trial may fail for another reason than a suspected part.
+const INCONCLUSIVE: u64 = 1 << 63;
 /// A claim is renewed when less than this is left of it, in milliseconds.
 const RENEW_MS: u64 = TRIAL_MS / 2;
 
@@ -31,18 +38,18 @@
     },
 }
 
-/// State of the claim of a request on the trial of its service.
+/// State of the claim of a request on the trials of its suspected parts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TrialClaim {
-    /// The trial belongs to this request, which may be sent.
+    /// The trials belong to this request, which may be sent.
     Granted,
     /// The claim has been made or renewed. The update tells other entries of it.
     Announced(QuarantineUpdate),
     /// The claim has been made, and other claims may still arrive.
     Pending,
-    /// The trial belongs to another request.
+    /// A trial belongs to another request.
     Taken {
-        /// How long the other request keeps it at most, in milliseconds.
+        /// How long other requests keep it at most, in milliseconds.
         left_ms: u64,
     },
 }
@@ -76,34 +83,58 @@
         self.periods.contains_key(&part) || self.part_scores.get(&part).is_some_and(|score| score.is_suspected())
     }
 
-    /// Claims the trial of a service for a request with suspected parts, or renews the claim. A service has one trial at
-    /// a time: a trial tells nothing if the group of its endpoint stalls because of another one. Of two claims at the
-    /// same time, the one with the lower number prevails.
-    pub fn claim_trial(&mut self, service: &str, claimant: u64, now_ms: u64) -> TrialClaim {
-        let key = trial_key(service);
-        let active = self.trials.get(&key).copied().filter(|trial| trial.until_ms > now_ms);
-        let since_ms = match active {
-            Some(trial) if trial.claimant != Some(claimant) => {
-                return TrialClaim::Taken { left_ms: trial.until_ms - now_ms };
-            }
-            Some(trial) if trial.until_ms > now_ms + RENEW_MS => {
-                let is_settled = now_ms >= trial.since_ms + CLAIM_MS;
-                return if is_settled { TrialClaim::Granted } else { TrialClaim::Pending };
-            }
-            Some(trial) => trial.since_ms,
-            None => now_ms,
+    /// Returns the number by which a request with these parts claims trials, from a random number. A trial is conclusive if it tries one suspect alone: all other parts are known to be healthy. Such requests get
+    /// lower numbers than others.
+    #[must_use]
+    pub fn claimant(&self, parts: &[PromptPart], random: u64) -> u64 {
+        let fingerprints = || parts.iter().map(PromptPart::fingerprint);
+        let suspects = fingerprints().filter(|part| self.is_suspected_part(*part)).count();
+        let are_others_known =
+            fingerprints().all(|part| self.is_suspected_part(part) || self.good_runs.of(part).is_some());
+        if suspects <= 1 && are_others_known { random & !INCONCLUSIVE } else { random | INCONCLUSIVE }
+    }
+
+    /// Claims the trials of suspected parts for a request, or renews the claims. Each part has one trial at a time in a
+    /// service, so that few endpoints are lost if it is the cause; trials of different parts run at the same time. Of two
+    /// claims at the same time, the one with the lower number prevails.
+    pub fn claim_trials(&mut self, service: &str, parts: &[Fingerprint], claimant: u64, now_ms: u64) -> TrialClaim {
+        let keys: Vec<Fingerprint> = parts.iter().map(|part| trial_key(service, *part)).collect();
+        let active = |trials: &HashMap<Fingerprint, Trial>, key: &Fingerprint| {
+            trials.get(key).copied().filter(|trial| trial.until_ms > now_ms)
         };
-        self.hold_back(key, Trial { until_ms: now_ms + TRIAL_MS, since_ms, claimant: Some(claimant) });
-        TrialClaim::Announced(trial_update(key, TRIAL_MS, claimant))
+        let prevailing = |key: &Fingerprint| {
+            active(&self.trials, key)
+                .filter(|trial| trial.claimant != Some(claimant) && trial.prevails(claimant, now_ms))
+        };
+        if let Some(until_ms) = keys.iter().filter_map(prevailing).map(|trial| trial.until_ms).max() {
+            return TrialClaim::Taken { left_ms: until_ms - now_ms };
+        }
+        let last_crash_ms = parts.iter().filter_map(|part| self.last_crash_ms(*part)).max();
+        let mut is_settled = last_crash_ms.is_none_or(|crashed_ms| now_ms >= crashed_ms + FORMER_RUNS_MS);
+        let mut trials = Vec::new();
+        for key in keys {
+            let own = active(&self.trials, &key).filter(|trial| trial.claimant == Some(claimant));
+            let since_ms = own.map_or(now_ms, |trial| trial.since_ms);
+            is_settled &= now_ms >= since_ms + CLAIM_MS;
+            if own.is_none_or(|trial| trial.until_ms <= now_ms + RENEW_MS) {
+                self.trials.remove(&key);
+                self.hold_back(key, Trial { until_ms: now_ms + TRIAL_MS, since_ms, claimant: Some(claimant) });
+                trials.push(RunningTrial { fingerprint: key, left_ms: TRIAL_MS, claimant: Some(claimant) });
+            }
+        }
+        match (trials.is_empty(), is_settled) {
+            (false, _) => TrialClaim::Announced(QuarantineUpdate { trials, ..QuarantineUpdate::default() }),
+            (true, true) => TrialClaim::Granted,
+            (true, false) => TrialClaim::Pending,
+        }
     }
 
-    /// Ends the claim of a request on the trial of a service. Returns the update for other entries, if the claim was
-    /// still in force.
-    pub fn release_claim(&mut self, service: &str, claimant: u64) -> Option<QuarantineUpdate> {
-        let key = trial_key(service);
-        self.trials.get(&key).filter(|trial| trial.claimant == Some(claimant))?;
-        self.trials.remove(&key);
-        Some(trial_update(key, 0, claimant))
+    /// Ends all claims of a request on trials. Returns the update for other entries, if any claim was still in force.
+    pub fn release_claims(&mut self, claimant: u64) -> Option<QuarantineUpdate> {
+        let released = self.trials.extract_if(|_, trial| trial.claimant == Some(claimant));
+        let to_end = |(key, _)| RunningTrial { fingerprint: key, left_ms: 0, claimant: Some(claimant) };
+        let trials: Vec<RunningTrial> = released.map(to_end).collect();
+        (!trials.is_empty()).then(|| QuarantineUpdate { trials, ..QuarantineUpdate::default() })
     }
 
     /// Applies another entry's claim on a trial, or its end.
@@ -125,21 +156,20 @@
         }
     }
 
-    /// Records that a run got past the start of its answer, which shows that the parts of its prompt do not crash
-    /// endpoints; `is_new_run` unless this was recorded for the run before. Returns the update for other entries, if any
-    /// part was suspected.
-    pub fn on_good_run(&mut self, parts: &[PromptPart], is_new_run: bool, now_ms: u64) -> Option<QuarantineUpdate> {
+    /// Records that a run which began at `began_ms` got past the start of its answer, which shows that the parts of its
+    /// prompt did not crash endpoints then. Later crashes still count: the run says nothing of them, however long it goes
+    /// on. Returns the update for other entries, if any part was suspected of a crash before.
+    pub fn on_good_run(&mut self, parts: &[PromptPart], began_ms: u64, now_ms: u64) -> Option<QuarantineUpdate> {
         let mut cleared = Vec::new();
         let mut is_changed = false;
         for fingerprint in parts.iter().map(PromptPart::fingerprint) {
-            let last_good_ms = self.good_runs.of(fingerprint).map_or(0, |runs| runs.last_ms);
-            self.good_runs.record(fingerprint, is_new_run, now_ms);
-            if self.is_suspected_part(fingerprint) {
-                self.clear(fingerprint, now_ms);
-                cleared.push(ClearedRequest { fingerprint, age_ms: 0 });
+            let last_good_ms = self.good_runs.of(fingerprint).map_or(0, |runs| runs.last_began_ms);
+            self.good_runs.record(fingerprint, began_ms);
+            if self.is_suspected_part(fingerprint) && self.clear(fingerprint, began_ms) {
+                cleared.push(ClearedRequest { fingerprint, age_ms: now_ms.saturating_sub(began_ms) });
             }
             is_changed |= self.part_scores.contains_key(&fingerprint)
-                && self.last_crash_ms(fingerprint).is_some_and(|at_ms| at_ms >= last_good_ms);
+                && self.crash_times(fingerprint).any(|at_ms| (last_good_ms..=began_ms).contains(&at_ms));
         }
         if is_changed || !cleared.is_empty() {
             self.evaluate(now_ms);
@@ -147,15 +177,17 @@
         (!cleared.is_empty()).then(|| QuarantineUpdate { cleared, ..QuarantineUpdate::default() })
     }
 
-    /// Returns the parts of a request that was at a crashed endpoint, for the report of the crash.
+    /// Returns the parts of a request that was at a crashed endpoint as the trial of those in `tried`, for the report of the
+    /// crash.
     #[must_use]
-    pub fn lost_parts(&self, parts: &[PromptPart], now_ms: u64) -> Vec<LostPart> {
+    pub fn lost_parts(&self, parts: &[PromptPart], tried: &[Fingerprint], now_ms: u64) -> Vec<LostPart> {
         let lost = parts.iter().map(|part| {
             let runs = self.good_runs.of(part.fingerprint());
             LostPart {
                 id: part.id().to_owned(),
                 good_runs: runs.map_or(0, |runs| runs.count),
-                good_age_ms: runs.map(|runs| now_ms.saturating_sub(runs.last_ms)),
+                good_age_ms: runs.map(|runs| now_ms.saturating_sub(runs.last_began_ms)),
+                is_tried: tried.contains(&part.fingerprint()),
             }
         });
         lost.collect()
@@ -166,18 +198,13 @@
         let cleared_ms = self.cleared.get(&part).map(|cleared| cleared.at_ms);
         PartHistory {
             good_runs: runs.map_or(0, |runs| runs.count),
-            last_good_ms: runs.map(|runs| runs.last_ms).max(cleared_ms),
+            last_good_ms: runs.map(|runs| runs.last_began_ms).max(cleared_ms),
             is_quarantined: self.periods.get(&part).is_some_and(|period| period.left_ms(now_ms).is_some()),
         }
     }
 }
 
-/// Returns the key of the trial of a service among all trials.
-fn trial_key(service: &str) -> Fingerprint {
-    Fingerprint::of(&[b"trial of prompt parts", service.as_bytes()])
-}
-
-fn trial_update(key: Fingerprint, left_ms: u64, claimant: u64) -> QuarantineUpdate {
-    let trial = RunningTrial { fingerprint: key, left_ms, claimant: Some(claimant) };
-    QuarantineUpdate { trials: vec![trial], ..QuarantineUpdate::default() }
+/// Returns the key of the trial of a part in a service among all trials.
+fn trial_key(service: &str, part: Fingerprint) -> Fingerprint {
+    Fingerprint::of(&[b"trial of a prompt part", service.as_bytes(), part.to_string().as_bytes()])
 }
--- a/crates/ochreyard-core/src/direct/quarantine/part_scores.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/part_scores.rs
@@ -3,17 +3,19 @@
 //! Every part of every request at a crashed endpoint is a candidate, and a part that most prompts begin with is present
 //! at nearly every crash. Three observations distinguish the cause from such bystanders:
 //!
-//! - A run that gets past the start of its answer shows that none of its parts is the cause. Crashes before it do not
-//!   count against them.
-//! - A crash that a stronger suspect explains does not count against others. A suspect is stronger if no good run with it
-//!   is known, then if it was present at more crashes, then if it is further back in the prompt, where parts are less
-//!   widely shared.
-//! - Repetitions of one request show that this request is the cause, rather than one of its parts.
+//! - A run that gets past the start of its answer shows that none of its parts is the cause. Crashes before it began do
+//!   not count against them.
+//! - A crash that a stronger suspect explains does not count against others. A suspect is stronger the more observations
+//!   speak against it since its last good run, less a handicap if it ever had one: a part that is in use is rarely the
+//!   cause, but may become it. Of equal ones, a part without good runs is stronger, then one at more crashes, then one
+//!   that is further back in the prompt, where parts are less widely shared.
+//! - Repetitions of one request show that this request is the cause, rather than one of its parts. A part that only one
+//!   request named is no suspect.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::crash::Crash;
+use super::crash::{Crash, PresentRequest};
 use super::crash_scores::{
     EARLY_SCORE, OTHER_SCORE, QUARANTINE_SCORE, SHARED_ENDPOINTS, SHARED_WINDOW_MS, TRIAL_SCORE, is_past_start,
 };
@@ -21,18 +23,24 @@
 
 /// Number of crashed endpoints from which a part runs only as a trial, even if they crashed at the same time.
 const TRIAL_ENDPOINTS: usize = 4;
-/// Number of requests with a part that must have been present at crashes before the part is quarantined.
+/// Number of requests with a part that must have been present at crashes before the part is suspected.
 const MIN_REQUESTS: usize = 2;
+/// Number of requests with a part that must have been present at crashes before it is quarantined without a trial.
+const UNTRIED_REQUESTS: usize = 3;
 /// Number of trials with a part that must have crashed their endpoints before a part with good runs is quarantined. It is
 /// in use, and may be at every crash.
 const USED_PART_TRIALS: usize = 2;
+/// Observations by which a part with good runs must exceed one without to be the stronger suspect.
+const USED_PART_HANDICAP: usize = 2;
+/// Observations by which a part with good runs must exceed another one to explain its crashes.
+const MIN_LEAD: usize = 2;
 
 /// What an entry knows of a part apart from the crashes.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PartHistory {
     /// Number of good runs with the part.
     pub good_runs: u32,
-    /// When the last one of them was known to be good.
+    /// When the last one of them began.
     pub last_good_ms: Option<u64>,
     /// Whether the part is quarantined.
     pub is_quarantined: bool,
@@ -45,6 +53,7 @@
     crash: usize,
     request: Fingerprint,
     is_early: bool,
+    /// Whether the request was the trial of the part.
     is_trial: bool,
 }
 
@@ -56,15 +65,48 @@
 }
 
 /// Order in which candidates are considered, from the strongest suspect.
-type Rank = (bool, Reverse<usize>, Reverse<usize>);
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    weight: Reverse<usize>,
+    is_used: bool,
+    crashes: Reverse<usize>,
+    position: Reverse<usize>,
+}
+
+impl Rank {
+    /// Returns whether a suspect of this rank explains crashes for one of the other rank. Otherwise both are suspected, and
+    /// trials decide.
+    fn leads(&self, other: &Self) -> bool {
+        let lead = self.weight.0.saturating_sub(other.weight.0);
+        lead >= MIN_LEAD || (self < other && !self.is_used)
+    }
+}
 
 impl Candidate {
-    fn rank(&self) -> Rank {
-        (self.history.good_runs > 0, Reverse(self.crash_count()), Reverse(self.position))
+    fn rank(&self, moments: &[usize]) -> Rank {
+        let advantage = if self.is_used() { 0 } else { USED_PART_HANDICAP };
+        let conviction = if self.history.is_quarantined { USED_PART_HANDICAP } else { 0 };
+        Rank {
+            weight: Reverse(self.observations(moments) + advantage + conviction),
+            is_used: self.is_used(),
+            crashes: Reverse(self.crash_count()),
+            position: Reverse(self.position),
+        }
+    }
+
+    const fn is_used(&self) -> bool {
+        self.history.good_runs > 0
+    }
+
+    /// Returns how many observations speak against the part. Crashes at the same moment are one, and so are those of the
+    /// same request.
+    fn observations(&self, moments: &[usize]) -> usize {
+        let distinct = self.presences.iter().map(|presence| moments[presence.crash]).collect::<BTreeSet<_>>().len();
+        distinct.min(request_count(&self.presences))
     }
 
     fn crash_count(&self) -> usize {
-        self.presences.iter().map(|presence| presence.crash).collect::<BTreeSet<_>>().len()
+        crash_count(&self.presences)
     }
 
     fn was_at(&self, crash: usize) -> bool {
@@ -75,9 +117,15 @@
 /// How strongly a part is suspected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PartScore {
+    /// Score of all crashes since the last good run.
+    full_score: u32,
+    /// Score of the crashes that no stronger suspect explains, and the requests with the part that were at these.
     score: u32,
+    requests: usize,
     /// Number of trials with the part that crashed their endpoints.
     pub failed_trials: usize,
+    /// Whether the part was at several crashes, and one of these trials could only fail because of it.
+    is_convicted: bool,
     /// Whether good runs with the part are known.
     pub is_used: bool,
     /// Number of crashes since the last good run at which the part was present.
@@ -89,45 +137,90 @@
 impl PartScore {
     /// Returns whether requests with the part run only as a trial.
     pub const fn is_suspected(self) -> bool {
-        self.score >= TRIAL_SCORE
+        if self.is_used { self.is_explanation() } else { self.full_score >= TRIAL_SCORE }
+    }
+
+    /// Returns whether the part may explain crashes for others.
+    const fn is_explanation(self) -> bool {
+        self.score >= TRIAL_SCORE && self.requests >= MIN_REQUESTS
     }
 
     /// Returns whether requests with the part are refused.
     pub const fn is_quarantined(self) -> bool {
-        self.score >= QUARANTINE_SCORE && (!self.is_used || self.failed_trials >= USED_PART_TRIALS)
+        if !self.is_explanation() {
+            return false;
+        }
+        let is_due = if self.is_used {
+            self.score >= QUARANTINE_SCORE && self.failed_trials >= USED_PART_TRIALS
+        } else {
+            self.full_score >= QUARANTINE_SCORE && (self.failed_trials > 0 || self.requests >= UNTRIED_REQUESTS)
+        };
+        is_due || self.is_convicted
     }
 }
 
 /// Returns the score of each part that was present at a crash since its last good run.
 pub fn score_parts(crashes: &[Crash], history: impl Fn(Fingerprint) -> PartHistory) -> HashMap<Fingerprint, PartScore> {
     let moments = moments(crashes);
-    let mut candidates: Vec<(Rank, Fingerprint, Candidate)> =
-        candidates(crashes, history).into_iter().map(|(part, candidate)| (candidate.rank(), part, candidate)).collect();
-    candidates.sort_by_key(|(rank, part, _)| (*rank, *part));
-    let mut suspects: Vec<(Rank, Fingerprint, Candidate)> = Vec::new();
+    let candidates = candidates(crashes, history);
+    let is_bystander = |part: &Fingerprint, crash: usize| {
+        let is_elsewhere = |candidate: &Candidate| candidate.presences.iter().any(|other| other.crash != crash);
+        candidates.get(part).is_none_or(|candidate| candidate.is_used() && !is_elsewhere(candidate))
+    };
+    let mut ranked: Vec<(Rank, Fingerprint, &Candidate)> =
+        candidates.iter().map(|(part, candidate)| (candidate.rank(&moments), *part, candidate)).collect();
+    ranked.sort_by_key(|(rank, part, _)| (*rank, *part));
+    let mut suspects: Vec<(Rank, Fingerprint, &Candidate)> = Vec::new();
     let mut scores = HashMap::new();
-    for (rank, part, candidate) in candidates {
+    for (rank, part, candidate) in ranked {
         let explanation = |crash: usize| {
-            let mut stronger = suspects.iter().filter(|(stronger, ..)| *stronger < rank);
+            let mut stronger = suspects.iter().filter(|(stronger, ..)| stronger.leads(&rank));
             stronger.find(|(.., suspect)| suspect.was_at(crash)).map(|(_, part, _)| *part)
         };
         let unexplained: Vec<Presence> =
             candidate.presences.iter().filter(|presence| explanation(presence.crash).is_none()).copied().collect();
+        let explanations: BTreeSet<Fingerprint> =
+            candidate.presences.iter().filter_map(|presence| explanation(presence.crash)).collect();
+        let all = if explanations.len() > 1 { &candidate.presences } else { &unexplained };
+        // A part in use may have had its trial beside that of the cause.
+        let is_conclusive = |trial: &Presence| {
+            let others = crashes[trial.crash].present.values().filter(|request| !request.is_trial_of(part));
+            !candidate.is_used() || !others.into_iter().any(PresentRequest::is_trial)
+        };
+        let trials = unexplained.iter().filter(|presence| presence.is_trial && is_conclusive(presence));
+        let failed_trials: Vec<Presence> = trials.copied().collect();
+        // No other part at the endpoint may be the cause, and no other endpoint crashed for the same reason.
+        let is_sole_cause = |trial: &Presence| {
+            let others = crashes[trial.crash].parts().map(|present| present.part.fingerprint());
+            !is_shared(trial.crash, &moments)
+                && others.filter(|other| *other != part).all(|other| is_bystander(&other, trial.crash))
+        };
         let score = PartScore {
+            full_score: score(all, &moments),
             score: score(&unexplained, &moments),
-            failed_trials: unexplained.iter().filter(|presence| presence.is_trial).count(),
-            is_used: candidate.history.good_runs > 0,
+            requests: request_count(&unexplained),
+            failed_trials: request_count(&failed_trials),
+            is_convicted: crash_count(&unexplained) >= TRIAL_ENDPOINTS && failed_trials.iter().any(is_sole_cause),
+            is_used: candidate.is_used(),
             crashes: candidate.crash_count(),
-            explained_by: candidate.presences.iter().find_map(|presence| explanation(presence.crash)),
+            explained_by: explanations.first().copied(),
         };
         scores.insert(part, score);
-        if score.is_suspected() || candidate.history.is_quarantined {
+        if score.is_explanation() || candidate.history.is_quarantined {
             suspects.push((rank, part, candidate));
         }
     }
     scores
 }
 
+fn request_count(presences: &[Presence]) -> usize {
+    presences.iter().map(|presence| presence.request).collect::<BTreeSet<_>>().len()
+}
+
+fn crash_count(presences: &[Presence]) -> usize {
+    presences.iter().map(|presence| presence.crash).collect::<BTreeSet<_>>().len()
+}
+
 fn candidates(crashes: &[Crash], history: impl Fn(Fingerprint) -> PartHistory) -> HashMap<Fingerprint, Candidate> {
     let mut candidates: HashMap<Fingerprint, Candidate> = HashMap::new();
     for (index, crash) in crashes.iter().enumerate() {
@@ -145,7 +238,7 @@
                     crash: index,
                     request: *request,
                     is_early,
-                    is_trial: present.is_trial,
+                    is_trial: part.is_tried,
                 });
             }
         }
@@ -176,20 +269,21 @@
     moments
 }
 
+fn is_shared(crash: usize, moments: &[usize]) -> bool {
+    moments.iter().filter(|moment| **moment == moments[crash]).count() > 1
+}
+
 fn score(presences: &[Presence], moments: &[usize]) -> u32 {
     let mut scores_by_moment: BTreeMap<usize, u32> = BTreeMap::new();
     let mut early_endpoints = BTreeSet::new();
-    let mut requests = BTreeSet::new();
     for presence in presences {
         let score = if presence.is_early { EARLY_SCORE } else { OTHER_SCORE };
         if presence.is_early {
             early_endpoints.insert(presence.crash);
         }
-        requests.insert(presence.request);
         let best = scores_by_moment.entry(moments[presence.crash]).or_insert(0);
         *best = score.max(*best);
     }
     let sum: u32 = scores_by_moment.values().sum();
-    let sum = if early_endpoints.len() >= TRIAL_ENDPOINTS { sum.max(TRIAL_SCORE) } else { sum };
-    if requests.len() < MIN_REQUESTS { sum.min(QUARANTINE_SCORE - 1) } else { sum }
+    if early_endpoints.len() >= TRIAL_ENDPOINTS { sum.max(TRIAL_SCORE) } else { sum }
 }
--- a/crates/ochreyard-core/src/direct/quarantine/replication.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/replication.rs
@@ -22,7 +22,8 @@
             LostPart {
                 id: present.part.id().to_owned(),
                 good_runs: present.good_runs.max(known.map_or(0, |runs| runs.count)),
-                good_age_ms: present.good_ms.max(known.map(|runs| runs.last_ms)).map(age_ms),
+                good_age_ms: present.good_ms.max(known.map(|runs| runs.last_began_ms)).map(age_ms),
+                is_tried: present.is_tried,
             }
         };
         let crashes = self.crashes.all().iter().filter(|crash| crash.version > version).map(|crash| CrashReport {
@@ -35,7 +36,6 @@
                 .map(|(fingerprint, request)| LostRequest {
                     fingerprint: *fingerprint,
                     ran_ms: request.ran_ms,
-                    is_trial: request.is_trial,
                     parts: request.parts.iter().map(lost_part).collect(),
                 })
                 .collect(),
@@ -79,7 +79,8 @@
     fn apply_entry(&mut self, reported: &QuarantineEntry, now_ms: u64) {
         let until_ms = now_ms + reported.left_ms.min(MAX_PERIOD_MS);
         let started_ms = now_ms.saturating_sub(reported.age_ms);
-        let is_cleared = self.cleared.get(&reported.fingerprint).is_some_and(|cleared| cleared.at_ms >= started_ms);
+        let counts_ms = self.last_crash_ms(reported.fingerprint).map_or(started_ms, |at_ms| at_ms.min(started_ms));
+        let is_cleared = self.cleared.get(&reported.fingerprint).is_some_and(|cleared| cleared.at_ms >= counts_ms);
         let is_known = self.periods.get(&reported.fingerprint).is_some_and(|known| known.times >= reported.times);
         if is_cleared || is_known || reported.times == 0 {
             return;
--- a/crates/ochreyard-core/src/direct/quarantine/update.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/update.rs
@@ -14,9 +14,12 @@
     /// Number of runs with this part that got past the start of their answers, as far as the reporting entry knows.
     #[serde(default)]
     pub good_runs: u32,
-    /// Time since the last one of them did, in milliseconds.
+    /// Time since the last one of them began, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub good_age_ms: Option<u64>,
+    /// Whether the request was the trial of this part.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_tried: bool,
 }
 
 /// A request that was at an endpoint when it crashed.
@@ -27,9 +30,6 @@
     /// How long the request had been running, in milliseconds; `None` if it is not known to have started.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ran_ms: Option<u64>,
-    /// Whether it was the trial of its service.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_trial: bool,
     /// Parts of its prompt that other requests may share, in their order. Empty if the run had not begun, or had got past
     /// the start of its answer: a part that crashes endpoints does so in between.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -77,11 +77,11 @@
 /// A suspect that one entry is running as a trial.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningTrial {
-    /// Fingerprint of the request, or of the service whose requests with suspected parts are tried.
+    /// Fingerprint of the request, or of a service and a part that is tried there.
     pub fingerprint: Fingerprint,
     /// How long other entries hold back such requests, in milliseconds; 0 ends the trial.
     pub left_ms: u64,
-    /// The request that runs the trial of a service; `None` for the trial of a request.
+    /// The request that runs the trial of a part; `None` for the trial of a request.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub claimant: Option<u64>,
 }
--- a/crates/ochreyard-core/tests/part_model.rs
+++ b/crates/ochreyard-core/tests/part_model.rs
@@ -111,9 +111,8 @@
 #[case::beside_restarts(Scenario { second_parts: HALF_RARE, restart_interval_ms: Some(2_000), ..FIRST_IN_USE })]
 #[case::beside_suspensions(Scenario { second_parts: HALF_RARE, suspension_interval_ms: Some(3_000), ..FIRST_IN_USE })]
 fn a_part_in_use_that_crashes_endpoints_is_found_beside_rare_parts(#[case] scenario: Scenario) {
-    let seeds = 1..=u64::from(common::cases(3));
     let mut broken = Vec::new();
-    for seed in seeds {
+    for seed in 1..=u64::from(common::cases(3)) {
         let summary = simulate(scenario, seed);
         print(&scenario, seed, &summary);
         if has_late_arrivals(&summary) || 2 * summary.served_at_end < summary.healthy_at_end {
--- a/crates/ochreyard-core/tests/part_model/fleet.rs
+++ b/crates/ochreyard-core/tests/part_model/fleet.rs
@@ -25,8 +25,6 @@
 const SUSPENSION_MS: u64 = 2_000;
 /// How long a request waits for an endpoint, in milliseconds.
 const MAX_WAIT_MS: u64 = 4_000;
-/// How often a run that goes on is recorded as good, in milliseconds.
-const GOOD_RUN_INTERVAL_MS: u64 = 250;
 /// Transit time of an update between entries, and the interval at which an entry asks another one for what it missed.
 const TRANSIT_MS: u64 = 10;
 const POLL_INTERVAL_MS: u64 = 400;
@@ -108,6 +106,9 @@
     wait_until_ms: u64,
     sent: u32,
     has_claimed: bool,
+    claimant: u64,
+    /// The parts that it is a trial of.
+    tried: Vec<Fingerprint>,
 }
 
 #[derive(Debug, Clone)]
@@ -115,7 +116,7 @@
     request: Request,
     started_ms: u64,
     ends_ms: u64,
-    good_ms: Option<u64>,
+    is_good: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -235,13 +236,7 @@
         for _ in 0..count {
             let first = self.random_in((0, self.scenario.first_parts - 1));
             let second = self.second_part();
-            let cause = match self.scenario.causes {
-                _ if self.now_ms < CRASHING_FROM_MS => None,
-                Causes::FirstPart => (first == 0).then(|| "first0".to_owned()),
-                Causes::SecondParts(count) => (0..count).map(|at| format!("middle{at}")).find(|cause| *cause == second),
-                Causes::New(_) => None,
-            };
-            self.add_request(&[&format!("first{first}"), &second], cause);
+            self.add_request(&[&format!("first{first}"), &second]);
         }
         if self.now_ms < CRASHING_FROM_MS {
             return;
@@ -254,11 +249,22 @@
         for (at, cause) in (0_u64..).zip(causes) {
             if (self.now_ms + at * 130).is_multiple_of(self.scenario.cause_interval_ms) {
                 let first = self.random_in((0, self.scenario.first_parts - 1));
-                self.add_request(&[&format!("first{first}"), &cause], Some(cause.clone()));
+                self.add_request(&[&format!("first{first}"), &cause]);
             }
         }
     }
 
+    /// Returns the part of a prompt that crashes endpoints now.
+    fn cause_in(&self, ids: &[&str]) -> Option<String> {
+        let is_cause = |id: &&&str| match self.scenario.causes {
+            Causes::New(_) => id.starts_with("bad"),
+            Causes::FirstPart => **id == "first0",
+            Causes::SecondParts(count) => (0..count).any(|at| **id == format!("middle{at}")),
+        };
+        let has_begun = self.now_ms >= CRASHING_FROM_MS;
+        ids.iter().find(is_cause).filter(|_| has_begun).map(|id| (*id).to_owned())
+    }
+
     /// Returns the second part of a healthy prompt.
     fn second_part(&mut self) -> String {
         let SecondParts { common, rare_percent, requests_per_rare } = self.scenario.second_parts;
@@ -271,7 +277,8 @@
         format!("rare{session}")
     }
 
-    fn add_request(&mut self, ids: &[&str], cause: Option<String>) {
+    fn add_request(&mut self, ids: &[&str]) {
+        let cause = self.cause_in(ids);
         let entry = self.random_in((0, ENTRIES as u64 - 1)) as usize;
         self.number += 1;
         if cause.is_none() {
@@ -288,6 +295,8 @@
             wait_until_ms: self.now_ms + MAX_WAIT_MS,
             sent: 0,
             has_claimed: false,
+            claimant: 0,
+            tried: Vec::new(),
         });
     }
 
@@ -306,18 +315,31 @@
             return self.release(&request);
         }
         let (must_wait, update) = match self.entries[entry].part_decision(&request.parts, now_ms) {
-            PartDecision::Allow => (false, None),
+            PartDecision::Allow => {
+                request.tried = Vec::new();
+                if std::mem::take(&mut request.has_claimed) {
+                    self.release(&request);
+                }
+                (false, None)
+            }
             PartDecision::Refuse { .. } => {
                 self.summary.refused += u32::from(request.cause.is_none());
                 return self.release(&request);
             }
-            PartDecision::Suspected(_) => {
-                let claim = self.entries[entry].claim_trial(SERVICE, u64::from(request.number), now_ms);
-                request.has_claimed = true;
+            PartDecision::Suspected(parts) => {
+                if !std::mem::replace(&mut request.has_claimed, true) {
+                    request.claimant = self.entries[entry].claimant(&request.parts, u64::from(request.number));
+                }
+                let claim = self.entries[entry].claim_trials(SERVICE, &parts, request.claimant, now_ms);
+                request.tried = parts;
                 match claim {
                     TrialClaim::Granted => (false, None),
                     TrialClaim::Announced(update) => (true, Some(update)),
-                    TrialClaim::Pending | TrialClaim::Taken { .. } => (true, None),
+                    TrialClaim::Pending => (true, None),
+                    TrialClaim::Taken { .. } => {
+                        self.release(&request);
+                        (true, None)
+                    }
                 }
             }
         };
@@ -329,14 +351,21 @@
             return self.waiting.push(request);
         }
         let at = available[self.random_in((0, available.len() as u64 - 1)) as usize];
-        let duration_ms = self.random_in(if request.cause.is_some() { CRASH_MS } else { RUN_MS });
         request.sent += 1;
+        // A request that arrived before the part became the cause may run again.
+        request.cause = self.cause_in(&request.parts.iter().map(PromptPart::id).collect::<Vec<_>>());
+        let duration_ms = self.random_in(if request.cause.is_some() { CRASH_MS } else { RUN_MS });
         if let Some(cause) = &request.cause
             && self.fifth_end_ms.get(cause).is_some_and(|at_ms| now_ms > at_ms + 3_000)
         {
             *self.summary.late_arrivals.entry(cause.clone()).or_default() += 1;
         }
-        self.endpoints[at].runs.push(Run { request, started_ms: now_ms, ends_ms: now_ms + duration_ms, good_ms: None });
+        self.endpoints[at].runs.push(Run {
+            request,
+            started_ms: now_ms,
+            ends_ms: now_ms + duration_ms,
+            is_good: false,
+        });
     }
 
     fn broadcast(&mut self, from: usize, update: &QuarantineUpdate) {
@@ -345,7 +374,7 @@
     }
 
     fn release(&mut self, request: &Request) {
-        let released = self.entries[request.entry].release_claim(SERVICE, u64::from(request.number));
+        let released = self.entries[request.entry].release_claims(request.claimant);
         released.into_iter().for_each(|update| self.broadcast(request.entry, &update));
     }
 
@@ -371,12 +400,11 @@
             return self.crash(at);
         }
         for run in &mut runs {
-            let is_new_run = run.good_ms.is_none();
-            let is_due = run.good_ms.is_none_or(|good_ms| now_ms >= good_ms + GOOD_RUN_INTERVAL_MS);
             let is_seen = self.suspended_until_ms[run.request.entry] <= now_ms;
-            if is_seen && run.request.cause.is_none() && is_due && is_past_start(now_ms - run.started_ms) {
-                run.good_ms = Some(now_ms);
-                let update = self.entries[run.request.entry].on_good_run(&run.request.parts, is_new_run, now_ms);
+            if is_seen && !run.is_good && run.request.cause.is_none() && is_past_start(now_ms - run.started_ms) {
+                run.is_good = true;
+                let entry = &mut self.entries[run.request.entry];
+                let update = entry.on_good_run(&run.request.parts, run.started_ms, now_ms);
                 if std::mem::take(&mut run.request.has_claimed) {
                     update.into_iter().for_each(|update| self.broadcast(run.request.entry, &update));
                     self.release(&run.request);
@@ -400,14 +428,14 @@
         let endpoint = format!("e{at}-{now_ms}");
         for run in &runs {
             let entry = run.request.entry;
-            let parts = match run.good_ms {
-                Some(_) => Vec::new(),
-                None => self.entries[entry].lost_parts(&run.request.parts, now_ms),
+            let parts = if run.is_good {
+                Vec::new()
+            } else {
+                self.entries[entry].lost_parts(&run.request.parts, &run.request.tried, now_ms)
             };
             let lost = LostRequest {
                 fingerprint: Fingerprint::of(&[&run.request.number.to_le_bytes()]),
                 ran_ms: Some(now_ms - run.started_ms),
-                is_trial: run.request.has_claimed,
                 parts,
             };
             self.entries[entry].on_crash(&endpoint, SERVICE, lost.clone(), now_ms, now_ms);
--- a/crates/ochreyard-core/tests/quarantine.rs
+++ b/crates/ochreyard-core/tests/quarantine.rs
@@ -32,12 +32,7 @@
     present: &[u32],
     at_ms: u64,
 ) -> Vec<QuarantinedRequest> {
-    let lost = present.iter().map(|number| LostRequest {
-        fingerprint: request(*number),
-        ran_ms,
-        is_trial: false,
-        parts: Vec::new(),
-    });
+    let lost = present.iter().map(|number| LostRequest { fingerprint: request(*number), ran_ms, parts: Vec::new() });
     lost.flat_map(|lost| quarantine.on_crash(endpoint, "tiles", lost, at_ms, at_ms)).collect()
 }
 
@@ -221,14 +216,10 @@
 
 fn any_update() -> impl Strategy<Value = QuarantineUpdate> {
     let fingerprint = || (0u32..6).prop_map(request);
-    let part = ("[a-c]", any::<u32>(), any::<Option<u64>>()).prop_map(|(id, good_runs, good_age_ms)| LostPart {
-        id,
-        good_runs,
-        good_age_ms,
-    });
-    let lost = (fingerprint(), any::<Option<u64>>(), proptest::collection::vec(part, 0..4)).prop_map(
-        |(fingerprint, ran_ms, parts)| LostRequest { fingerprint, ran_ms, is_trial: ran_ms.is_some(), parts },
-    );
+    let part = ("[a-c]", any::<u32>(), any::<Option<u64>>(), any::<bool>())
+        .prop_map(|(id, good_runs, good_age_ms, is_tried)| LostPart { id, good_runs, good_age_ms, is_tried });
+    let lost = (fingerprint(), any::<Option<u64>>(), proptest::collection::vec(part, 0..4))
+        .prop_map(|(fingerprint, ran_ms, parts)| LostRequest { fingerprint, ran_ms, parts });
     let crash = ("e[0-3]", any::<u64>(), proptest::collection::vec(lost, 0..4)).prop_map(|(endpoint, age_ms, lost)| {
         CrashReport { endpoint, service: "tiles".into(), age_ms: age_ms >> (age_ms % 64), lost }
     });
--- a/crates/ochreyard-core/tests/quarantine_model/fleet.rs
+++ b/crates/ochreyard-core/tests/quarantine_model/fleet.rs
@@ -111,7 +111,6 @@
             let lost = LostRequest {
                 fingerprint: request(run.attempt.number),
                 ran_ms: Some(now_ms - run.started_ms),
-                is_trial: false,
                 parts: Vec::new(),
             };
             self.rule.on_crash(endpoint, lost, now_ms);
--- a/crates/ochreyard-core/tests/quarantine_parts.rs
+++ b/crates/ochreyard-core/tests/quarantine_parts.rs
@@ -21,19 +21,26 @@
 
 fn crash(quarantine: &mut Quarantine, endpoint: &str, runs: &[Run], at_ms: u64) {
     for (number, ids, ran_ms) in runs {
+        // Each request with suspected parts is their trial.
+        let tried = match quarantine.part_decision(&parts(ids), at_ms) {
+            PartDecision::Suspected(suspected) => suspected,
+            PartDecision::Allow | PartDecision::Refuse { .. } => Vec::new(),
+        };
         let lost = LostRequest {
             fingerprint: Fingerprint::of(&[&number.to_le_bytes()]),
             ran_ms: *ran_ms,
-            is_trial: quarantine.part_decision(&parts(ids), at_ms) != PartDecision::Allow,
-            parts: quarantine.lost_parts(&parts(ids), at_ms),
+            parts: quarantine.lost_parts(&parts(ids), &tried, at_ms),
         };
         quarantine.on_crash(endpoint, "tiles", lost, at_ms, at_ms);
     }
 }
 
-/// Records good runs of a prompt.
-fn good_runs(quarantine: &mut Quarantine, ids: &[&str], count: usize, at_ms: u64) {
-    (0..count).for_each(|_| drop(quarantine.on_good_run(&parts(ids), true, at_ms)));
+/// Time from the start of a run until it is known to be good, in milliseconds.
+const GOOD_AFTER_MS: u64 = 510;
+
+/// Records good runs of a prompt that began at `began_ms`.
+fn good_runs(quarantine: &mut Quarantine, ids: &[&str], count: usize, began_ms: u64) {
+    (0..count).for_each(|_| drop(quarantine.on_good_run(&parts(ids), began_ms, began_ms + GOOD_AFTER_MS)));
 }
 
 fn decision(quarantine: &Quarantine, ids: &[&str], now_ms: u64) -> PartDecision {
@@ -130,7 +137,7 @@
 fn a_run_past_the_start_of_its_answer_clears_all_parts_of_its_prompt() {
     let mut quarantine = Quarantine::default();
     let last_ms = crash_with_part(&mut quarantine, 2, 1_000);
-    let update = quarantine.on_good_run(&parts(&["first", "bad"]), true, last_ms + 600).unwrap();
+    let update = quarantine.on_good_run(&parts(&["first", "bad"]), last_ms + 90, last_ms + 600).unwrap();
     assert_eq!(update.cleared.len(), 1);
     assert_eq!(decision(&quarantine, &["first", "bad"], last_ms + 601), PartDecision::Allow);
     let last_ms = crash_with_part(&mut quarantine, 1, 5_000);
@@ -140,7 +147,7 @@
     quarantine.remove_expired(last_ms + 1_000);
     assert!(is_refused(&quarantine, &["bad"], last_ms + 1_001));
     // A run that began before the verdict.
-    quarantine.on_good_run(&parts(&["first", "bad"]), true, last_ms + 1_100);
+    quarantine.on_good_run(&parts(&["first", "bad"]), last_ms + 590, last_ms + 1_100);
     assert_eq!(decision(&quarantine, &["first", "bad"], last_ms + 1_101), PartDecision::Allow);
 }
 
@@ -239,8 +246,7 @@
     let lost = LostRequest {
         fingerprint: Fingerprint::of(&[b"bystander"]),
         ran_ms: Some(100),
-        is_trial: false,
-        parts: quarantine.lost_parts(&parts(&["first", "bad"]), ended_ms),
+        parts: quarantine.lost_parts(&parts(&["first", "bad"]), &[], ended_ms),
     };
     quarantine.on_crash("killed", "tiles", lost, ended_ms + 10, ended_ms + 10);
     quarantine.remove_expired(ended_ms + 1_000);
@@ -256,34 +262,62 @@
     assert_eq!(decision(&quarantine, &["bad"], last_ms + 2_001), PartDecision::Allow);
 }
 
+fn bad() -> Fingerprint {
+    PromptPart::new("bad").fingerprint()
+}
+
 #[test]
 fn of_two_claims_on_a_trial_at_the_same_time_one_prevails() {
     let (mut one, mut two) = (Quarantine::default(), Quarantine::default());
-    let TrialClaim::Announced(of_one) = one.claim_trial("tiles", 11, 3_000) else { panic!("not claimed") };
-    let TrialClaim::Announced(of_two) = two.claim_trial("tiles", 22, 3_005) else { panic!("not claimed") };
-    assert_eq!(one.claim_trial("tiles", 11, 3_010), TrialClaim::Pending);
+    let TrialClaim::Announced(of_one) = one.claim_trials("tiles", &[bad()], 11, 3_000) else { panic!("not claimed") };
+    let TrialClaim::Announced(of_two) = two.claim_trials("tiles", &[bad()], 22, 3_005) else { panic!("not claimed") };
+    assert_eq!(one.claim_trials("tiles", &[bad()], 11, 3_010), TrialClaim::Pending);
     one.apply_update(&of_two, 3_015);
     two.apply_update(&of_one, 3_015);
-    assert_eq!(one.claim_trial("tiles", 11, 3_000 + CLAIM_MS), TrialClaim::Granted);
-    assert!(matches!(two.claim_trial("tiles", 22, 3_060), TrialClaim::Taken { .. }));
-    // Another request at the same entry waits as well; one for another service does not.
-    assert!(matches!(one.claim_trial("tiles", 12, 3_060), TrialClaim::Taken { .. }));
-    assert!(matches!(one.claim_trial("other", 12, 3_060), TrialClaim::Announced(_)));
-    let released = one.release_claim("tiles", 11).unwrap();
+    assert_eq!(one.claim_trials("tiles", &[bad()], 11, 3_000 + CLAIM_MS), TrialClaim::Granted);
+    assert!(matches!(two.claim_trials("tiles", &[bad()], 22, 3_060), TrialClaim::Taken { .. }));
+    // Another request at the same entry waits as well, also for a second part; one for another service, or with another
+    // part, does not.
+    let other = PromptPart::new("other").fingerprint();
+    assert!(matches!(one.claim_trials("tiles", &[bad()], 12, 3_060), TrialClaim::Taken { .. }));
+    assert!(matches!(one.claim_trials("tiles", &[other, bad()], 12, 3_060), TrialClaim::Taken { .. }));
+    assert!(matches!(one.claim_trials("other", &[bad()], 12, 3_060), TrialClaim::Announced(_)));
+    assert!(matches!(one.claim_trials("tiles", &[other], 13, 3_060), TrialClaim::Announced(_)));
+    let released = one.release_claims(11).unwrap();
     two.apply_update(&released, 3_200);
-    assert!(matches!(two.claim_trial("tiles", 22, 3_200), TrialClaim::Announced(_)));
-    assert_eq!(one.release_claim("tiles", 11), None);
+    assert!(matches!(two.claim_trials("tiles", &[bad()], 22, 3_200), TrialClaim::Announced(_)));
+    assert_eq!(one.release_claims(11), None);
 }
 
 #[test]
 fn a_claim_is_renewed_and_lapses_without_its_request() {
     let mut quarantine = Quarantine::default();
-    assert!(matches!(quarantine.claim_trial("tiles", 5, 3_000), TrialClaim::Announced(_)));
-    assert_eq!(quarantine.claim_trial("tiles", 5, 4_000), TrialClaim::Granted);
-    assert!(matches!(quarantine.claim_trial("tiles", 5, 5_000), TrialClaim::Announced(_)));
-    assert_eq!(quarantine.claim_trial("tiles", 5, 5_001), TrialClaim::Granted, "a renewed claim needs no new wait");
-    assert_eq!(quarantine.claim_trial("tiles", 6, 5_002), TrialClaim::Taken { left_ms: TRIAL_MS - 2 });
-    assert!(matches!(quarantine.claim_trial("tiles", 6, 5_000 + TRIAL_MS), TrialClaim::Announced(_)));
+    let parts = [bad()];
+    assert!(matches!(quarantine.claim_trials("tiles", &parts, 5, 3_000), TrialClaim::Announced(_)));
+    assert_eq!(quarantine.claim_trials("tiles", &parts, 5, 4_000), TrialClaim::Granted);
+    assert!(matches!(quarantine.claim_trials("tiles", &parts, 5, 5_000), TrialClaim::Announced(_)));
+    assert_eq!(
+        quarantine.claim_trials("tiles", &parts, 5, 5_001),
+        TrialClaim::Granted,
+        "a renewed claim needs no new wait"
+    );
+    assert_eq!(quarantine.claim_trials("tiles", &parts, 6, 5_002), TrialClaim::Taken { left_ms: TRIAL_MS - 2 });
+    assert!(matches!(quarantine.claim_trials("tiles", &parts, 6, 5_000 + TRIAL_MS), TrialClaim::Announced(_)));
+}
+
+/// A trial that fails tells most if nothing else in its request may be the cause.
+#[test]
+fn a_request_whose_other_parts_are_healthy_goes_first_in_a_trial() {
+    let mut quarantine = Quarantine::default();
+    good_runs(&mut quarantine, &["first", "in use"], 3, 500);
+    crash_with_part(&mut quarantine, 2, 2_000);
+    let unknown = quarantine.claimant(&parts(&["first", "bad", "new"]), 1);
+    let known = quarantine.claimant(&parts(&["first", "bad", "in use"]), u64::MAX);
+    assert!(known < unknown);
+    assert!(matches!(quarantine.claim_trials("tiles", &[bad()], unknown, 4_000), TrialClaim::Announced(_)));
+    assert!(matches!(quarantine.claim_trials("tiles", &[bad()], known, 4_010), TrialClaim::Announced(_)));
+    assert!(matches!(quarantine.claim_trials("tiles", &[bad()], unknown, 4_020), TrialClaim::Taken { .. }));
+    assert_eq!(quarantine.claim_trials("tiles", &[bad()], known, 4_010 + CLAIM_MS), TrialClaim::Granted);
 }
 
 #[test]
@@ -330,7 +364,7 @@
     good_runs(&mut old, &["bad"], 5, 500);
     old.apply_update(&started.update_since(0, last_ms + 200), last_ms + 210);
     assert!(is_suspected(&old, "bad", last_ms + 220));
-    let update = old.on_good_run(&parts(&["bad"]), true, last_ms + 900).unwrap();
+    let update = old.on_good_run(&parts(&["bad"]), last_ms + 390, last_ms + 900).unwrap();
     started.apply_update(&update, last_ms + 910);
     for entry in [&old, &started] {
         assert_eq!(decision(entry, &["bad"], last_ms + 920), PartDecision::Allow);
@@ -368,5 +402,5 @@
     }
     let encoded = serde_json::to_vec(&quarantine.update_since(0, 40_000)).unwrap();
     assert!(encoded.len() < 4 << 20, "{} bytes", encoded.len());
-    assert_eq!(quarantine.lost_parts(&parts(&["first"]), 40_000)[0].good_runs, 100);
+    assert_eq!(quarantine.lost_parts(&parts(&["first"]), &[], 40_000)[0].good_runs, 100);
 }
--- a/crates/ochreyard-direct/src/containment.rs
+++ b/crates/ochreyard-direct/src/containment.rs
@@ -80,11 +80,11 @@
         }
     }
 
-    /// Records that a run got past the start of its answer. A run that was the trial of its suspected parts tells other
+    /// Records that a run which began at `began_ms` got past the start of its answer. A run that was the trial of its suspected parts tells other
     /// boxes at once, since they hold requests back.
-    pub fn on_good_run(self: &Rc<Self>, parts: &[PromptPart], is_new_run: bool, is_trial: bool) {
+    pub fn on_good_run(self: &Rc<Self>, parts: &[PromptPart], began_ms: u64, is_trial: bool) {
         let now_ms = self.clock.now_ms();
-        let Some(update) = self.state.borrow_mut().quarantine.on_good_run(parts, is_new_run, now_ms) else { return };
+        let Some(update) = self.state.borrow_mut().quarantine.on_good_run(parts, began_ms, now_ms) else { return };
         update.cleared.iter().for_each(|one| log::info!("event=part_cleared fingerprint={}", one.fingerprint));
         self.log_part_findings();
         if is_trial {
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -31,7 +31,7 @@
 use crate::entry::Entry;
 use crate::give_up_reason::GiveUpReason;
 use crate::meters;
-use crate::part_trial::PartTrial;
+use crate::part_trial::{RunningTrial, TrialClaim};
 use crate::stall_outcome::StallOutcome;
 use crate::timeout::{poll_after_reads, timeout_after_reads};
 use crate::witness::Testimony;
@@ -43,8 +43,6 @@
 /// Longest wait for the check whether a broken endpoint crashed, before the request is sent to another one. It allows
 /// several round trips between data centres, and takes less than half of a gap between events that is still on time.
 const CRASH_CHECK_WAIT: Duration = Duration::from_millis(50);
-/// How often a stream that gets events is recorded as a good run, in milliseconds.
-const GOOD_RUN_INTERVAL_MS: u64 = 250;
 
 /// One request with the state that its attempts need.
 pub struct Job<D: Dialect> {
@@ -102,8 +100,10 @@
     pub fingerprint: OnceCell<Fingerprint>,
     /// Parts of the prompt that other requests may share, computed when first needed.
     pub prompt_parts: OnceCell<Vec<PromptPart>>,
-    /// The claim of this request on the trial of its service, if a part of its prompt is suspected.
-    pub part_trial: Option<PartTrial<D>>,
+    /// The claim of this request on the trials of the suspected parts of its prompt, until it is sent.
+    pub trial_claim: Option<TrialClaim<D>>,
+    /// The trial of suspected parts that the last attempt is.
+    pub running_trial: Option<RunningTrial<D>>,
     /// Records the outcome of the request, if it met a stalled service.
     pub stall_outcome: StallOutcome<D>,
     /// Whether this request is the trial run of a request that is suspected of crashing endpoints.
@@ -345,19 +345,20 @@
     pub fn record_events(&mut self, count: usize) {
         self.progress.event_count += count;
         let now_ms = self.entry.clock.now_ms();
-        let is_due = self.progress.good_run_ms.is_none_or(|good_ms| now_ms >= good_ms + GOOD_RUN_INTERVAL_MS);
-        if is_due && self.progress.head_ms.is_some_and(|head_ms| is_past_start(now_ms.saturating_sub(head_ms))) {
+        if self.progress.head_ms.is_some_and(|head_ms| is_past_start(now_ms.saturating_sub(head_ms))) {
             self.record_good_run();
         }
     }
 
-    /// Records that the parts of the prompt do not crash endpoints.
+    /// Records once that the parts of the prompt do not crash endpoints.
     pub fn record_good_run(&mut self) {
-        let now_ms = self.entry.clock.now_ms();
-        let is_new_run = self.progress.good_run_ms.replace(now_ms).is_none();
-        let is_trial = self.part_trial.is_some();
-        self.entry.on_good_run(self.prompt_parts(), is_new_run, is_trial);
-        self.part_trial = None;
+        if std::mem::replace(&mut self.progress.is_good_run, true) {
+            return;
+        }
+        let is_trial = self.running_trial.is_some();
+        let began_ms = self.began_ms().unwrap_or(self.progress.started_ms);
+        self.entry.on_good_run(self.prompt_parts(), began_ms, is_trial);
+        self.running_trial = None;
     }
 
     /// Milliseconds since the head of the request came.
@@ -374,7 +375,6 @@
         let lost = LostRequest {
             fingerprint: self.fingerprint(),
             ran_ms: self.ran_ms(lost_ms),
-            is_trial: self.part_trial.is_some(),
             parts: self.suspicious_parts(lost_ms),
         };
         let (id, event_count) = (self.id().to_owned(), self.progress.event_count);
@@ -399,10 +399,11 @@
     /// Returns the parts of the prompt that may have crashed the endpoint of the last attempt: none if its run had not
     /// begun, or had got past the start of the answer.
     fn suspicious_parts(&self, now_ms: u64) -> Vec<LostPart> {
-        if self.ran_ms(now_ms).is_none() || self.progress.good_run_ms.is_some() {
+        if self.began_ms().is_none() || self.progress.is_good_run {
             return Vec::new();
         }
-        self.entry.state.borrow().quarantine.lost_parts(self.prompt_parts(), now_ms)
+        let tried = self.running_trial.as_ref().map_or(&[][..], RunningTrial::parts);
+        self.entry.state.borrow().quarantine.lost_parts(self.prompt_parts(), tried, now_ms)
     }
 
     /// Checks whether an answer that has just ended was cut by a crash of its endpoint. One that cannot be reached in time
@@ -421,12 +422,16 @@
         matches!(timeout_after_reads(CRASH_CHECK_WAIT, check).await, Some(Ok(CrashCheck::Crashed)))
     }
 
-    /// Returns how long the attempt has run; `None` if it has not begun to run, as far as known. The head of a stream
-    /// comes when its run begins; other answers send nothing before the end.
+    /// Returns how long the attempt has run; `None` if it has not begun to run, as far as known.
     fn ran_ms(&self, now_ms: u64) -> Option<u64> {
+        self.began_ms().map(|began_ms| now_ms.saturating_sub(began_ms))
+    }
+
+    /// Returns when the attempt began to run, as far as known. The head of a stream comes when its run begins; other
+    /// answers send nothing before the end.
+    fn began_ms(&self) -> Option<u64> {
         let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
-        let began_ms = if is_stream { self.progress.head_ms } else { Some(self.progress.started_ms) };
-        began_ms.map(|began_ms| now_ms.saturating_sub(began_ms))
+        if is_stream { self.progress.head_ms } else { Some(self.progress.started_ms) }
     }
 
     /// Returns the fingerprint by which a repetition of this request is recognized.
--- a/crates/ochreyard-direct/src/job/attempt_progress.rs
+++ b/crates/ochreyard-direct/src/job/attempt_progress.rs
@@ -9,13 +9,13 @@
     pub head_ms: Option<u64>,
     /// Number of complete events that it has delivered.
     pub event_count: usize,
-    /// When its run was last recorded as good, which shows that the parts of its prompt do not crash endpoints.
-    pub good_run_ms: Option<u64>,
+    /// Whether its run was recorded as good, which shows that the parts of its prompt do not crash endpoints.
+    pub is_good_run: bool,
 }
 
 impl AttemptProgress {
     /// Returns the progress of an attempt that begins.
     pub const fn start(now_ms: u64) -> Self {
-        Self { started_ms: now_ms, head_ms: None, event_count: 0, good_run_ms: None }
+        Self { started_ms: now_ms, head_ms: None, event_count: 0, is_good_run: false }
     }
 }
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -13,7 +13,7 @@
 use crate::entry::{State, queue_of};
 use crate::give_up_reason::GiveUpReason;
 use crate::meters;
-use crate::part_trial::{PartTrial, TrialTurn};
+use crate::part_trial::{RunningTrial, TrialClaim, TrialTurn};
 use crate::queue_slot::{QueueSlot, WaitEnd};
 
 /// How often a waiting request looks for a free endpoint: well under the time of an engine step.
@@ -27,6 +27,9 @@
 /// Least time left for which another attempt is worth its cost, in milliseconds: a single engine step takes longer.
 const MIN_ATTEMPT_MS: u64 = 30;
 
+/// Time in which the trial of a part usually shows whether it is the cause, in milliseconds. Claims last longer.
+const TRIAL_TIME_MS: u64 = 1_000;
+
 /// Why no endpoint was picked for a request.
 pub(super) enum NotPicked {
     /// The request waits for an endpoint.
@@ -117,7 +120,7 @@
         if slot.is_some() && self.entry.is_refusing.get() && !self.may_have_run {
             return Err(GiveUpReason::Leaving.into());
         }
-        self.claim_part_trial(now_ms)?;
+        self.claim_part_trials(now_ms)?;
         let entry = Rc::clone(&self.entry);
         let mut state = entry.state.borrow_mut();
         let has_retry = match &self.abandoned_first {
@@ -145,10 +148,8 @@
                     self.is_on_trial = true;
                     self.entry.begin_trial(self.fingerprint());
                 }
-                if let Some(trial) = &self.part_trial {
-                    self.is_on_trial = true;
-                    trial.begin();
-                }
+                self.running_trial = self.trial_claim.take().map(TrialClaim::begin);
+                self.is_on_trial |= self.running_trial.is_some();
                 Ok(pick)
             }
             DispatchDecision::Wait(facts) => {
@@ -187,39 +188,50 @@
         }
     }
 
-    /// Checks the parts of the prompt. If any are suspected of crashing endpoints, claims their trial for this request.
+    /// Checks the parts of the prompt. If any are suspected of crashing endpoints, claims their trials for this request.
     ///
     /// # Errors
     ///
-    /// When the request must not be sent now: a part is refused, or other requests may run the trial first.
-    fn claim_part_trial(&mut self, now_ms: u64) -> Result<(), NotPicked> {
+    /// When the request must not be sent now: a part is refused, or other requests may run a trial first.
+    fn claim_part_trials(&mut self, now_ms: u64) -> Result<(), NotPicked> {
         let state = self.entry.state.borrow();
         let decision = if state.quarantine.is_empty() {
             PartDecision::Allow
         } else {
             state.quarantine.part_decision(self.prompt_parts(), now_ms)
         };
-        drop(state);
-        match decision {
+        let suspected = match decision {
             PartDecision::Allow => {
-                self.part_trial = None;
-                Ok(())
+                drop(state);
+                self.trial_claim = None;
+                self.running_trial = None;
+                return Ok(());
             }
             PartDecision::Refuse { part, left_ms } => {
-                Err(GiveUpReason::Quarantined { part: Some(part), left_ms }.into())
+                return Err(GiveUpReason::Quarantined { part: Some(part), left_ms }.into());
             }
-            PartDecision::Suspected(_) if self.is_on_trial && self.may_have_run => Err(GiveUpReason::Failed.into()),
-            PartDecision::Suspected(parts) => {
-                let part = parts.first().copied();
-                if self.part_trial.is_none() {
-                    self.part_trial = Some(PartTrial::new(&self.entry, &self.service, self.id()));
-                }
-                match self.part_trial.as_ref().map_or(TrialTurn::Soon, PartTrial::claim) {
-                    TrialTurn::Now => Ok(()),
-                    TrialTurn::Soon => Err(NotPicked::Hold),
-                    TrialTurn::AfterOther { left_ms } => Err(self.hold_for_trial(part, left_ms, now_ms)),
-                }
+            PartDecision::Suspected(_) if self.is_on_trial && self.may_have_run => {
+                return Err(GiveUpReason::Failed.into());
             }
+            PartDecision::Suspected(parts) => parts,
+        };
+        // A claim without an endpoint that may run the request keeps others from trials that could take place.
+        let has_endpoint = self.pick_other(&state.pool, &self.tried, now_ms).is_ok();
+        drop(state);
+        if !has_endpoint {
+            self.trial_claim = None;
+            return Ok(());
+        }
+        let first = suspected.first().copied();
+        let claim = self.running_trial.take().map(RunningTrial::into_claim).or(self.trial_claim.take());
+        let mut claim =
+            claim.unwrap_or_else(|| TrialClaim::new(&self.entry, &self.service, self.id(), self.prompt_parts()));
+        let turn = claim.claim(suspected);
+        self.trial_claim = Some(claim);
+        match turn {
+            TrialTurn::Now => Ok(()),
+            TrialTurn::Soon => Err(NotPicked::Hold),
+            TrialTurn::AfterOther { left_ms } => Err(self.hold_for_trial(first, left_ms, now_ms)),
         }
     }
 
@@ -230,6 +242,7 @@
         }
         let is_patient =
             self.entry.state.borrow_mut().queue(&self.service).is_caller_patient(&self.pending_request(), now_ms);
+        let left_ms = left_ms.min(TRIAL_TIME_MS);
         if is_patient { NotPicked::Hold } else { GiveUpReason::Quarantined { part, left_ms }.into() }
     }
 
