Requests are not suspected of crashes that a quarantined part explains

What callers saw: a sound caller that sends the same request again and again beside a prompt part that crashes engines was refused for ten minutes, as its request had been at three crashes.

Cause: the fault of the parts in the other score. Requests were judged by all crashes, also by those of which the cause had been found since.

Change: crashes of endpoints that ran a request with a quarantined part do not count against requests, and a quarantine that rests on them ends.

--- a/crates/ochreyard-core/src/direct/quarantine.rs
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -24,7 +24,7 @@
 mod replication;
 mod update;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use self::crash_list::CrashList;
 pub use self::crash_scores::is_past_start;
@@ -281,8 +281,11 @@
     /// Evaluates all crashes. Returns the requests that are newly quarantined.
     fn evaluate(&mut self, now_ms: u64) -> Vec<QuarantinedRequest> {
         let last_success_ms = |fingerprint: Fingerprint| self.cleared.get(&fingerprint).map(|cleared| cleared.at_ms);
-        self.scores = crash_scores::score_requests(self.crashes.all(), last_success_ms);
-        self.part_scores = part_scores::score_parts(self.crashes.all(), |part| self.part_history(part, now_ms));
+        let part_scores = part_scores::score_parts(self.crashes.all(), |part| self.part_history(part, now_ms));
+        let causes = self.causes(&part_scores, now_ms);
+        self.scores = crash_scores::score_requests(self.crashes.all(), &causes, last_success_ms);
+        self.part_scores = part_scores;
+        self.release_explained_requests(&causes, now_ms);
         let is_settled = |part: Fingerprint| self.last_crash_ms(part).is_none_or(|at_ms| now_ms >= at_ms + REPORTS_MS);
         let requests = self.scores.iter().filter(|(_, score)| **score >= QUARANTINE_SCORE).map(|(request, _)| *request);
         let above_threshold = self.part_scores.iter().filter(|(_, score)| score.is_quarantined());
@@ -307,6 +310,31 @@
         quarantined
     }
 
+    /// Returns the parts that are known to be causes.
+    fn causes(&self, part_scores: &HashMap<Fingerprint, PartScore>, now_ms: u64) -> HashSet<Fingerprint> {
+        let is_refused = |part: &Fingerprint| {
+            self.part_ids.contains_key(part)
+                && self.periods.get(part).is_some_and(|period| period.left_ms(now_ms).is_some())
+        };
+        let found = part_scores.iter().filter(|(_, score)| score.is_quarantined()).map(|(part, _)| part);
+        found.chain(self.periods.keys().filter(|part| is_refused(part))).copied().collect()
+    }
+
+    /// Ends the quarantine of requests that is based on crashes which a part explains by now.
+    fn release_explained_requests(&mut self, causes: &HashSet<Fingerprint>, now_ms: u64) {
+        let is_released = |fingerprint: &Fingerprint| {
+            !self.part_ids.contains_key(fingerprint)
+                && self.crashes.involving(*fingerprint).any(|crash| crash.has_any_part(causes))
+                && self.scores.get(fingerprint).is_none_or(|score| *score < TRIAL_SCORE)
+        };
+        let refused = self.periods.iter().filter(|(_, period)| period.left_ms(now_ms).is_some());
+        let released: Vec<Fingerprint> =
+            refused.map(|(fingerprint, _)| *fingerprint).filter(|fingerprint| is_released(fingerprint)).collect();
+        for fingerprint in released {
+            self.clear(fingerprint, now_ms);
+        }
+    }
+
     /// Returns whether the last crash of a request happened before its last quarantine period began, so that it starts
     /// no new period.
     fn is_covered_by_last_period(&self, fingerprint: Fingerprint) -> bool {
--- a/crates/ochreyard-core/src/direct/quarantine/crash.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash.rs
@@ -1,6 +1,6 @@
 //! A crash of an endpoint, and the requests that were at the endpoint.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use super::update::{LostPart, LostRequest};
 use crate::direct::{Fingerprint, PromptPart};
@@ -117,6 +117,11 @@
         self.present.values().any(|request| request.is_trial_of(part))
     }
 
+    /// Returns whether the endpoint ran a request with one of these prompt parts.
+    pub fn has_any_part(&self, parts: &HashSet<Fingerprint>) -> bool {
+        self.parts().any(|present| parts.contains(&present.part.fingerprint()))
+    }
+
     /// Returns the prompt parts of all requests.
     pub fn parts(&self) -> impl Iterator<Item = &PresentPart> {
         self.present.values().flat_map(|request| &request.parts)
--- a/crates/ochreyard-core/tests/quarantine_parts.rs
+++ b/crates/ochreyard-core/tests/quarantine_parts.rs
@@ -1,7 +1,8 @@
 //! Which prompt parts are quarantined for crashing endpoints.
 
 use ochreyard_core::direct::{
-    Fingerprint, LostRequest, PartDecision, PromptPart, Quarantine, QuarantineUpdate, TrialClaim, is_past_start,
+    Fingerprint, LostRequest, PartDecision, PromptPart, Quarantine, QuarantineDecision, QuarantineUpdate, TrialClaim,
+    is_past_start,
 };
 use rstest::rstest;
 
@@ -123,6 +124,21 @@
     assert_eq!(decision(&quarantine, &["first"], last_ms + 1), PartDecision::Refuse { part, left_ms: period_ms });
 }
 
+/// Guards against a sound request that is repeated, and is refused for crashes that a quarantined part explains.
+#[test]
+fn a_request_is_not_suspected_of_crashes_that_a_quarantined_part_explains() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..4_u32 {
+        let at_ms = 1_000 + 1_000 * u64::from(number);
+        let runs: [Run; 2] = [(number, &["first", "bad"], Some(50)), (77, &["first", "sound"], Some(200))];
+        crash(&mut quarantine, &format!("e{number}"), &runs, at_ms);
+    }
+    assert!(is_refused(&quarantine, &["bad"], 4_100));
+    quarantine.remove_expired(4_200);
+    let sound = Fingerprint::of(&[&77_u32.to_le_bytes()]);
+    assert_eq!(quarantine.decision(sound, 4_300), QuarantineDecision::Allow);
+}
+
 #[test]
 fn repetitions_of_one_request_are_no_evidence_against_its_parts() {
     let mut quarantine = Quarantine::default();
