Ranks are not ejected for attempts that their stalled group breaks off

When a rank ends, the others stand still and break off what they run, and each wave counted against them. Five waves without an answer in between ejected a sound rank.

Evidence: failing_endpoints attempts_that_break_off_since_their_group_stands_do_not_count, both cases failed before (wave 4).

Change: an attempt that breaks off does not count if its group has stalled since it was sent.

--- a/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/attempt_events.rs
@@ -29,8 +29,14 @@
     }
 
     /// Records that an attempt which was sent at `sent_ms` has failed. An endpoint that fails again and again is ejected,
-    /// as long as at least half of the endpoints of its service remain. Returns whether it is.
+    /// as long as at least half of the endpoints of its service remain. Returns whether it is. An endpoint whose group
+    /// stalls breaks attempts off because of another rank.
     pub fn on_failed_attempt(&mut self, pick: &Pick, outcome: AttemptOutcome, sent_ms: u64, now_ms: u64) -> bool {
+        let group = self.picked_member(pick).and_then(|member| self.group_of(member));
+        let has_stalled = group.is_some_and(|group| group.has_stalled_since(sent_ms, now_ms));
+        if outcome == AttemptOutcome::BrokenOff && has_stalled {
+            return false;
+        }
         let Some(member) = self.picked_member_mut(pick) else { return false };
         if !member.on_failure(outcome, sent_ms, now_ms) || member.is_ejected(now_ms) {
             return false;
--- a/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
+++ b/crates/ochreyard-core/src/direct/endpoint_pool/group.rs
@@ -29,8 +29,9 @@
     /// Tag of the leader that reported last.
     leader_tag: Option<u64>,
     observer_reported_ms: Option<u64>,
-    /// The number of the event at which the group last stalled.
+    /// The number of the event at which the group last stalled, and when that was.
     stalled_at_event: u64,
+    stalled_ms: Option<u64>,
     /// The names of the ranks, in the order in which their loads are reported.
     roster: Vec<String>,
     /// Requests that the group may run, by the last report.
@@ -57,6 +58,7 @@
             leader_tag: None,
             observer_reported_ms: None,
             stalled_at_event: 0,
+            stalled_ms: None,
             roster: Vec::new(),
             stream_limit: None,
             reported_requests: 0,
@@ -161,9 +163,15 @@
     const fn record_stall(&mut self, event: u64, now_ms: u64) {
         if self.is_serving(now_ms) {
             self.stalled_at_event = event;
+            self.stalled_ms = Some(now_ms);
         }
     }
 
+    /// Returns whether the group has stalled since `since_ms`, or still did then.
+    pub fn has_stalled_since(&self, since_ms: u64, now_ms: u64) -> bool {
+        !self.is_serving(now_ms) || self.stalled_ms.is_some_and(|stalled_ms| stalled_ms >= since_ms)
+    }
+
     /// Returns the number of the event at which the group last stalled.
     pub const fn stalled_at_event(&self) -> u64 {
         self.stalled_at_event
--- a/crates/ochreyard-core/tests/failing_endpoints.rs
+++ b/crates/ochreyard-core/tests/failing_endpoints.rs
@@ -5,7 +5,9 @@
 mod direct_fixture;
 
 use direct_fixture::endpoint;
-use ochreyard_core::direct::{AttemptOutcome, EndpointChange, EndpointPool, Pick, Urgency};
+use ochreyard_core::direct::{
+    AttemptOutcome, EndpointChange, EndpointPool, GroupUpdate, Pick, RankUpdate, ReporterRole, Urgency,
+};
 use rstest::rstest;
 
 /// Failures in a row after which an endpoint is ejected.
@@ -96,6 +98,38 @@
     assert!(breaks_again(&mut pool, 300));
 }
 
+/// Guards against sound ranks that are ejected since the ranks beside them crash, so that no trial can run there.
+#[rstest]
+#[case::a_rank_crashed(true)]
+#[case::the_leader_says_that_the_group_stands(false)]
+fn attempts_that_break_off_since_their_group_stands_do_not_count(#[case] is_crash_known: bool) {
+    let mut pool = pool(4);
+    let rank = |port| RankUpdate { endpoint: format!("e{port}"), running: 0, waiting: 0, pace_permille: 1_000 };
+    let update = |is_serving| GroupUpdate {
+        service: "tiles".into(),
+        group: "g".into(),
+        reporter_role: ReporterRole::Leads,
+        is_serving,
+        ranks: (1..=4).map(rank).collect(),
+        ..GroupUpdate::default()
+    };
+    for wave in 0..2 * FAILURES {
+        let crashed_ms = 1_000 + 5_000 * wave;
+        pool.apply_group_update(&update(true), crashed_ms - 100);
+        if is_crash_known {
+            pool.on_crash("e4", crashed_ms);
+        }
+        pool.apply_group_update(&update(false), crashed_ms + 700);
+        let is_ejected = attempt(&mut pool, 1, AttemptOutcome::BrokenOff, crashed_ms - 50, crashed_ms + 1_500);
+        assert!(!is_ejected, "wave {wave}");
+    }
+    // Later failures count as ever.
+    let now_ms = 1_000 + 10_000 * FAILURES;
+    pool.apply_group_update(&update(true), now_ms);
+    assert!((1..FAILURES).all(|at| !fail(&mut pool, 1, now_ms + at)));
+    assert!(fail(&mut pool, 1, now_ms + FAILURES));
+}
+
 #[rstest]
 #[case::one_of_one(1, 0)]
 #[case::one_of_two(2, 1)]
