Reports that waited for a suspended process are dated by when they arrived

Cause: ages travel between entries, and a process that was suspended counted them from the moment in which it went on. A run that was good before a crash then seemed to be later than it, cleared the part there, and the clearance travelled on to entries that nothing had disturbed. The same crash, dated seconds apart, counted twice.

Change: updates of other entries are dated as if they had arrived before the delay that the process has just noticed, and reports of one crash belong together within it.

--- a/crates/ochreyard-core/src/direct/quarantine.rs
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -26,6 +26,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use self::crash::CrashTime;
 use self::crash_list::CrashList;
 pub use self::crash_scores::is_past_start;
 use self::crash_scores::{QUARANTINE_SCORE, TRIAL_SCORE};
@@ -213,22 +214,16 @@
         at_ms: u64,
         now_ms: u64,
     ) -> Vec<QuarantinedRequest> {
-        if !self.record_crash(endpoint, service, &[lost], (at_ms, now_ms)) {
+        if !self.record_crash(endpoint, service, &[lost], CrashTime::exact(at_ms, now_ms)) {
             return Vec::new();
         }
         self.evaluate(now_ms)
     }
 
-    /// Records a crash at `at_ms`, as reported at `now_ms`. Returns whether it adds information.
-    fn record_crash(
-        &mut self,
-        endpoint: &str,
-        service: &str,
-        lost: &[LostRequest],
-        (at_ms, now_ms): (u64, u64),
-    ) -> bool {
+    /// Records a crash. Returns whether it adds information.
+    fn record_crash(&mut self, endpoint: &str, service: &str, lost: &[LostRequest], time: CrashTime) -> bool {
         let version = self.version + 1;
-        let is_new_information = self.crashes.record_requests(endpoint, service, lost, (at_ms, now_ms), version);
+        let is_new_information = self.crashes.record_requests(endpoint, service, lost, time, version);
         if is_new_information {
             self.version = version;
             for part in lost.iter().flat_map(|lost| &lost.parts).map(|part| PromptPart::new(&part.id)) {
--- a/crates/ochreyard-core/src/direct/quarantine/crash.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash.rs
@@ -61,6 +61,24 @@
     }
 }
 
+/// When a crash happened, as far as a report tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashTime {
+    /// The time of the crash.
+    pub at_ms: u64,
+    /// When the report arrived at the earliest.
+    pub arrived_ms: u64,
+    /// By how much both may be too early.
+    pub delay_ms: u64,
+}
+
+impl CrashTime {
+    /// Returns the time of a crash that is reported at once.
+    pub const fn exact(at_ms: u64, now_ms: u64) -> Self {
+        Self { at_ms, arrived_ms: now_ms, delay_ms: 0 }
+    }
+}
+
 /// One crash of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
@@ -77,9 +95,9 @@
 }
 
 impl Crash {
-    /// Returns whether this is the crash of `endpoint` at `at_ms`.
-    pub fn is_at(&self, endpoint: &str, at_ms: u64) -> bool {
-        self.endpoint == endpoint && self.at_ms.abs_diff(at_ms) <= SAME_CRASH_MS
+    /// Returns whether this is the crash of `endpoint` at this time.
+    pub fn is_at(&self, endpoint: &str, time: CrashTime) -> bool {
+        self.endpoint == endpoint && self.at_ms.abs_diff(time.at_ms) <= SAME_CRASH_MS + time.delay_ms
     }
 
     /// Adds requests that were at the endpoint, as reported at `now_ms`. Returns whether this adds information: a request,
--- a/crates/ochreyard-core/src/direct/quarantine/crash_list.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash_list.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use super::crash::Crash;
+use super::crash::{Crash, CrashTime};
 use super::update::LostRequest;
 use crate::direct::Fingerprint;
 
@@ -24,18 +24,17 @@
         &self.crashes
     }
 
-    /// Records requests that were at an endpoint when it crashed at `at_ms`, as reported at `now_ms`. Returns whether
-    /// this adds information.
+    /// Records requests that were at an endpoint when it crashed. Returns whether this adds information.
     pub fn record_requests(
         &mut self,
         endpoint: &str,
         service: &str,
         lost: &[LostRequest],
-        (at_ms, now_ms): (u64, u64),
+        time: CrashTime,
         version: u64,
     ) -> bool {
-        if let Some(known) = self.crashes.iter_mut().find(|crash| crash.is_at(endpoint, at_ms)) {
-            let is_new_information = known.add(lost, now_ms);
+        if let Some(known) = self.crashes.iter_mut().find(|crash| crash.is_at(endpoint, time)) {
+            let is_new_information = known.add(lost, time.arrived_ms);
             if is_new_information {
                 known.version = version;
             }
@@ -44,11 +43,11 @@
         let mut crash = Crash {
             endpoint: endpoint.to_owned(),
             service: service.to_owned(),
-            at_ms,
+            at_ms: time.at_ms,
             present: BTreeMap::new(),
             version,
         };
-        crash.add(lost, now_ms);
+        crash.add(lost, time.arrived_ms);
         self.crashes.push(crash);
         if self.crashes.len() > MAX_CRASHES {
             self.remove_least_informative();
--- a/crates/ochreyard-core/src/direct/quarantine/replication.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/replication.rs
@@ -1,6 +1,6 @@
 //! Replication of the quarantine between entries.
 
-use super::crash::PresentPart;
+use super::crash::{CrashTime, PresentPart};
 use super::quarantine_period::{MAX_PERIOD_MS, QuarantinePeriod};
 use super::update::{ClearedRequest, CrashReport, LostPart, LostRequest, QuarantineEntry, QuarantineUpdate};
 use super::{PromptPart, Quarantine, QuarantinedRequest};
@@ -57,15 +57,28 @@
 
     /// Applies the update of another entry. Returns the requests that are quarantined as a result.
     pub fn apply_update(&mut self, update: &QuarantineUpdate, now_ms: u64) -> Vec<QuarantinedRequest> {
+        self.apply_delayed_update(update, 0, now_ms)
+    }
+
+    /// Applies the update of another entry that may have arrived up to `delay_ms` ago: ages do not include the time for
+    /// which this process was suspended. Returns the requests that are quarantined as a result.
+    pub fn apply_delayed_update(
+        &mut self,
+        update: &QuarantineUpdate,
+        delay_ms: u64,
+        now_ms: u64,
+    ) -> Vec<QuarantinedRequest> {
+        // Good runs must not seem to be later than crashes that came after them.
+        let arrived_ms = now_ms.saturating_sub(delay_ms);
         for crash in &update.crashes {
-            let at_ms = now_ms.saturating_sub(crash.age_ms);
-            self.record_crash(&crash.endpoint, &crash.service, &crash.lost, (at_ms, now_ms));
+            let at_ms = arrived_ms.saturating_sub(crash.age_ms);
+            self.record_crash(&crash.endpoint, &crash.service, &crash.lost, CrashTime { at_ms, arrived_ms, delay_ms });
         }
         for entry in &update.entries {
             self.apply_entry(entry, now_ms);
         }
         for cleared in &update.cleared {
-            self.clear(cleared.fingerprint, now_ms.saturating_sub(cleared.age_ms));
+            self.clear(cleared.fingerprint, arrived_ms.saturating_sub(cleared.age_ms));
         }
         for trial in &update.trials {
             self.apply_trial(trial, now_ms);
--- a/crates/ochreyard-core/tests/part_model.rs
+++ b/crates/ochreyard-core/tests/part_model.rs
@@ -8,6 +8,7 @@
 mod fleet;
 
 use fleet::{Causes, Scenario, SecondParts, Summary, simulate};
+use ochreyard_core::hash;
 use rstest::rstest;
 
 /// Endpoints that one part may crash, and requests with it that may still arrive later, by the platform's rules.
@@ -121,3 +122,49 @@
     }
     assert!(broken.is_empty(), "{} seeds: {broken:?}", broken.len());
 }
+
+/// Draws a fleet, the shape of its prompts, one to three causes, and what happens beside them.
+fn drawn(seed: u64) -> Scenario {
+    let mut state = hash::mix(seed);
+    let mut draw = |count: usize| {
+        state = hash::mix(state.wrapping_add(1));
+        (state % count as u64) as usize
+    };
+    let (groups, ranks) = [(2, 8), (16, 1), (4, 4), (1, 32)][draw(4)];
+    let first_parts = [1, 4, 60][draw(3)];
+    let second_parts =
+        SecondParts { common: 20, rare_percent: [0, 50, 80, 100][draw(4)], requests_per_rare: [1, 6][draw(2)] };
+    let causes = match draw(4) {
+        0 if first_parts > 1 => Causes::FirstPart,
+        0 | 1 => Causes::SecondParts(1 + draw(2) as u64),
+        _ => Causes::New(1 + draw(3) as u64),
+    };
+    let mut interval = |interval_ms: u64| (draw(4) == 0).then_some(interval_ms);
+    Scenario {
+        groups,
+        ranks,
+        first_parts,
+        second_parts,
+        causes,
+        // A group whose ranks are killed as often as it takes to form never serves.
+        kill_interval_ms: interval(4_000).filter(|_| groups > 1),
+        restart_interval_ms: interval(2_000),
+        suspension_interval_ms: interval(3_000),
+        ..TWO_GROUPS
+    }
+}
+
+/// Shapes of prompts, causes and what happens beside them at random.
+#[test]
+fn causes_are_found_whatever_the_shape_of_the_prompts() {
+    let mut broken = Vec::new();
+    for seed in 1..=u64::from(common::cases(12)) {
+        let scenario = drawn(seed);
+        let summary = simulate(scenario, seed);
+        print(&scenario, seed, &summary);
+        if has_late_arrivals(&summary) || 2 * summary.served_at_end < summary.healthy_at_end {
+            broken.push((seed, scenario, summary));
+        }
+    }
+    assert!(broken.is_empty(), "{} seeds: {broken:?}", broken.len());
+}
--- a/crates/ochreyard-core/tests/part_model/fleet.rs
+++ b/crates/ochreyard-core/tests/part_model/fleet.rs
@@ -178,8 +178,8 @@
         let suspended_until_ms = self.suspended_until_ms;
         let is_due = |at_ms: u64, to: usize| at_ms <= now_ms && suspended_until_ms[to] <= now_ms;
         let due: Vec<_> = self.in_transit.extract_if(.., |(at_ms, to, _)| is_due(*at_ms, *to)).collect();
-        for (_, to, update) in due {
-            self.entries[to].apply_update(&update, now_ms);
+        for (at_ms, to, update) in due {
+            self.entries[to].apply_delayed_update(&update, now_ms - at_ms, now_ms);
         }
         if now_ms.is_multiple_of(POLL_INTERVAL_MS) {
             self.poll();
--- a/crates/ochreyard-core/tests/quarantine_parts.rs
+++ b/crates/ochreyard-core/tests/quarantine_parts.rs
@@ -356,6 +356,22 @@
     assert_eq!(decision(&started, &["first"], 5_003), PartDecision::Allow);
 }
 
+/// Guards against evidence that a suspended process dates by when it goes on: a run that was good before a part became
+/// the cause would clear it.
+#[test]
+fn an_update_that_waited_for_a_suspended_process_keeps_its_order() {
+    let mut sender = Quarantine::default();
+    crash_with_part(&mut sender, 2, 1_000);
+    let cleared = sender.on_good_run(&parts(&["first", "bad"]), 2_100, 2_610).unwrap();
+    let mut suspended = Quarantine::default();
+    let last_ms = crash_with_part(&mut suspended, 4, 3_000);
+    let delayed = QuarantineUpdate { crashes: sender.update_since(0, 2_610).crashes, ..cleared };
+    suspended.apply_delayed_update(&delayed, 4_000, 6_610);
+    assert_ne!(decision(&suspended, &["bad"], last_ms + 700), PartDecision::Allow);
+    suspended.apply_update(&sender.update_since(0, 6_700), 6_710);
+    assert_ne!(decision(&suspended, &["bad"], last_ms + 800), PartDecision::Allow);
+}
+
 #[test]
 fn a_quarantine_entry_from_the_log_applies_without_its_crashes() {
     let mut quarantine = Quarantine::default();
--- a/crates/ochreyard-direct/src/containment.rs
+++ b/crates/ochreyard-direct/src/containment.rs
@@ -111,7 +111,7 @@
         for crash in &update.crashes {
             state.pool.on_crash(&crash.endpoint, now_ms.saturating_sub(crash.age_ms));
         }
-        let quarantined = state.quarantine.apply_update(update, now_ms);
+        let quarantined = state.quarantine.apply_delayed_update(update, self.recent_lag.late_ms(now_ms), now_ms);
         drop(state);
         self.log_part_findings();
         self.record_quarantined(&quarantined, "told");
