--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -378,12 +378,13 @@
             parts: self.suspicious_parts(lost_ms),
         };
         let (id, event_count) = (self.id().to_owned(), self.progress.event_count);
+        let (has_head, is_candidate) = (self.progress.head_ms.is_some(), !lost.parts.is_empty());
         let parts: Vec<String> = self.prompt_parts().iter().map(|part| part.id().to_owned()).collect();
         let check = tokio::task::spawn_local(async move {
             let found = crash_check::check(&entry, &pick, how, lost_ms).await;
             log::info!(
                 "event=request_lost request={id} fingerprint={} parts={parts:?} endpoint={} found={found:?} \
-                 ran_ms={:?} events={event_count}",
+                 ran_ms={:?} head={has_head} events={event_count} candidate={is_candidate}",
                 lost.fingerprint,
                 pick.id,
                 lost.ran_ms
