Requests whose stream has no head yet are candidates of crashes

Callers saw engines crash without end by a prompt part. A request counted as begun with the head of its stream, and one that had not begun named no parts, so a part that crashes engines while they read the prompt was never suspected.

A run counts from its head now, and until that comes from when it was sent, as on other routes.

--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -356,8 +356,7 @@
             return;
         }
         let is_trial = self.running_trial.is_some();
-        let began_ms = self.began_ms().unwrap_or(self.progress.started_ms);
-        self.entry.on_good_run(self.prompt_parts(), began_ms, is_trial);
+        self.entry.on_good_run(self.prompt_parts(), self.began_ms(), is_trial);
         self.running_trial = None;
     }
 
@@ -374,7 +373,7 @@
         let lost_ms = entry.clock.now_ms();
         let lost = LostRequest {
             fingerprint: self.fingerprint(),
-            ran_ms: self.ran_ms(lost_ms),
+            ran_ms: Some(lost_ms.saturating_sub(self.began_ms())),
             parts: self.suspicious_parts(lost_ms),
         };
         let (id, event_count) = (self.id().to_owned(), self.progress.event_count);
@@ -397,10 +396,9 @@
         drop(tokio::time::timeout(CRASH_CHECK_WAIT, check).await);
     }
 
-    /// Returns the parts of the prompt that may have crashed the endpoint of the last attempt: none if its run had not
-    /// begun, or had got past the start of the answer.
+    /// Returns the parts of the prompt that may have crashed the endpoint of the last attempt: none if its run was good.
     fn suspicious_parts(&self, now_ms: u64) -> Vec<LostPart> {
-        if self.began_ms().is_none() || self.progress.is_good_run {
+        if self.progress.is_good_run {
             return Vec::new();
         }
         let tried = self.running_trial.as_ref().map_or(&[][..], RunningTrial::parts);
@@ -423,16 +421,11 @@
         matches!(timeout_after_reads(CRASH_CHECK_WAIT, check).await, Some(Ok(CrashCheck::Crashed)))
     }
 
-    /// Returns how long the attempt has run; `None` if it has not begun to run, as far as known.
-    fn ran_ms(&self, now_ms: u64) -> Option<u64> {
-        self.began_ms().map(|began_ms| now_ms.saturating_sub(began_ms))
-    }
-
-    /// Returns when the attempt began to run, as far as known. The head of a stream comes when its run begins; other
-    /// answers send nothing before the end.
-    fn began_ms(&self) -> Option<u64> {
+    /// Returns when the run of the last attempt began, as far as known. The head of a stream comes once its prompt has been
+    /// read; before, and in answers that are sent at once, the endpoint may have run the request since it got it.
+    fn began_ms(&self) -> u64 {
         let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
-        if is_stream { self.progress.head_ms } else { Some(self.progress.started_ms) }
+        self.progress.head_ms.filter(|_| is_stream).unwrap_or(self.progress.started_ms)
     }
 
     /// Returns the fingerprint by which a repetition of this request is recognized.
