The last part of a prompt is a candidate of crashes, too

Callers saw engines crash without end by the last part of a prompt, which was left out as the request's own. It may belong to a session, and requests of several callers may name it.

--- a/crates/ochreyard-direct/src/dialect.rs
+++ b/crates/ochreyard-direct/src/dialect.rs
@@ -91,6 +91,6 @@
     /// Parses the size that a caller states for its request; `None` if it is malformed.
     fn read_size(&self, value: &str) -> Option<RequestSize>;
 
-    /// Returns the identifiers of the parts of a request's prompt that other requests may share, in their order.
-    fn shared_prompt_parts<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a str>;
+    /// Returns the identifiers of the parts of a request's prompt, in their order.
+    fn prompt_parts<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a str>;
 }
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -98,7 +98,7 @@
     pub may_have_run: bool,
     /// Fingerprint of the request, computed when first needed.
     pub fingerprint: OnceCell<Fingerprint>,
-    /// Parts of the prompt that other requests may share, computed when first needed.
+    /// Parts of the prompt, computed when first needed.
     pub prompt_parts: OnceCell<Vec<PromptPart>>,
     /// The claim of this request on the trials of the suspected parts of its prompt, until it is sent.
     pub trial_claim: Option<TrialClaim<D>>,
@@ -448,11 +448,11 @@
         is_part_refused() || is_refused()
     }
 
-    /// Returns the parts of the prompt that other requests may share.
+    /// Returns the parts of the prompt.
     #[must_use]
     pub fn prompt_parts(&self) -> &[PromptPart] {
         self.prompt_parts.get_or_init(|| {
-            let ids = self.entry.dialect.shared_prompt_parts(&self.request.headers);
+            let ids = self.entry.dialect.prompt_parts(&self.request.headers);
             ids.into_iter().map(PromptPart::new).collect()
         })
     }
--- a/crates/ochreyard-direct/tests/supervise.rs
+++ b/crates/ochreyard-direct/tests/supervise.rs
@@ -52,7 +52,7 @@
         None
     }
 
-    fn shared_prompt_parts<'a>(&self, _: &'a HeaderMap) -> Vec<&'a str> {
+    fn prompt_parts<'a>(&self, _: &'a HeaderMap) -> Vec<&'a str> {
         Vec::new()
     }
 }
