Only whole answers outweigh any crash, and chance tells causes that crash some of their runs

Callers saw engines crash without end by a prompt part, while sound requests waited for trials of bystanders.

Cause: half a second of events cleared a part of all crashes before, also the run that was about to crash its engine, which then was no candidate any more; and one good run outweighed all crashes, so that a part that crashes a share of its runs was cleared by the others.

A whole answer, or one that has gone on for 3 s, clears now; a run past its start only outweighs crashes soon after the start of others, and lets the next trial begin. A part that was at more crashes than its share of the requests explains (a cumulative sum over the crashes) needs several good runs. Runs past their start weigh less beside one at its start. A failed trial counts for the part with the most evidence of those that it tried. All parts of a full engine are kept (128 for a crash).

--- a/crates/ochreyard-core/src/direct/quarantine.rs
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -21,6 +21,7 @@
 mod part_suspicion;
 mod quarantine_period;
 mod quarantined_request;
+mod recurrence;
 mod replication;
 mod update;
 
@@ -28,8 +29,8 @@
 
 use self::crash::CrashTime;
 use self::crash_list::CrashList;
-pub use self::crash_scores::is_past_start;
 use self::crash_scores::{QUARANTINE_SCORE, TRIAL_SCORE};
+pub use self::crash_scores::{is_long_run, is_past_start};
 pub use self::decision::QuarantineDecision;
 use self::good_runs::GoodRunCounter;
 use self::part_decision::CLAIM_MS;
@@ -40,7 +41,7 @@
 use self::quarantine_period::{QuarantinePeriod, REQUEST_PERIODS, part_periods};
 pub use self::quarantined_request::QuarantinedRequest;
 pub use self::update::{
-    ClearedRequest, CrashReport, LostPart, LostRequest, QuarantineEntry, QuarantineUpdate, RunningTrial,
+    ClearedRequest, CrashReport, GoodRun, LostPart, LostRequest, QuarantineEntry, QuarantineUpdate, RunningTrial,
 };
 use super::fingerprint::Fingerprint;
 use super::prompt_part::PromptPart;
@@ -294,9 +295,9 @@
                 continue;
             }
             self.version += 1;
-            let is_used = self.part_scores.get(&fingerprint).is_some_and(|score| score.is_used);
+            let is_in_doubt = self.part_scores.get(&fingerprint).is_some_and(|score| score.may_be_bystander());
             let is_part = self.part_ids.contains_key(&fingerprint);
-            let lengths = if is_part { part_periods(is_used) } else { REQUEST_PERIODS };
+            let lengths = if is_part { part_periods(is_in_doubt) } else { REQUEST_PERIODS };
             let period = QuarantinePeriod::after(former, lengths, now_ms, self.version);
             self.periods.insert(fingerprint, period);
             quarantined.push(self.quarantined_request(fingerprint, &period, now_ms));
--- a/crates/ochreyard-core/src/direct/quarantine/crash.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash.rs
@@ -12,14 +12,14 @@
 /// few more.
 const MAX_PRESENT: usize = 64;
 /// Maximum number of prompt parts that are kept per crash.
-const MAX_PARTS: usize = 64;
+const MAX_PARTS: usize = 128;
 
 /// A prompt part of a request that was at a crashed endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PresentPart {
     /// The part.
     pub part: PromptPart,
-    /// Number of runs with this part that got past the start of their answers, as reported with the crash.
+    /// Number of good runs with this part, as reported with the crash.
     pub good_runs: u32,
     /// When the last one of them began.
     pub good_ms: Option<u64>,
@@ -55,6 +55,11 @@
         self.parts.iter().any(|present| present.is_tried)
     }
 
+    /// Returns the parts that the request was a trial of.
+    pub fn tried(&self) -> impl Iterator<Item = Fingerprint> {
+        self.parts.iter().filter(|present| present.is_tried).map(|present| present.part.fingerprint())
+    }
+
     /// Returns whether the request was the trial of a part.
     pub fn is_trial_of(&self, part: Fingerprint) -> bool {
         self.parts.iter().any(|present| present.is_tried && present.part.fingerprint() == part)
@@ -121,6 +126,11 @@
         has_new_good_runs || self.present.len() > before
     }
 
+    /// Returns the requests whose prompt parts may have crashed the endpoint.
+    pub fn candidates(&self) -> impl Iterator<Item = &PresentRequest> {
+        self.present.values().filter(|request| !request.parts.is_empty())
+    }
+
     fn part_count(&self) -> usize {
         self.present.values().map(|request| request.parts.len()).sum()
     }
--- a/crates/ochreyard-core/src/direct/quarantine/crash_scores.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash_scores.rs
@@ -12,12 +12,22 @@
 use super::crash::Crash;
 use crate::direct::Fingerprint;
 
-/// Returns whether a run of this age has got past the time at which requests crash their endpoints.
+/// Returns whether a run of this age has got past the time at which most requests that crash their endpoints do so.
 #[must_use]
 pub const fn is_past_start(ran_ms: u64) -> bool {
     ran_ms > EARLY_MS
 }
 
+/// Returns whether a run of this age is good, although its answer is not whole yet.
+#[must_use]
+pub const fn is_long_run(ran_ms: u64) -> bool {
+    ran_ms > LONG_RUN_MS
+}
+
+/// Age from which a run is good, in milliseconds. Some answers take minutes, and the parts of their prompts must not remain
+/// suspected for as long.
+const LONG_RUN_MS: u64 = 3_000;
+
 /// How soon after its start a request counts as the likely cause of a crash, in milliseconds. Traced crashes happened
 /// 40 to 110 ms after the start; healthy runs take one to three seconds.
 pub const EARLY_MS: u64 = 500;
--- a/crates/ochreyard-core/src/direct/quarantine/part_decision.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/part_decision.rs
@@ -1,13 +1,14 @@
 //! Decisions about requests by the parts of their prompts.
 //!
-//! Requests that share a suspected part with a trial are held until the trial ends, rather than refused: most of them
-//! are healthy, and a trial shows within half a second that its part is.
+//! Requests that share a suspected part with a trial are held rather than refused, since most of them are healthy. The next
+//! one is tried once the trial is past the start of its answer; all go on once enough runs have been whole.
 
 use std::collections::HashMap;
 
+use super::good_runs::RunProgress;
 use super::part_scores::PartHistory;
 use super::quarantine_period::part_periods;
-use super::update::{ClearedRequest, LostPart, QuarantineUpdate, RunningTrial};
+use super::update::{ClearedRequest, GoodRun, LostPart, QuarantineUpdate, RunningTrial};
 use super::{Quarantine, TRIAL_MS, Trial};
 use crate::direct::{Fingerprint, PromptPart};
 
@@ -17,8 +18,10 @@
 /// Time from the last crash with a part until its trial may begin, in milliseconds. Runs that began before the part was
 /// suspected have crashed their endpoints by then.
 const FORMER_RUNS_MS: u64 = 200;
-/// Bit of the claims of requests whose trial may fail for another reason than a suspected part.
-const INCONCLUSIVE: u64 = 1 << 63;
+/// Bits of a claim's number that are random. Those above count the reasons for which a trial may fail apart from the
+/// suspected part.
+const RANDOM_BITS: u32 = 62;
+const MAX_DOUBTS: u64 = 3;
 /// A claim is renewed when less than this is left of it, in milliseconds.
 const RENEW_MS: u64 = TRIAL_MS / 2;
 
@@ -76,22 +79,23 @@
             return Some(left_ms);
         }
         let score = self.part_scores.get(&part).filter(|score| score.is_quarantined())?;
-        (!self.is_covered_by_last_period(part)).then(|| part_periods(score.is_used).first_ms)
+        (!self.is_covered_by_last_period(part)).then(|| part_periods(score.may_be_bystander()).first_ms)
     }
 
     fn is_suspected_part(&self, part: Fingerprint) -> bool {
         self.periods.contains_key(&part) || self.part_scores.get(&part).is_some_and(|score| score.is_suspected())
     }
 
-    /// Returns the number by which a request with these parts claims trials, from a random number. A trial is conclusive if it tries one suspect alone: all other parts are known to be healthy. Such requests get
-    /// lower numbers than others.
+    /// Returns the number by which a request with these parts claims trials, from a random number. A trial is conclusive if
+    /// it tries one suspect alone, and the other parts are known to be healthy: the fewer of them are not, the lower the
+    /// number.
     #[must_use]
     pub fn claimant(&self, parts: &[PromptPart], random: u64) -> u64 {
-        let fingerprints = || parts.iter().map(PromptPart::fingerprint);
-        let suspects = fingerprints().filter(|part| self.is_suspected_part(*part)).count();
-        let are_others_known =
-            fingerprints().all(|part| self.is_suspected_part(part) || self.good_runs.of(part).is_some());
-        if suspects <= 1 && are_others_known { random & !INCONCLUSIVE } else { random | INCONCLUSIVE }
+        let (suspected, others): (Vec<Fingerprint>, Vec<Fingerprint>) =
+            parts.iter().map(PromptPart::fingerprint).partition(|part| self.is_suspected_part(*part));
+        let unknown = others.iter().filter(|part| self.good_runs.whole(**part).is_none()).count() as u64;
+        let doubts = if suspected.len() > 1 { MAX_DOUBTS } else { unknown.min(MAX_DOUBTS) };
+        doubts << RANDOM_BITS | random & ((1 << RANDOM_BITS) - 1)
     }
 
     /// Claims the trials of suspected parts for a request, or renews the claims. Each part has one trial at a time in a
@@ -156,25 +160,64 @@
         }
     }
 
-    /// Records that a run which began at `began_ms` got past the start of its answer, which shows that the parts of its
-    /// prompt did not crash endpoints then. Later crashes still count: the run says nothing of them, however long it goes
-    /// on. Returns the update for other entries, if any part was suspected of a crash before.
+    /// Records that the answer to a request with these parts, whose run began at `began_ms`, is whole, or has gone on for
+    /// long. Later crashes still count. Returns the update for other entries, if any part was suspected.
     pub fn on_good_run(&mut self, parts: &[PromptPart], began_ms: u64, now_ms: u64) -> Option<QuarantineUpdate> {
-        let mut cleared = Vec::new();
-        let mut is_changed = false;
-        for fingerprint in parts.iter().map(PromptPart::fingerprint) {
-            let last_good_ms = self.good_runs.of(fingerprint).map_or(0, |runs| runs.last_began_ms);
-            self.good_runs.record(fingerprint, began_ms);
-            if self.is_suspected_part(fingerprint) && self.clear(fingerprint, began_ms) {
-                cleared.push(ClearedRequest { fingerprint, age_ms: now_ms.saturating_sub(began_ms) });
+        self.record_progress(parts, RunProgress::Whole, began_ms, now_ms)
+    }
+
+    /// Records that a run got past the start of its answer, which outweighs crashes soon after the start of others. Returns
+    /// the update for other entries, if any part was suspected.
+    pub fn on_run_past_start(&mut self, parts: &[PromptPart], began_ms: u64, now_ms: u64) -> Option<QuarantineUpdate> {
+        self.record_progress(parts, RunProgress::PastStart, began_ms, now_ms)
+    }
+
+    fn record_progress(
+        &mut self,
+        parts: &[PromptPart],
+        progress: RunProgress,
+        began_ms: u64,
+        now_ms: u64,
+    ) -> Option<QuarantineUpdate> {
+        self.good_runs.record(parts.iter().map(PromptPart::fingerprint), progress, began_ms);
+        let involved = parts.iter().map(PromptPart::fingerprint).filter(|part| self.is_involved(*part));
+        let involved: Vec<Fingerprint> = involved.collect();
+        if involved.is_empty() {
+            return None;
+        }
+        let suspected: Vec<Fingerprint> = involved.into_iter().filter(|part| self.is_suspected_part(*part)).collect();
+        self.evaluate(now_ms);
+        let mut update = QuarantineUpdate::default();
+        for fingerprint in suspected {
+            let age_ms = now_ms.saturating_sub(began_ms);
+            if self.clear_outweighed(fingerprint, began_ms) {
+                update.cleared.push(ClearedRequest { fingerprint, age_ms });
+            } else {
+                update.good_runs.push(GoodRun { fingerprint, age_ms, is_whole: progress == RunProgress::Whole });
             }
-            is_changed |= self.part_scores.contains_key(&fingerprint)
-                && self.crash_times(fingerprint).any(|at_ms| (last_good_ms..=began_ms).contains(&at_ms));
         }
-        if is_changed || !cleared.is_empty() {
+        if !update.cleared.is_empty() {
             self.evaluate(now_ms);
         }
-        (!cleared.is_empty()).then(|| QuarantineUpdate { cleared, ..QuarantineUpdate::default() })
+        (!update.is_empty()).then_some(update)
+    }
+
+    /// Returns whether a part was present at crashes that count, or is quarantined or was.
+    fn is_involved(&self, part: Fingerprint) -> bool {
+        self.part_scores.contains_key(&part) || self.periods.contains_key(&part)
+    }
+
+    /// Records how far a run with a part has got that is suspected at another entry. Scores are evaluated later.
+    pub(super) fn apply_good_run(&mut self, run: &GoodRun, began_ms: u64) {
+        let progress = if run.is_whole { RunProgress::Whole } else { RunProgress::PastStart };
+        self.good_runs.record_reported(run.fingerprint, progress, began_ms);
+    }
+
+    /// Clears a part if its good runs outweigh all crashes at which it was present. Returns whether they do.
+    fn clear_outweighed(&mut self, part: Fingerprint, began_ms: u64) -> bool {
+        let is_outweighed = !self.part_scores.contains_key(&part)
+            && self.last_crash_ms(part).is_none_or(|crashed_ms| began_ms >= crashed_ms);
+        is_outweighed && self.clear(part, began_ms)
     }
 
     /// Returns the parts of a request that was at a crashed endpoint as the trial of those in `tried`, for the report of the
@@ -182,11 +225,11 @@
     #[must_use]
     pub fn lost_parts(&self, parts: &[PromptPart], tried: &[Fingerprint], now_ms: u64) -> Vec<LostPart> {
         let lost = parts.iter().map(|part| {
-            let runs = self.good_runs.of(part.fingerprint());
+            let runs = self.good_runs.whole(part.fingerprint());
             LostPart {
                 id: part.id().to_owned(),
                 good_runs: runs.map_or(0, |runs| runs.count),
-                good_age_ms: runs.map(|runs| now_ms.saturating_sub(runs.last_began_ms)),
+                good_age_ms: runs.map(|runs| now_ms.saturating_sub(runs.last_began_ms())),
                 is_tried: tried.contains(&part.fingerprint()),
             }
         });
@@ -194,11 +237,13 @@
     }
 
     pub(super) fn part_history(&self, part: Fingerprint, now_ms: u64) -> PartHistory {
-        let runs = self.good_runs.of(part);
-        let cleared_ms = self.cleared.get(&part).map(|cleared| cleared.at_ms);
         PartHistory {
-            good_runs: runs.map_or(0, |runs| runs.count),
-            last_good_ms: runs.map(|runs| runs.last_began_ms).max(cleared_ms),
+            good_runs: self.good_runs.of(part).unwrap_or_default(),
+            reported_good_runs: 0,
+            reported_good_ms: None,
+            cleared_ms: self.cleared.get(&part).map(|cleared| cleared.at_ms),
+            share: self.good_runs.share(part),
+            is_in_most_requests: self.good_runs.is_in_most(part),
             is_quarantined: self.periods.get(&part).is_some_and(|period| period.left_ms(now_ms).is_some()),
         }
     }
--- a/crates/ochreyard-core/src/direct/quarantine/part_scores.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/part_scores.rs
@@ -3,8 +3,9 @@
 //! Every part of every request at a crashed endpoint is a candidate, and a part that most prompts begin with is present
 //! at nearly every crash. Three observations distinguish the cause from such bystanders:
 //!
-//! - A run that gets past the start of its answer shows that none of its parts is the cause. Crashes before it began do
-//!   not count against them.
+//! - A whole answer shows that none of its parts crashes endpoints on each run. Crashes before it began do not count
+//!   against them, unless a part was at more crashes than its share of the requests explains: it may crash endpoints in some
+//!   of its runs, and several whole answers are required.
 //! - A crash that a stronger suspect explains does not count against others. A suspect is stronger the more observations
 //!   speak against it since its last good run, less a handicap if it ever had one: a part that is in use is rarely the
 //!   cause, but may become it. Of equal ones, a part without good runs is stronger, then one at more crashes, then one
@@ -19,6 +20,8 @@
 use super::crash_scores::{
     EARLY_SCORE, OTHER_SCORE, QUARANTINE_SCORE, SHARED_ENDPOINTS, SHARED_WINDOW_MS, TRIAL_SCORE, is_past_start,
 };
+use super::good_runs::{GoodRuns, MAX_REQUIRED_RUNS, RunProgress};
+use super::recurrence::{MIN_EVIDENCE_BITS, Recurrence};
 use crate::direct::Fingerprint;
 
 /// Number of crashed endpoints from which a part runs only as a trial, even if they crashed at the same time.
@@ -30,38 +33,110 @@
 /// Number of trials with a part that must have crashed their endpoints before a part with good runs is quarantined. It is
 /// in use, and may be at every crash.
 const USED_PART_TRIALS: usize = 2;
-/// Observations by which a part with good runs must exceed one without to be the stronger suspect.
-const USED_PART_HANDICAP: usize = 2;
-/// Observations by which a part with good runs must exceed another one to explain its crashes.
-const MIN_LEAD: usize = 2;
+/// The same for a part that most requests name: whatever crashes an endpoint, the request names this part, too.
+const COMMON_PART_TRIALS: usize = 4;
+/// Weight of the observations by which a part with good runs must exceed one without to be the stronger suspect.
+const USED_PART_HANDICAP: usize = 4;
+/// Weight of the observations by which a part with good runs must exceed another one to explain its crashes.
+const MIN_LEAD: usize = 4;
+
+/// Evidence in a good run for a part that would crash a quarter of its runs, in bits.
+const GOOD_RUN_BITS: f64 = 0.415;
+/// Evidence by which a part is a bystander rather than such a cause, before anything is known of it.
+const BYSTANDER_BITS: f64 = 2.0;
 
 /// What an entry knows of a part apart from the crashes.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PartHistory {
-    /// Number of good runs with the part.
-    pub good_runs: u32,
-    /// When the last one of them began.
-    pub last_good_ms: Option<u64>,
+    /// Good runs with the part.
+    pub good_runs: GoodRuns,
+    /// Number of good runs that other entries know.
+    pub reported_good_runs: u32,
+    /// When the last one of these began.
+    pub reported_good_ms: Option<u64>,
+    /// When the part was last cleared of all crashes.
+    pub cleared_ms: Option<u64>,
+    /// Share of requests that name the part.
+    pub share: f64,
+    /// Whether most requests are known to name the part.
+    pub is_in_most_requests: bool,
     /// Whether the part is quarantined.
     pub is_quarantined: bool,
 }
 
+impl PartHistory {
+    /// Returns how many runs that began after a crash got further than one that was lost in it.
+    fn good_runs_since(&self, at_ms: u64, lost: Age) -> usize {
+        let reported = self.reported_good_ms.is_some_and(|good_ms| good_ms >= at_ms);
+        self.good_runs.count_since(lost.outrun_by(), at_ms) + usize::from(reported)
+    }
+}
+
 /// Presence of a part at a crash, in one request.
 #[derive(Debug, Clone, Copy)]
 struct Presence {
     /// Index of the crash.
     crash: usize,
     request: Fingerprint,
-    is_early: bool,
+    age: Age,
     /// Whether the request was the trial of the part.
     is_trial: bool,
 }
 
+/// How long a run had gone on when its endpoint crashed. Causes mostly crash endpoints soon after their runs start, and
+/// bystanders may be anywhere in theirs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Age {
+    Early,
+    /// Past the start, where another run was early.
+    LateBesideEarly,
+    /// Past the start, as all others at the endpoint.
+    Late,
+}
+
+impl Age {
+    fn of(ran_ms: Option<u64>, crash: &Crash) -> Self {
+        let is_early = |ran_ms: Option<u64>| ran_ms.is_some_and(|ran_ms| !is_past_start(ran_ms));
+        match is_early(ran_ms) {
+            true => Self::Early,
+            false if crash.candidates().any(|request| is_early(request.ran_ms)) => Self::LateBesideEarly,
+            false => Self::Late,
+        }
+    }
+
+    const fn score(self) -> u32 {
+        match self {
+            Self::Early => EARLY_SCORE,
+            Self::LateBesideEarly => OTHER_SCORE / 2,
+            Self::Late => OTHER_SCORE,
+        }
+    }
+
+    /// Returns the weight of an observation, in halves.
+    const fn weight(self) -> usize {
+        match self {
+            Self::Early | Self::Late => 2,
+            Self::LateBesideEarly => 1,
+        }
+    }
+
+    /// Returns how far a run has to get to outrun one that was lost at this age.
+    const fn outrun_by(self) -> RunProgress {
+        match self {
+            Self::Early => RunProgress::PastStart,
+            Self::LateBesideEarly | Self::Late => RunProgress::Whole,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct Candidate {
     history: PartHistory,
     position: usize,
+    /// Crashes that the good runs since then do not outweigh.
     presences: Vec<Presence>,
+    /// Evidence that the part was at more crashes than chance explains.
+    evidence_bits: f64,
 }
 
 /// Order in which candidates are considered, from the strongest suspect.
@@ -95,20 +170,42 @@
     }
 
     const fn is_used(&self) -> bool {
-        self.history.good_runs > 0
+        self.history.good_runs.count > 0 || self.history.reported_good_runs > 0
+    }
+
+    /// Returns whether chance does not explain at how many crashes the part was.
+    fn is_recurrent(&self) -> bool {
+        self.evidence_bits >= MIN_EVIDENCE_BITS
+    }
+
+    /// Returns whether crashes of this part may explain those of another one. What chance explains is no explanation for
+    /// what it does not.
+    fn may_explain_for(&self, other: &Self) -> bool {
+        !other.is_recurrent() || self.evidence_bits >= other.evidence_bits
     }
 
-    /// Returns how many observations speak against the part. Crashes at the same moment are one, and so are those of the
-    /// same request.
+    /// Returns the weight of the observations that speak against the part, in halves. Crashes at the same moment are one, and
+    /// so are those of the same request.
     fn observations(&self, moments: &[usize]) -> usize {
-        let distinct = self.presences.iter().map(|presence| moments[presence.crash]).collect::<BTreeSet<_>>().len();
-        distinct.min(request_count(&self.presences))
+        let mut weights: BTreeMap<usize, usize> = BTreeMap::new();
+        for presence in &self.presences {
+            let weight = weights.entry(moments[presence.crash]).or_insert(0);
+            *weight = presence.age.weight().max(*weight);
+        }
+        weights.values().sum::<usize>().min(2 * request_count(&self.presences))
     }
 
     fn crash_count(&self) -> usize {
         crash_count(&self.presences)
     }
 
+    /// Returns the crashes at which the part was present, in ascending order.
+    fn crashes(&self) -> Vec<usize> {
+        let mut crashes: Vec<usize> = self.presences.iter().map(|presence| presence.crash).collect();
+        crashes.dedup();
+        crashes
+    }
+
     fn was_at(&self, crash: usize) -> bool {
         self.presences.iter().any(|presence| presence.crash == crash)
     }
@@ -132,9 +229,16 @@
     pub crashes: usize,
     /// The first of the stronger suspects that explain some of these crashes.
     pub explained_by: Option<Fingerprint>,
+    is_in_most_requests: bool,
+    is_recurrent: bool,
 }
 
 impl PartScore {
+    /// Returns whether the part is in use, and chance may have taken it to the crashes.
+    pub const fn may_be_bystander(self) -> bool {
+        self.is_used && !self.is_recurrent
+    }
+
     /// Returns whether requests with the part run only as a trial.
     pub const fn is_suspected(self) -> bool {
         if self.is_used { self.is_explanation() } else { self.full_score >= TRIAL_SCORE }
@@ -151,7 +255,8 @@
             return false;
         }
         let is_due = if self.is_used {
-            self.score >= QUARANTINE_SCORE && self.failed_trials >= USED_PART_TRIALS
+            let trials = if self.is_in_most_requests { COMMON_PART_TRIALS } else { USED_PART_TRIALS };
+            self.score >= QUARANTINE_SCORE && self.failed_trials >= trials
         } else {
             self.full_score >= QUARANTINE_SCORE && (self.failed_trials > 0 || self.requests >= UNTRIED_REQUESTS)
         };
@@ -163,9 +268,11 @@
 pub fn score_parts(crashes: &[Crash], history: impl Fn(Fingerprint) -> PartHistory) -> HashMap<Fingerprint, PartScore> {
     let moments = moments(crashes);
     let candidates = candidates(crashes, history);
-    let is_bystander = |part: &Fingerprint, crash: usize| {
+    // A part that nobody has used may crash its first endpoint. That is less likely than a part that chance does not explain.
+    let is_bystander = |part: &Fingerprint, crash: usize, may_be_new: bool| {
         let is_elsewhere = |candidate: &Candidate| candidate.presences.iter().any(|other| other.crash != crash);
-        candidates.get(part).is_none_or(|candidate| candidate.is_used() && !is_elsewhere(candidate))
+        let is_known = |candidate: &Candidate| may_be_new || candidate.is_used();
+        candidates.get(part).is_none_or(|candidate| is_known(candidate) && !is_elsewhere(candidate))
     };
     let mut ranked: Vec<(Rank, Fingerprint, &Candidate)> =
         candidates.iter().map(|(part, candidate)| (candidate.rank(&moments), *part, candidate)).collect();
@@ -174,7 +281,9 @@
     let mut scores = HashMap::new();
     for (rank, part, candidate) in ranked {
         let explanation = |crash: usize| {
-            let mut stronger = suspects.iter().filter(|(stronger, ..)| stronger.leads(&rank));
+            let mut stronger = suspects
+                .iter()
+                .filter(|(stronger, _, suspect)| stronger.leads(&rank) && suspect.may_explain_for(candidate));
             stronger.find(|(.., suspect)| suspect.was_at(crash)).map(|(_, part, _)| *part)
         };
         let unexplained: Vec<Presence> =
@@ -182,18 +291,25 @@
         let explanations: BTreeSet<Fingerprint> =
             candidate.presences.iter().filter_map(|presence| explanation(presence.crash)).collect();
         let all = if explanations.len() > 1 { &candidate.presences } else { &unexplained };
-        // A part in use may have had its trial beside that of the cause.
+        // A part in use may have had its trial beside that of the cause, or with it in one request.
+        let is_less_suspect = |other: &Fingerprint| {
+            candidates.get(other).is_none_or(|other| other.evidence_bits <= candidate.evidence_bits)
+        };
         let is_conclusive = |trial: &Presence| {
-            let others = crashes[trial.crash].present.values().filter(|request| !request.is_trial_of(part));
-            !candidate.is_used() || !others.into_iter().any(PresentRequest::is_trial)
+            let (own, others): (Vec<_>, Vec<_>) =
+                crashes[trial.crash].present.values().partition(|request| request.is_trial_of(part));
+            let is_alone = !others.into_iter().any(PresentRequest::is_trial);
+            !candidate.is_used()
+                || is_alone && own.iter().flat_map(|own| own.tried()).all(|other| is_less_suspect(&other))
         };
         let trials = unexplained.iter().filter(|presence| presence.is_trial && is_conclusive(presence));
         let failed_trials: Vec<Presence> = trials.copied().collect();
+        let is_recurrent = candidate.is_recurrent();
         // No other part at the endpoint may be the cause, and no other endpoint crashed for the same reason.
         let is_sole_cause = |trial: &Presence| {
             let others = crashes[trial.crash].parts().map(|present| present.part.fingerprint());
             !is_shared(trial.crash, &moments)
-                && others.filter(|other| *other != part).all(|other| is_bystander(&other, trial.crash))
+                && others.filter(|other| *other != part).all(|other| is_bystander(&other, trial.crash, is_recurrent))
         };
         let score = PartScore {
             full_score: score(all, &moments),
@@ -204,6 +320,8 @@
             is_used: candidate.is_used(),
             crashes: candidate.crash_count(),
             explained_by: explanations.first().copied(),
+            is_in_most_requests: candidate.history.is_in_most_requests,
+            is_recurrent,
         };
         scores.insert(part, score);
         if score.is_explanation() || candidate.history.is_quarantined {
@@ -213,6 +331,12 @@
     scores
 }
 
+/// Returns how many good runs outweigh this much evidence against a part.
+fn required_runs(evidence_bits: f64) -> usize {
+    let runs = (evidence_bits - BYSTANDER_BITS) / GOOD_RUN_BITS;
+    (runs.ceil().max(1.0) as usize).min(MAX_REQUIRED_RUNS)
+}
+
 fn request_count(presences: &[Presence]) -> usize {
     presences.iter().map(|presence| presence.request).collect::<BTreeSet<_>>().len()
 }
@@ -230,24 +354,28 @@
                 let candidate = candidates
                     .entry(fingerprint)
                     .or_insert_with(|| Candidate { history: history(fingerprint), ..Candidate::default() });
-                candidate.history.good_runs = candidate.history.good_runs.max(part.good_runs);
-                candidate.history.last_good_ms = candidate.history.last_good_ms.max(part.good_ms);
+                let known = &mut candidate.history;
+                known.reported_good_runs = known.reported_good_runs.max(part.good_runs);
+                known.reported_good_ms = known.reported_good_ms.max(part.good_ms);
                 candidate.position = candidate.position.max(position);
-                let is_early = present.ran_ms.is_some_and(|ran_ms| !is_past_start(ran_ms));
                 candidate.presences.push(Presence {
                     crash: index,
                     request: *request,
-                    is_early,
+                    age: Age::of(present.ran_ms, crash),
                     is_trial: part.is_tried,
                 });
             }
         }
     }
+    let recurrence = Recurrence::new(crashes);
     for candidate in candidates.values_mut() {
-        let last_good_ms = candidate.history.last_good_ms;
-        candidate
-            .presences
-            .retain(|presence| last_good_ms.is_none_or(|good_ms| good_ms < crashes[presence.crash].at_ms));
+        candidate.evidence_bits = recurrence.evidence_bits(&candidate.crashes(), candidate.history.share);
+        let (history, required) = (candidate.history, required_runs(candidate.evidence_bits));
+        candidate.presences.retain(|presence| {
+            let at_ms = crashes[presence.crash].at_ms;
+            history.cleared_ms.is_none_or(|cleared_ms| cleared_ms < at_ms)
+                && history.good_runs_since(at_ms, presence.age) < required
+        });
     }
     candidates.retain(|_, candidate| !candidate.presences.is_empty());
     candidates
@@ -277,8 +405,8 @@
     let mut scores_by_moment: BTreeMap<usize, u32> = BTreeMap::new();
     let mut early_endpoints = BTreeSet::new();
     for presence in presences {
-        let score = if presence.is_early { EARLY_SCORE } else { OTHER_SCORE };
-        if presence.is_early {
+        let score = presence.age.score();
+        if presence.age == Age::Early {
             early_endpoints.insert(presence.crash);
         }
         let best = scores_by_moment.entry(moments[presence.crash]).or_insert(0);
--- a/crates/ochreyard-core/src/direct/quarantine/quarantine_period.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/quarantine_period.rs
@@ -14,9 +14,9 @@
 pub const REQUEST_PERIODS: PeriodLengths = PeriodLengths { first_ms: 10 * 60 * 1_000, growth_bits: 1 };
 /// Quarantines of prompt parts, which requests of many callers may share.
 const PART_PERIODS: PeriodLengths = PeriodLengths { first_ms: 60 * 1_000, growth_bits: 1 };
-/// Quarantines of parts with good runs. If such a part is at most crashes only because it is in wide use, the first trial
+/// Quarantines of parts with good runs that chance may have taken to the crashes. If such a part is at most crashes only because it is in wide use, the first trial
 /// releases it; if that crashes its endpoint, the part has failed three trials.
-const USED_PART_PERIODS: PeriodLengths = PeriodLengths { first_ms: 10 * 1_000, growth_bits: 2 };
+const DOUBTFUL_PART_PERIODS: PeriodLengths = PeriodLengths { first_ms: 10 * 1_000, growth_bits: 2 };
 /// The longest duration of a quarantine, in milliseconds: one day.
 pub const MAX_PERIOD_MS: u64 = 24 * 60 * 60 * 1_000;
 /// How long a quarantine is remembered after its end, in milliseconds. A request that crashes an endpoint in its trial
@@ -36,9 +36,9 @@
     pub version: u64,
 }
 
-/// Returns the durations of the quarantines of a prompt part.
-pub const fn part_periods(is_used: bool) -> PeriodLengths {
-    if is_used { USED_PART_PERIODS } else { PART_PERIODS }
+/// Returns the durations of the quarantines of a prompt part, which may be in doubt since the part is in wide use.
+pub const fn part_periods(is_in_doubt: bool) -> PeriodLengths {
+    if is_in_doubt { DOUBTFUL_PART_PERIODS } else { PART_PERIODS }
 }
 
 impl QuarantinePeriod {
--- a/crates/ochreyard-core/src/direct/quarantine/replication.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/replication.rs
@@ -18,11 +18,11 @@
     pub fn update_since(&self, version: u64, now_ms: u64) -> QuarantineUpdate {
         let age_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
         let lost_part = |present: &PresentPart| {
-            let known = self.good_runs.of(present.part.fingerprint());
+            let known = self.good_runs.whole(present.part.fingerprint());
             LostPart {
                 id: present.part.id().to_owned(),
                 good_runs: present.good_runs.max(known.map_or(0, |runs| runs.count)),
-                good_age_ms: present.good_ms.max(known.map(|runs| runs.last_began_ms)).map(age_ms),
+                good_age_ms: present.good_ms.max(known.map(|runs| runs.last_began_ms())).map(age_ms),
                 is_tried: present.is_tried,
             }
         };
@@ -51,7 +51,7 @@
                 })
                 .collect(),
             entries: periods.map(|(fingerprint, period)| self.quarantine_entry(*fingerprint, period, now_ms)).collect(),
-            trials: Vec::new(),
+            ..QuarantineUpdate::default()
         }
     }
 
@@ -80,6 +80,9 @@
         for cleared in &update.cleared {
             self.clear(cleared.fingerprint, arrived_ms.saturating_sub(cleared.age_ms));
         }
+        for run in &update.good_runs {
+            self.apply_good_run(run, arrived_ms.saturating_sub(run.age_ms));
+        }
         for trial in &update.trials {
             self.apply_trial(trial, now_ms);
         }
@@ -111,6 +114,6 @@
     /// Returns whether good runs with a part are known here that speak against another entry's quarantine of it.
     fn is_contested(&self, reported: &QuarantineEntry) -> bool {
         let is_due_here = self.part_scores.get(&reported.fingerprint).is_some_and(|score| score.is_quarantined());
-        reported.part.is_some() && !is_due_here && self.good_runs.of(reported.fingerprint).is_some()
+        reported.part.is_some() && !is_due_here && self.good_runs.whole(reported.fingerprint).is_some()
     }
 }
--- a/crates/ochreyard-core/src/direct/quarantine/update.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/update.rs
@@ -11,7 +11,7 @@
 pub struct LostPart {
     /// Identifier of the part.
     pub id: String,
-    /// Number of runs with this part that got past the start of their answers, as far as the reporting entry knows.
+    /// Number of good runs with this part, as far as the reporting entry knows.
     #[serde(default)]
     pub good_runs: u32,
     /// Time since the last one of them began, in milliseconds.
@@ -27,11 +27,11 @@
 pub struct LostRequest {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// How long the request had been running, in milliseconds; `None` if it is not known to have started.
+    /// How long the request had been at the endpoint, or since its answer began, in milliseconds; `None` if that is not
+    /// known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ran_ms: Option<u64>,
-    /// Parts of its prompt that other requests may share, in their order. Empty if the run had not begun, or had got past
-    /// the start of its answer: a part that crashes endpoints does so in between.
+    /// Parts of its prompt, in their order. Empty if the run was known to be good.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub parts: Vec<LostPart>,
 }
@@ -58,6 +58,18 @@
     pub age_ms: u64,
 }
 
+/// A run with a suspected prompt part that got past the start of its answer, and does not clear the part by itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GoodRun {
+    /// Fingerprint of the part.
+    pub fingerprint: Fingerprint,
+    /// Time since the run began, in milliseconds.
+    pub age_ms: u64,
+    /// Whether the answer was whole, or went on for long.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_whole: bool,
+}
+
 /// A request or prompt part that is quarantined.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineEntry {
@@ -95,6 +107,9 @@
     /// Requests that are no longer suspected.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub cleared: Vec<ClearedRequest>,
+    /// Good runs with suspected parts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub good_runs: Vec<GoodRun>,
     /// Requests that are quarantined.
     #[serde(rename = "verdicts", default, skip_serializing_if = "Vec::is_empty")]
     pub entries: Vec<QuarantineEntry>,
@@ -107,6 +122,10 @@
     /// Returns whether the update contains no changes.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.cleared.is_empty() && self.entries.is_empty() && self.trials.is_empty()
+        self.crashes.is_empty()
+            && self.cleared.is_empty()
+            && self.good_runs.is_empty()
+            && self.entries.is_empty()
+            && self.trials.is_empty()
     }
 }
--- a/crates/ochreyard-core/tests/part_model.rs
+++ b/crates/ochreyard-core/tests/part_model.rs
@@ -7,7 +7,7 @@
 #[path = "part_model/fleet.rs"]
 mod fleet;
 
-use fleet::{Causes, Scenario, SecondParts, Summary, simulate};
+use fleet::{Causes, CrashingRuns, Scenario, SecondParts, Summary, simulate};
 use ochreyard_core::hash;
 use rstest::rstest;
 
@@ -28,6 +28,7 @@
     first_parts: 60,
     second_parts: OF_TWENTY,
     causes: Causes::New(1),
+    crashing_runs: CrashingRuns { after_ms: (40, 110), percent: 100 },
     cause_interval_ms: 400,
     kill_interval_ms: None,
     restart_interval_ms: None,
@@ -41,12 +42,13 @@
 
 fn print(scenario: &Scenario, seed: u64, summary: &Summary) {
     println!(
-        "| {} x {} | {} first parts, {:?} | {:?} | seed {seed} | ended {:?} | late {:?} | refused {} of {} | served {} | at the end {} of {} |",
+        "| {} x {} | {} first parts, {:?} | {:?}, {:?} | seed {seed} | ended {:?} | late {:?} | refused {} of {} | served {} | at the end {} of {} |",
         scenario.groups,
         scenario.ranks,
         scenario.first_parts,
         scenario.second_parts,
         scenario.causes,
+        scenario.crashing_runs,
         summary.ended.values().collect::<Vec<_>>(),
         summary.late_arrivals.values().collect::<Vec<_>>(),
         summary.refused,
@@ -123,6 +125,41 @@
     assert!(broken.is_empty(), "{} seeds: {broken:?}", broken.len());
 }
 
+const LATE: CrashingRuns = CrashingRuns { after_ms: (600, 900), percent: 100 };
+const ANY_MOMENT: CrashingRuns = CrashingRuns { after_ms: (0, 1_000), percent: 100 };
+
+/// The runs of this share crash their endpoints, soon after they begin.
+const fn in_runs(percent: u64) -> CrashingRuns {
+    CrashingRuns { percent, ..TWO_GROUPS.crashing_runs }
+}
+
+/// Guards against causes that clear themselves, by what their runs deliver before the crash or by those that end well, and
+/// against causes that are left out because of their place.
+#[rstest]
+#[case::late_second_part_in_use(Scenario { crashing_runs: LATE, ..SECOND_IN_USE })]
+#[case::late_new_part(Scenario { crashing_runs: LATE, ..TWO_GROUPS })]
+#[case::late_first_part(Scenario { crashing_runs: LATE, second_parts: HALF_RARE, ..FIRST_IN_USE })]
+#[case::any_moment(Scenario { crashing_runs: ANY_MOMENT, second_parts: ALL_RARE, ..TWO_GROUPS })]
+#[case::any_moment_on_plain_endpoints(Scenario { crashing_runs: ANY_MOMENT, second_parts: HALF_RARE, ..PLAIN })]
+#[case::any_moment_in_use(Scenario { crashing_runs: ANY_MOMENT, ..SECOND_IN_USE })]
+#[case::half_of_the_runs(Scenario { crashing_runs: in_runs(50), ..TWO_GROUPS })]
+#[case::half_of_the_runs_on_plain_endpoints(Scenario { crashing_runs: in_runs(50), ..PLAIN })]
+#[case::a_quarter_of_the_runs(Scenario { crashing_runs: in_runs(25), second_parts: HALF_RARE, ..TWO_GROUPS })]
+#[case::a_quarter_of_the_runs_on_plain_endpoints(Scenario { crashing_runs: in_runs(25), second_parts: HALF_RARE, ..PLAIN })]
+#[case::last_part(Scenario { causes: Causes::LastPart, ..TWO_GROUPS })]
+#[case::last_part_on_plain_endpoints(Scenario { causes: Causes::LastPart, second_parts: ALL_RARE, ..PLAIN })]
+fn a_part_is_found_whenever_it_crashes_endpoints(#[case] scenario: Scenario) {
+    let mut broken = Vec::new();
+    for seed in 1..=u64::from(common::cases(3)) {
+        let summary = simulate(scenario, seed);
+        print(&scenario, seed, &summary);
+        if has_late_arrivals(&summary) || 2 * summary.served_at_end < summary.healthy_at_end {
+            broken.push((seed, summary));
+        }
+    }
+    assert!(broken.is_empty(), "{} seeds: {broken:?}", broken.len());
+}
+
 /// Draws a fleet, the shape of its prompts, one to three causes, and what happens beside them.
 fn drawn(seed: u64) -> Scenario {
     let mut state = hash::mix(seed);
--- a/crates/ochreyard-core/tests/part_model/fleet.rs
+++ b/crates/ochreyard-core/tests/part_model/fleet.rs
@@ -5,7 +5,7 @@
 
 use ochreyard_core::direct::{
     CrashReport, Fingerprint, LostRequest, PartDecision, PromptPart, Quarantine, QuarantineUpdate, TrialClaim,
-    is_past_start,
+    is_long_run, is_past_start,
 };
 use ochreyard_core::hash;
 
@@ -15,8 +15,6 @@
 pub const CRASHING_FROM_MS: u64 = 8_000;
 /// Range of a healthy request's run, in milliseconds.
 const RUN_MS: (u64, u64) = (700, 2_500);
-/// Range of the time from the start of a crashing run to the crash, in milliseconds.
-const CRASH_MS: (u64, u64) = (40, 110);
 /// How long the group of a crashed endpoint is down, in milliseconds.
 const DOWN_MS: u64 = 4_000;
 /// Time from a crash until the other ranks of the group abort their requests, in milliseconds.
@@ -30,6 +28,8 @@
 const POLL_INTERVAL_MS: u64 = 400;
 const SWEEP_INTERVAL_MS: u64 = 1_000;
 const SERVICE: &str = "model";
+/// The last part that crashes endpoints, where one does.
+const LAST_CAUSE: &str = "bad-last";
 const SLOTS: usize = 12;
 const ENTRIES: usize = 8;
 /// Requests that an entry sends to one endpoint after the other.
@@ -44,6 +44,17 @@
     FirstPart,
     /// This many of the second parts in common use, which were healthy before.
     SecondParts(u64),
+    /// A last part that only crashing requests name, in place of one of their own.
+    LastPart,
+}
+
+/// When a crashing run crashes its endpoint, and how many of the runs do.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashingRuns {
+    /// Range of the time from the start of the run to the crash, in milliseconds.
+    pub after_ms: (u64, u64),
+    /// Share of the runs that crash their endpoints, in percent.
+    pub percent: u64,
 }
 
 /// The second parts of healthy prompts.
@@ -67,6 +78,7 @@
     pub first_parts: u64,
     pub second_parts: SecondParts,
     pub causes: Causes,
+    pub crashing_runs: CrashingRuns,
     /// How often requests with the same second part that is a cause arrive beside the healthy ones, in milliseconds.
     pub cause_interval_ms: u64,
     /// Interval at which an endpoint is killed, in milliseconds.
@@ -116,6 +128,9 @@
     request: Request,
     started_ms: u64,
     ends_ms: u64,
+    crashes: bool,
+    /// Whether it has got past the start of its answer, and whether it is known to be good.
+    is_past_start: bool,
     is_good: bool,
 }
 
@@ -235,21 +250,28 @@
         let count = per_step / 16_000 + u64::from(self.random_in((0, 15_999)) < per_step % 16_000);
         for _ in 0..count {
             let first = self.random_in((0, self.scenario.first_parts - 1));
-            let second = self.second_part();
-            self.add_request(&[&format!("first{first}"), &second]);
+            let (second, last) = (self.second_part(), self.own_part());
+            self.add_request(&[&format!("first{first}"), &second, &last]);
         }
         if self.now_ms < CRASHING_FROM_MS {
             return;
         }
         let causes = match self.scenario.causes {
             Causes::FirstPart => Vec::new(),
+            Causes::LastPart => vec![LAST_CAUSE.to_owned()],
             Causes::New(count) => (0..count).map(|at| format!("bad{at}")).collect(),
             Causes::SecondParts(count) => (0..count).map(|at| format!("middle{at}")).collect(),
         };
         for (at, cause) in (0_u64..).zip(causes) {
             if (self.now_ms + at * 130).is_multiple_of(self.scenario.cause_interval_ms) {
-                let first = self.random_in((0, self.scenario.first_parts - 1));
-                self.add_request(&[&format!("first{first}"), &cause]);
+                let first = format!("first{}", self.random_in((0, self.scenario.first_parts - 1)));
+                if self.scenario.causes == Causes::LastPart {
+                    let second = self.second_part();
+                    self.add_request(&[&first, &second, &cause]);
+                } else {
+                    let last = self.own_part();
+                    self.add_request(&[&first, &cause, &last]);
+                }
             }
         }
     }
@@ -260,11 +282,17 @@
             Causes::New(_) => id.starts_with("bad"),
             Causes::FirstPart => **id == "first0",
             Causes::SecondParts(count) => (0..count).any(|at| **id == format!("middle{at}")),
+            Causes::LastPart => **id == LAST_CAUSE,
         };
         let has_begun = self.now_ms >= CRASHING_FROM_MS;
         ids.iter().find(is_cause).filter(|_| has_begun).map(|id| (*id).to_owned())
     }
 
+    /// Returns the last part of the next request's prompt, which is its own.
+    fn own_part(&self) -> String {
+        format!("own{}", self.number + 1)
+    }
+
     /// Returns the second part of a healthy prompt.
     fn second_part(&mut self) -> String {
         let SecondParts { common, rare_percent, requests_per_rare } = self.scenario.second_parts;
@@ -354,7 +382,9 @@
         request.sent += 1;
         // A request that arrived before the part became the cause may run again.
         request.cause = self.cause_in(&request.parts.iter().map(PromptPart::id).collect::<Vec<_>>());
-        let duration_ms = self.random_in(if request.cause.is_some() { CRASH_MS } else { RUN_MS });
+        let CrashingRuns { after_ms, percent } = self.scenario.crashing_runs;
+        let crashes = request.cause.is_some() && self.random_in((0, 99)) < percent;
+        let duration_ms = self.random_in(if crashes { after_ms } else { RUN_MS });
         if let Some(cause) = &request.cause
             && self.fifth_end_ms.get(cause).is_some_and(|at_ms| now_ms > at_ms + 3_000)
         {
@@ -364,6 +394,8 @@
             request,
             started_ms: now_ms,
             ends_ms: now_ms + duration_ms,
+            crashes,
+            is_past_start: false,
             is_good: false,
         });
     }
@@ -390,7 +422,8 @@
             return;
         }
         let mut runs = std::mem::take(&mut self.endpoints[at].runs);
-        if let Some(cause) = runs.iter().find(|run| run.ends_ms <= now_ms).and_then(|run| run.request.cause.clone()) {
+        let crashing = runs.iter().find(|run| run.crashes && run.ends_ms <= now_ms);
+        if let Some(cause) = crashing.and_then(|run| run.request.cause.clone()) {
             self.endpoints[at].runs = runs;
             let ended = self.summary.ended.entry(cause.clone()).or_default();
             *ended += 1;
@@ -400,22 +433,37 @@
             return self.crash(at);
         }
         for run in &mut runs {
-            let is_seen = self.suspended_until_ms[run.request.entry] <= now_ms;
-            if is_seen && !run.is_good && run.request.cause.is_none() && is_past_start(now_ms - run.started_ms) {
+            let age_ms = now_ms - run.started_ms;
+            if self.suspended_until_ms[run.request.entry] > now_ms {
+                continue;
+            }
+            if !run.is_past_start && is_past_start(age_ms) {
+                run.is_past_start = true;
+                let entry = &mut self.entries[run.request.entry];
+                let update = entry.on_run_past_start(&run.request.parts, run.started_ms, now_ms);
+                if !run.request.tried.is_empty() {
+                    update.into_iter().for_each(|update| self.broadcast(run.request.entry, &update));
+                }
+                if std::mem::take(&mut run.request.has_claimed) {
+                    self.release(&run.request);
+                }
+            }
+            if !run.is_good && (run.ends_ms <= now_ms || is_long_run(age_ms)) {
                 run.is_good = true;
                 let entry = &mut self.entries[run.request.entry];
                 let update = entry.on_good_run(&run.request.parts, run.started_ms, now_ms);
-                if std::mem::take(&mut run.request.has_claimed) {
+                if !run.request.tried.is_empty() {
                     update.into_iter().for_each(|update| self.broadcast(run.request.entry, &update));
-                    self.release(&run.request);
                 }
             }
         }
-        let (finished, running): (Vec<Run>, Vec<Run>) = runs.into_iter().partition(|run| run.ends_ms <= now_ms);
+        let (finished, running): (Vec<Run>, Vec<Run>) =
+            runs.into_iter().partition(|run| run.is_good && run.ends_ms <= now_ms);
         self.endpoints[at].runs = running;
         for run in finished {
-            self.summary.served += 1;
-            self.summary.served_at_end += u32::from(self.is_at_end(run.request.arrived_ms));
+            let is_healthy = run.request.cause.is_none();
+            self.summary.served += u32::from(is_healthy);
+            self.summary.served_at_end += u32::from(is_healthy && self.is_at_end(run.request.arrived_ms));
             self.release(&run.request);
         }
     }
--- a/crates/ochreyard-core/tests/quarantine.rs
+++ b/crates/ochreyard-core/tests/quarantine.rs
@@ -4,7 +4,7 @@
 
 use common::cases;
 use ochreyard_core::direct::{
-    ClearedRequest, CrashReport, Fingerprint, LostPart, LostRequest, PartDecision, PromptPart, Quarantine,
+    ClearedRequest, CrashReport, Fingerprint, GoodRun, LostPart, LostRequest, PartDecision, PromptPart, Quarantine,
     QuarantineDecision, QuarantineEntry, QuarantineUpdate, QuarantinedRequest, RunningTrial,
 };
 use proptest::prelude::*;
@@ -237,8 +237,22 @@
     let list = |strategy| proptest::collection::vec(strategy, 0..4);
     let entries = proptest::collection::vec(entry, 0..4);
     let trials = proptest::collection::vec(trial, 0..4);
-    (list(crash.boxed()), proptest::collection::vec(cleared, 0..4), entries, trials)
-        .prop_map(|(crashes, cleared, entries, trials)| QuarantineUpdate { crashes, cleared, entries, trials })
+    // Good runs are reported of parts, those at crashes among them.
+    let good_run = ("[a-c]", any::<u64>(), any::<bool>()).prop_map(|(id, age_ms, is_whole)| GoodRun {
+        fingerprint: PromptPart::new(&id).fingerprint(),
+        age_ms,
+        is_whole,
+    });
+    let good_runs = proptest::collection::vec(good_run, 0..12);
+    (list(crash.boxed()), proptest::collection::vec(cleared, 0..4), good_runs, entries, trials).prop_map(
+        |(crashes, cleared, good_runs, entries, trials)| QuarantineUpdate {
+            crashes,
+            cleared,
+            good_runs,
+            entries,
+            trials,
+        },
+    )
 }
 
 proptest! {
--- a/crates/ochreyard-direct/src/containment.rs
+++ b/crates/ochreyard-direct/src/containment.rs
@@ -80,11 +80,23 @@
         }
     }
 
-    /// Records that a run which began at `began_ms` got past the start of its answer. A run that was the trial of its suspected parts tells other
-    /// boxes at once, since they hold requests back.
+    /// Records the good run of a request, which began at `began_ms`. Other boxes are told at once of one that was a trial,
+    /// since they hold requests back.
     pub fn on_good_run(self: &Rc<Self>, parts: &[PromptPart], began_ms: u64, is_trial: bool) {
         let now_ms = self.clock.now_ms();
-        let Some(update) = self.state.borrow_mut().quarantine.on_good_run(parts, began_ms, now_ms) else { return };
+        let update = self.state.borrow_mut().quarantine.on_good_run(parts, began_ms, now_ms);
+        self.share_progress(update, is_trial);
+    }
+
+    /// Records that a run which began at `began_ms` got past the start of its answer.
+    pub fn on_run_past_start(self: &Rc<Self>, parts: &[PromptPart], began_ms: u64, is_trial: bool) {
+        let now_ms = self.clock.now_ms();
+        let update = self.state.borrow_mut().quarantine.on_run_past_start(parts, began_ms, now_ms);
+        self.share_progress(update, is_trial);
+    }
+
+    fn share_progress(self: &Rc<Self>, update: Option<QuarantineUpdate>, is_trial: bool) {
+        let Some(update) = update else { return };
         update.cleared.iter().for_each(|one| log::info!("event=part_cleared fingerprint={}", one.fingerprint));
         self.log_part_findings();
         if is_trial {
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -15,7 +15,7 @@
 use ochreyard_core::direct::{
     AbandonedAttempt, Arrival, AttemptOutcome, EndpointIncarnation, Fingerprint, LostPart, LostRequest, PartDecision,
     PermittedRegions, Pick, Priority, PriorityLevel, PromptPart, QuarantineDecision, Route, RouteKind, TakenRetry,
-    WaitFacts, Workspace, is_past_start,
+    WaitFacts, Workspace, is_long_run, is_past_start,
 };
 
 pub use self::attempt_progress::AttemptProgress;
@@ -340,17 +340,21 @@
         }
     }
 
-    /// Records complete events that an endpoint has sent. Once its run has got past the start of the answer, the parts of
-    /// its prompt are known not to crash endpoints.
+    /// Records complete events that an endpoint has sent. Once the run has got past the start of the answer, the next trial of
+    /// the parts of its prompt may begin; the run itself is good only later.
     pub fn record_events(&mut self, count: usize) {
         self.progress.event_count += count;
-        let now_ms = self.entry.clock.now_ms();
-        if self.progress.head_ms.is_some_and(|head_ms| is_past_start(now_ms.saturating_sub(head_ms))) {
+        let Some(head_ms) = self.progress.head_ms else { return };
+        let streamed_ms = self.entry.clock.now_ms().saturating_sub(head_ms);
+        if is_long_run(streamed_ms) {
             self.record_good_run();
+        } else if is_past_start(streamed_ms) && !std::mem::replace(&mut self.progress.is_past_start, true) {
+            self.entry.on_run_past_start(self.prompt_parts(), self.began_ms(), self.running_trial.is_some());
+            self.running_trial.iter_mut().for_each(RunningTrial::admit_next);
         }
     }
 
-    /// Records once that the parts of the prompt do not crash endpoints.
+    /// Records once that the run is good: its answer is whole, or has gone on for long.
     pub fn record_good_run(&mut self) {
         if std::mem::replace(&mut self.progress.is_good_run, true) {
             return;
--- a/crates/ochreyard-direct/src/part_trial.rs
+++ b/crates/ochreyard-direct/src/part_trial.rs
@@ -88,6 +88,11 @@
         &self.claims.parts
     }
 
+    /// Lets another request claim the trials, while this one goes on as a trial.
+    pub fn admit_next(&mut self) {
+        self.claims.release();
+    }
+
     /// Returns to the claim, since no endpoint has run the request.
     pub fn into_claim(self) -> TrialClaim<D> {
         TrialClaim { claims: self.claims }
