Statuses above 599 are no answers

Callers got an answer with status 600 or 999 as it was, without a reason phrase, and nothing told them whether their request had run. The HTTP library accepts any number of three digits from 100 on; 000 and others are refused by it already. Entries, their clients for the log and boxes, and agents take such an answer for a malformed one now: repeated where that is allowed, else 502.

--- a/crates/ochreyard-direct/src/connection.rs
+++ b/crates/ochreyard-direct/src/connection.rs
@@ -49,6 +49,9 @@
     )
 }
 
+/// The largest status of an answer.
+const MAX_STATUS: u16 = 599;
+
 /// Cause of a failed attempt whose answer's head did not end.
 const HEAD_EXCEEDED: &str = "head of the answer is too long or takes too long";
 
@@ -111,9 +114,14 @@
             sent = self.sender.try_send_request(request) => sent,
             () = head.exceeded() => return Err(SendFailure::Malformed(HEAD_EXCEEDED.to_owned())),
         };
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(request) => SendFailure::NotSent(Box::new(request)),
             None => SendFailure::from(error.into_error()),
-        })
+        })?;
+        // The HTTP library accepts statuses up to 999, which have no meaning to a caller.
+        if response.status().as_u16() > MAX_STATUS {
+            return Err(SendFailure::Malformed(format!("status {}", response.status().as_u16())));
+        }
+        Ok(response)
     }
 }
--- a/crates/ochreyard-endpoint/src/client.rs
+++ b/crates/ochreyard-endpoint/src/client.rs
@@ -22,6 +22,9 @@
 /// Largest answer to a control request.
 const MAX_DOCUMENT_BYTES: usize = 8 << 20;
 
+/// The largest status of an answer.
+const MAX_STATUS: u16 = 599;
+
 /// A request that is forwarded to the endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct EndpointRequest<'a> {
@@ -89,6 +92,10 @@
             builder = builder.header("content-type", request.content_type);
         }
         let response = builder.send().await?;
+        // The HTTP library accepts statuses up to 999, which have no meaning to a caller.
+        if response.status().as_u16() > MAX_STATUS {
+            return Err(EndpointError::InvalidStatus { status: response.status().as_u16() });
+        }
         let content_type = header(&response, "content-type");
         Ok(EndpointAnswer { status: response.status().as_u16(), content_type, response, limit: None })
     }
--- a/crates/ochreyard-endpoint/src/error.rs
+++ b/crates/ochreyard-endpoint/src/error.rs
@@ -17,6 +17,12 @@
         /// Allowed length in bytes.
         max_bytes: usize,
     },
+    /// The endpoint answered with a status that does not exist. It may have run the request.
+    #[error("the endpoint answered with status {status}, which does not exist")]
+    InvalidStatus {
+        /// The status.
+        status: u16,
+    },
     /// The endpoint sent something other than the document that was asked for.
     #[error("the answer of the endpoint is unreadable: {0}")]
     Unreadable(#[source] serde_json::Error),
@@ -28,7 +34,9 @@
     pub const fn kind(&self) -> ErrorKind {
         match self {
             Self::Down(_) => ErrorKind::EndpointDown,
-            Self::Failed(_) | Self::TooLong { .. } | Self::Unreadable(_) => ErrorKind::EndpointFailed,
+            Self::Failed(_) | Self::TooLong { .. } | Self::InvalidStatus { .. } | Self::Unreadable(_) => {
+                ErrorKind::EndpointFailed
+            }
         }
     }
 }
