A stopping entry sends back requests whose runs would outlast it

Callers of an entry in its planned stop (grace 6 s) got 502, or a stream that was cut, for requests that the entry had accepted up to 2.6 s after the SIGTERM, among them some that may not be repeated: their runs took longer than the rest of the grace period, which the entry could know.

Once the stop has begun, a request that has not run yet is refused as leaving, with the short Retry-After of a stop, if such a run would end after the final answers; one whose deadline comes before is not.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -87,6 +87,6 @@
 pub use shared_retry_budget::SharedRetryBudget;
 pub use urgency::Urgency;
 pub use waiting::{
-    Arrival, ArrivalRate, DispatchDecision, LateSlots, Patience, PendingRequest, ServiceQueue, ServiceTime, SlotDemand,
-    StallHandling, StallHistory, StallOutcomes, Ticket, UsualWork, WaitFacts, WaitQueue,
+    Arrival, ArrivalRate, DispatchDecision, LateSlots, LongestRuns, Patience, PendingRequest, ServiceQueue,
+    ServiceTime, SlotDemand, StallHandling, StallHistory, StallOutcomes, Ticket, UsualWork, WaitFacts, WaitQueue,
 };
--- a/crates/ochreyard-core/src/direct/waiting/service_queue.rs
+++ b/crates/ochreyard-core/src/direct/waiting/service_queue.rs
@@ -7,6 +7,7 @@
 use super::arrival_rate::ArrivalRate;
 use super::late_slots::{LateSlots, MAX_LATE_SHARE, SlotDemand};
 use super::limited_turns::LimitedTurns;
+use super::longest_runs::LongestRuns;
 use super::{
     Arrival, Overload, Patience, PendingRequest, ServiceTime, StallHistory, StallOutcomes, UsualWork, WaitQueue,
 };
@@ -32,6 +33,8 @@
     pub usual_work: UsualWork,
     /// Time that serving a request takes.
     pub service_time: ServiceTime,
+    /// How long runs take at the most, by route.
+    pub longest_runs: LongestRuns,
     /// Present and past stalls of the service.
     pub stalls: StallHistory,
     /// How long callers wait before they disconnect.
--- a/crates/ochreyard-direct/src/entry.rs
+++ b/crates/ochreyard-direct/src/entry.rs
@@ -55,6 +55,9 @@
     pub handover_handler: RefCell<Option<HandoverHandler>>,
     /// Whether new requests are refused, because they might not end before the process.
     pub is_refusing: Cell<bool>,
+    /// When requests without an answer are given up since the process exits, in milliseconds of `clock`; `None` before its
+    /// planned stop.
+    pub exit_ms: Cell<Option<u64>>,
     /// Set when the process is about to exit: requests that have no answer by then get a final one of its own.
     pub is_exiting: watch::Sender<bool>,
     /// Checks of endpoints that broke a connection.
@@ -106,6 +109,7 @@
             stop_begun: Notify::new(),
             handover_handler: RefCell::default(),
             is_refusing: Cell::new(false),
+            exit_ms: Cell::new(None),
             is_exiting: watch::Sender::new(false),
             crash_checks: CrashChecks::default(),
             witnesses: Witnesses::default(),
--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -332,7 +332,9 @@
         self.stall_outcome.on_served();
         let took_ms = self.entry.clock.now_ms().saturating_sub(self.progress.started_ms);
         let mut state = self.entry.state.borrow_mut();
-        state.queue(&self.service).service_time.record(took_ms);
+        let queue = state.queue(&self.service);
+        queue.service_time.record(took_ms);
+        queue.longest_runs.record(&self.route.name, took_ms);
         let is_any_suspected = !state.quarantine.is_empty();
         drop(state);
         if is_any_suspected {
--- a/crates/ochreyard-direct/src/job/choosing.rs
+++ b/crates/ochreyard-direct/src/job/choosing.rs
@@ -117,7 +117,8 @@
         }
         // A request that an endpoint may have run is under way, and has the rest of the grace period. Any other one is
         // better off at a box that stays.
-        if slot.is_some() && self.entry.is_refusing.get() && !self.may_have_run {
+        let is_late = || slot.is_some() && self.entry.is_refusing.get() || self.would_outlast_process(now_ms);
+        if !self.may_have_run && is_late() {
             return Err(GiveUpReason::Leaving.into());
         }
         self.claim_part_trials(now_ms)?;
@@ -163,6 +164,13 @@
         }
     }
 
+    /// Returns whether a run that begins now may go on for longer than this process, which is stopping.
+    fn would_outlast_process(&self, now_ms: u64) -> bool {
+        let Some(exit_ms) = self.entry.exit_ms.get() else { return false };
+        let longest_run_ms = self.entry.state.borrow_mut().queue(&self.service).longest_runs.of(&self.route.name);
+        longest_run_ms.is_some_and(|run_ms| now_ms + run_ms.min(self.time_left_ms()) > exit_ms)
+    }
+
     /// Returns whether the request would run as the trial of a suspected request.
     ///
     /// # Errors
--- a/crates/ochreyard-direct/src/serve.rs
+++ b/crates/ochreyard-direct/src/serve.rs
@@ -305,13 +305,15 @@
     log::info!("event=entry_leaving grace_ms={grace_ms}");
     entry.is_stopping.set(true);
     entry.stop_begun.notify_waiters();
+    let end_ms = started_ms + grace_ms.saturating_sub(SHUTDOWN_MARGIN_MS);
+    let final_ms = end_ms.saturating_sub(FINAL_ANSWERS_MS);
+    entry.exit_ms.set(Some(final_ms));
     // The signal may have come while the process did not run.
     let noticed_late_ms = entry.recent_lag.late_ms(started_ms);
     let accept_ms = BALANCER_LAG_MS.min(grace_ms / 2).saturating_sub(noticed_late_ms);
     tokio::time::sleep(Duration::from_millis(accept_ms)).await;
     entry.is_refusing.set(true);
     callers.send_replace(DrainPhase::Closing);
-    let end_ms = started_ms + grace_ms.saturating_sub(SHUTDOWN_MARGIN_MS);
     while callers.receiver_count() > 0 && entry.clock.now_ms() + LISTENER_CLOSE_MS < end_ms {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
@@ -320,7 +322,6 @@
     log::info!("event=listeners_closed drained={are_drained}");
     internal.send_replace(DrainPhase::Closing);
     let open_count = || callers.receiver_count() + internal.receiver_count();
-    let final_ms = end_ms.saturating_sub(FINAL_ANSWERS_MS);
     while open_count() > 0 && entry.clock.now_ms() < final_ms {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
