--- a/crates/ochreyard-direct/src/job.rs
+++ b/crates/ochreyard-direct/src/job.rs
@@ -44,6 +44,9 @@
 /// several round trips between data centres, and takes less than half of a gap between events that is still on time.
 const CRASH_CHECK_WAIT: Duration = Duration::from_millis(50);
 
+/// Time from the refusal of a trial by an endpoint until it is sent to another one.
+const REFUSED_TRIAL_DELAY: Duration = Duration::from_millis(250);
+
 /// One request with the state that its attempts need.
 pub struct Job<D: Dialect> {
     /// The entry process that serves the request.
@@ -173,6 +176,10 @@
                         backoff_ms.map_or_else(String::new, |ms| format!(", asks for {ms} ms without requests"));
                     self.log_failed_attempt(&pick, &format!("not run, status {status}{asked}"));
                     last = GiveUpReason::Full;
+                    if self.running_trial.is_some() {
+                        // The other endpoints of a stalled group would refuse the trial, too.
+                        tokio::time::sleep(REFUSED_TRIAL_DELAY).await;
+                    }
                 }
                 Some(Attempt::Abandoned { cause }) => {
                     self.record_failed_attempt(&pick, &cause);
