--- a/crates/ochreyard-core/tests/quarantine_parts.rs
+++ b/crates/ochreyard-core/tests/quarantine_parts.rs
@@ -172,6 +172,61 @@
     assert!(!is_past_start(110) && is_past_start(600));
 }
 
+/// Guards against a part that crashes its endpoint in a quarter of its runs, and that each good run clears of the crashes
+/// before.
+#[test]
+fn a_part_that_crashes_some_of_its_runs_is_refused() {
+    let mut quarantine = Quarantine::default();
+    (0..20).for_each(|number| good_runs(&mut quarantine, &["first", &format!("m{number}")], 10, 500));
+    for number in 0..6_u32 {
+        let at_ms = 2_000 + 2_000 * u64::from(number);
+        good_runs(&mut quarantine, &["first", "bad"], 3, at_ms - 1_500);
+        let runs: [Run; 2] = [(number, &["first", "bad"], Some(50)), (100 + number, &["first", "m3"], Some(800))];
+        crash(&mut quarantine, &format!("e{number}"), &runs, at_ms);
+    }
+    assert!(is_refused(&quarantine, &["bad"], 13_000));
+    assert!(!is_refused(&quarantine, &["first", "m3"], 13_000));
+}
+
+/// Guards against a part that crashes endpoints late in its runs, and that each of them clears once it has got past the
+/// start of its answer.
+#[test]
+fn a_run_past_its_start_outweighs_no_crash_later_in_a_run() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..2_u32 {
+        let at_ms = 2_000 + 2_000 * u64::from(number);
+        crash(&mut quarantine, &format!("e{number}"), &[(number, &["early"], Some(100))], at_ms);
+        crash(&mut quarantine, &format!("f{number}"), &[(10 + number, &["late"], Some(900))], at_ms + 1_000);
+    }
+    crash(&mut quarantine, "f2", &[(12, &["late"], Some(900))], 7_000);
+    for part in ["early", "late"] {
+        assert!(is_suspected(&quarantine, part, 7_001), "{part}");
+        quarantine.on_run_past_start(&parts(&[part]), 7_100, 7_610);
+    }
+    assert_eq!(decision(&quarantine, &["early"], 7_611), PartDecision::Allow);
+    assert!(is_suspected(&quarantine, "late", 7_611));
+    good_runs(&mut quarantine, &["late"], 1, 7_100);
+    assert_eq!(decision(&quarantine, &["late"], 9_000), PartDecision::Allow);
+}
+
+/// Guards against sound requests that are refused for the part with which all prompts begin: each trial of it that fails
+/// names a cause, too.
+#[test]
+fn a_part_of_all_prompts_is_not_refused_for_trials_that_other_parts_fail() {
+    let mut quarantine = Quarantine::default();
+    (0..20).for_each(|number| good_runs(&mut quarantine, &["first", &format!("m{number}")], 4, 500));
+    for number in 0..3_u32 {
+        let (id, at_ms) = (format!("bad{number}"), 2_000 + 700 * u64::from(number));
+        crash(&mut quarantine, &format!("e{number}"), &[(number, &["first", &id], Some(50))], at_ms);
+    }
+    for number in 0..2_u32 {
+        let (id, at_ms) = (format!("worse{number}"), 5_000 + 700 * u64::from(number));
+        crash(&mut quarantine, &format!("t{number}"), &[(10 + number, &["first", &id], Some(50))], at_ms);
+    }
+    assert!(is_suspected(&quarantine, "first", 6_000));
+    assert!(!is_refused(&quarantine, &["first", "m1"], 6_000));
+}
+
 /// Twenty parts crash endpoints at the same time, each prompt begins with the same part, and hardly a run is good.
 #[rstest]
 #[case::first_part_in_use(200)]
