--- a/crates/ochreyard-core/src/direct/quarantine.rs
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -23,6 +23,7 @@
 mod quarantined_request;
 mod recurrence;
 mod replication;
+mod run_age;
 mod update;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
--- a/crates/ochreyard-core/src/direct/quarantine/part_scores.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/part_scores.rs
@@ -17,11 +17,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::crash::{Crash, PresentRequest};
-use super::crash_scores::{
-    EARLY_SCORE, OTHER_SCORE, QUARANTINE_SCORE, SHARED_ENDPOINTS, SHARED_WINDOW_MS, TRIAL_SCORE, is_past_start,
-};
-use super::good_runs::{GoodRuns, MAX_REQUIRED_RUNS, RunProgress};
+use super::crash_scores::{QUARANTINE_SCORE, SHARED_ENDPOINTS, SHARED_WINDOW_MS, TRIAL_SCORE};
+use super::good_runs::{GoodRuns, MAX_REQUIRED_RUNS};
 use super::recurrence::{MIN_EVIDENCE_BITS, Recurrence};
+use super::run_age::RunAge;
 use crate::direct::Fingerprint;
 
 /// Number of crashed endpoints from which a part runs only as a trial, even if they crashed at the same time.
@@ -39,10 +38,9 @@
 const USED_PART_HANDICAP: usize = 4;
 /// Weight of the observations by which a part with good runs must exceed another one to explain its crashes.
 const MIN_LEAD: usize = 4;
-
 /// Evidence in a good run for a part that would crash a quarter of its runs, in bits.
 const GOOD_RUN_BITS: f64 = 0.415;
-/// Evidence by which a part is a bystander rather than such a cause, before anything is known of it.
+/// Evidence that a part has to exceed before more than one good run is required, since most parts are bystanders, in bits.
 const BYSTANDER_BITS: f64 = 2.0;
 
 /// What an entry knows of a part apart from the crashes.
@@ -66,7 +64,7 @@
 
 impl PartHistory {
     /// Returns how many runs that began after a crash got further than one that was lost in it.
-    fn good_runs_since(&self, at_ms: u64, lost: Age) -> usize {
+    fn good_runs_since(&self, at_ms: u64, lost: RunAge) -> usize {
         let reported = self.reported_good_ms.is_some_and(|good_ms| good_ms >= at_ms);
         self.good_runs.count_since(lost.outrun_by(), at_ms) + usize::from(reported)
     }
@@ -78,64 +76,18 @@
     /// Index of the crash.
     crash: usize,
     request: Fingerprint,
-    age: Age,
+    age: RunAge,
     /// Whether the request was the trial of the part.
     is_trial: bool,
 }
 
-/// How long a run had gone on when its endpoint crashed. Causes mostly crash endpoints soon after their runs start, and
-/// bystanders may be anywhere in theirs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Age {
-    Early,
-    /// Past the start, where another run was early.
-    LateBesideEarly,
-    /// Past the start, as all others at the endpoint.
-    Late,
-}
-
-impl Age {
-    fn of(ran_ms: Option<u64>, crash: &Crash) -> Self {
-        let is_early = |ran_ms: Option<u64>| ran_ms.is_some_and(|ran_ms| !is_past_start(ran_ms));
-        match is_early(ran_ms) {
-            true => Self::Early,
-            false if crash.candidates().any(|request| is_early(request.ran_ms)) => Self::LateBesideEarly,
-            false => Self::Late,
-        }
-    }
-
-    const fn score(self) -> u32 {
-        match self {
-            Self::Early => EARLY_SCORE,
-            Self::LateBesideEarly => OTHER_SCORE / 2,
-            Self::Late => OTHER_SCORE,
-        }
-    }
-
-    /// Returns the weight of an observation, in halves.
-    const fn weight(self) -> usize {
-        match self {
-            Self::Early | Self::Late => 2,
-            Self::LateBesideEarly => 1,
-        }
-    }
-
-    /// Returns how far a run has to get to outrun one that was lost at this age.
-    const fn outrun_by(self) -> RunProgress {
-        match self {
-            Self::Early => RunProgress::PastStart,
-            Self::LateBesideEarly | Self::Late => RunProgress::Whole,
-        }
-    }
-}
-
 #[derive(Debug, Clone, Default)]
 struct Candidate {
     history: PartHistory,
     position: usize,
-    /// Crashes that the good runs since then do not outweigh.
+    /// Presences at crashes that the good runs since then do not outweigh.
     presences: Vec<Presence>,
-    /// Evidence that the part was at more crashes than chance explains.
+    /// Evidence that the part was at more crashes than chance explains, in bits.
     evidence_bits: f64,
 }
 
@@ -178,8 +130,8 @@
         self.evidence_bits >= MIN_EVIDENCE_BITS
     }
 
-    /// Returns whether crashes of this part may explain those of another one. What chance explains is no explanation for
-    /// what it does not.
+    /// Returns whether crashes of this part may explain those of another one. A part that was at crashes by chance explains
+    /// none of one that was there more often than that.
     fn may_explain_for(&self, other: &Self) -> bool {
         !other.is_recurrent() || self.evidence_bits >= other.evidence_bits
     }
@@ -291,16 +243,8 @@
         let explanations: BTreeSet<Fingerprint> =
             candidate.presences.iter().filter_map(|presence| explanation(presence.crash)).collect();
         let all = if explanations.len() > 1 { &candidate.presences } else { &unexplained };
-        // A part in use may have had its trial beside that of the cause, or with it in one request.
-        let is_less_suspect = |other: &Fingerprint| {
-            candidates.get(other).is_none_or(|other| other.evidence_bits <= candidate.evidence_bits)
-        };
         let is_conclusive = |trial: &Presence| {
-            let (own, others): (Vec<_>, Vec<_>) =
-                crashes[trial.crash].present.values().partition(|request| request.is_trial_of(part));
-            let is_alone = !others.into_iter().any(PresentRequest::is_trial);
-            !candidate.is_used()
-                || is_alone && own.iter().flat_map(|own| own.tried()).all(|other| is_less_suspect(&other))
+            !candidate.is_used() || is_conclusive(&crashes[trial.crash], part, candidate.evidence_bits, &candidates)
         };
         let trials = unexplained.iter().filter(|presence| presence.is_trial && is_conclusive(presence));
         let failed_trials: Vec<Presence> = trials.copied().collect();
@@ -331,6 +275,21 @@
     scores
 }
 
+/// Returns whether a failed trial of a part in use speaks against this part: it may have taken place beside the trial of the
+/// cause, or with the cause in one request.
+fn is_conclusive(
+    crash: &Crash,
+    part: Fingerprint,
+    evidence_bits: f64,
+    candidates: &HashMap<Fingerprint, Candidate>,
+) -> bool {
+    let (own, others): (Vec<_>, Vec<_>) = crash.present.values().partition(|request| request.is_trial_of(part));
+    let is_less_suspect =
+        |other: Fingerprint| candidates.get(&other).is_none_or(|other| other.evidence_bits <= evidence_bits);
+    !others.into_iter().any(PresentRequest::is_trial)
+        && own.into_iter().flat_map(PresentRequest::tried).all(is_less_suspect)
+}
+
 /// Returns how many good runs outweigh this much evidence against a part.
 fn required_runs(evidence_bits: f64) -> usize {
     let runs = (evidence_bits - BYSTANDER_BITS) / GOOD_RUN_BITS;
@@ -349,6 +308,7 @@
     let mut candidates: HashMap<Fingerprint, Candidate> = HashMap::new();
     for (index, crash) in crashes.iter().enumerate() {
         for (request, present) in &crash.present {
+            let age = RunAge::at_crash(present, crash);
             for (position, part) in present.parts.iter().enumerate() {
                 let fingerprint = part.part.fingerprint();
                 let candidate = candidates
@@ -358,12 +318,7 @@
                 known.reported_good_runs = known.reported_good_runs.max(part.good_runs);
                 known.reported_good_ms = known.reported_good_ms.max(part.good_ms);
                 candidate.position = candidate.position.max(position);
-                candidate.presences.push(Presence {
-                    crash: index,
-                    request: *request,
-                    age: Age::of(present.ran_ms, crash),
-                    is_trial: part.is_tried,
-                });
+                candidate.presences.push(Presence { crash: index, request: *request, age, is_trial: part.is_tried });
             }
         }
     }
@@ -406,7 +361,7 @@
     let mut early_endpoints = BTreeSet::new();
     for presence in presences {
         let score = presence.age.score();
-        if presence.age == Age::Early {
+        if presence.age == RunAge::Early {
             early_endpoints.insert(presence.crash);
         }
         let best = scores_by_moment.entry(moments[presence.crash]).or_insert(0);
--- a/crates/ochreyard-core/src/direct/quarantine/recurrence.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/recurrence.rs
@@ -8,11 +8,11 @@
 
 use super::crash::Crash;
 
-/// Presence at crashes that is expected of a cause: others may have crashed the rest.
+/// Share of the crashes at which a cause is expected to be present. Something else may have crashed the rest.
 const CAUSE_PRESENCE: f64 = 0.9;
-/// Largest evidence in one crash, so that one does not suffice.
+/// Largest evidence in one crash, in bits, so that one does not suffice.
 const MAX_BITS: f64 = 3.0;
-/// Evidence from which chance does not explain the presences.
+/// Evidence from which chance does not explain the presences, in bits.
 pub const MIN_EVIDENCE_BITS: f64 = 6.0;
 
 /// The crashes in the order of their times.
