A part explains crashes of requests only since its last good run

A crash is explained by a cause only if no good run with that part began after it. The new test of quarantine_parts failed before; the one on requests beside a quarantined part, quarantine and quarantine_model hold.

--- a/crates/ochreyard-core/src/direct/quarantine.rs
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -28,7 +28,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use self::crash::CrashTime;
+use self::crash::{Crash, CrashTime};
 use self::crash_list::CrashList;
 use self::crash_scores::{QUARANTINE_SCORE, TRIAL_SCORE};
 pub use self::crash_scores::{is_long_run, is_past_start};
@@ -280,7 +280,8 @@
         let last_success_ms = |fingerprint: Fingerprint| self.cleared.get(&fingerprint).map(|cleared| cleared.at_ms);
         let part_scores = part_scores::score_parts(self.crashes.all(), |part| self.part_history(part, now_ms));
         let causes = self.causes(&part_scores, now_ms);
-        self.scores = crash_scores::score_requests(self.crashes.all(), &causes, last_success_ms);
+        let is_explained = |crash: &Crash| crash.is_explained_by(&causes);
+        self.scores = crash_scores::score_requests(self.crashes.all(), is_explained, last_success_ms);
         self.part_scores = part_scores;
         self.release_explained_requests(&causes, now_ms);
         let is_settled = |part: Fingerprint| self.last_crash_ms(part).is_none_or(|at_ms| now_ms >= at_ms + REPORTS_MS);
@@ -307,21 +308,26 @@
         quarantined
     }
 
-    /// Returns the parts that are known to be causes.
-    fn causes(&self, part_scores: &HashMap<Fingerprint, PartScore>, now_ms: u64) -> HashSet<Fingerprint> {
+    /// Returns the parts that are known to be causes, each with the time at which its last good run began.
+    fn causes(&self, part_scores: &HashMap<Fingerprint, PartScore>, now_ms: u64) -> HashMap<Fingerprint, u64> {
         let is_refused = |part: &Fingerprint| {
             self.part_ids.contains_key(part)
                 && self.periods.get(part).is_some_and(|period| period.left_ms(now_ms).is_some())
         };
         let found = part_scores.iter().filter(|(_, score)| score.is_quarantined()).map(|(part, _)| part);
-        found.chain(self.periods.keys().filter(|part| is_refused(part))).copied().collect()
+        let causes: HashSet<Fingerprint> =
+            found.chain(self.periods.keys().filter(|part| is_refused(part))).copied().collect();
+        let seen_here = |part: Fingerprint| self.good_runs.whole(part).map(|runs| runs.last_began_ms());
+        let last_good_ms =
+            |part: Fingerprint| self.crashes.last_reported_good_ms(part).max(seen_here(part)).unwrap_or(0);
+        causes.into_iter().map(|part| (part, last_good_ms(part))).collect()
     }
 
     /// Ends the quarantine of requests that is based on crashes which a part explains by now.
-    fn release_explained_requests(&mut self, causes: &HashSet<Fingerprint>, now_ms: u64) {
+    fn release_explained_requests(&mut self, causes: &HashMap<Fingerprint, u64>, now_ms: u64) {
         let is_released = |fingerprint: &Fingerprint| {
             !self.part_ids.contains_key(fingerprint)
-                && self.crashes.involving(*fingerprint).any(|crash| crash.has_any_part(causes))
+                && self.crashes.involving(*fingerprint).any(|crash| crash.is_explained_by(causes))
                 && self.scores.get(fingerprint).is_none_or(|score| *score < TRIAL_SCORE)
         };
         let refused = self.periods.iter().filter(|(_, period)| period.left_ms(now_ms).is_some());
--- a/crates/ochreyard-core/src/direct/quarantine/crash.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash.rs
@@ -1,6 +1,6 @@
 //! A crash of an endpoint, and the requests that were at the endpoint.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 
 use super::update::{LostPart, LostRequest};
 use crate::direct::{Fingerprint, PromptPart};
@@ -145,9 +145,11 @@
         self.present.values().any(|request| request.is_trial_of(part))
     }
 
-    /// Returns whether the endpoint ran a request with one of these prompt parts.
-    pub fn has_any_part(&self, parts: &HashSet<Fingerprint>) -> bool {
-        self.parts().any(|present| parts.contains(&present.part.fingerprint()))
+    /// Returns whether the endpoint ran a request with one of these causes, each given with the time at which its last good
+    /// run began. A part that had a good run later was none yet when the endpoint crashed.
+    pub fn is_explained_by(&self, causes: &HashMap<Fingerprint, u64>) -> bool {
+        let is_cause = |part: Fingerprint| causes.get(&part).is_some_and(|good_ms| *good_ms < self.at_ms);
+        self.parts().any(|present| is_cause(present.part.fingerprint()))
     }
 
     /// Returns the prompt parts of all requests.
--- a/crates/ochreyard-core/src/direct/quarantine/crash_list.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash_list.rs
@@ -88,6 +88,12 @@
         requests.chain(self.crashes.iter().flat_map(Crash::parts).map(|present| present.part.fingerprint())).collect()
     }
 
+    /// Returns when the last good run with a part began, as far as crashes were reported with it.
+    pub fn last_reported_good_ms(&self, part: Fingerprint) -> Option<u64> {
+        let presences = self.crashes.iter().flat_map(Crash::parts);
+        presences.filter(|present| present.part.fingerprint() == part).filter_map(|present| present.good_ms).max()
+    }
+
     /// Returns the crashes at which a request or prompt part was present.
     pub fn involving(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Crash> {
         self.crashes.iter().filter(move |crash| crash.involves(fingerprint))
--- a/crates/ochreyard-core/src/direct/quarantine/crash_scores.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash_scores.rs
@@ -7,7 +7,7 @@
 //! `quarantine_model` test compares such rules with one endpoint killed every 4 s and with twenty crashing requests at
 //! once; the results are in docs/design/crashing-requests.md.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use super::crash::Crash;
 use crate::direct::Fingerprint;
@@ -46,15 +46,15 @@
 /// Score from which a request is quarantined: three crashes soon after its start, or four crashes in all.
 pub const QUARANTINE_SCORE: u32 = 4 * OTHER_SCORE;
 
-/// Returns the score of each request. Crashes before the last success of a request do not count, nor do those of
-/// endpoints that ran a request with one of the parts in `causes`.
+/// Returns the score of each request. Crashes before the last success of a request do not count, nor do those that a
+/// prompt part explains.
 pub fn score_requests(
     crashes: &[Crash],
-    causes: &HashSet<Fingerprint>,
+    is_explained: impl Fn(&Crash) -> bool,
     last_success_ms: impl Fn(Fingerprint) -> Option<u64>,
 ) -> HashMap<Fingerprint, u32> {
     let mut scores = HashMap::new();
-    for crash in crashes.iter().filter(|crash| !crash.has_any_part(causes)) {
+    for crash in crashes.iter().filter(|crash| !is_explained(crash)) {
         let is_shared = is_shared(crash, crashes);
         let is_counted =
             |fingerprint: &Fingerprint| last_success_ms(*fingerprint).is_none_or(|success_ms| success_ms < crash.at_ms);
--- a/crates/ochreyard-core/tests/quarantine_parts.rs
+++ b/crates/ochreyard-core/tests/quarantine_parts.rs
@@ -139,6 +139,32 @@
     assert_eq!(quarantine.decision(sound, 4_300), QuarantineDecision::Allow);
 }
 
+/// Guards against a request that crashes endpoints, and is released once a part becomes a cause that was at these crashes by
+/// chance, and healthy then.
+#[test]
+fn a_part_that_became_a_cause_later_does_not_explain_earlier_crashes() {
+    let mut quarantine = Quarantine::default();
+    good_runs(&mut quarantine, &["in use"], 40, 500);
+    let request = Fingerprint::of(&[&77_u32.to_le_bytes()]);
+    for number in 0..3_u32 {
+        let at_ms = 1_000 + 1_000 * u64::from(number);
+        let runs: [Run; 2] = [(77, &[], Some(50)), (number, &["in use"], Some(900))];
+        crash(&mut quarantine, &format!("e{number}"), &runs, at_ms);
+    }
+    let is_request_refused = |quarantine: &Quarantine, now_ms: u64| {
+        matches!(quarantine.decision(request, now_ms), QuarantineDecision::Refuse { .. })
+    };
+    assert!(is_request_refused(&quarantine, 3_100));
+    good_runs(&mut quarantine, &["in use"], 20, 4_000);
+    for number in 10..16_u32 {
+        let at_ms = 1_000 * u64::from(number);
+        crash(&mut quarantine, &format!("e{number}"), &[(number, &["in use"], Some(50))], at_ms);
+    }
+    assert!(is_refused(&quarantine, &["in use"], 15_100));
+    quarantine.remove_expired(15_200);
+    assert!(is_request_refused(&quarantine, 15_300));
+}
+
 #[test]
 fn repetitions_of_one_request_are_no_evidence_against_its_parts() {
     let mut quarantine = Quarantine::default();
