Keep the connections of other entries and leaders that pause before they read

Callers saw nothing themselves. Another entry, or a leader, that read nothing for 2 s lost the answers of an entry or agent that were under way to it.

Cause: TCP_USER_TIMEOUT of 2 s on the connections that the internal listeners accept. Linux applies it to a closed window, although the peer acknowledges each probe.

Change: the internal listeners of entries and the agents of ranks share CallerStream::of_peer: keepalive probes, and an end after 15 s in which the peer takes nothing. The agent of a rank had no such bound before.

--- a/crates/ochreyard-direct/src/caller_stream.rs
+++ b/crates/ochreyard-direct/src/caller_stream.rs
@@ -14,6 +14,11 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use crate::connection::set_socket_options;
+
+/// How long a peer other than a caller may take nothing of an answer.
+const PEER_WRITE_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// A socket, and what its owner may want to know of it.
 #[derive(Debug)]
 struct Shared {
@@ -59,6 +64,17 @@
         Self { shared: Rc::new(Shared { socket, has_read: Cell::new(false) }), write_timeout, stall: None }
     }
 
+    /// Wraps the socket of a connection that another process of ours has opened. It ends once that process takes nothing for
+    /// a while, or is cut off.
+    #[must_use]
+    pub fn of_peer(socket: TcpStream) -> Self {
+        let timeout_set = || SockRef::from(&socket).set_tcp_user_timeout(Some(PEER_WRITE_TIMEOUT));
+        if let Err(error) = set_socket_options(&socket).and_then(|()| timeout_set()) {
+            log::debug!("event=socket_options_failed error=\"{error}\"");
+        }
+        Self::new(socket, PEER_WRITE_TIMEOUT)
+    }
+
     /// Returns a handle that looks at the socket. The socket closes with the last handle.
     #[must_use]
     pub fn probe(&self) -> UnreadProbe {
--- a/crates/ochreyard-direct/src/connection.rs
+++ b/crates/ochreyard-direct/src/connection.rs
@@ -25,24 +25,14 @@
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Sets the options that connections among processes need: small writes are sent at once, and a peer that is cut off or
-/// without power is detected.
+/// Sets the options of a connection: small writes are sent at once, and a peer that is cut off or without power while
+/// nothing is sent to it is detected by probes. There is no timeout for unacknowledged bytes, since the system would apply
+/// it to a peer that pauses before it reads, too.
 ///
 /// # Errors
 ///
 /// When the operating system rejects an option.
 pub fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
-    set_caller_socket_options(stream)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(PEER_SILENCE_TIMEOUT))
-}
-
-/// Sets the options for the connection of a caller. The system would apply a timeout for unacknowledged bytes to a caller
-/// that pauses in its answer as well; one that is cut off while it waits for an answer is detected by probes.
-///
-/// # Errors
-///
-/// When the operating system rejects an option.
-pub fn set_caller_socket_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     SockRef::from(stream).set_tcp_keepalive(
         &TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL).with_retries(2),
@@ -79,6 +69,7 @@
     pub async fn open(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = timeout_after_reads(timeout, TcpStream::connect(addr)).await.ok_or(io::ErrorKind::TimedOut)??;
         set_socket_options(&stream)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(PEER_SILENCE_TIMEOUT))?;
         let head_limit = HeadLimit::default();
         let io = TokioIo::new(head_limit.limit(stream));
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await;
--- a/crates/ochreyard-direct/src/lib.rs
+++ b/crates/ochreyard-direct/src/lib.rs
@@ -61,7 +61,6 @@
 pub use call_error::CallError;
 pub use caller_stream::{CallerStream, UnreadProbe};
 pub use catch_panic::catch_panic;
-pub use connection::set_socket_options;
 pub use dialect::{Dialect, DocumentError, HeaderNames, OperatorKey};
 pub use draining_connection::{DrainPhase, serve_until_closing};
 pub use entry::{Entry, Identity, State};
--- a/crates/ochreyard-direct/src/server.rs
+++ b/crates/ochreyard-direct/src/server.rs
@@ -31,9 +31,6 @@
 /// Pause after a failed accept: file descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// How long a peer other than a caller may take nothing of an answer.
-const PEER_WRITE_TIMEOUT: Duration = Duration::from_secs(15);
-
 /// Accepts callers until the process ends.
 pub async fn serve_callers<D: Dialect>(
     entry: Rc<Entry<D>>,
@@ -54,7 +51,7 @@
 }
 
 async fn serve_caller<D: Dialect>(entry: Rc<Entry<D>>, stream: TcpStream, phase: watch::Receiver<DrainPhase>) {
-    if let Err(error) = connection::set_caller_socket_options(&stream) {
+    if let Err(error) = connection::set_socket_options(&stream) {
         log::debug!("event=socket_options_failed error=\"{error}\"");
     }
     let limits = entry.state.borrow().table.as_ref().map(|table| table.limits()).unwrap_or_default();
@@ -117,14 +114,11 @@
         };
         let (entry, metrics, phase) = (Rc::clone(&entry), metrics.clone(), phase.subscribe());
         tokio::task::spawn_local(async move {
-            if let Err(error) = connection::set_socket_options(&stream) {
-                log::debug!("event=socket_options_failed error=\"{error}\"");
-            }
             let service = service_fn(move |request| {
                 let (entry, metrics) = (Rc::clone(&entry), metrics.clone());
                 async move { Ok::<_, Infallible>(answer_internal(&entry, side, request, &metrics).await) }
             });
-            let stream = CallerStream::new(stream, PEER_WRITE_TIMEOUT);
+            let stream = CallerStream::of_peer(stream);
             let probe = stream.probe();
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = serve_until_closing(connection, &probe, phase).await {
--- a/crates/ochreyard-rank/src/server.rs
+++ b/crates/ochreyard-rank/src/server.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use ochreyard_direct::set_socket_options;
+use ochreyard_direct::CallerStream;
 use serde::Serialize;
 use tokio::net::TcpListener;
 
@@ -33,9 +33,7 @@
         };
         let agent = Rc::clone(&agent);
         tokio::task::spawn_local(async move {
-            if let Err(error) = set_socket_options(&stream) {
-                log::debug!("event=socket_options_failed error=\"{error}\"");
-            }
+            let stream = CallerStream::of_peer(stream);
             let service = service_fn(move |request| {
                 let agent = Rc::clone(&agent);
                 async move { Ok::<_, Infallible>(handle(&agent, request).await) }
