Tell endpoints that are slow to read from endpoints that are cut off

Callers saw: a request whose endpoint reads nothing for 3 s before it takes the body ends with 502 endpoint_failed after 2.3 s, on all kinds of routes, with and without a planned stop, although the endpoint would have served it in time.

Cause: TCP_USER_TIMEOUT of 2 s on connections to endpoints.

Change: connections that a process opens are watched by samples of TCP_INFO while an answer is awaited (WatchedStream, PeerWatch). If the peer has acknowledged nothing for 1.1 s while something awaits it, a new connection shows whether its system is reachable; if none opens in 0.65 s, and still nothing is acknowledged, the connection fails. Where the system reports no samples, the timeout stays. The cause of a failed attempt names the error of the system, and event=peer_verified the state of the window, what is unacknowledged and unsent, probes, and the age of the last acknowledgment. This holds for endpoints, other entries, ranks and the store: all use Connection.

--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -21,6 +21,7 @@
 mod log_progress;
 mod log_retry_backoff;
 mod paced_retries;
+mod peer_watch;
 mod permitted_regions;
 mod poll_schedule;
 mod position;
@@ -38,6 +39,7 @@
 mod route_table;
 mod shared_limit;
 mod shared_retry_budget;
+mod tcp_sample;
 mod urgency;
 mod waiting;
 
@@ -60,6 +62,7 @@
 pub use late_reads::LateReads;
 pub use log_progress::LogProgress;
 pub use log_retry_backoff::LogRetryBackoff;
+pub use peer_watch::{Observing, PeerWatch, Verifying};
 pub use permitted_regions::PermittedRegions;
 pub use poll_schedule::{PollSchedule, PollTargets};
 pub use position::{ParsePositionError, Position};
@@ -85,6 +88,7 @@
     parse_limit,
 };
 pub use shared_retry_budget::SharedRetryBudget;
+pub use tcp_sample::TcpSample;
 pub use urgency::Urgency;
 pub use waiting::{
     Arrival, ArrivalRate, DispatchDecision, LateSlots, LongestRuns, Patience, PendingRequest, ServiceQueue,
--- a/crates/ochreyard-direct/src/attempt.rs
+++ b/crates/ochreyard-direct/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::in_flight::InFlightAttempt;
 use crate::liveness_check::{self, Liveness};
 use crate::timeout::timeout_after_reads;
-use crate::{meters, signals};
+use crate::{error_chain, meters, signals};
 
 /// Timeout for connecting to an endpoint: several round trips between data centres, and short enough to leave time for
 /// another endpoint.
@@ -155,7 +155,7 @@
 
 fn lost<D: Dialect>(in_flight: &InFlightAttempt<D>, error: &hyper::Error) -> Attempt<D> {
     in_flight.set_outcome(AttemptOutcome::BrokenOff);
-    Attempt::Lost { cause: format!("connection lost: {error}") }
+    Attempt::Lost { cause: format!("connection lost: {}", error_chain::describe(error)) }
 }
 
 fn malformed<D: Dialect>(in_flight: &InFlightAttempt<D>, problem: &str) -> Attempt<D> {
--- a/crates/ochreyard-direct/src/buffered_bytes.rs
+++ b/crates/ochreyard-direct/src/buffered_bytes.rs
@@ -11,6 +11,7 @@
 use crate::answer_limits::MIN_PIECE_BYTES;
 use crate::dialect::Dialect;
 use crate::entry::Entry;
+use crate::error_chain;
 
 /// Share of the memory of a box that bodies may take.
 const BUFFER_SHARE: f64 = 0.25;
@@ -108,7 +109,7 @@
     pub async fn read_body<B>(&self, mut body: B, max_bytes: usize) -> Result<Bytes, BodyError>
     where
         B: Body<Data = Bytes> + Unpin,
-        B::Error: std::fmt::Display,
+        B::Error: std::error::Error + 'static,
     {
         if body.size_hint().lower() > max_bytes as u64 {
             return Err(BodyError::TooLong { max_bytes });
@@ -119,7 +120,7 @@
         let reserved_bytes = self.bytes();
         received.reserve(reserved_bytes);
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| BodyError::Interrupted(error.to_string()))?;
+            let frame = frame.map_err(|error| BodyError::Interrupted(error_chain::describe(&error)))?;
             let Ok(data) = frame.into_data() else { continue };
             counted_bytes += data.len().max(min_piece_bytes);
             if counted_bytes > max_bytes {
--- a/crates/ochreyard-direct/src/connection.rs
+++ b/crates/ochreyard-direct/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Once;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,11 +18,13 @@
 use crate::answer_limits::MAX_HEAD_BYTES;
 use crate::head_limit::HeadLimit;
 use crate::send_failure::SendFailure;
+use crate::tcp_info;
 use crate::timeout::timeout_after_reads;
+use crate::watched_stream::{AwaitsAnswer, WatchedStream};
 
-/// How long sent bytes may stay unacknowledged, and a peer silent. Well over a few retransmissions (200 ms each and
-/// more) on a link that loses packets.
-const PEER_SILENCE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long sent bytes may stay unacknowledged where the state of a connection is not known. Well over a few
+/// retransmissions (200 ms each and more) on a link that loses packets.
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -39,6 +42,9 @@
     )
 }
 
+/// Logs once that the system does not report the state of connections.
+static REPORT_NO_SAMPLES: Once = Once::new();
+
 /// The largest status of an answer.
 const MAX_STATUS: u16 = 599;
 
@@ -52,6 +58,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     head_limit: HeadLimit,
+    awaits_answer: AwaitsAnswer,
 }
 
 impl Drop for Connection {
@@ -69,8 +76,13 @@
     pub async fn open(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = timeout_after_reads(timeout, TcpStream::connect(addr)).await.ok_or(io::ErrorKind::TimedOut)??;
         set_socket_options(&stream)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(PEER_SILENCE_TIMEOUT))?;
-        let head_limit = HeadLimit::default();
+        if let Err(error) = tcp_info::sample(&stream) {
+            // Without samples, a peer that is cut off can't be told from one that is slow to read.
+            SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
+            REPORT_NO_SAMPLES.call_once(|| log::warn!("event=connection_state_unknown error=\"{error}\""));
+        }
+        let (head_limit, awaits_answer) = (HeadLimit::default(), AwaitsAnswer::default());
+        let stream = WatchedStream::new(stream, addr, awaits_answer.clone());
         let io = TokioIo::new(head_limit.limit(stream));
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
@@ -78,7 +90,7 @@
             // The error is returned to the caller that waits for the answer.
             drop(connection.await);
         });
-        Ok(Self { sender, driver: task.abort_handle(), head_limit })
+        Ok(Self { sender, driver: task.abort_handle(), head_limit, awaits_answer })
     }
 
     /// Returns whether the connection is open, as far as known.
@@ -87,6 +99,11 @@
         !self.sender.is_closed()
     }
 
+    /// Ends the watch over the peer, since no answer is awaited. The next request starts it again.
+    pub fn set_idle(&self) {
+        self.awaits_answer.set(false);
+    }
+
     /// Waits until the previous answer is read completely. Returns whether the connection is still usable.
     pub async fn wait_until_free(&mut self) -> bool {
         self.sender.ready().await.is_ok()
@@ -99,6 +116,7 @@
     /// The error tells whether a byte may have been written.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendFailure> {
         let head = self.head_limit.await_head();
+        self.awaits_answer.set(true);
         let sent = tokio::select! {
             // A head that is complete counts, however much came with it.
             biased;
--- a/crates/ochreyard-direct/src/connection_pool.rs
+++ b/crates/ochreyard-direct/src/connection_pool.rs
@@ -50,6 +50,7 @@
         let Some(idle_time) = allowed_idle(answer) else { return };
         let idle = self.idle.entry((pick.incarnation(), pick.addr)).or_default();
         if idle.len() < MAX_IDLE_PER_ENDPOINT && connection.is_open() {
+            connection.set_idle();
             idle.push(IdleConnection { connection, until_ms: now_ms + idle_time.as_millis() as u64 });
         }
     }
--- a/crates/ochreyard-direct/src/head_limit.rs
+++ b/crates/ochreyard-direct/src/head_limit.rs
@@ -10,11 +10,11 @@
 use std::task::{Context, Poll, Waker};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::answer_limits::{HEAD_TIMEOUT, MAX_HEAD_BYTES};
+use crate::watched_stream::WatchedStream;
 
 /// What a connection may read.
 #[derive(Debug, Clone, Copy)]
@@ -52,7 +52,7 @@
 
 impl HeadLimit {
     /// Wraps the socket whose reads are limited.
-    pub fn limit(&self, stream: TcpStream) -> LimitedStream {
+    pub fn limit(&self, stream: WatchedStream) -> LimitedStream {
         LimitedStream { stream, limit: self.clone() }
     }
 
@@ -120,9 +120,8 @@
 }
 
 /// A socket on which the heads of answers are limited.
-#[derive(Debug)]
 pub struct LimitedStream {
-    stream: TcpStream,
+    stream: WatchedStream,
     limit: HeadLimit,
 }
 
--- a/crates/ochreyard-direct/src/http_client.rs
+++ b/crates/ochreyard-direct/src/http_client.rs
@@ -82,6 +82,7 @@
         let late = || CallError::Timeout(timeout.as_millis());
         let exchange = self.exchange(connection, request, timeout);
         let (connection, response) = timeout_after_reads(timeout, exchange).await.ok_or_else(late)??;
+        connection.set_idle();
         *kept = Some(connection);
         Ok(response)
     }
--- a/crates/ochreyard-direct/src/meters.rs
+++ b/crates/ochreyard-direct/src/meters.rs
@@ -56,6 +56,12 @@
     metrics::counter!("ochreyard_direct_liveness_checks_total", "result" => result).increment(1);
 }
 
+/// Records that it was verified whether the peer of a connection is reachable.
+pub fn on_peer_verified(is_reachable: bool) {
+    let result = if is_reachable { "reachable" } else { "silent" };
+    metrics::counter!("ochreyard_direct_peers_verified_total", "result" => result).increment(1);
+}
+
 /// Records that an endpoint did not run a request that reached it; `asks_backoff` tells whether it also asked for a
 /// backoff.
 pub fn on_refused_arrival(service: &str, asks_backoff: bool) {
--- a/crates/ochreyard-direct/src/pass_on.rs
+++ b/crates/ochreyard-direct/src/pass_on.rs
@@ -17,8 +17,8 @@
 use crate::crash_check::Break;
 use crate::dialect::Dialect;
 use crate::job::Job;
-use crate::meters;
 use crate::timeout::timeout_after_reads;
+use crate::{error_chain, meters};
 
 /// Starts the answer to the caller with an answer that states its size.
 pub fn pass_on<D: Dialect>(job: Job<D>, answer: Answer<D>) -> Response<AnswerBody> {
@@ -59,7 +59,12 @@
         }
         Some(Some(Err(error))) => {
             answer.in_flight.set_outcome(AttemptOutcome::BrokenOff);
-            job.record_lost_attempt(&answer.pick, Break::Unexplained, &format!("answer broke off: {error}")).await;
+            job.record_lost_attempt(
+                &answer.pick,
+                Break::Unexplained,
+                &format!("answer broke off: {}", error_chain::describe(&error)),
+            )
+            .await;
             Some((Err(AnswerAborted), None))
         }
         None => {
--- a/crates/ochreyard-direct/src/relay.rs
+++ b/crates/ochreyard-direct/src/relay.rs
@@ -17,8 +17,8 @@
 use crate::dialect::Dialect;
 use crate::give_up_reason::GiveUpReason;
 use crate::job::{AttemptProgress, ENDED_WITH_ENDPOINT, Job, SLOW_ENDPOINT};
-use crate::meters;
 use crate::timeout::timeout_after_reads;
+use crate::{error_chain, meters};
 
 /// Multiple of the target gap between events after which a stream leaves an endpoint that sends nothing on any request.
 const SILENCE_TIMEOUT_GAPS: u64 = 8;
@@ -161,7 +161,9 @@
         let Some(answer) = self.answer.as_mut() else { return Step::End };
         match frame {
             Some(Ok(frame)) => self.on_data(&frame.into_data().unwrap_or_default()),
-            Some(Err(error)) => Step::Broken { cause: error.to_string(), how: StreamBreak::Lost(Break::Unexplained) },
+            Some(Err(error)) => {
+                Step::Broken { cause: error_chain::describe(&error), how: StreamBreak::Lost(Break::Unexplained) }
+            }
             None if self.splitter.has_partial_event() => Step::Broken {
                 cause: "stream ended within an event".to_owned(),
                 how: StreamBreak::Lost(Break::Unexplained),
--- /dev/null
+++ b/crates/ochreyard-direct/src/watched_stream.rs
@@ -0,0 +1,165 @@
+//! A socket towards a peer that may be slow to read, or cut off.
+//!
+//! `TCP_USER_TIMEOUT` would end both kinds of connections: Linux applies it to a closed window, too. So the socket is
+//! watched here, by samples of its state, while an answer is awaited on it.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use futures::FutureExt;
+use ochreyard_core::direct::{Observing, PeerWatch, TcpSample, Verifying};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+
+use crate::reachability::ReachabilityCheck;
+use crate::{meters, reachability, tcp_info};
+
+/// Why a connection ended whose peer is cut off.
+#[derive(Debug, thiserror::Error)]
+#[error("peer is cut off: {0}")]
+struct CutOff(TcpSample);
+
+/// Whether an answer is awaited on a connection, so that its peer is watched.
+#[derive(Debug, Clone, Default)]
+pub struct AwaitsAnswer(Rc<Cell<bool>>);
+
+impl AwaitsAnswer {
+    /// Sets whether an answer is awaited. The connection has to be polled after this.
+    pub fn set(&self, is_awaited: bool) {
+        self.0.set(is_awaited);
+    }
+}
+
+/// The watch over a peer, and what it waits for.
+enum Phase {
+    /// No answer is awaited.
+    Idle,
+    Observing {
+        watch: PeerWatch<Observing>,
+        next_sample: Pin<Box<Sleep>>,
+    },
+    Verifying {
+        watch: PeerWatch<Verifying>,
+        check: ReachabilityCheck,
+    },
+}
+
+/// A socket that fails with [`io::ErrorKind::TimedOut`] once its peer is cut off.
+pub struct WatchedStream {
+    socket: TcpStream,
+    peer_addr: SocketAddr,
+    awaits_answer: AwaitsAnswer,
+    opened: Instant,
+    has_read: bool,
+    phase: Phase,
+}
+
+impl WatchedStream {
+    /// Wraps the socket of a connection to `peer_addr`.
+    pub fn new(socket: TcpStream, peer_addr: SocketAddr, awaits_answer: AwaitsAnswer) -> Self {
+        Self { socket, peer_addr, awaits_answer, opened: Instant::now(), has_read: false, phase: Phase::Idle }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.opened.elapsed().as_millis() as u64
+    }
+
+    fn observe(&self, watch: PeerWatch<Observing>) -> Phase {
+        Phase::Observing { watch, next_sample: Box::pin(tokio::time::sleep(PeerWatch::SAMPLE_INTERVAL)) }
+    }
+
+    /// Watches the peer while nothing arrives from it. Ready with an error once it is cut off.
+    fn poll_watch(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
+        loop {
+            let now_ms = self.now_ms();
+            self.phase = match std::mem::replace(&mut self.phase, Phase::Idle) {
+                _ if !self.awaits_answer.0.get() => return Poll::Pending,
+                Phase::Idle => self.observe(PeerWatch::start(now_ms)),
+                Phase::Observing { watch, mut next_sample } => {
+                    if next_sample.as_mut().poll(cx).is_pending() {
+                        self.phase = Phase::Observing { watch, next_sample };
+                        return Poll::Pending;
+                    }
+                    self.take_sample(watch, now_ms)
+                }
+                Phase::Verifying { watch, mut check } => match check.poll_unpin(cx) {
+                    Poll::Pending => {
+                        self.phase = Phase::Verifying { watch, check };
+                        return Poll::Pending;
+                    }
+                    Poll::Ready(is_reachable) => match self.on_verified(watch, is_reachable, now_ms) {
+                        Ok(phase) => phase,
+                        Err(cut_off) => return Poll::Ready(io::Error::new(io::ErrorKind::TimedOut, cut_off)),
+                    },
+                },
+            };
+        }
+    }
+
+    fn take_sample(&mut self, watch: PeerWatch<Observing>, now_ms: u64) -> Phase {
+        if std::mem::take(&mut self.has_read) {
+            return self.observe(PeerWatch::start(now_ms));
+        }
+        let Ok(sample) = tcp_info::sample(&self.socket) else { return self.observe(watch) };
+        match watch.observe(&sample, now_ms) {
+            Ok(watch) => self.observe(watch),
+            Err(watch) => Phase::Verifying { watch, check: reachability::check(self.peer_addr) },
+        }
+    }
+
+    fn on_verified(&self, watch: PeerWatch<Verifying>, is_reachable: bool, now_ms: u64) -> Result<Phase, CutOff> {
+        let sample = tcp_info::sample(&self.socket).unwrap_or_default();
+        log::info!("event=peer_verified addr={} reachable={is_reachable} {sample}", self.peer_addr);
+        meters::on_peer_verified(is_reachable);
+        if is_reachable {
+            return Ok(self.observe(watch.on_reachable(now_ms)));
+        }
+        match watch.confirm_cut_off(&sample, now_ms) {
+            Ok(()) => Err(CutOff(sample)),
+            Err(watch) => Ok(self.observe(watch)),
+        }
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.socket).poll_read(cx, buf);
+        if read.is_ready() {
+            self.has_read = true;
+            return read;
+        }
+        let error = ready!(self.poll_watch(cx));
+        Poll::Ready(Err(error))
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+}
