A caller that stops reading frees its endpoint at its deadline (`ochreyard serve`)

Callers saw: requests for an endpoint wait, and are refused as full, while a caller of a request that may not run again reads nothing of its large answer, also long after the deadline of that request.

Cause: an entry waits without a limit until the caller takes the next part of an answer. The agent then waits for the entry, and the endpoint for the agent, which lets a call that is not repeatable run to its end.

Change: at the deadline the entry lets go of the agent, and the caller's connection ends before the end of its answer. What the endpoint has sent to its end is still delivered however late the caller takes it.

Evidence: slow_callers of ochreyard-stand-ins, one slot, a deadline of 1 s: before, another caller was not served while the test waited (over a minute) for a request that is not repeatable; the repeatable case held.

--- a/crates/ochreyard-entry/src/forward.rs
+++ b/crates/ochreyard-entry/src/forward.rs
@@ -339,21 +339,37 @@
     async fn forward_chunks(mut self) -> Result<(), Refusal> {
         let Some(chunks) = self.chunks.take() else { return Ok(()) };
         let mut next: Result<Option<FrameBody>, Refusal> = Ok(self.first_body.take());
-        loop {
+        let failure = loop {
             match next {
-                Ok(Some(FrameBody::Data(bytes))) => {
-                    if chunks.send(Ok(Bytes::from(bytes))).await.is_err() {
-                        return Err(Refusal::new(ErrorKind::CallerGone));
-                    }
-                }
+                Ok(Some(FrameBody::Data(bytes))) => match self.send_chunk(&chunks, bytes).await {
+                    Some(Ok(())) => {}
+                    Some(Err(_)) => return Err(Refusal::new(ErrorKind::CallerGone)),
+                    None => break Refusal::new(ErrorKind::DeadlineExceeded),
+                },
                 Ok(Some(_)) => {}
                 Ok(None) => return Ok(()),
-                Err(refusal) => {
-                    let _ = chunks.send(Err(refusal.clone())).await;
-                    return Err(refusal);
-                }
+                Err(refusal) => break refusal,
             }
             next = self.next().await;
+        };
+        // Releases the endpoint first, since the caller may take the failure much later.
+        drop(self);
+        let _ = chunks.send(Err(failure.clone())).await;
+        Err(failure)
+    }
+
+    /// Waits until the caller takes a chunk; `None` if it does not until the deadline and keeps the endpoint waiting. The
+    /// rest of an answer that the endpoint has sent to its end is delivered however late the caller takes it.
+    async fn send_chunk(
+        &self,
+        chunks: &mpsc::Sender<BodyChunk>,
+        bytes: Vec<u8>,
+    ) -> Option<Result<(), mpsc::error::SendError<BodyChunk>>> {
+        let sending = chunks.send(Ok(Bytes::from(bytes)));
+        tokio::pin!(sending);
+        match wait_until_deadline(self.deadline, sending.as_mut()).await {
+            None if self.call.is_finished() => Some(sending.await),
+            sent => sent,
         }
     }
 }
--- a/crates/ochreyard-stand-ins/tests/slow_callers.rs
+++ b/crates/ochreyard-stand-ins/tests/slow_callers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ochreyard_stand_ins::cluster::{wait_until, workspace_token};
+use ochreyard_stand_ins::load::{self, RequestOutcome};
 use ochreyard_stand_ins::site::{PLAIN, Site, SiteSpec, WORKSPACES};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,6 +15,8 @@
 const PAUSE: Duration = Duration::from_secs(3);
 /// Receive buffer of a caller.
 const BUFFER_BYTES: u32 = 4 << 10;
+/// Deadline of a request whose caller stops reading.
+const DEADLINE_MS: u64 = 1_000;
 /// More chunks than all processes on the way buffer, and polls without a further one after which they buffer no more.
 const ENDLESS_CHUNKS: u64 = 2_000;
 const STABLE_POLLS: u32 = 20;
@@ -27,12 +30,17 @@
 impl PausingCaller {
     /// Asks for an answer of this many chunks, and reads its start.
     async fn start(site: &Site, chunks: u64) -> Self {
+        Self::start_with(site, chunks, "").await
+    }
+
+    /// The same with further lines in the head of the request.
+    async fn start_with(site: &Site, chunks: u64, headers: &str) -> Self {
         let addr = site.entries[0].callers_url.trim_start_matches("http://").to_owned();
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(BUFFER_BYTES).unwrap();
         let mut stream = socket.connect(addr.parse().unwrap()).await.unwrap();
         let request = format!(
-            "GET /{PLAIN}/big/{chunks} HTTP/1.1\r\nhost: {addr}\r\nauthorization: Bearer {}\r\nconnection: close\r\n\r\n",
+            "GET /{PLAIN}/big/{chunks} HTTP/1.1\r\nhost: {addr}\r\nauthorization: Bearer {}\r\n{headers}connection: close\r\n\r\n",
             workspace_token(WORKSPACES[0])
         );
         stream.write_all(request.as_bytes()).await.unwrap();
@@ -80,3 +88,22 @@
     tokio::time::sleep(PAUSE).await;
     assert!(caller.read_rest().await, "an answer of {buffered_chunks} - {fewer_chunks} chunks is cut");
 }
+
+/// Guards against a caller that keeps a slot of its endpoint for as long as it reads nothing: an entry waited without a limit
+/// until the caller took the next part.
+#[rstest]
+#[case::repeatable("ochreyard-repeatable: true\r\n")]
+#[case::not_repeatable("ochreyard-repeatable: false\r\n")]
+#[tokio::test]
+async fn a_caller_that_stops_reading_frees_its_endpoint_at_its_deadline(#[case] repeatable: &str) {
+    let spec = SiteSpec { entries: vec![DC], plains: vec![DC], slots: 1, ..SiteSpec::default() };
+    let site = Site::start(&spec).await;
+    let headers = format!("{repeatable}ochreyard-deadline-ms: {DEADLINE_MS}\r\n");
+    let stalled = PausingCaller::start_with(&site, ENDLESS_CHUNKS, &headers).await;
+    wait_until("another caller is served", async || {
+        let (http, entry) = (site.cluster.http(), &site.entries[0].callers_url);
+        load::fetch(http, entry, WORKSPACES[1], PLAIN).await == RequestOutcome::Complete
+    })
+    .await;
+    assert!(!stalled.read_rest().await, "an answer that was cut looks complete");
+}
