--- a/crates/ochreyard-direct/src/connection.rs
+++ b/crates/ochreyard-direct/src/connection.rs
@@ -20,7 +20,7 @@
 use crate::send_failure::SendFailure;
 use crate::tcp_info;
 use crate::timeout::timeout_after_reads;
-use crate::watched_stream::{AwaitsAnswer, WatchedStream};
+use crate::watched_stream::{AwaitedAnswer, WatchedStream};
 
 /// How long sent bytes may stay unacknowledged where the state of a connection is not known. Well over a few
 /// retransmissions (200 ms each and more) on a link that loses packets.
@@ -58,7 +58,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     head_limit: HeadLimit,
-    awaits_answer: AwaitsAnswer,
+    awaited: AwaitedAnswer,
 }
 
 impl Drop for Connection {
@@ -81,8 +81,8 @@
             SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
             REPORT_NO_SAMPLES.call_once(|| log::warn!("event=connection_state_unknown error=\"{error}\""));
         }
-        let (head_limit, awaits_answer) = (HeadLimit::default(), AwaitsAnswer::default());
-        let stream = WatchedStream::new(stream, addr, awaits_answer.clone());
+        let (head_limit, awaited) = (HeadLimit::default(), AwaitedAnswer::default());
+        let stream = WatchedStream::new(stream, addr, awaited.clone());
         let io = TokioIo::new(head_limit.limit(stream));
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
@@ -90,7 +90,7 @@
             // The error is returned to the caller that waits for the answer.
             drop(connection.await);
         });
-        Ok(Self { sender, driver: task.abort_handle(), head_limit, awaits_answer })
+        Ok(Self { sender, driver: task.abort_handle(), head_limit, awaited })
     }
 
     /// Returns whether the connection is open, as far as known.
@@ -101,7 +101,7 @@
 
     /// Ends the watch over the peer, since no answer is awaited. The next request starts it again.
     pub fn set_idle(&self) {
-        self.awaits_answer.set(false);
+        self.awaited.end();
     }
 
     /// Waits until the previous answer is read completely. Returns whether the connection is still usable.
@@ -116,7 +116,7 @@
     /// The error tells whether a byte may have been written.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendFailure> {
         let head = self.head_limit.await_head();
-        self.awaits_answer.set(true);
+        self.awaited.begin();
         let sent = tokio::select! {
             // A head that is complete counts, however much came with it.
             biased;
--- a/crates/ochreyard-direct/src/reachability.rs
+++ b/crates/ochreyard-direct/src/reachability.rs
@@ -20,12 +20,16 @@
     static RUNNING: RefCell<HashMap<SocketAddr, ReachabilityCheck>> = RefCell::default();
 }
 
-/// Checks whether a new connection to `addr` opens, or is refused: a system that answers is reachable.
+/// Checks whether a new connection to `addr` opens, or is refused: a system that answers is reachable. The check goes on in
+/// the background if its result is no longer awaited.
 pub fn check(addr: SocketAddr) -> ReachabilityCheck {
-    RUNNING.with_borrow_mut(|running| {
-        let check = running.entry(addr).or_insert_with(|| is_reachable(addr).boxed_local().shared());
-        check.clone()
-    })
+    RUNNING.with_borrow_mut(|running| running.entry(addr).or_insert_with(|| start(addr)).clone())
+}
+
+fn start(addr: SocketAddr) -> ReachabilityCheck {
+    let check = is_reachable(addr).boxed_local().shared();
+    drop(tokio::task::spawn_local(check.clone()));
+    check
 }
 
 async fn is_reachable(addr: SocketAddr) -> bool {
--- a/crates/ochreyard-direct/src/watched_stream.rs
+++ b/crates/ochreyard-direct/src/watched_stream.rs
@@ -24,14 +24,19 @@
 #[error("peer is cut off: {0}")]
 struct CutOff(TcpSample);
 
-/// Whether an answer is awaited on a connection, so that its peer is watched.
+/// Since when an answer is awaited on a connection; its peer is watched as long as one is.
 #[derive(Debug, Clone, Default)]
-pub struct AwaitsAnswer(Rc<Cell<bool>>);
+pub struct AwaitedAnswer(Rc<Cell<Option<Instant>>>);
 
-impl AwaitsAnswer {
-    /// Sets whether an answer is awaited. The connection has to be polled after this.
-    pub fn set(&self, is_awaited: bool) {
-        self.0.set(is_awaited);
+impl AwaitedAnswer {
+    /// Records that a request is about to be written.
+    pub fn begin(&self) {
+        self.0.set(Some(Instant::now()));
+    }
+
+    /// Records that no answer is awaited any more.
+    pub fn end(&self) {
+        self.0.set(None);
     }
 }
 
@@ -53,7 +58,9 @@
 pub struct WatchedStream {
     socket: TcpStream,
     peer_addr: SocketAddr,
-    awaits_answer: AwaitsAnswer,
+    awaited: AwaitedAnswer,
+    /// Start of the wait to which `phase` belongs.
+    watched_since: Option<Instant>,
     opened: Instant,
     has_read: bool,
     phase: Phase,
@@ -61,8 +68,9 @@
 
 impl WatchedStream {
     /// Wraps the socket of a connection to `peer_addr`.
-    pub fn new(socket: TcpStream, peer_addr: SocketAddr, awaits_answer: AwaitsAnswer) -> Self {
-        Self { socket, peer_addr, awaits_answer, opened: Instant::now(), has_read: false, phase: Phase::Idle }
+    pub fn new(socket: TcpStream, peer_addr: SocketAddr, awaited: AwaitedAnswer) -> Self {
+        let (watched_since, opened) = (None, Instant::now());
+        Self { socket, peer_addr, awaited, watched_since, opened, has_read: false, phase: Phase::Idle }
     }
 
     fn now_ms(&self) -> u64 {
@@ -75,10 +83,15 @@
 
     /// Watches the peer while nothing arrives from it. Ready with an error once it is cut off.
     fn poll_watch(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
+        let awaited_since = self.awaited.0.get();
+        if self.watched_since != awaited_since {
+            self.watched_since = awaited_since;
+            self.phase = Phase::Idle;
+        }
         loop {
             let now_ms = self.now_ms();
             self.phase = match std::mem::replace(&mut self.phase, Phase::Idle) {
-                _ if !self.awaits_answer.0.get() => return Poll::Pending,
+                _ if awaited_since.is_none() => return Poll::Pending,
                 Phase::Idle => self.observe(PeerWatch::start(now_ms)),
                 Phase::Observing { watch, mut next_sample } => {
                     if next_sample.as_mut().poll(cx).is_pending() {
