--- a/crates/ochreyard-core/src/direct/peer_watch.rs
+++ b/crates/ochreyard-core/src/direct/peer_watch.rs
@@ -38,7 +38,8 @@
     ///
     /// # Errors
     ///
-    /// When the peer has acknowledged nothing for so long that it has to be verified that it is reachable.
+    /// When the peer has acknowledged nothing for so long that it has to be verified whether it is reachable. The watch that
+    /// is returned goes on with the result.
     pub fn observe(self, sample: &TcpSample, now_ms: u64) -> Result<Self, PeerWatch<Verifying>> {
         let silent_ms = now_ms.saturating_sub(self.state.reachable_ms).min(sample.last_ack_age_ms);
         if sample.awaits_peer() && silent_ms >= VERIFY_AFTER_MS {
@@ -59,17 +60,12 @@
         PeerWatch::start(now_ms)
     }
 
-    /// Takes into account that no new connection to the peer has opened.
-    ///
-    /// # Errors
-    ///
-    /// Returns the watch, to go on with, if the peer has acknowledged something meanwhile; otherwise the peer is cut off.
-    pub fn confirm_cut_off(self, sample: &TcpSample, now_ms: u64) -> Result<(), PeerWatch<Observing>> {
+    /// Goes on after no new connection to the peer has opened; `None` if the peer is cut off, since it has acknowledged
+    /// nothing meanwhile either.
+    #[must_use]
+    pub fn on_unreachable(self, sample: &TcpSample, now_ms: u64) -> Option<PeerWatch<Observing>> {
         let verified_ms = now_ms.saturating_sub(self.state.started_ms);
-        if sample.awaits_peer() && sample.last_ack_age_ms >= verified_ms {
-            Ok(())
-        } else {
-            Err(PeerWatch::start(now_ms))
-        }
+        let is_cut_off = sample.awaits_peer() && sample.last_ack_age_ms >= verified_ms;
+        (!is_cut_off).then(|| PeerWatch::start(now_ms))
     }
 }
--- a/crates/ochreyard-core/tests/peer_watch.rs
+++ b/crates/ochreyard-core/tests/peer_watch.rs
@@ -59,7 +59,7 @@
     let timeout_ms = PeerWatch::TIMEOUT.as_millis() as u64;
     let found_ms = elapsed_ms + timeout_ms;
     assert!(found_ms <= MAX_DETECTION_MS, "{found_ms} ms");
-    assert!(verifying.confirm_cut_off(&acked(sample, found_ms), START_MS + found_ms).is_ok());
+    assert!(verifying.on_unreachable(&acked(sample, found_ms), START_MS + found_ms).is_none());
 }
 
 /// The idle time before a request was written is no silence of the peer.
@@ -72,7 +72,7 @@
 fn a_peer_that_acknowledges_while_it_is_verified_is_not_cut_off() {
     let (elapsed_ms, verifying) = observe_until_verifying(|elapsed_ms| acked(WINDOW_CLOSED, elapsed_ms)).unwrap();
     let now_ms = START_MS + elapsed_ms + 650;
-    assert!(verifying.confirm_cut_off(&acked(WINDOW_CLOSED, 100), now_ms).is_err());
+    assert!(verifying.on_unreachable(&acked(WINDOW_CLOSED, 100), now_ms).is_some());
 }
 
 /// After a check has shown that the peer is reachable, a cut is found in the same time as before.
@@ -83,7 +83,7 @@
     let watch: PeerWatch<Observing> = verifying.on_reachable(reachable_ms);
     let next_ms = reachable_ms + MAX_DETECTION_MS - PeerWatch::TIMEOUT.as_millis() as u64;
     let verifying = watch.observe(&acked(WINDOW_CLOSED, 4_000), next_ms).expect_err("verified again");
-    assert!(verifying.confirm_cut_off(&acked(WINDOW_CLOSED, 5_000), next_ms + 650).is_ok());
+    assert!(verifying.on_unreachable(&acked(WINDOW_CLOSED, 5_000), next_ms + 650).is_none());
 }
 
 proptest! {
@@ -94,7 +94,7 @@
         let stopped = START_MS + stopped_ms;
         if let Err(verifying) = PeerWatch::start(START_MS).observe(&acked(WINDOW_CLOSED, ack_age_ms), stopped) {
             let now_ms = stopped + stopped_ms;
-            let is_cut_off = verifying.confirm_cut_off(&acked(WINDOW_CLOSED, ack_age_ms), now_ms).is_ok();
+            let is_cut_off = verifying.on_unreachable(&acked(WINDOW_CLOSED, ack_age_ms), now_ms).is_none();
             prop_assert_eq!(is_cut_off, ack_age_ms >= stopped_ms);
         }
     }
--- a/crates/ochreyard-direct/src/watched_stream.rs
+++ b/crates/ochreyard-direct/src/watched_stream.rs
@@ -132,10 +132,7 @@
         if is_reachable {
             return Ok(self.observe(watch.on_reachable(now_ms)));
         }
-        match watch.confirm_cut_off(&sample, now_ms) {
-            Ok(()) => Err(CutOff(sample)),
-            Err(watch) => Ok(self.observe(watch)),
-        }
+        watch.on_unreachable(&sample, now_ms).map(|watch| self.observe(watch)).ok_or(CutOff(sample))
     }
 }
 
