Kept connections end as soon as before after their endpoint was cut off

Callers would have seen: a request that may not run again ends with 502 although its endpoint was cut off more than 2 s before.

Cause: with TCP_USER_TIMEOUT the system ended an idle connection after one unanswered keepalive probe, without it after two, 1 s later.

Change: connections that a process opens leave one probe unanswered.

--- a/crates/ochreyard-direct/src/connection.rs
+++ b/crates/ochreyard-direct/src/connection.rs
@@ -27,8 +27,12 @@
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Keepalive probes that an accepted connection may leave unanswered.
+const ACCEPTED_PROBES: u32 = 2;
+/// The same for a connection that this process has opened, which a request may need next.
+const OPENED_PROBES: u32 = 1;
 
-/// Sets the options of a connection: small writes are sent at once, and a peer that is cut off or without power while
+/// Sets the options of an accepted connection: small writes are sent at once, and a peer that is cut off or without power while
 /// nothing is sent to it is detected by probes. There is no timeout for unacknowledged bytes, since the system would apply
 /// it to a peer that pauses before it reads, too.
 ///
@@ -36,10 +40,13 @@
 ///
 /// When the operating system rejects an option.
 pub fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+    set_options(stream, ACCEPTED_PROBES)
+}
+
+fn set_options(stream: &TcpStream, probes: u32) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    SockRef::from(stream).set_tcp_keepalive(
-        &TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL).with_retries(2),
-    )
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive.with_retries(probes))
 }
 
 /// Logs once that the system does not report the state of connections.
@@ -75,7 +82,7 @@
     /// When the connection does not open within `timeout`.
     pub async fn open(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = timeout_after_reads(timeout, TcpStream::connect(addr)).await.ok_or(io::ErrorKind::TimedOut)??;
-        set_socket_options(&stream)?;
+        set_options(&stream, OPENED_PROBES)?;
         if let Err(error) = tcp_info::sample(&stream) {
             // Without samples, a peer that is cut off can't be told from one that is slow to read.
             SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
