Agents keep calls to endpoints that are slow to read

Callers saw: a request through an agent (`ochreyard-agent serve`) whose endpoint reads nothing for 35 s, and would then serve it, fails after 30.4 s.

Cause: the agents' HTTP library sets TCP_USER_TIMEOUT to 30 s by default, and Linux applies it to a closed window, too.

Change: the timeout is taken away. Idle connections are probed after 15 s, once, so that an endpoint that is cut off while its answer is awaited still ends the call.

A cut while a body is on its way to the endpoint on the same machine now lasts until the system gives up; not played.

--- a/crates/ochreyard-endpoint/src/client.rs
+++ b/crates/ochreyard-endpoint/src/client.rs
@@ -15,6 +15,8 @@
 
 /// How long connecting may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time after which an idle connection is probed, and the time for an answer to the probe.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(15);
 
 /// How long control requests, such as the one for the load, may take.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -66,6 +68,11 @@
         // Following a redirect would send the request a second time.
         let http = Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
+            // Linux applies this timeout to an endpoint that is slow to read, too. One that is gone is found by keepalive.
+            .tcp_user_timeout(None::<Duration>)
+            .tcp_keepalive(KEEPALIVE_INTERVAL)
+            .tcp_keepalive_interval(KEEPALIVE_INTERVAL)
+            .tcp_keepalive_retries(1)
             .redirect(reqwest::redirect::Policy::none())
             .retry(reqwest::retry::never())
             .no_proxy()
