--- a/crates/ochreyard-core/src/direct/quarantine/crash_scores.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash_scores.rs
@@ -61,6 +61,7 @@
     let is_counted =
         |fingerprint: Fingerprint, at_ms: u64| last_success_ms(fingerprint).is_none_or(|success_ms| success_ms < at_ms);
     let mut scores = HashMap::new();
+    // Sums of the crashes that a stored score includes.
     let mut included = HashMap::new();
     for crash in crashes.iter().filter(|crash| !is_explained(crash)) {
         let is_shared = is_shared(crash, crashes);
--- a/crates/ochreyard-direct/src/containment.rs
+++ b/crates/ochreyard-direct/src/containment.rs
@@ -171,8 +171,8 @@
         state.boxes.iter().filter(|(name, _)| rank(name) < own_rank).count() < INFORMED_WRITERS
     }
 
-    /// Queues verdicts, scores of suspects and releases for writing again after the log lost recent records. Only the boxes that write them
-    /// for all do so.
+    /// Queues verdicts, scores of suspects and releases for writing again after the log lost recent records. Only the
+    /// boxes that write them for all do so.
     pub fn rewrite_verdicts(&self) {
         let now_ms = self.clock.now_ms();
         let known = self.state.borrow().quarantine.recorded_requests(now_ms);
