--- a/crates/ochreyard-core/src/direct.rs
+++ b/crates/ochreyard-core/src/direct.rs
@@ -72,8 +72,8 @@
 pub use prompt_part::PromptPart;
 pub use quarantine::{
     ClearedRequest, CrashReport, GoodRun, LostPart, LostRequest, PartDecision, PartFinding, Quarantine,
-    QuarantineDecision, QuarantineEntry, QuarantineUpdate, QuarantinedRequest, RequestScore, RunningTrial, TrialClaim,
-    is_long_run, is_past_start,
+    QuarantineDecision, QuarantineEntry, QuarantineUpdate, QuarantinedRequest, RunningTrial, TrialClaim, is_long_run,
+    is_past_start,
 };
 pub use read_role::{LocalBox, ReadRole, broadcasts_to_data_centre, broadcasts_to_fleet};
 pub use request_size::RequestSize;
--- a/crates/ochreyard-core/src/direct/quarantine.rs
+++ b/crates/ochreyard-core/src/direct/quarantine.rs
@@ -24,15 +24,13 @@
 mod recurrence;
 mod replication;
 mod run_age;
-mod stored_scores;
-mod suspects;
 mod update;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use self::crash::{Crash, CrashTime};
 use self::crash_list::CrashList;
-use self::crash_scores::{QUARANTINE_SCORE, STORED_SCORE, TRIAL_SCORE};
+use self::crash_scores::{QUARANTINE_SCORE, TRIAL_SCORE};
 pub use self::crash_scores::{is_long_run, is_past_start};
 pub use self::decision::QuarantineDecision;
 use self::good_runs::GoodRunCounter;
@@ -43,10 +41,8 @@
 use self::part_suspicion::Suspicion;
 use self::quarantine_period::{QuarantinePeriod, REQUEST_PERIODS, part_periods};
 pub use self::quarantined_request::QuarantinedRequest;
-use self::stored_scores::StoredScores;
 pub use self::update::{
-    ClearedRequest, CrashReport, GoodRun, LostPart, LostRequest, QuarantineEntry, QuarantineUpdate, RequestScore,
-    RunningTrial,
+    ClearedRequest, CrashReport, GoodRun, LostPart, LostRequest, QuarantineEntry, QuarantineUpdate, RunningTrial,
 };
 use super::fingerprint::Fingerprint;
 use super::prompt_part::PromptPart;
@@ -95,9 +91,6 @@
     periods: HashMap<Fingerprint, QuarantinePeriod>,
     trials: HashMap<Fingerprint, Trial>,
     scores: HashMap<Fingerprint, u32>,
-    stored_scores: StoredScores,
-    /// Requests whose score is to be stored since it has risen.
-    risen_scores: BTreeSet<Fingerprint>,
     part_scores: HashMap<Fingerprint, PartScore>,
     /// Identifiers of the parts that were present at crashes or are quarantined.
     part_ids: HashMap<Fingerprint, String>,
@@ -111,7 +104,7 @@
     /// Returns whether no request is suspected, in which case fingerprints need not be computed.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.crashes.all().is_empty() && self.periods.is_empty() && self.stored_scores.is_empty()
+        self.crashes.all().is_empty() && self.periods.is_empty()
     }
 
     /// Returns the number of requests that are currently refused.
@@ -120,18 +113,16 @@
         self.periods.values().filter(|period| period.left_ms(now_ms).is_some()).count()
     }
 
-    /// Returns the requests of which the log holds a record: those that are refused, those that were present at several
-    /// crashes, and those that were released.
+    /// Returns the requests with a decision that still applies: those that are refused and those that were released.
     #[must_use]
-    pub fn recorded_requests(&self, now_ms: u64) -> Vec<Fingerprint> {
+    pub fn active_decisions(&self, now_ms: u64) -> Vec<Fingerprint> {
         let refused = self
             .periods
             .iter()
             .filter(|(_, period)| period.left_ms(now_ms).is_some())
             .map(|(fingerprint, _)| *fingerprint);
         let released = self.cleared.keys().filter(|fingerprint| !self.periods.contains_key(fingerprint)).copied();
-        let suspected = self.scores.iter().filter(|(_, score)| **score >= STORED_SCORE).map(|(request, _)| *request);
-        refused.chain(released).chain(suspected).collect::<BTreeSet<_>>().into_iter().collect()
+        refused.chain(released).collect()
     }
 
     /// Returns the quarantine entry of a request that is currently refused.
@@ -269,17 +260,14 @@
         true
     }
 
-    /// Returns whether a clearance clears a crash, a stored score or a quarantine period that the last clearance did not.
-    /// The time of a clearance is computed from its age, which does not include transit times, so a clearance that is
-    /// passed on would look newer each time.
+    /// Returns whether a clearance clears a crash or a quarantine period that the last clearance did not. The time of a clearance is computed from its age, which does not include transit times,
+    /// so a clearance that is passed on would look newer each time.
     fn is_new_clearance(&self, fingerprint: Fingerprint, at_ms: u64) -> bool {
         let known_ms = self.cleared.get(&fingerprint).map(|known| known.at_ms);
         let period = self.periods.get(&fingerprint);
         let is_cleared_now =
             |happened_ms: u64| known_ms.is_none_or(|known_ms| happened_ms > known_ms) && happened_ms <= at_ms;
-        let stored = self.stored_scores.get(fingerprint);
         period.is_some_and(|period| is_cleared_now(period.started_ms))
-            || stored.is_some_and(|stored| is_cleared_now(stored.at_ms))
             || self.crash_times(fingerprint).any(is_cleared_now)
     }
 
@@ -293,10 +281,7 @@
         let part_scores = part_scores::score_parts(self.crashes.all(), |part| self.part_history(part, now_ms));
         let causes = self.causes(&part_scores, now_ms);
         let is_explained = |crash: &Crash| crash.is_explained_by(&causes);
-        let scores =
-            crash_scores::score_requests(self.crashes.all(), &self.stored_scores, is_explained, last_success_ms);
-        self.record_risen_scores(&scores);
-        self.scores = scores;
+        self.scores = crash_scores::score_requests(self.crashes.all(), is_explained, last_success_ms);
         self.part_scores = part_scores;
         self.release_explained_requests(&causes, now_ms);
         let is_settled = |part: Fingerprint| self.last_crash_ms(part).is_none_or(|at_ms| now_ms >= at_ms + REPORTS_MS);
@@ -415,16 +400,10 @@
         self.trials.retain(|_, trial| trial.until_ms > now_ms);
         self.periods.retain(|_, period| !period.is_expired(now_ms));
         self.crashes.remove_expired(now_ms);
-        self.stored_scores.remove_expired(now_ms);
         let quarantined = self.evaluate(now_ms);
         let present = self.crashes.present();
         let periods = &self.periods;
-        let stored_scores = &self.stored_scores;
-        let is_known = |fingerprint: &Fingerprint| {
-            present.contains(fingerprint)
-                || periods.contains_key(fingerprint)
-                || stored_scores.get(*fingerprint).is_some()
-        };
+        let is_known = |fingerprint: &Fingerprint| present.contains(fingerprint) || periods.contains_key(fingerprint);
         self.cleared.retain(|fingerprint, _| is_known(fingerprint));
         self.part_ids.retain(|fingerprint, _| is_known(fingerprint));
         quarantined
--- a/crates/ochreyard-core/src/direct/quarantine/crash.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash.rs
@@ -7,7 +7,7 @@
 
 /// Crash reports of one endpoint within this time belong to the same crash, in milliseconds. Each entry detects the
 /// crash by itself, and an endpoint needs seconds to restart.
-pub const SAME_CRASH_MS: u64 = 500;
+const SAME_CRASH_MS: u64 = 500;
 /// Maximum number of requests that are kept per crash. An endpoint runs at most one or two dozen at once and queues a
 /// few more.
 const MAX_PRESENT: usize = 64;
--- a/crates/ochreyard-core/src/direct/quarantine/crash_list.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash_list.rs
@@ -10,7 +10,7 @@
 /// takes about a millisecond (example `quarantine_cost`).
 const MAX_CRASHES: usize = 128;
 /// How long a crash counts against the requests at the endpoint, in milliseconds: half an hour.
-pub const CRASH_LIFETIME_MS: u64 = 30 * 60 * 1_000;
+const CRASH_LIFETIME_MS: u64 = 30 * 60 * 1_000;
 
 /// The latest crashes.
 #[derive(Debug, Clone, Default)]
--- a/crates/ochreyard-core/src/direct/quarantine/crash_scores.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/crash_scores.rs
@@ -10,7 +10,6 @@
 use std::collections::HashMap;
 
 use super::crash::Crash;
-use super::stored_scores::StoredScores;
 use crate::direct::Fingerprint;
 
 /// Returns whether a run of this age has got past the time at which most requests that crash their endpoints do so.
@@ -46,38 +45,23 @@
 pub const TRIAL_SCORE: u32 = EARLY_SCORE + OTHER_SCORE;
 /// Score from which a request is quarantined: three crashes soon after its start, or four crashes in all.
 pub const QUARANTINE_SCORE: u32 = 4 * OTHER_SCORE;
-/// Score from which a request is kept in the log, so that a restart of all entries does not forget its crashes: two
-/// crashes. Most requests that were at one crash are bystanders.
-pub const STORED_SCORE: u32 = 2 * OTHER_SCORE;
 
 /// Returns the score of each request. Crashes before the last success of a request do not count, nor do those that a
-/// prompt part explains. A stored score counts in place of the crashes that it includes, if it is higher.
+/// prompt part explains.
 pub fn score_requests(
     crashes: &[Crash],
-    stored: &StoredScores,
     is_explained: impl Fn(&Crash) -> bool,
     last_success_ms: impl Fn(Fingerprint) -> Option<u64>,
 ) -> HashMap<Fingerprint, u32> {
-    let is_counted =
-        |fingerprint: Fingerprint, at_ms: u64| last_success_ms(fingerprint).is_none_or(|success_ms| success_ms < at_ms);
     let mut scores = HashMap::new();
-    // Sums of the crashes that a stored score includes.
-    let mut included = HashMap::new();
     for crash in crashes.iter().filter(|crash| !is_explained(crash)) {
         let is_shared = is_shared(crash, crashes);
-        let counted = crash.present.iter().filter(|(fingerprint, _)| is_counted(**fingerprint, crash.at_ms));
-        for (fingerprint, request) in counted {
-            let is_included = stored.includes(*fingerprint, crash.at_ms);
-            let sums = if is_included { &mut included } else { &mut scores };
-            *sums.entry(*fingerprint).or_insert(0) += score(is_shared, request.ran_ms);
+        let is_counted =
+            |fingerprint: &Fingerprint| last_success_ms(*fingerprint).is_none_or(|success_ms| success_ms < crash.at_ms);
+        for (fingerprint, request) in crash.present.iter().filter(|(fingerprint, _)| is_counted(fingerprint)) {
+            *scores.entry(*fingerprint).or_insert(0) += score(is_shared, request.ran_ms);
         }
     }
-    for (fingerprint, stored) in stored.iter().filter(|(fingerprint, stored)| is_counted(*fingerprint, stored.at_ms)) {
-        included.entry(fingerprint).and_modify(|sum| *sum = stored.score.max(*sum)).or_insert(stored.score);
-    }
-    for (fingerprint, sum) in included {
-        *scores.entry(fingerprint).or_insert(0) += sum;
-    }
     scores
 }
 
--- a/crates/ochreyard-core/src/direct/quarantine/replication.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/replication.rs
@@ -2,11 +2,7 @@
 
 use super::crash::{CrashTime, PresentPart};
 use super::quarantine_period::{MAX_PERIOD_MS, QuarantinePeriod};
-use super::stored_scores::StoredScore;
-use super::suspects::MAX_STORED_SCORE;
-use super::update::{
-    ClearedRequest, CrashReport, LostPart, LostRequest, QuarantineEntry, QuarantineUpdate, RequestScore,
-};
+use super::update::{ClearedRequest, CrashReport, LostPart, LostRequest, QuarantineEntry, QuarantineUpdate};
 use super::{PromptPart, Quarantine, QuarantinedRequest};
 
 impl Quarantine {
@@ -46,7 +42,6 @@
         });
         let cleared = self.cleared.iter().filter(|(_, cleared)| cleared.version > version);
         let periods = self.periods.iter().filter(|(_, period)| period.version > version);
-        let scores = self.stored_scores.iter().filter(|(_, stored)| stored.version > version);
         QuarantineUpdate {
             crashes: crashes.collect(),
             cleared: cleared
@@ -56,13 +51,6 @@
                 })
                 .collect(),
             entries: periods.map(|(fingerprint, period)| self.quarantine_entry(*fingerprint, period, now_ms)).collect(),
-            scores: scores
-                .map(|(fingerprint, stored)| RequestScore {
-                    fingerprint,
-                    score: stored.score,
-                    age_ms: age_ms(stored.at_ms),
-                })
-                .collect(),
             ..QuarantineUpdate::default()
         }
     }
@@ -89,9 +77,6 @@
         for entry in &update.entries {
             self.apply_entry(entry, now_ms);
         }
-        for reported in &update.scores {
-            self.apply_score(reported, arrived_ms);
-        }
         for cleared in &update.cleared {
             self.clear(cleared.fingerprint, arrived_ms.saturating_sub(cleared.age_ms));
         }
@@ -126,17 +111,6 @@
         }
     }
 
-    /// Applies the score of a request, unless the request was cleared later or its score is known to be as high.
-    fn apply_score(&mut self, reported: &RequestScore, arrived_ms: u64) {
-        let at_ms = arrived_ms.saturating_sub(reported.age_ms);
-        let is_cleared = self.cleared.get(&reported.fingerprint).is_some_and(|cleared| cleared.at_ms >= at_ms);
-        let version = self.version + 1;
-        let stored = StoredScore { score: reported.score.min(MAX_STORED_SCORE), at_ms, version };
-        if !is_cleared && self.stored_scores.add(reported.fingerprint, stored) {
-            self.version = version;
-        }
-    }
-
     /// Returns whether good runs with a part are known here that speak against another entry's quarantine of it.
     fn is_contested(&self, reported: &QuarantineEntry) -> bool {
         let is_due_here = self.part_scores.get(&reported.fingerprint).is_some_and(|score| score.is_quarantined());
--- a/crates/ochreyard-core/src/direct/quarantine/update.rs
+++ b/crates/ochreyard-core/src/direct/quarantine/update.rs
@@ -86,17 +86,6 @@
     pub times: u32,
 }
 
-/// The score of a request for crashes whose reports may be gone: all entries that had them may have restarted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RequestScore {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Sum of the scores of its crashes.
-    pub score: u32,
-    /// Time since the last of them, in milliseconds.
-    pub age_ms: u64,
-}
-
 /// A suspect that one entry is running as a trial.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningTrial {
@@ -124,9 +113,6 @@
     /// Requests that are quarantined.
     #[serde(rename = "verdicts", default, skip_serializing_if = "Vec::is_empty")]
     pub entries: Vec<QuarantineEntry>,
-    /// Requests that were present at several crashes.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub scores: Vec<RequestScore>,
     /// Suspects that are under trial.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub trials: Vec<RunningTrial>,
@@ -140,7 +126,6 @@
             && self.cleared.is_empty()
             && self.good_runs.is_empty()
             && self.entries.is_empty()
-            && self.scores.is_empty()
             && self.trials.is_empty()
     }
 }
--- a/crates/ochreyard-core/tests/quarantine.rs
+++ b/crates/ochreyard-core/tests/quarantine.rs
@@ -5,7 +5,7 @@
 use common::cases;
 use ochreyard_core::direct::{
     ClearedRequest, CrashReport, Fingerprint, GoodRun, LostPart, LostRequest, PartDecision, PromptPart, Quarantine,
-    QuarantineDecision, QuarantineEntry, QuarantineUpdate, QuarantinedRequest, RequestScore, RunningTrial,
+    QuarantineDecision, QuarantineEntry, QuarantineUpdate, QuarantinedRequest, RunningTrial,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -234,12 +234,6 @@
     );
     let trial = (fingerprint(), any::<u64>(), any::<Option<u64>>())
         .prop_map(|(fingerprint, left_ms, claimant)| RunningTrial { fingerprint, left_ms, claimant });
-    let score = (fingerprint(), any::<u32>(), any::<u64>()).prop_map(|(fingerprint, score, age_ms)| RequestScore {
-        fingerprint,
-        score,
-        age_ms: age_ms >> (age_ms % 64),
-    });
-    let scores = proptest::collection::vec(score, 0..4);
     let list = |strategy| proptest::collection::vec(strategy, 0..4);
     let entries = proptest::collection::vec(entry, 0..4);
     let trials = proptest::collection::vec(trial, 0..4);
@@ -250,13 +244,12 @@
         is_whole,
     });
     let good_runs = proptest::collection::vec(good_run, 0..12);
-    (list(crash.boxed()), proptest::collection::vec(cleared, 0..4), good_runs, entries, scores, trials).prop_map(
-        |(crashes, cleared, good_runs, entries, scores, trials)| QuarantineUpdate {
+    (list(crash.boxed()), proptest::collection::vec(cleared, 0..4), good_runs, entries, trials).prop_map(
+        |(crashes, cleared, good_runs, entries, trials)| QuarantineUpdate {
             crashes,
             cleared,
             good_runs,
             entries,
-            scores,
             trials,
         },
     )
--- a/crates/ochreyard-direct/src/containment.rs
+++ b/crates/ochreyard-direct/src/containment.rs
@@ -25,22 +25,12 @@
 #[derive(Debug, Default)]
 pub struct Outbox {
     crashes: RefCell<Vec<CrashReport>>,
-    /// Requests whose verdicts or scores are to be written into the log.
+    /// Requests whose verdicts are to be written into the log.
     pub verdicts_to_write: RefCell<Vec<Fingerprint>>,
     /// Wakes the task that writes verdicts.
     pub verdict_queued: tokio::sync::Notify,
 }
 
-impl Outbox {
-    /// Queues the verdict on a request, or its score, unless it is queued.
-    pub fn queue_verdict(&self, fingerprint: Fingerprint) {
-        let mut queued = self.verdicts_to_write.borrow_mut();
-        if !queued.contains(&fingerprint) {
-            queued.push(fingerprint);
-        }
-    }
-}
-
 impl<D: Dialect> Entry<D> {
     /// Records that an endpoint crashed while it had a request; its connection broke at `at_ms`.
     pub fn on_crash(self: &Rc<Self>, pick: &Pick, service: &str, lost: LostRequest, at_ms: u64) {
@@ -48,12 +38,10 @@
         let mut state = self.state.borrow_mut();
         state.pool.on_crash(&pick.id, at_ms);
         let quarantined = state.quarantine.on_crash(&pick.id, service, lost.clone(), at_ms, now_ms);
-        let risen = state.quarantine.take_risen_scores();
         drop(state);
         self.log_part_findings();
         self.record_quarantined(&quarantined, "seen");
-        let quarantined = quarantined.iter().map(|verdict| verdict.fingerprint);
-        quarantined.chain(risen).for_each(|fingerprint| self.queue_verdict_write(fingerprint));
+        quarantined.iter().for_each(|verdict| self.queue_verdict_write(verdict.fingerprint));
         self.broadcast_crash(pick, service, lost, now_ms.saturating_sub(at_ms));
     }
 
@@ -87,16 +75,9 @@
     /// Records that a request succeeded. Other boxes learn of it when they poll.
     pub fn on_request_success(&self, fingerprint: Fingerprint) {
         let now_ms = self.clock.now_ms();
-        let mut state = self.state.borrow_mut();
-        let is_score_stored = state.quarantine.request_score(fingerprint, now_ms).is_some();
-        let is_cleared = state.quarantine.on_success(fingerprint, now_ms);
-        drop(state);
-        if is_cleared {
+        if self.state.borrow_mut().quarantine.on_success(fingerprint, now_ms) {
             log::debug!("event=suspect_cleared fingerprint={fingerprint}");
         }
-        if is_score_stored {
-            self.queue_verdict_write(fingerprint);
-        }
     }
 
     /// Records the good run of a request, which began at `began_ms`. Other boxes are told at once of one that was a trial,
@@ -126,13 +107,10 @@
     /// Removes what no longer matters from the quarantine, and quarantines parts whose last crash is fully reported.
     pub fn expire_quarantine(&self) {
         let now_ms = self.clock.now_ms();
-        let mut state = self.state.borrow_mut();
-        let quarantined = state.quarantine.remove_expired(now_ms);
-        let risen = state.quarantine.take_risen_scores();
-        drop(state);
+        let quarantined = self.state.borrow_mut().quarantine.remove_expired(now_ms);
         self.log_part_findings();
         self.record_quarantined(&quarantined, "seen");
-        self.queue_verdict_writes(&quarantined, risen);
+        self.queue_verdict_writes(&quarantined);
     }
 
     /// Applies findings of another box on requests that crash endpoints.
@@ -146,18 +124,16 @@
             state.pool.on_crash(&crash.endpoint, now_ms.saturating_sub(crash.age_ms));
         }
         let quarantined = state.quarantine.apply_delayed_update(update, self.recent_lag.late_ms(now_ms), now_ms);
-        let risen = state.quarantine.take_risen_scores();
         drop(state);
         self.log_part_findings();
         self.record_quarantined(&quarantined, "told");
-        self.queue_verdict_writes(&quarantined, risen);
+        self.queue_verdict_writes(&quarantined);
     }
 
-    /// Queues the verdicts and the scores of suspects that this box writes for all.
-    fn queue_verdict_writes(&self, quarantined: &[QuarantinedRequest], risen: impl Iterator<Item = Fingerprint>) {
+    /// Queues the verdicts that this box writes for all.
+    fn queue_verdict_writes(&self, quarantined: &[QuarantinedRequest]) {
         let fingerprints = quarantined.iter().map(|verdict| verdict.fingerprint);
         fingerprints
-            .chain(risen)
             .filter(|fingerprint| self.is_verdict_writer(*fingerprint))
             .for_each(|fingerprint| self.queue_verdict_write(fingerprint));
     }
@@ -171,11 +147,11 @@
         state.boxes.iter().filter(|(name, _)| rank(name) < own_rank).count() < INFORMED_WRITERS
     }
 
-    /// Queues verdicts, scores of suspects and releases for writing again after the log lost recent records. Only the
-    /// boxes that write them for all do so.
+    /// Queues verdicts and releases for writing again after the log lost recent records. Only the boxes that write them
+    /// for all do so.
     pub fn rewrite_verdicts(&self) {
         let now_ms = self.clock.now_ms();
-        let known = self.state.borrow().quarantine.recorded_requests(now_ms);
+        let known = self.state.borrow().quarantine.active_decisions(now_ms);
         known
             .into_iter()
             .filter(|fingerprint| self.is_verdict_writer(*fingerprint))
@@ -183,7 +159,7 @@
     }
 
     fn queue_verdict_write(&self, fingerprint: Fingerprint) {
-        self.outbox.queue_verdict(fingerprint);
+        self.outbox.verdicts_to_write.borrow_mut().push(fingerprint);
         self.outbox.verdict_queued.notify_one();
     }
 
