One lost keepalive probe does not end an awaited answer

Cause: the system ends a connection after one probe without an answer. That limit is meant for idle connections, but it also held while an answer was awaited, and came before the watch had checked whether the peer is reachable.

Evidence: `a_request_is_served_by_an_endpoint_that_is_unreachable_for_a_moment`, new: outages of 900, 1,200 and 1,500 ms fail on, 300 and 600 ms hold.

Change: while the peer is watched, its connection may leave three probes unanswered; once idle, one again.

--- a/crates/ochreyard-direct/src/connection.rs
+++ b/crates/ochreyard-direct/src/connection.rs
@@ -20,7 +20,7 @@
 use crate::send_failure::SendFailure;
 use crate::tcp_info;
 use crate::timeout::timeout_after_reads;
-use crate::watched_stream::{AwaitedAnswer, WatchedStream};
+use crate::watched_stream::{AwaitedAnswer, IDLE_PROBES, WatchedStream};
 
 /// How long sent bytes may stay unacknowledged where the state of a connection is not known. Well over a few
 /// retransmissions (200 ms each and more) on a link that loses packets.
@@ -29,8 +29,6 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Keepalive probes that an accepted connection may leave unanswered.
 const ACCEPTED_PROBES: u32 = 2;
-/// The same for a connection that this process has opened, which a request may need next.
-const OPENED_PROBES: u32 = 1;
 
 /// Sets the options of an accepted connection: small writes are sent at once, and a peer that is cut off or without power while
 /// nothing is sent to it is detected by probes. There is no timeout for unacknowledged bytes, since the system would apply
@@ -82,7 +80,7 @@
     /// When the connection does not open within `timeout`.
     pub async fn open(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = timeout_after_reads(timeout, TcpStream::connect(addr)).await.ok_or(io::ErrorKind::TimedOut)??;
-        set_options(&stream, OPENED_PROBES)?;
+        set_options(&stream, IDLE_PROBES)?;
         if let Err(error) = tcp_info::sample(&stream) {
             // Without samples, a peer that is cut off can't be told from one that is slow to read.
             SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
--- a/crates/ochreyard-direct/src/watched_stream.rs
+++ b/crates/ochreyard-direct/src/watched_stream.rs
@@ -12,6 +12,7 @@
 
 use futures::FutureExt;
 use ochreyard_core::direct::{Observing, PeerWatch, TcpSample, Verifying};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
@@ -19,6 +20,11 @@
 use crate::reachability::ReachabilityCheck;
 use crate::{meters, reachability, tcp_info};
 
+/// Keepalive probes that an idle connection may leave unanswered, since a request may need it next.
+pub const IDLE_PROBES: u32 = 1;
+/// The same while the peer is watched: one probe that is lost does not show that the peer is cut off.
+const WATCHED_PROBES: u32 = 3;
+
 /// Why a connection ended whose peer is cut off.
 #[derive(Debug, thiserror::Error)]
 #[error("peer is cut off: {0}")]
@@ -63,6 +69,8 @@
     watched_since: Option<Instant>,
     opened: Instant,
     has_read: bool,
+    /// How many keepalive probes may be left unanswered now.
+    max_probes: u32,
     phase: Phase,
 }
 
@@ -70,7 +78,8 @@
     /// Wraps the socket of a connection to `peer_addr`.
     pub fn new(socket: TcpStream, peer_addr: SocketAddr, awaited: AwaitedAnswer) -> Self {
         let (watched_since, opened) = (None, Instant::now());
-        Self { socket, peer_addr, awaited, watched_since, opened, has_read: false, phase: Phase::Idle }
+        let (has_read, max_probes) = (false, IDLE_PROBES);
+        Self { socket, peer_addr, awaited, watched_since, opened, has_read, max_probes, phase: Phase::Idle }
     }
 
     fn now_ms(&self) -> u64 {
@@ -87,6 +96,7 @@
         if self.watched_since != awaited_since {
             self.watched_since = awaited_since;
             self.phase = Phase::Idle;
+            self.limit_probes(IDLE_PROBES);
         }
         loop {
             let now_ms = self.now_ms();
@@ -114,7 +124,15 @@
         }
     }
 
+    fn limit_probes(&mut self, max_probes: u32) {
+        let limit = || SockRef::from(&self.socket).set_tcp_keepalive(&TcpKeepalive::new().with_retries(max_probes));
+        if self.max_probes != max_probes && limit().is_ok() {
+            self.max_probes = max_probes;
+        }
+    }
+
     fn take_sample(&mut self, watch: PeerWatch<Observing>, now_ms: u64) -> Phase {
+        self.limit_probes(WATCHED_PROBES);
         if std::mem::take(&mut self.has_read) {
             return self.observe(PeerWatch::start(now_ms));
         }
