--- a/crates/ochreyard-direct/src/watched_stream.rs
+++ b/crates/ochreyard-direct/src/watched_stream.rs
@@ -124,6 +124,7 @@
         }
     }
 
+    /// Sets how many keepalive probes the peer may leave unanswered, if that changes.
     fn limit_probes(&mut self, max_probes: u32) {
         let limit = || SockRef::from(&self.socket).set_tcp_keepalive(&TcpKeepalive::new().with_retries(max_probes));
         if self.max_probes != max_probes && limit().is_ok() {
